workspace: add the design page, the interfaces and a thin core

Cause: the repository was empty. Every later part needs one page that states the requirements and the choices, and shared message types to build against.

--- /dev/null
+++ b/bench/src/main.rs
@@ -0,0 +1,2 @@
+//! Bench.
+fn main() {}
--- /dev/null
+++ b/cli/src/main.rs
@@ -0,0 +1,2 @@
+//! The borageline binary.
+fn main() {}
--- /dev/null
+++ b/lib/src/core.rs
@@ -0,0 +1,584 @@
+//! The core: one state machine that decides for one instance.
+//!
+//! The shell feeds [`CoreEvent`]s and the time into [`ServingCore::tick`] and
+//! carries out the [`CoreAction`]s that come back. The core holds no socket,
+//! clock or task, so that a run can be repeated from its events.
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+
+use crate::{
+    api::{InstanceAddress, PriorityClass},
+    engine_api::{CapabilityReport, EngineOrder, HeldReport, LoadReport},
+    fleet::{CONFIG_STREAM, FleetOrder, FleetState},
+    ids::{
+        DomainId, InstanceId, ModelName, OrderId, RequestId, StreamName,
+        UpstreamId, WorkspaceId,
+    },
+    peer_api::{
+        CallKey, CallResult, ClaimAnswer, OrderReport, PeerMessage, PeerReply,
+    },
+    platform_api::{AppendAnswer, InstanceListing, ListedKind, RecordPage},
+    refusal::{Refusal, RefusalCode, RetryReason, RunState},
+    units::{Incarnation, LogOffset, Timestamp, TokenCount},
+    view::{UpstreamEntry, UpstreamTable},
+};
+
+/// Number of one call that the shell carries out and answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct CallNumber(pub u64);
+
+/// Number of one call from a peer or operator that the core answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct InboundNumber(pub u64);
+
+/// Why a call to another process brought no answer.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CallFailure {
+    /// Whether the other side may have acted on the call.
+    pub run_state: RunState,
+    /// Step and cause, for people.
+    pub message: Arc<str>,
+}
+
+/// What the core needs to start.
+#[derive(Clone, Debug)]
+pub struct CoreSetup {
+    /// Name of this instance.
+    pub instance: InstanceId,
+    /// Incarnation: milliseconds since the epoch at the start.
+    pub incarnation: Incarnation,
+    /// Failure domain.
+    pub domain: DomainId,
+    /// Address for peers.
+    pub peer_address: SocketAddr,
+    /// Address for callers.
+    pub caller_address: SocketAddr,
+    /// Peers to ask first.
+    pub seeds: Vec<SocketAddr>,
+    /// Seed of the random source.
+    pub seed: u64,
+    /// Serving policy.
+    pub policy: PolicyName,
+}
+
+/// Serving policies, the product's own and the baselines.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum PolicyName {
+    /// Grants by the owner of each engine.
+    #[default]
+    Product,
+    /// Each engine in turn.
+    RoundRobin,
+    /// The engine with the fewest requests from this instance.
+    LeastRequests,
+}
+
+/// A request that a caller sent, checked and with its length known.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RequestSpec {
+    /// Request id.
+    pub request: RequestId,
+    /// Workspace.
+    pub workspace: WorkspaceId,
+    /// Model.
+    pub model: ModelName,
+    /// Priority class.
+    pub class: PriorityClass,
+    /// Length of the prompt.
+    pub prompt: TokenCount,
+    /// Most tokens to generate.
+    pub output: TokenCount,
+    /// Hash of the prompt's prefix.
+    pub prefix: u64,
+    /// When the request must have ended.
+    pub deadline: Timestamp,
+}
+
+/// One engine of an assignment and its part of the prompt.
+#[derive(Clone, Debug, PartialEq)]
+pub struct AssignedEngine {
+    /// Engine.
+    pub engine: UpstreamId,
+    /// Address of the engine.
+    pub address: SocketAddr,
+    /// Prompt tokens that go to this engine, in order.
+    pub prompt: TokenCount,
+    /// Incarnation of the engine that was counted on, if known.
+    pub incarnation: Option<Incarnation>,
+}
+
+/// Where a request is to be sent.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Assignment {
+    /// Engines; all but the last prefill a segment each.
+    pub engines: Vec<AssignedEngine>,
+    /// The first byte must be written before this time.
+    pub send_before: Timestamp,
+    /// Priority towards the engine; higher runs first.
+    pub priority: u8,
+}
+
+/// What the core decides about one request.
+#[derive(Clone, Debug, PartialEq)]
+pub enum RequestDecision {
+    /// Send it to these engines.
+    Dispatch(Assignment),
+    /// Take up the cut stream again at the engine that holds it.
+    Resume(AssignedEngine),
+    /// End it with this refusal; cancel what is running.
+    End(Refusal),
+}
+
+/// Why a request's stream from an engine failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StreamFailure {
+    /// The connection was refused; nothing was sent.
+    ConnectFailed,
+    /// The assignment expired before the first byte was written.
+    AssignmentExpired,
+    /// The engine refused it as it could not hold it.
+    Overcommitted,
+    /// The engine answered with another error.
+    EngineError,
+    /// The connection broke or the end marker was missing.
+    Cut,
+    /// Nothing came from the engine for too long.
+    Silent,
+}
+
+/// Progress of a request as the shell sees it.
+#[derive(Clone, Debug, PartialEq)]
+pub enum RequestProgress {
+    /// The request was written to the engine.
+    Sent(UpstreamId),
+    /// The first part of the answer came.
+    FirstPart,
+    /// The answer is whole, with this many generated tokens.
+    Finished(TokenCount),
+    /// The stream failed; a [`RequestDecision`] follows.
+    Failed {
+        /// Engine that failed.
+        engine: UpstreamId,
+        /// How it failed.
+        failure: StreamFailure,
+        /// Generated tokens that the caller already has.
+        delivered: TokenCount,
+    },
+    /// The caller went away; whatever runs is to be cancelled.
+    CallerGone,
+}
+
+/// Input of the core.
+#[derive(Clone, Debug, PartialEq)]
+pub enum CoreEvent {
+    /// A caller sent a request.
+    Arrived(RequestSpec),
+    /// A request made progress.
+    Progress(RequestId, RequestProgress),
+    /// A peer sent a message, to be answered with [`CoreAction::AnswerPeer`].
+    PeerCalled {
+        /// Number for the answer.
+        inbound: InboundNumber,
+        /// Sender.
+        from: InstanceId,
+        /// Incarnation of the sender.
+        incarnation: Incarnation,
+        /// The message.
+        message: PeerMessage,
+    },
+    /// A peer answered, or did not.
+    PeerAnswered {
+        /// Number of the call.
+        call: CallNumber,
+        /// When the call was sent.
+        sent_at: Timestamp,
+        /// The answer.
+        result: Result<PeerReply, CallFailure>,
+    },
+    /// A stream of the log was read.
+    LogRead {
+        /// Stream.
+        stream: StreamName,
+        /// When the call was sent.
+        sent_at: Timestamp,
+        /// The page.
+        result: Result<RecordPage, CallFailure>,
+    },
+    /// Records were appended, or not, or that is not known.
+    LogAppended {
+        /// Number of the call.
+        call: CallNumber,
+        /// The answer.
+        result: Result<AppendAnswer, CallFailure>,
+    },
+    /// The instance list was read.
+    ListRead(Result<InstanceListing, CallFailure>),
+    /// An engine's capabilities were read.
+    CapabilityRead(UpstreamId, Result<CapabilityReport, CallFailure>),
+    /// An engine's load was read.
+    LoadRead(UpstreamId, Result<LoadReport, CallFailure>),
+    /// An engine's list of held requests was read.
+    HeldRead(UpstreamId, Result<HeldReport, CallFailure>),
+    /// An engine answered an order.
+    EngineOrdered(UpstreamId, Result<(), CallFailure>),
+    /// An operator gave an order, to be answered with
+    /// [`CoreAction::AnswerOrder`].
+    OrderGiven(InboundNumber, FleetOrder),
+    /// An operator asked for the outcome of an order.
+    OrderAsked(InboundNumber, OrderId),
+    /// A caller asks for the first use of an idempotency key, to be answered
+    /// with [`CoreAction::AnswerClaim`].
+    ClaimAsked {
+        /// Number for the answer.
+        inbound: InboundNumber,
+        /// Key.
+        key: CallKey,
+        /// Attempt.
+        attempt: RequestId,
+        /// Digest of the request.
+        digest: Arc<str>,
+        /// When the attempt must have ended.
+        deadline: Timestamp,
+    },
+    /// A call attempt ended.
+    CallSettled {
+        /// Key.
+        key: CallKey,
+        /// Attempt.
+        attempt: RequestId,
+        /// What became of it.
+        result: CallResult,
+    },
+    /// A planned stop was asked for.
+    StopAsked,
+}
+
+/// Output of the core.
+#[derive(Clone, Debug, PartialEq)]
+pub enum CoreAction {
+    /// Tell the task of a request what to do.
+    Decide(RequestId, RequestDecision),
+    /// Send a message to a peer.
+    CallPeer {
+        /// Number of the call.
+        call: CallNumber,
+        /// Address of the peer.
+        to: SocketAddr,
+        /// Name of the peer, if it is known.
+        instance: Option<InstanceId>,
+        /// The message.
+        message: PeerMessage,
+        /// How long to wait for the answer.
+        timeout: Duration,
+    },
+    /// Answer a peer.
+    AnswerPeer(InboundNumber, PeerReply),
+    /// Read a stream of the log.
+    ReadLog {
+        /// Stream.
+        stream: StreamName,
+        /// First offset to read.
+        from: LogOffset,
+        /// How long the log may wait for a record.
+        wait: Duration,
+    },
+    /// Append records to a stream of the log.
+    AppendLog {
+        /// Number of the call.
+        call: CallNumber,
+        /// Stream.
+        stream: StreamName,
+        /// Records.
+        records: Vec<serde_json::Value>,
+    },
+    /// Read the instance list.
+    ReadList,
+    /// Read an engine's capabilities.
+    ReadCapability(UpstreamId, SocketAddr),
+    /// Read an engine's load.
+    ReadLoad(UpstreamId, SocketAddr),
+    /// Read an engine's list of held requests.
+    ReadHeld(UpstreamId, SocketAddr),
+    /// Cancel a request at an engine and free its memory.
+    CancelHeld(UpstreamId, SocketAddr, RequestId),
+    /// Give an order to an engine.
+    OrderEngine(UpstreamId, SocketAddr, EngineOrder),
+    /// Answer an operator.
+    AnswerOrder(InboundNumber, OrderReport),
+    /// Answer a claim of an idempotency key.
+    AnswerClaim(InboundNumber, ClaimAnswer),
+    /// Replace the view that the servers read.
+    Publish(Arc<PublishedView>),
+    /// Log a numbered event.
+    Log(crate::log_event::LogEvent, Arc<str>),
+    /// Count a refusal.
+    CountRefusal(RefusalCode),
+    /// Count a retry.
+    CountRetry(RetryReason),
+    /// The planned stop is over; nothing is running.
+    StopDone,
+}
+
+/// Whether an instance takes new requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum InstanceReadiness {
+    /// It has no configuration yet.
+    #[default]
+    Starting,
+    /// It takes new requests.
+    Ready,
+    /// Its configuration is too old to act on.
+    Stale,
+    /// It is stopping.
+    Stopping,
+}
+
+/// What the servers read of the core without asking it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct PublishedView {
+    /// Configuration.
+    pub fleet: Arc<FleetState>,
+    /// Instances that callers may use, best first.
+    pub addresses: Vec<InstanceAddress>,
+    /// Whether this instance takes new requests.
+    pub readiness: InstanceReadiness,
+    /// Processes of plain services that take new work.
+    pub services:
+        BTreeMap<crate::ids::ServiceName, Vec<(UpstreamId, SocketAddr)>>,
+    /// Models that some engine has loaded.
+    pub models: std::collections::BTreeSet<ModelName>,
+}
+
+/// Interval between two readings of the instance list.
+const LIST_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval between two readings of an engine's capabilities.
+const CAPABILITY_INTERVAL: Duration = Duration::from_millis(500);
+/// How long the log may wait for a record before it answers an empty page.
+const LOG_WAIT: Duration = Duration::from_millis(500);
+
+/// Decides for one instance.
+#[derive(Debug)]
+pub struct ServingCore {
+    setup: CoreSetup,
+    fleet: FleetState,
+    upstreams: UpstreamTable,
+    running: BTreeMap<RequestId, (RequestSpec, UpstreamId)>,
+    started: bool,
+    list_due: Timestamp,
+    capability_due: Timestamp,
+    published: Option<Arc<PublishedView>>,
+}
+
+impl ServingCore {
+    /// A core that knows nothing yet.
+    pub fn new(setup: CoreSetup) -> Self {
+        Self {
+            setup,
+            fleet: FleetState::default(),
+            upstreams: UpstreamTable::new(),
+            running: BTreeMap::new(),
+            started: false,
+            list_due: Timestamp::ZERO,
+            capability_due: Timestamp::ZERO,
+            published: None,
+        }
+    }
+
+    /// Takes events in and decides.
+    pub fn tick(
+        &mut self,
+        now: Timestamp,
+        events: Vec<CoreEvent>,
+    ) -> Vec<CoreAction> {
+        let mut actions = Vec::new();
+        if !self.started {
+            self.started = true;
+            actions.push(self.read_config());
+        }
+        for event in events {
+            self.handle(now, event, &mut actions);
+        }
+        if now >= self.list_due {
+            self.list_due = now.after(LIST_INTERVAL);
+            actions.push(CoreAction::ReadList);
+        }
+        if now >= self.capability_due {
+            self.capability_due = now.after(CAPABILITY_INTERVAL);
+            for (id, entry) in self.upstreams.iter() {
+                if entry.service.is_none() {
+                    let read =
+                        CoreAction::ReadCapability(id.clone(), entry.address);
+                    actions.push(read);
+                }
+            }
+        }
+        self.publish(&mut actions);
+        actions
+    }
+
+    /// When the core wants to be called without input.
+    pub fn next_timer(&self) -> Option<Timestamp> {
+        Some(self.list_due.min(self.capability_due))
+    }
+
+    fn read_config(&self) -> CoreAction {
+        let from = self.fleet.applied.map_or(LogOffset::ZERO, LogOffset::next);
+        CoreAction::ReadLog {
+            stream: CONFIG_STREAM.parse().expect("constant is an id"),
+            from,
+            wait: LOG_WAIT,
+        }
+    }
+
+    fn handle(
+        &mut self,
+        now: Timestamp,
+        event: CoreEvent,
+        actions: &mut Vec<CoreAction>,
+    ) {
+        match event {
+            CoreEvent::Arrived(spec) => self.place(now, spec, actions),
+            CoreEvent::Progress(request, progress) => {
+                self.progress(request, progress, actions);
+            }
+            CoreEvent::LogRead { result, .. } => {
+                if let Ok(page) = result {
+                    self.fleet.applied =
+                        page.records.last().map(|record| record.offset);
+                }
+                actions.push(self.read_config());
+            }
+            CoreEvent::ListRead(Ok(listing)) => self.take_listing(listing),
+            CoreEvent::CapabilityRead(id, Ok(report)) => {
+                if let Some(entry) = self.upstreams.get(&id).cloned() {
+                    let capability = Some(Arc::new(report));
+                    let entry = UpstreamEntry {
+                        capability,
+                        ..entry
+                    };
+                    self.upstreams.insert(id, entry);
+                }
+            }
+            CoreEvent::PeerCalled { inbound, .. } => {
+                let reply = PeerReply::Rejected("not implemented".into());
+                actions.push(CoreAction::AnswerPeer(inbound, reply));
+            }
+            CoreEvent::StopAsked => actions.push(CoreAction::StopDone),
+            _ => {}
+        }
+    }
+
+    fn take_listing(&mut self, listing: InstanceListing) {
+        for line in listing.instances {
+            let service = match line.kind {
+                ListedKind::Instance => continue,
+                ListedKind::Engine => None,
+                ListedKind::Service(service) => Some(service),
+            };
+            let Ok(id) = line.id.parse::<UpstreamId>() else {
+                continue;
+            };
+            let capability = self
+                .upstreams
+                .get(&id)
+                .and_then(|old| old.capability.clone());
+            let entry = UpstreamEntry {
+                address: line.address,
+                domain: line.failure_domain,
+                service,
+                leaving: line.leaving,
+                capability,
+            };
+            self.upstreams.insert(id, entry);
+        }
+    }
+
+    fn place(
+        &mut self,
+        now: Timestamp,
+        spec: RequestSpec,
+        actions: &mut Vec<CoreAction>,
+    ) {
+        let load = |id: &UpstreamId| {
+            self.running
+                .values()
+                .filter(|(_, engine)| engine == id)
+                .count()
+        };
+        let engines = self.upstreams.serving(&spec.model);
+        let chosen = engines.iter().min_by_key(|id| load(id)).cloned();
+        let decision = match chosen {
+            Some(engine) => {
+                let address = self.upstreams.get(&engine).map(|e| e.address);
+                let address = address.expect("index names known engines");
+                let assigned = AssignedEngine {
+                    engine: engine.clone(),
+                    address,
+                    prompt: spec.prompt,
+                    incarnation: None,
+                };
+                let assignment = Assignment {
+                    engines: vec![assigned],
+                    send_before: now.after(Duration::from_millis(500)),
+                    priority: 0,
+                };
+                self.running
+                    .insert(spec.request.clone(), (spec.clone(), engine));
+                RequestDecision::Dispatch(assignment)
+            }
+            None => RequestDecision::End(Refusal::new(
+                RefusalCode::NoUpstream,
+                format!("no engine serves model {}", spec.model),
+            )),
+        };
+        actions.push(CoreAction::Decide(spec.request, decision));
+    }
+
+    fn progress(
+        &mut self,
+        request: RequestId,
+        progress: RequestProgress,
+        actions: &mut Vec<CoreAction>,
+    ) {
+        match progress {
+            RequestProgress::Sent(_) | RequestProgress::FirstPart => {}
+            RequestProgress::Finished(_) | RequestProgress::CallerGone => {
+                self.running.remove(&request);
+            }
+            RequestProgress::Failed { .. } => {
+                self.running.remove(&request);
+                let refusal =
+                    Refusal::new(RefusalCode::UpstreamFailed, "engine failed")
+                        .with_run_state(RunState::MayHaveRun);
+                let decision = RequestDecision::End(refusal);
+                actions.push(CoreAction::Decide(request, decision));
+            }
+        }
+    }
+
+    fn publish(&mut self, actions: &mut Vec<CoreAction>) {
+        let mut view = PublishedView {
+            fleet: Arc::new(self.fleet.clone()),
+            addresses: vec![InstanceAddress {
+                address: self.setup.caller_address,
+                failure_domain: self.setup.domain.clone(),
+            }],
+            readiness: InstanceReadiness::Ready,
+            ..PublishedView::default()
+        };
+        for (id, entry) in self.upstreams.iter() {
+            if let Some(service) = &entry.service {
+                let processes = view.services.entry(service.clone());
+                processes.or_default().push((id.clone(), entry.address));
+            }
+            if let Some(report) = &entry.capability {
+                view.models.extend(report.models.iter().cloned());
+            }
+        }
+        if self.published.as_deref() != Some(&view) {
+            let view = Arc::new(view);
+            self.published = Some(view.clone());
+            actions.push(CoreAction::Publish(view));
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/lib.rs
@@ -0,0 +1,19 @@
+//! Decision code and interfaces of borageline.
+//!
+//! Everything in this crate is deterministic: it takes events, the time and a
+//! seeded random source as input and returns actions. Sockets, clocks and
+//! tasks live in the `borageline` binary, which carries the actions out.
+
+pub mod api;
+pub mod core;
+pub mod derives;
+pub mod engine_api;
+pub mod fleet;
+pub mod ids;
+pub mod log_event;
+pub mod peer_api;
+pub mod platform_api;
+pub mod refusal;
+pub mod settings;
+pub mod units;
+pub mod view;
--- /dev/null
+++ b/testutils/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins.
--- /dev/null
+++ b/testutils/src/main.rs
@@ -0,0 +1,2 @@
+//! Stand-in processes.
+fn main() {}
