--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -4,11 +4,18 @@
 //! with this code, so that all of them judge an order alike. The state never
 //! goes back to an older offset.
 
+mod apply;
+mod change;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
 };
 
+pub use self::{
+    apply::{ApplyOutcome, OUTCOMES_KEPT, OrderRejection, SnapshotError},
+    change::ChangeError,
+};
 use crate::{
     api::PriorityClass,
     ids::{
--- /dev/null
+++ b/lib/src/fleet/change.rs
@@ -0,0 +1,284 @@
+//! Checking and making single changes of the configuration.
+
+use std::{
+    collections::BTreeMap,
+    fmt::{Display, Formatter},
+};
+
+use super::{
+    DomainRule, FleetChange, FleetState, LimitRule, OperatorRule, ServiceRule,
+    UpstreamRule, WorkspaceRule,
+};
+use crate::{
+    ids::{DomainId, OperatorName, UpstreamId, WorkspaceId},
+    units::LogOffset,
+};
+
+/// Longest time for one call of a plain service, in milliseconds.
+const SERVICE_TIMEOUT_MAX_MS: u64 = 3_600_000;
+/// Length of a SHA-256 digest in hex.
+const DIGEST_HEX_LENGTH: usize = 64;
+
+/// Why a change cannot be made.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ChangeError {
+    /// The subject of the change has no entry.
+    UnknownSubject {
+        /// What the subject is.
+        kind: &'static str,
+        /// Name of the subject.
+        name: String,
+    },
+    /// A value of the change is not allowed.
+    Invalid {
+        /// Subject and field.
+        field: String,
+        /// What is wrong with the value.
+        problem: &'static str,
+    },
+}
+
+impl Display for ChangeError {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::UnknownSubject { kind, name } => {
+                write!(formatter, "unknown {kind} {name}")
+            }
+            Self::Invalid { field, problem } => {
+                write!(formatter, "{field}: {problem}")
+            }
+        }
+    }
+}
+
+impl std::error::Error for ChangeError {}
+
+/// Which subjects exist after the changes of an order checked so far.
+///
+/// Whether a change is possible depends only on its own values and on whether
+/// its subject exists, so checking an order needs no copy of the state.
+pub(super) struct SubjectOverlay<'a> {
+    state: &'a FleetState,
+    domains: BTreeMap<&'a DomainId, bool>,
+    upstreams: BTreeMap<&'a UpstreamId, bool>,
+    workspaces: BTreeMap<&'a WorkspaceId, bool>,
+    operators: BTreeMap<&'a OperatorName, bool>,
+}
+
+impl<'a> SubjectOverlay<'a> {
+    pub(super) fn new(state: &'a FleetState) -> Self {
+        Self {
+            state,
+            domains: BTreeMap::new(),
+            upstreams: BTreeMap::new(),
+            workspaces: BTreeMap::new(),
+            operators: BTreeMap::new(),
+        }
+    }
+
+    /// Checks one change and records what it adds or removes.
+    pub(super) fn check(
+        &mut self,
+        change: &'a FleetChange,
+    ) -> Result<(), ChangeError> {
+        match change {
+            FleetChange::CloseDomain { domain, .. } => {
+                self.domains.insert(domain, true);
+            }
+            FleetChange::OpenDomain { domain } => {
+                let held = self.state.domains.contains_key(domain);
+                let held = *self.domains.get(domain).unwrap_or(&held);
+                known(held, "domain without a rule", domain)?;
+            }
+            FleetChange::DrainUpstream { upstream, .. }
+            | FleetChange::SetUpstream { upstream, .. } => {
+                self.upstreams.insert(upstream, true);
+            }
+            FleetChange::ReturnUpstream { upstream } => {
+                let held = self.state.upstreams.contains_key(upstream);
+                let held = *self.upstreams.get(upstream).unwrap_or(&held);
+                known(held, "upstream without a rule", upstream)?;
+            }
+            FleetChange::SetWorkspace { workspace, rule } => {
+                check_workspace(workspace, rule)?;
+                self.workspaces.insert(workspace, true);
+            }
+            FleetChange::SetLimits { workspace, limits } => {
+                self.known_workspace(workspace)?;
+                check_limits(workspace, limits)?;
+            }
+            FleetChange::EnableWorkspace { workspace, .. } => {
+                self.known_workspace(workspace)?;
+            }
+            FleetChange::RemoveWorkspace { workspace } => {
+                self.known_workspace(workspace)?;
+                self.workspaces.insert(workspace, false);
+            }
+            FleetChange::SetService { service, rule } => {
+                check_service(service, rule)?;
+            }
+            FleetChange::SetOperator { operator, rule } => {
+                check_operator(operator, rule)?;
+                self.operators.insert(operator, true);
+            }
+            FleetChange::RemoveOperator { operator } => {
+                let held = self.state.operators.contains_key(operator);
+                let held = *self.operators.get(operator).unwrap_or(&held);
+                known(held, "operator", operator)?;
+                self.operators.insert(operator, false);
+            }
+        }
+        Ok(())
+    }
+
+    fn known_workspace(&self, id: &WorkspaceId) -> Result<(), ChangeError> {
+        let held = self.state.workspaces.contains_key(id);
+        let held = *self.workspaces.get(id).unwrap_or(&held);
+        known(held, "workspace", id)
+    }
+}
+
+/// Makes a change that was checked.
+pub(super) fn apply_change(
+    state: &mut FleetState,
+    offset: LogOffset,
+    change: FleetChange,
+) {
+    match change {
+        FleetChange::CloseDomain { domain, mode } => {
+            state.domains.entry(domain).or_default().closed = Some(mode);
+        }
+        FleetChange::OpenDomain { domain } => {
+            let rule = DomainRule {
+                closed: None,
+                reopened_at: Some(offset),
+            };
+            state.domains.insert(domain, rule);
+        }
+        FleetChange::DrainUpstream { upstream, mode } => {
+            state.upstreams.entry(upstream).or_default().drained = Some(mode);
+        }
+        FleetChange::ReturnUpstream { upstream } => {
+            state.upstreams.entry(upstream).or_default().drained = None;
+        }
+        FleetChange::SetUpstream { upstream, rule } => {
+            merge_upstream(state.upstreams.entry(upstream).or_default(), rule);
+        }
+        FleetChange::SetWorkspace { workspace, rule } => {
+            state.workspaces.insert(workspace, rule);
+        }
+        FleetChange::SetLimits { workspace, limits } => {
+            if let Some(rule) = state.workspaces.get_mut(&workspace) {
+                rule.limits = limits;
+            }
+        }
+        FleetChange::EnableWorkspace { workspace, enabled } => {
+            if let Some(rule) = state.workspaces.get_mut(&workspace) {
+                rule.enabled = enabled;
+            }
+        }
+        FleetChange::RemoveWorkspace { workspace } => {
+            state.workspaces.remove(&workspace);
+        }
+        FleetChange::SetService { service, rule } => {
+            state.services.insert(service, rule);
+        }
+        FleetChange::SetOperator { operator, rule } => {
+            state.operators.insert(operator, rule);
+        }
+        FleetChange::RemoveOperator { operator } => {
+            state.operators.remove(&operator);
+        }
+    }
+}
+
+/// Takes over the facts that an order states. A fact that it leaves out stays,
+/// so that stating a role does not end a drain ordered earlier.
+fn merge_upstream(rule: &mut UpstreamRule, stated: UpstreamRule) {
+    rule.drained = stated.drained.or(rule.drained);
+    rule.checks_fencing = stated.checks_fencing.or(rule.checks_fencing);
+    rule.models = stated.models.or_else(|| rule.models.take());
+    rule.role = stated.role.or_else(|| rule.role.take());
+}
+
+fn known(
+    held: bool,
+    kind: &'static str,
+    name: &impl Display,
+) -> Result<(), ChangeError> {
+    if held {
+        return Ok(());
+    }
+    let name = name.to_string();
+    Err(ChangeError::UnknownSubject { kind, name })
+}
+
+fn check(
+    valid: bool,
+    subject: &impl Display,
+    field: &str,
+    problem: &'static str,
+) -> Result<(), ChangeError> {
+    if valid {
+        return Ok(());
+    }
+    let field = format!("{subject}.{field}");
+    Err(ChangeError::Invalid { field, problem })
+}
+
+fn is_digest(text: &str) -> bool {
+    let hex = |byte: u8| byte.is_ascii_digit() || (b'a'..=b'f').contains(&byte);
+    text.len() == DIGEST_HEX_LENGTH && text.bytes().all(hex)
+}
+
+fn check_workspace(
+    id: &WorkspaceId,
+    rule: &WorkspaceRule,
+) -> Result<(), ChangeError> {
+    let digests = rule.key_digests.iter().all(|digest| is_digest(digest));
+    check(
+        digests,
+        id,
+        "key_digests",
+        "must be SHA-256 in lower-case hex",
+    )?;
+    let default = rule.classes.contains(&rule.default_class);
+    check(default, id, "default_class", "must be one of the classes")?;
+    check_limits(id, &rule.limits)
+}
+
+fn check_limits(
+    id: &WorkspaceId,
+    limits: &[LimitRule],
+) -> Result<(), ChangeError> {
+    for limit in limits {
+        let rate = limit.requests_per_s.unwrap_or(0.0);
+        let valid = rate.is_finite() && rate >= 0.0;
+        check(valid, id, "limits.requests_per_s", "must not be negative")?;
+    }
+    Ok(())
+}
+
+fn check_service(
+    id: &impl Display,
+    rule: &ServiceRule,
+) -> Result<(), ChangeError> {
+    let timeout = (1..=SERVICE_TIMEOUT_MAX_MS).contains(&rule.timeout_ms);
+    check(timeout, id, "timeout_ms", "must be 1 to 3600000")?;
+    for route in &rule.routes {
+        let method = !route.method.is_empty()
+            && route.method.bytes().all(|byte| byte.is_ascii_uppercase());
+        check(method, id, "routes.method", "must be an upper-case method")?;
+        let path = route.path_prefix.starts_with('/');
+        check(path, id, "routes.path_prefix", "must start with a slash")?;
+    }
+    Ok(())
+}
+
+fn check_operator(
+    id: &OperatorName,
+    rule: &OperatorRule,
+) -> Result<(), ChangeError> {
+    let valid = is_digest(&rule.key_digest);
+    check(valid, id, "key_digest", "must be SHA-256 in lower-case hex")
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -11,6 +11,8 @@
 pub mod fleet;
 pub mod ids;
 pub mod log_event;
+pub mod membership;
+pub mod ownership;
 pub mod peer_api;
 pub mod platform_api;
 pub mod refusal;
--- /dev/null
+++ b/lib/src/membership.rs
@@ -0,0 +1,503 @@
+//! Which instances are alive, by random probing with dissemination.
+//!
+//! The table owns the view of the members and the evidence that this instance
+//! itself is still connected ([`MemberTable::may_own`]). In each period it
+//! probes one member; without an answer it asks others to probe, then
+//! suspects the member, then declares it dead. The cost per instance does not
+//! depend on the number of members. The contents of gossip that concern the
+//! configuration and engines are set by the core.
+
+mod merge;
+mod probe;
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::Duration,
+};
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::{
+    core::InboundNumber,
+    ids::{DomainId, InstanceId},
+    peer_api::{
+        EngineSummary, Gossip, MemberState, MemberUpdate, PeerMessage,
+        PeerReply,
+    },
+    platform_api::{ListedInstance, ListedKind},
+    units::{Incarnation, LogOffset, Timestamp},
+};
+
+/// Interval between two probes with few members.
+pub const PERIOD_MIN: Duration = Duration::from_millis(500);
+/// Interval between two probes with [`MEMBERS_MAX`] members or more.
+pub const PERIOD_MAX: Duration = Duration::from_millis(1_000);
+/// Number of members up to which the shortest period is used.
+pub const MEMBERS_MIN: usize = 100;
+/// Number of members from which on the longest period is used.
+pub const MEMBERS_MAX: usize = 950;
+/// Time for the answer to a direct probe.
+pub const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
+/// Time for the answer to an indirect probe; the helper's own probe must fit.
+pub const INDIRECT_TIMEOUT: Duration = Duration::from_millis(280);
+/// Number of members asked to probe on behalf of another.
+pub const INDIRECT_PROBES: usize = 3;
+/// Time in which a suspect can refute before it counts as dead.
+pub const SUSPICION_TIME: Duration = Duration::from_secs(1);
+/// Most member updates in one message.
+pub const UPDATES_MAX: usize = 8;
+/// Most engine summaries in one message.
+pub const SUMMARIES_MAX: usize = 16;
+/// Longest time since the sending of an answered message after which this
+/// instance may still act as owner.
+pub const OWNER_EVIDENCE: Duration = Duration::from_secs(1);
+/// Age of the evidence from which on an additional member is probed. Without
+/// it one lost answer would end the evidence at periods above 500 ms.
+const EVIDENCE_REFRESH: Duration = Duration::from_millis(600);
+/// Time after which a dead member is forgotten.
+pub const DEAD_KEPT: Duration = Duration::from_secs(600);
+/// Age up to which the instance list counts for being the only instance.
+const LISTING_FRESH: Duration = Duration::from_secs(10);
+/// Interval without a tick from which on this instance counts as paused.
+const PAUSE_MIN: Duration = Duration::from_millis(700);
+/// Time after the start in which more addresses are contacted and more
+/// updates are sent.
+const JOIN_TIME: Duration = Duration::from_secs(10);
+
+/// Number of one message to a peer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ProbeNumber(pub u64);
+
+/// What the table needs to start.
+#[derive(Clone, Debug)]
+pub struct MemberSetup {
+    /// Name of this instance.
+    pub instance: InstanceId,
+    /// Milliseconds since the epoch at the start.
+    pub incarnation: Incarnation,
+    /// Failure domain.
+    pub domain: DomainId,
+    /// Address for peers.
+    pub peer_address: SocketAddr,
+    /// Address for callers.
+    pub caller_address: SocketAddr,
+    /// Peers to ask first.
+    pub seeds: Vec<SocketAddr>,
+    /// Seed of the random source.
+    pub seed: u64,
+}
+
+/// What the core adds to each message.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct GossipFacts {
+    /// Highest configuration offset applied here.
+    pub applied: Option<LogOffset>,
+    /// When the log confirmed that offset as its head.
+    pub confirmed_at: Option<Timestamp>,
+    /// Whether the log was reached within the last seconds.
+    pub log_reached: bool,
+    /// Summaries of the engines owned here.
+    pub engines: Vec<EngineSummary>,
+}
+
+/// Input of the table.
+#[derive(Clone, Debug, PartialEq)]
+pub enum MemberEvent {
+    /// A peer sent a probe.
+    Probed {
+        /// Number for the answer.
+        inbound: InboundNumber,
+        /// Sender.
+        from: InstanceId,
+        /// Its gossip.
+        gossip: Gossip,
+    },
+    /// A peer asked to probe another member.
+    IndirectAsked {
+        /// Number for the answer.
+        inbound: InboundNumber,
+        /// Sender.
+        from: InstanceId,
+        /// Member to probe.
+        target: InstanceId,
+        /// The sender's gossip.
+        gossip: Gossip,
+    },
+    /// A message of this table was answered, or not.
+    Answered {
+        /// Number of the message.
+        number: ProbeNumber,
+        /// When it was sent.
+        sent_at: Timestamp,
+        /// The answer, if one came in time.
+        reply: Option<PeerReply>,
+    },
+    /// A peer answered a message of another component.
+    PeerHeard {
+        /// When the answered message was sent.
+        sent_at: Timestamp,
+    },
+    /// The instance list was read.
+    Listed(Vec<ListedInstance>),
+}
+
+/// Output of the table.
+#[derive(Clone, Debug, PartialEq)]
+pub enum MemberAction {
+    /// Send a message to a peer.
+    Call {
+        /// Number of the message.
+        number: ProbeNumber,
+        /// Address of the peer.
+        to: SocketAddr,
+        /// Name of the peer, if it is known.
+        instance: Option<InstanceId>,
+        /// The message.
+        message: PeerMessage,
+        /// How long to wait for the answer.
+        timeout: Duration,
+    },
+    /// Answer a peer.
+    Answer(InboundNumber, PeerReply),
+    /// Gossip came that concerns the configuration and engines.
+    Heard {
+        /// Sender.
+        peer: InstanceId,
+        /// When the question was sent; absent for gossip that came unasked,
+        /// whose age in transit is not known.
+        asked_at: Option<Timestamp>,
+        /// The gossip.
+        gossip: Gossip,
+    },
+    /// A member's state changed.
+    Changed(InstanceId, MemberState),
+}
+
+/// A member as this instance knows it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct MemberEntry {
+    /// Latest update.
+    pub update: MemberUpdate,
+    /// When the state was entered here.
+    pub since: Timestamp,
+    /// When the member was added here.
+    pub added: Timestamp,
+    /// Whether the member announced that it leaves.
+    pub left: bool,
+    /// How often the update was sent.
+    sends: u32,
+}
+
+impl MemberEntry {
+    /// Whether the member takes part: alive, leaving or suspected.
+    pub fn is_present(&self) -> bool {
+        self.update.state != MemberState::Dead
+    }
+
+    /// Whether the member can own engines and call streams.
+    pub fn can_own(&self) -> bool {
+        matches!(self.update.state, MemberState::Alive | MemberState::Suspect)
+    }
+}
+
+/// The members and the exchange of messages about them.
+#[derive(Debug)]
+pub struct MemberTable {
+    setup: MemberSetup,
+    own: MemberUpdate,
+    own_sends: u32,
+    members: BTreeMap<InstanceId, MemberEntry>,
+    listed: BTreeMap<SocketAddr, (InstanceId, bool)>,
+    listed_at: Option<Timestamp>,
+    facts: GossipFacts,
+    engine_cursor: usize,
+    round: Vec<InstanceId>,
+    contact_cursor: usize,
+    pending: BTreeMap<ProbeNumber, probe::PendingCall>,
+    current: Option<probe::CurrentProbe>,
+    next_number: u64,
+    started: Option<Timestamp>,
+    last_tick: Timestamp,
+    period_due: Timestamp,
+    contact_due: Timestamp,
+    evidence: Option<Timestamp>,
+    evidence_due: Timestamp,
+    version: u64,
+    rng: ChaCha8Rng,
+}
+
+impl MemberTable {
+    /// A table that knows only this instance.
+    pub fn new(setup: MemberSetup) -> Self {
+        let own = MemberUpdate {
+            instance: setup.instance.clone(),
+            incarnation: setup.incarnation,
+            state: MemberState::Alive,
+            peer_address: setup.peer_address,
+            caller_address: setup.caller_address,
+            domain: setup.domain.clone(),
+            applied: None,
+        };
+        let rng = ChaCha8Rng::seed_from_u64(setup.seed);
+        Self {
+            setup,
+            own,
+            own_sends: 0,
+            members: BTreeMap::new(),
+            listed: BTreeMap::new(),
+            listed_at: None,
+            facts: GossipFacts::default(),
+            engine_cursor: 0,
+            round: Vec::new(),
+            contact_cursor: 0,
+            pending: BTreeMap::new(),
+            current: None,
+            next_number: 0,
+            started: None,
+            last_tick: Timestamp::ZERO,
+            period_due: Timestamp::ZERO,
+            contact_due: Timestamp::ZERO,
+            evidence: None,
+            evidence_due: Timestamp::ZERO,
+            version: 0,
+            rng,
+        }
+    }
+
+    /// Takes an event in.
+    pub fn handle(
+        &mut self,
+        now: Timestamp,
+        event: MemberEvent,
+    ) -> Vec<MemberAction> {
+        let mut actions = Vec::new();
+        self.note_pause(now);
+        match event {
+            MemberEvent::Probed {
+                inbound,
+                from,
+                gossip,
+            } => {
+                self.take_gossip(now, &from, None, gossip, &mut actions);
+                let gossip = self.build_gossip(now, Some(&from));
+                let reply = PeerReply::Ack(gossip);
+                actions.push(MemberAction::Answer(inbound, reply));
+            }
+            MemberEvent::IndirectAsked {
+                inbound,
+                from,
+                target,
+                gossip,
+            } => {
+                self.take_gossip(now, &from, None, gossip, &mut actions);
+                self.probe_for(now, inbound, from, target, &mut actions);
+            }
+            MemberEvent::Answered {
+                number,
+                sent_at,
+                reply,
+            } => self.take_answer(now, number, sent_at, reply, &mut actions),
+            MemberEvent::PeerHeard { sent_at } => self.note_evidence(sent_at),
+            MemberEvent::Listed(lines) => self.take_listing(now, lines),
+        }
+        actions
+    }
+
+    /// Sends what is due.
+    pub fn tick(&mut self, now: Timestamp) -> Vec<MemberAction> {
+        let mut actions = Vec::new();
+        self.note_pause(now);
+        self.expire_calls(now, &mut actions);
+        if now >= self.period_due {
+            self.end_period(now, &mut actions);
+            self.period_due = now.after(self.period());
+            self.start_probe(now, &mut actions);
+        }
+        self.contact_unknown(now, &mut actions);
+        self.refresh_evidence(now, &mut actions);
+        self.expire_members(now, &mut actions);
+        actions
+    }
+
+    /// When the table wants to be called without input.
+    pub fn next_timer(&self) -> Option<Timestamp> {
+        let calls = self.pending.values().map(|call| call.due);
+        let suspects = self
+            .members
+            .values()
+            .filter(|entry| entry.update.state == MemberState::Suspect)
+            .map(|entry| entry.since.after(SUSPICION_TIME));
+        let refresh = self.evidence.map(|at| at.after(EVIDENCE_REFRESH));
+        let refresh = refresh.unwrap_or_default().max(self.evidence_due);
+        let refresh = (self.live_count() > 1).then_some(refresh);
+        let fixed = [self.period_due, self.contact_due].into_iter();
+        fixed.chain(calls).chain(suspects).chain(refresh).min()
+    }
+
+    /// Sets what the next messages say of the configuration and engines.
+    pub fn set_facts(&mut self, facts: GossipFacts) {
+        if facts.applied != self.own.applied {
+            self.own.applied = facts.applied;
+            self.own_sends = 0;
+        }
+        self.facts = facts;
+    }
+
+    /// Announces that this instance is about to stop.
+    pub fn leave(&mut self) {
+        if self.own.state != MemberState::Leaving {
+            self.own.state = MemberState::Leaving;
+            self.own_sends = 0;
+            self.version += 1;
+        }
+    }
+
+    /// Whether this instance may act as owner.
+    pub fn may_own(&self, now: Timestamp) -> bool {
+        if self.own.state == MemberState::Leaving {
+            return false;
+        }
+        let fresh = |sent: Timestamp| now.since(sent) < OWNER_EVIDENCE;
+        self.evidence.is_some_and(fresh) || self.is_only_instance(now)
+    }
+
+    /// Other members, present or dead.
+    pub fn members(&self) -> &BTreeMap<InstanceId, MemberEntry> {
+        &self.members
+    }
+
+    /// State of this instance as it tells others.
+    pub fn own(&self) -> &MemberUpdate {
+        &self.own
+    }
+
+    /// Number that rises with each change of a member's state.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Instances that can own engines and call streams, with their domains.
+    pub fn owner_candidates(&self) -> BTreeMap<InstanceId, DomainId> {
+        let others = self.members.values().filter(|entry| entry.can_own());
+        let own = self.own.state == MemberState::Alive;
+        others
+            .map(|entry| &entry.update)
+            .chain(own.then_some(&self.own))
+            .map(|update| (update.instance.clone(), update.domain.clone()))
+            .collect()
+    }
+
+    /// Number of live instances, this one included.
+    pub fn live_count(&self) -> usize {
+        1 + self.members.values().filter(|e| e.is_present()).count()
+    }
+
+    /// Address of a member that is present, for peers.
+    pub fn peer_address(&self, instance: &InstanceId) -> Option<SocketAddr> {
+        let entry = self.members.get(instance)?;
+        entry.is_present().then_some(entry.update.peer_address)
+    }
+
+    /// Instances that callers may use, the given domain first.
+    pub fn live_callers(
+        &self,
+        own_domain: &DomainId,
+    ) -> Vec<(SocketAddr, DomainId)> {
+        let others = self.members.values().map(|entry| &entry.update);
+        let mut callers: Vec<_> = others
+            .chain([&self.own])
+            .filter(|update| update.state == MemberState::Alive)
+            .filter(|update| update.applied.is_some())
+            .map(|update| (update.caller_address, update.domain.clone()))
+            .collect();
+        callers
+            .sort_by_key(|(address, domain)| (domain != own_domain, *address));
+        callers
+    }
+
+    /// Present instances whose applied offset lies below one, this included.
+    pub fn not_applied(&self, offset: LogOffset) -> Vec<InstanceId> {
+        let others = self.members.values().filter(|entry| entry.is_present());
+        others
+            .map(|entry| &entry.update)
+            .chain([&self.own])
+            .filter(|update| update.applied < Some(offset))
+            .map(|update| update.instance.clone())
+            .collect()
+    }
+
+    /// Other instances known to have been alive within a time and not to have
+    /// left on their own account.
+    pub fn alive_within(
+        &self,
+        now: Timestamp,
+        window: Duration,
+    ) -> BTreeSet<InstanceId> {
+        let recent = |entry: &MemberEntry| {
+            let lost = !entry.left && now.since(entry.since) < window;
+            entry.is_present() || lost
+        };
+        let entries = self.members.iter().filter(|(_, entry)| recent(entry));
+        entries.map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Interval between two probes.
+    pub fn period(&self) -> Duration {
+        let count = self.live_count().clamp(MEMBERS_MIN, MEMBERS_MAX);
+        let share = (count - MEMBERS_MIN) as f64;
+        let share = share / (MEMBERS_MAX - MEMBERS_MIN) as f64;
+        PERIOD_MIN + (PERIOD_MAX - PERIOD_MIN).mul_f64(share)
+    }
+
+    /// Whether neither members, seeds nor the instance list name another live
+    /// instance. Seeds that a recent list no longer names count as gone.
+    fn is_only_instance(&self, now: Timestamp) -> bool {
+        if self.members.values().any(MemberEntry::is_present) {
+            return false;
+        }
+        let own = self.own.peer_address;
+        let Some(listed_at) = self.listed_at else {
+            return self.setup.seeds.iter().all(|seed| *seed == own);
+        };
+        let mut others = self
+            .listed
+            .values()
+            .filter(|(id, _)| *id != self.own.instance);
+        now.since(listed_at) < LISTING_FRESH
+            && others.all(|(_, leaving)| *leaving)
+    }
+
+    fn take_listing(&mut self, now: Timestamp, lines: Vec<ListedInstance>) {
+        let instances = lines.into_iter().filter_map(|line| {
+            let instance = line.kind == ListedKind::Instance;
+            let id = line.id.parse().ok()?;
+            instance.then_some((line.address, (id, line.leaving)))
+        });
+        self.listed = instances.collect();
+        self.listed_at = Some(now);
+    }
+
+    fn note_evidence(&mut self, sent_at: Timestamp) {
+        self.evidence = self.evidence.max(Some(sent_at));
+    }
+
+    /// Drops what a pause of this instance has made worthless: unanswered
+    /// probes say nothing about others, and suspects had no time to refute.
+    fn note_pause(&mut self, now: Timestamp) {
+        let paused =
+            now.since(self.last_tick) > PAUSE_MIN.max(self.period() * 2);
+        self.last_tick = self.last_tick.max(now);
+        if self.started.is_none() {
+            self.started = Some(now);
+        } else if paused {
+            self.current = None;
+            for entry in self.members.values_mut() {
+                if entry.update.state == MemberState::Suspect {
+                    entry.since = now;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/membership/probe.rs
@@ -0,0 +1,378 @@
+//! Probing: the round over the members, indirect probes, suspicion, and the
+//! contact to addresses of which no live member is known.
+
+use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
+
+use rand::seq::{IndexedRandom, SliceRandom};
+
+use super::{
+    DEAD_KEPT, EVIDENCE_REFRESH, INDIRECT_PROBES, INDIRECT_TIMEOUT, JOIN_TIME,
+    MemberAction, MemberEntry, MemberTable, PERIOD_MIN, PROBE_TIMEOUT,
+    ProbeNumber, SUSPICION_TIME,
+};
+use crate::{
+    core::InboundNumber,
+    ids::InstanceId,
+    peer_api::{MemberState, PeerMessage, PeerReply},
+    units::Timestamp,
+};
+
+/// Addresses without a live member contacted at once while joining.
+const CONTACTS_JOINING: usize = 3;
+/// Interval between two contacts after joining.
+const CONTACT_INTERVAL: Duration = Duration::from_secs(2);
+
+/// What a message was sent for.
+#[derive(Clone, Debug, PartialEq)]
+enum CallPurpose {
+    /// Direct probe of the current period.
+    Direct,
+    /// Indirect probe of the current period.
+    Indirect,
+    /// Probe on behalf of a peer, which waits for the answer.
+    OnBehalf(InboundNumber, InstanceId),
+    /// Contact, notice of suspicion or additional evidence.
+    Contact,
+}
+
+/// A message that was not answered yet.
+#[derive(Clone, Debug)]
+pub(super) struct PendingCall {
+    purpose: CallPurpose,
+    target: Option<InstanceId>,
+    pub(super) due: Timestamp,
+}
+
+/// The probe of the current period.
+#[derive(Clone, Debug)]
+pub(super) struct CurrentProbe {
+    target: InstanceId,
+    answered: bool,
+}
+
+impl MemberTable {
+    /// Ends the period: a member that answered no probe becomes a suspect.
+    pub(super) fn end_period(
+        &mut self,
+        now: Timestamp,
+        actions: &mut Vec<MemberAction>,
+    ) {
+        let Some(probe) = self.current.take().filter(|probe| !probe.answered)
+        else {
+            return;
+        };
+        let suspect = MemberState::Suspect;
+        self.set_state(now, &probe.target, suspect, actions);
+        // The suspect hears of it at once and has the whole time to refute.
+        if let Some(to) = self.peer_address(&probe.target) {
+            let target = Some(probe.target);
+            self.probe(now, CallPurpose::Contact, target, to, actions);
+        }
+    }
+
+    /// Probes the next member of the shuffled round.
+    pub(super) fn start_probe(
+        &mut self,
+        now: Timestamp,
+        actions: &mut Vec<MemberAction>,
+    ) {
+        if self.round.is_empty() {
+            self.round = self.present_ids(None);
+            self.round.shuffle(&mut self.rng);
+        }
+        while let Some(target) = self.round.pop() {
+            let Some(to) = self.peer_address(&target) else {
+                continue;
+            };
+            self.current = Some(CurrentProbe {
+                target: target.clone(),
+                answered: false,
+            });
+            let purpose = CallPurpose::Direct;
+            self.probe(now, purpose, Some(target), to, actions);
+            return;
+        }
+    }
+
+    /// Probes a member on behalf of a peer.
+    pub(super) fn probe_for(
+        &mut self,
+        now: Timestamp,
+        inbound: InboundNumber,
+        from: InstanceId,
+        target: InstanceId,
+        actions: &mut Vec<MemberAction>,
+    ) {
+        match self.peer_address(&target) {
+            Some(to) => {
+                let purpose = CallPurpose::OnBehalf(inbound, from);
+                self.probe(now, purpose, Some(target), to, actions);
+            }
+            None => {
+                let answer = MemberAction::Answer(inbound, PeerReply::Nack);
+                actions.push(answer);
+            }
+        }
+    }
+
+    /// Contacts addresses from the seeds, the instance list and the dead
+    /// members that belong to no live member, so that a fleet that was split
+    /// or started in parts finds together.
+    pub(super) fn contact_unknown(
+        &mut self,
+        now: Timestamp,
+        actions: &mut Vec<MemberAction>,
+    ) {
+        if now < self.contact_due {
+            return;
+        }
+        let joining = self.started.is_some_and(|at| now.since(at) < JOIN_TIME);
+        let (count, interval) = if joining {
+            (CONTACTS_JOINING, PERIOD_MIN)
+        } else {
+            (1, CONTACT_INTERVAL)
+        };
+        self.contact_due = now.after(interval);
+        let addresses = self.unknown_addresses();
+        let count = count.min(addresses.len());
+        for step in 0..count {
+            let cursor = self.contact_cursor.wrapping_add(step);
+            let to = addresses[cursor % addresses.len()];
+            let dead = |entry: &&MemberEntry| entry.update.peer_address == to;
+            let target = self.members.values().find(dead);
+            let target = target.map(|entry| entry.update.instance.clone());
+            self.probe(now, CallPurpose::Contact, target, to, actions);
+        }
+        self.contact_cursor = self.contact_cursor.wrapping_add(count);
+    }
+
+    /// Probes one more member while the evidence for ownership grows old.
+    pub(super) fn refresh_evidence(
+        &mut self,
+        now: Timestamp,
+        actions: &mut Vec<MemberAction>,
+    ) {
+        let fresh = |at: Timestamp| now.since(at) < EVIDENCE_REFRESH;
+        if now < self.evidence_due || self.evidence.is_some_and(fresh) {
+            return;
+        }
+        self.evidence_due = now.after(PROBE_TIMEOUT);
+        let ids = self.present_ids(None);
+        let Some(target) = ids.choose(&mut self.rng).cloned() else {
+            return;
+        };
+        if let Some(to) = self.peer_address(&target) {
+            let purpose = CallPurpose::Contact;
+            self.probe(now, purpose, Some(target), to, actions);
+        }
+    }
+
+    /// Takes the answer to a message, or that none came.
+    pub(super) fn take_answer(
+        &mut self,
+        now: Timestamp,
+        number: ProbeNumber,
+        sent_at: Timestamp,
+        reply: Option<PeerReply>,
+        actions: &mut Vec<MemberAction>,
+    ) {
+        let call = self.pending.remove(&number);
+        if matches!(reply, Some(PeerReply::Ack(_) | PeerReply::Nack)) {
+            self.note_evidence(sent_at);
+        }
+        let mut sender = None;
+        if let Some(PeerReply::Ack(gossip)) = reply
+            && let Some(first) = gossip.updates.first()
+        {
+            let from = first.instance.clone();
+            self.take_gossip(now, &from, Some(sent_at), gossip, actions);
+            sender = Some(from);
+        }
+        if let Some(call) = call {
+            self.settle(now, call, sender, actions);
+        }
+    }
+
+    /// Gives up messages whose answer the shell did not report in time.
+    pub(super) fn expire_calls(
+        &mut self,
+        now: Timestamp,
+        actions: &mut Vec<MemberAction>,
+    ) {
+        let expired =
+            |(_, call): &(&ProbeNumber, &PendingCall)| now >= call.due;
+        let numbers: Vec<_> = self
+            .pending
+            .iter()
+            .filter(expired)
+            .map(|(number, _)| *number)
+            .collect();
+        for number in numbers {
+            if let Some(call) = self.pending.remove(&number) {
+                self.settle(now, call, None, actions);
+            }
+        }
+    }
+
+    /// Declares suspects dead after their time and forgets dead members.
+    pub(super) fn expire_members(
+        &mut self,
+        now: Timestamp,
+        actions: &mut Vec<MemberAction>,
+    ) {
+        let suspects: Vec<_> = self
+            .members
+            .iter()
+            .filter(|(_, e)| e.update.state == MemberState::Suspect)
+            .filter(|(_, e)| now.since(e.since) >= SUSPICION_TIME)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in suspects {
+            self.set_state(now, &id, MemberState::Dead, actions);
+        }
+        self.members.retain(|_, entry| {
+            entry.is_present() || now.since(entry.since) < DEAD_KEPT
+        });
+    }
+
+    /// Acts on the end of a message. `sender` is the instance that answered,
+    /// which differs from the target if an address was reused.
+    fn settle(
+        &mut self,
+        now: Timestamp,
+        call: PendingCall,
+        sender: Option<InstanceId>,
+        actions: &mut Vec<MemberAction>,
+    ) {
+        let target = call.target;
+        match call.purpose {
+            CallPurpose::Contact => {}
+            CallPurpose::OnBehalf(inbound, from) => {
+                let reply = if sender.is_some() && sender == target {
+                    PeerReply::Ack(self.build_gossip(now, Some(&from)))
+                } else {
+                    PeerReply::Nack
+                };
+                actions.push(MemberAction::Answer(inbound, reply));
+            }
+            CallPurpose::Direct => {
+                if sender.is_some() && sender == target {
+                    self.mark_answered(target);
+                } else {
+                    self.probe_indirectly(now, target, actions);
+                }
+            }
+            // The answer comes from the helper; an Ack vouches for the target.
+            CallPurpose::Indirect => {
+                if sender.is_some() {
+                    self.mark_answered(target);
+                }
+            }
+        }
+    }
+
+    fn mark_answered(&mut self, target: Option<InstanceId>) {
+        if let Some(probe) = &mut self.current
+            && Some(&probe.target) == target.as_ref()
+        {
+            probe.answered = true;
+        }
+    }
+
+    fn probe_indirectly(
+        &mut self,
+        now: Timestamp,
+        target: Option<InstanceId>,
+        actions: &mut Vec<MemberAction>,
+    ) {
+        let Some(target) = target else { return };
+        let current = self.current.as_ref().map(|probe| &probe.target);
+        if current != Some(&target) {
+            return;
+        }
+        let helpers = self.present_ids(Some(&target));
+        let count = INDIRECT_PROBES.min(helpers.len());
+        let helpers: Vec<_> = helpers
+            .choose_multiple(&mut self.rng, count)
+            .cloned()
+            .collect();
+        for helper in helpers {
+            let Some(to) = self.peer_address(&helper) else {
+                continue;
+            };
+            let gossip = self.build_gossip(now, Some(&helper));
+            let message = PeerMessage::IndirectProbe(target.clone(), gossip);
+            let pending = PendingCall {
+                purpose: CallPurpose::Indirect,
+                target: Some(target.clone()),
+                due: now.after(INDIRECT_TIMEOUT),
+            };
+            self.call(
+                pending,
+                Some(helper),
+                to,
+                message,
+                INDIRECT_TIMEOUT,
+                actions,
+            );
+        }
+    }
+
+    fn probe(
+        &mut self,
+        now: Timestamp,
+        purpose: CallPurpose,
+        target: Option<InstanceId>,
+        to: SocketAddr,
+        actions: &mut Vec<MemberAction>,
+    ) {
+        let gossip = self.build_gossip(now, target.as_ref());
+        let message = PeerMessage::Probe(gossip);
+        let pending = PendingCall {
+            purpose,
+            target: target.clone(),
+            due: now.after(PROBE_TIMEOUT),
+        };
+        self.call(pending, target, to, message, PROBE_TIMEOUT, actions);
+    }
+
+    fn call(
+        &mut self,
+        pending: PendingCall,
+        instance: Option<InstanceId>,
+        to: SocketAddr,
+        message: PeerMessage,
+        timeout: Duration,
+        actions: &mut Vec<MemberAction>,
+    ) {
+        let number = ProbeNumber(self.next_number);
+        self.next_number += 1;
+        self.pending.insert(number, pending);
+        actions.push(MemberAction::Call {
+            number,
+            to,
+            instance,
+            message,
+            timeout,
+        });
+    }
+
+    fn present_ids(&self, except: Option<&InstanceId>) -> Vec<InstanceId> {
+        let present = self.members.iter().filter(|(_, e)| e.is_present());
+        let ids = present.map(|(id, _)| id);
+        ids.filter(|id| Some(*id) != except).cloned().collect()
+    }
+
+    fn unknown_addresses(&self) -> Vec<SocketAddr> {
+        let dead = self.members.values().filter(|e| !e.is_present());
+        let mut addresses: BTreeSet<_> =
+            dead.map(|entry| entry.update.peer_address).collect();
+        addresses.extend(&self.setup.seeds);
+        addresses.extend(self.listed.keys());
+        addresses.remove(&self.own.peer_address);
+        for entry in self.members.values().filter(|e| e.is_present()) {
+            addresses.remove(&entry.update.peer_address);
+        }
+        addresses.into_iter().collect()
+    }
+}
