--- /dev/null
+++ b/cli/src/traffic.rs
@@ -0,0 +1,143 @@
+//! Counters of the bytes that instances exchange with each other.
+
+use std::{
+    io,
+    pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    task::{Context, Poll, ready},
+    time::{Duration, Instant},
+};
+
+use borageline_lib::units::ByteSize;
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::TcpStream,
+};
+
+/// Bytes sent and received so far.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct TrafficCount {
+    /// Bytes written to sockets.
+    pub sent: ByteSize,
+    /// Bytes read from sockets.
+    pub received: ByteSize,
+}
+
+/// Adds up the bytes of any number of connections.
+#[derive(Debug, Default)]
+pub struct TrafficMeter {
+    sent: AtomicU64,
+    received: AtomicU64,
+}
+
+impl TrafficMeter {
+    /// Bytes counted so far.
+    pub fn count(&self) -> TrafficCount {
+        TrafficCount {
+            sent: ByteSize::new(self.sent.load(Ordering::Relaxed)),
+            received: ByteSize::new(self.received.load(Ordering::Relaxed)),
+        }
+    }
+}
+
+/// What was read from one connection, and when last.
+#[derive(Debug)]
+pub(crate) struct ReadMeter {
+    opened: Instant,
+    bytes: AtomicU64,
+    last_ms: AtomicU64,
+}
+
+impl ReadMeter {
+    fn new() -> Self {
+        Self {
+            opened: Instant::now(),
+            bytes: AtomicU64::new(0),
+            last_ms: AtomicU64::new(0),
+        }
+    }
+
+    fn add(&self, bytes: u64) {
+        let age = self.opened.elapsed().as_millis();
+        let age = u64::try_from(age).unwrap_or(u64::MAX);
+        self.bytes.fetch_add(bytes, Ordering::Relaxed);
+        self.last_ms.store(age, Ordering::Relaxed);
+    }
+
+    /// Bytes read so far.
+    pub(crate) fn bytes(&self) -> u64 {
+        self.bytes.load(Ordering::Relaxed)
+    }
+
+    /// Time since bytes were last read, or since the connection was opened.
+    pub(crate) fn idle(&self) -> Duration {
+        let last = Duration::from_millis(self.last_ms.load(Ordering::Relaxed));
+        self.opened.elapsed().saturating_sub(last)
+    }
+}
+
+/// A connection whose bytes are counted.
+#[derive(Debug)]
+pub(crate) struct CountedStream {
+    stream: TcpStream,
+    total: Arc<TrafficMeter>,
+    own: Arc<ReadMeter>,
+}
+
+impl CountedStream {
+    /// Wraps a connection.
+    pub(crate) fn new(stream: TcpStream, total: Arc<TrafficMeter>) -> Self {
+        let own = Arc::new(ReadMeter::new());
+        Self { stream, total, own }
+    }
+
+    /// What was read from this connection.
+    pub(crate) fn meter(&self) -> Arc<ReadMeter> {
+        self.own.clone()
+    }
+}
+
+impl AsyncRead for CountedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        let bytes = (buffer.filled().len() - before) as u64;
+        self.total.received.fetch_add(bytes, Ordering::Relaxed);
+        self.own.add(bytes);
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for CountedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written =
+            ready!(Pin::new(&mut self.stream).poll_write(context, buffer))?;
+        self.total.sent.fetch_add(written as u64, Ordering::Relaxed);
+        Poll::Ready(Ok(written))
+    }
+
+    fn poll_flush(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- /dev/null
+++ b/cli/tests/test_peers.rs
@@ -0,0 +1,432 @@
+//! Tests of the calls between instances over loopback.
+
+#![expect(
+    clippy::unwrap_used,
+    reason = "a failed step in a helper fails the test"
+)]
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
+
+use borageline::peers::{
+    FRAME_MAX_BYTES, IN_FLIGHT_MAX, PeerPool, PoolSetup, serve_peers,
+};
+use borageline_lib::{
+    ids::InstanceId,
+    peer_api::{PEER_VERSION, PeerEnvelope, PeerMessage, PeerReply},
+    refusal::RunState,
+    units::Incarnation,
+};
+use futures::future::join_all;
+use hmac::{Hmac, Mac};
+use proptest::prelude::*;
+use tarpc::{serde_transport::tcp, tokio_serde::formats::Bincode};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    task::JoinHandle,
+    time::{sleep, timeout},
+};
+
+const SECRET: &str = "a secret of the whole fleet";
+const TIMEOUT: Duration = Duration::from_secs(5);
+
+/// The protocol as another program would declare it.
+mod wire {
+    use borageline_lib::peer_api::{PeerEnvelope, PeerReply};
+
+    #[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
+    pub(crate) struct Challenge {
+        pub(crate) nonce: [u8; 32],
+        pub(crate) versions: Vec<u16>,
+    }
+
+    #[tarpc::service]
+    pub(crate) trait Wire {
+        async fn challenge() -> Challenge;
+        async fn exchange(envelope: PeerEnvelope) -> PeerReply;
+    }
+}
+
+struct TestServer {
+    address: SocketAddr,
+    calls: Arc<AtomicU32>,
+    task: JoinHandle<()>,
+}
+
+impl TestServer {
+    async fn stop(self) {
+        self.task.abort();
+        let _ = self.task.await;
+    }
+}
+
+async fn answer(message: PeerMessage) -> PeerReply {
+    match message {
+        PeerMessage::Query(text) => match text.as_ref() {
+            "slow" => {
+                sleep(Duration::from_secs(60)).await;
+                PeerReply::Done
+            }
+            "large" => PeerReply::Rows("x".repeat(FRAME_MAX_BYTES).into()),
+            _ => PeerReply::Rows(text),
+        },
+        _ => PeerReply::Nack,
+    }
+}
+
+/// Serves at an address; a restart may have to wait for the old listener.
+async fn start_server(address: &str) -> TestServer {
+    let listener = TcpListener::bind(address).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let calls = Arc::new(AtomicU32::new(0));
+    let counter = calls.clone();
+    let handler = move |_: InstanceId, _: Incarnation, message| {
+        counter.fetch_add(1, Ordering::Relaxed);
+        answer(message)
+    };
+    let task = tokio::spawn(async move {
+        serve_peers(listener, SECRET.into(), handler).await.unwrap();
+    });
+    TestServer {
+        address,
+        calls,
+        task,
+    }
+}
+
+fn setup_with(secret: &str) -> PoolSetup {
+    PoolSetup::new(
+        "entry-1".parse().unwrap(),
+        Incarnation::new(5),
+        secret.into(),
+    )
+}
+
+fn make_pool() -> PeerPool {
+    PeerPool::new(setup_with(SECRET))
+}
+
+fn query(text: &str) -> PeerMessage {
+    PeerMessage::Query(text.into())
+}
+
+fn rows(text: &str) -> PeerReply {
+    PeerReply::Rows(text.into())
+}
+
+async fn raw_client(address: SocketAddr) -> wire::WireClient {
+    let transport = tcp::connect(address, Bincode::default).await.unwrap();
+    wire::WireClient::new(tarpc::client::Config::default(), transport).spawn()
+}
+
+fn envelope_for(challenge: &wire::Challenge, version: u16) -> PeerEnvelope {
+    let from: InstanceId = "entry-1".parse().unwrap();
+    let mut mac =
+        Hmac::<sha2::Sha256>::new_from_slice(SECRET.as_bytes()).unwrap();
+    mac.update(b"borageline peer proof");
+    mac.update(&version.to_be_bytes());
+    mac.update(&7_u64.to_be_bytes());
+    mac.update(b"entry-1");
+    mac.update(&9_u64.to_be_bytes());
+    mac.update(&challenge.nonce);
+    PeerEnvelope {
+        version,
+        from,
+        incarnation: Incarnation::new(9),
+        proof: format!("{:x}", mac.finalize().into_bytes()).into(),
+        message: query("hello"),
+    }
+}
+
+fn context() -> tarpc::context::Context {
+    tarpc::context::current()
+}
+
+/// Guards against replies that reach the wrong call on a shared connection.
+#[tokio::test]
+async fn test_call_many_at_once() {
+    let server = start_server("127.0.0.1:0").await;
+    let pool = make_pool();
+    let calls = (0..500).map(|number| {
+        let pool = pool.clone();
+        let to = server.address;
+        async move {
+            let text = number.to_string();
+            let reply = pool.call(to, query(&text), TIMEOUT).await;
+            assert_eq!(reply, Ok(rows(&text)));
+        }
+    });
+    join_all(calls).await;
+    assert_eq!(pool.connections(), 1);
+    let traffic = pool.traffic();
+    assert!(traffic.sent.get() > 500 * 50, "{traffic:?}");
+    assert!(traffic.received.get() > 500 * 10, "{traffic:?}");
+}
+
+/// Guards against an instance of another fleet being listened to.
+#[tokio::test]
+async fn test_wrong_secret_rejected() {
+    let server = start_server("127.0.0.1:0").await;
+    let pool = PeerPool::new(setup_with("a secret of another fleet"));
+    let reply = pool.call(server.address, query("hello"), TIMEOUT).await;
+    let Ok(PeerReply::Rejected(reason)) = reply else {
+        panic!("{reply:?}");
+    };
+    assert_eq!(
+        reason.as_ref(),
+        "proof of entry-1 does not match the fleet secret; understood \
+         versions: 1",
+    );
+    assert_eq!(server.calls.load(Ordering::Relaxed), 0);
+}
+
+/// Guards against a proof seen on one connection being used on another.
+#[tokio::test]
+async fn test_replayed_proof_rejected() {
+    let server = start_server("127.0.0.1:0").await;
+    let first = raw_client(server.address).await;
+    let challenge = first.challenge(context()).await.unwrap();
+    let envelope = envelope_for(&challenge, PEER_VERSION);
+    let reply = first.exchange(context(), envelope.clone()).await.unwrap();
+    assert_eq!(reply, rows("hello"));
+    let second = raw_client(server.address).await;
+    let reply = second.exchange(context(), envelope).await.unwrap();
+    assert!(matches!(reply, PeerReply::Rejected(_)), "{reply:?}");
+    assert_eq!(server.calls.load(Ordering::Relaxed), 1);
+}
+
+/// Guards against a proof that holds for a sender who did not make it.
+#[tokio::test]
+async fn test_changed_sender_rejected() {
+    let server = start_server("127.0.0.1:0").await;
+    let client = raw_client(server.address).await;
+    let challenge = client.challenge(context()).await.unwrap();
+    let mut envelope = envelope_for(&challenge, PEER_VERSION);
+    envelope.from = "entry-2".parse().unwrap();
+    let reply = client.exchange(context(), envelope).await.unwrap();
+    assert!(matches!(reply, PeerReply::Rejected(_)), "{reply:?}");
+    let mut envelope = envelope_for(&challenge, PEER_VERSION);
+    envelope.incarnation = Incarnation::new(10);
+    let reply = client.exchange(context(), envelope).await.unwrap();
+    assert!(matches!(reply, PeerReply::Rejected(_)), "{reply:?}");
+}
+
+/// Guards against messages of another version being acted on.
+#[tokio::test]
+async fn test_unknown_version_rejected() {
+    let server = start_server("127.0.0.1:0").await;
+    let client = raw_client(server.address).await;
+    let challenge = client.challenge(context()).await.unwrap();
+    assert_eq!(challenge.versions, [PEER_VERSION]);
+    let envelope = envelope_for(&challenge, 99);
+    let reply = client.exchange(context(), envelope).await.unwrap();
+    let expected = "message version 99 is not understood; understood \
+                    versions: 1";
+    assert_eq!(reply, PeerReply::Rejected(expected.into()));
+}
+
+/// Guards against a large message ending the connection of other calls.
+#[tokio::test]
+async fn test_oversized_message_not_sent() {
+    let server = start_server("127.0.0.1:0").await;
+    let pool = make_pool();
+    let large = "x".repeat(FRAME_MAX_BYTES);
+    let failure = pool
+        .call(server.address, query(&large), TIMEOUT)
+        .await
+        .unwrap_err();
+    assert_eq!(failure.run_state, RunState::NotRun, "{}", failure.message);
+    let reply = pool.call(server.address, query("a"), TIMEOUT).await;
+    assert_eq!(reply, Ok(rows("a")));
+    assert_eq!(server.calls.load(Ordering::Relaxed), 1);
+}
+
+/// Guards against a large reply ending the connection of other calls.
+#[tokio::test]
+async fn test_oversized_reply_rejected() {
+    let server = start_server("127.0.0.1:0").await;
+    let pool = make_pool();
+    let reply = pool.call(server.address, query("large"), TIMEOUT).await;
+    let Ok(PeerReply::Rejected(reason)) = reply else {
+        panic!("{reply:?}");
+    };
+    assert!(reason.starts_with("reply has "), "{reason}");
+    let reply = pool.call(server.address, query("a"), TIMEOUT).await;
+    assert_eq!(reply, Ok(rows("a")));
+}
+
+/// Guards against a frame length that makes the server reserve memory.
+#[tokio::test]
+async fn test_oversized_frame_closes_connection() {
+    let server = start_server("127.0.0.1:0").await;
+    let mut stream = TcpStream::connect(server.address).await.unwrap();
+    let length = FRAME_MAX_BYTES as u32 + 1;
+    stream.write_all(&length.to_be_bytes()).await.unwrap();
+    let mut rest = Vec::new();
+    let read = timeout(TIMEOUT, stream.read_to_end(&mut rest)).await;
+    // Either a close or a reset; waiting for the frame would be the fault.
+    assert!(read.is_ok(), "connection stays open");
+    let reply = make_pool().call(server.address, query("a"), TIMEOUT).await;
+    assert_eq!(reply, Ok(rows("a")));
+}
+
+/// Guards against a pool that never reaches a restarted peer again.
+#[tokio::test]
+async fn test_peer_restarted() {
+    let server = start_server("127.0.0.1:0").await;
+    let address = server.address;
+    let pool = make_pool();
+    let reply = pool.call(address, query("a"), TIMEOUT).await;
+    assert_eq!(reply, Ok(rows("a")));
+    server.stop().await;
+    let failure = pool.call(address, query("b"), TIMEOUT).await.unwrap_err();
+    let place = format!("to {address}");
+    assert!(failure.message.contains(&place), "{}", failure.message);
+    let server = start_server(&address.to_string()).await;
+    let reply = pool.call(address, query("c"), TIMEOUT).await;
+    assert_eq!(reply, Ok(rows("c")));
+    assert_eq!(server.calls.load(Ordering::Relaxed), 1);
+}
+
+/// Guards against a refused connection being reported as a possible run.
+#[tokio::test]
+async fn test_connection_refused_not_run() {
+    let server = start_server("127.0.0.1:0").await;
+    let address = server.address;
+    server.stop().await;
+    let pool = make_pool();
+    let failure = pool.call(address, query("a"), TIMEOUT).await.unwrap_err();
+    assert_eq!(failure.run_state, RunState::NotRun);
+    let place = format!("peer connection to {address}: ");
+    assert!(failure.message.starts_with(&place), "{}", failure.message);
+}
+
+/// Guards against a slow handler that blocks others or outlives the timeout.
+#[tokio::test]
+async fn test_timeout_may_have_run() {
+    let server = start_server("127.0.0.1:0").await;
+    let pool = make_pool();
+    let slow =
+        pool.call(server.address, query("slow"), Duration::from_millis(200));
+    let quick = pool.call(server.address, query("a"), TIMEOUT);
+    let (slow, quick) = timeout(TIMEOUT, async { tokio::join!(slow, quick) })
+        .await
+        .unwrap();
+    assert_eq!(slow.unwrap_err().run_state, RunState::MayHaveRun);
+    assert_eq!(quick, Ok(rows("a")));
+}
+
+/// Guards against a peer that takes connections and says nothing.
+#[tokio::test]
+async fn test_silent_peer_not_run() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let pool = make_pool();
+    let limit = Duration::from_millis(200);
+    let failure = pool.call(address, query("a"), limit).await.unwrap_err();
+    assert_eq!(failure.run_state, RunState::NotRun, "{}", failure.message);
+}
+
+/// Guards against several connections to one peer when many calls start.
+#[tokio::test]
+async fn test_one_connection_attempt() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let pool = make_pool();
+    let limit = Duration::from_millis(300);
+    let calls = (0..20).map(|_| pool.call(address, query("a"), limit));
+    let accepted = async {
+        let mut streams = Vec::new();
+        while let Ok(stream) = timeout(limit / 2, listener.accept()).await {
+            streams.push(stream);
+        }
+        streams.len()
+    };
+    let (results, accepted) = tokio::join!(join_all(calls), accepted);
+    assert!(results.iter().all(Result::is_err));
+    assert_eq!(accepted, 1);
+}
+
+/// Guards against unbounded calls to a peer that has stopped answering.
+#[tokio::test]
+async fn test_in_flight_bounded() {
+    let server = start_server("127.0.0.1:0").await;
+    let pool = make_pool();
+    let limit = Duration::from_millis(500);
+    let calls = (0..IN_FLIGHT_MAX + 10)
+        .map(|_| pool.call(server.address, query("slow"), limit));
+    let results = join_all(calls).await;
+    let not_run = results
+        .iter()
+        .map(|result| result.as_ref().unwrap_err())
+        .filter(|failure| failure.run_state == RunState::NotRun)
+        .count();
+    assert_eq!(not_run, 10);
+    assert_eq!(server.calls.load(Ordering::Relaxed), IN_FLIGHT_MAX as u32,);
+}
+
+/// Guards against connections to peers that are no longer called.
+#[tokio::test]
+async fn test_idle_connection_closed() {
+    let server = start_server("127.0.0.1:0").await;
+    let idle = Duration::from_millis(100);
+    let pool = PeerPool::new(setup_with(SECRET).with_idle_timeout(idle));
+    let reply = pool.call(server.address, query("a"), TIMEOUT).await;
+    assert_eq!(reply, Ok(rows("a")));
+    let closed = async {
+        while pool.connections() > 0 {
+            sleep(idle / 4).await;
+        }
+    };
+    timeout(TIMEOUT, closed).await.unwrap();
+    let reply = pool.call(server.address, query("b"), TIMEOUT).await;
+    assert_eq!(reply, Ok(rows("b")));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 64,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(11),
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against bytes on the peer port that stop the server.
+    #[test]
+    fn test_arbitrary_bytes_do_not_stop_server(
+        frames in prop::collection::vec(
+            prop::collection::vec(any::<u8>(), 0..200),
+            1..8,
+        ),
+        framed: bool,
+    ) {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .unwrap();
+        runtime.block_on(async {
+            let server = start_server("127.0.0.1:0").await;
+            let mut stream = TcpStream::connect(server.address).await.unwrap();
+            for frame in frames {
+                let length = (frame.len() as u32).to_be_bytes();
+                let head = if framed { &length[..] } else { &[] };
+                let bytes = [head, &frame].concat();
+                // The server may have closed the connection already.
+                if stream.write_all(&bytes).await.is_err() {
+                    break;
+                }
+            }
+            let pool = make_pool();
+            let reply = pool.call(server.address, query("a"), TIMEOUT).await;
+            assert_eq!(reply, Ok(rows("a")));
+            assert!(!server.task.is_finished());
+        });
+    }
+}
