settings: parse JSON with comments and report all faults at once

A person who corrects a settings file needs every fault in one go. serde stops at the first one, so the text is read into a syntax tree and each key is checked against a static table; the schema is printed from the same table. Reading through serde with serde_path_to_error was ruled out for that reason, and because it keeps only the last of two values for one key.

Unknown keys and flags are faults. Unknown environment variables are not, as cluster managers define variables of their own with a service's name as prefix.

--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -3,9 +3,28 @@
 //! Settings hold what an instance must know before it can reach anything:
 //! its name, addresses, failure domain, seeds and the platform's addresses.
 //! What operators change while it runs comes from the log.
+//!
+//! All faults are reported at once, each with its path, the value found and
+//! what is allowed. One table describes the keys, for the parser and for the
+//! schema. Environment variables and flags take precedence over the file.
+
+mod check;
+mod source;
+mod table;
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    fmt::{Display, Formatter},
+    net::SocketAddr,
+    path::Path,
+    sync::Arc,
+    time::Duration,
+};
 
+use self::{check::SettingsChecker, source::GivenValues};
+pub use self::{
+    source::{SettingOverride, SettingSource},
+    table::{SchemaRow, SettingsSchema, schema},
+};
 use crate::{
     ids::{DomainId, InstanceId},
     units::ByteSize,
@@ -85,3 +104,112 @@
         }
     }
 }
+
+/// A commented settings file with every default.
+pub const DEFAULT_SETTINGS: &str = include_str!("settings/default.jsonc");
+
+/// One fault of the settings.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize)]
+pub struct SettingsFault {
+    /// Key, or place in the text.
+    pub path: String,
+    /// What was found there.
+    pub found: String,
+    /// What is allowed there.
+    pub allowed: String,
+}
+
+impl SettingsFault {
+    fn new(
+        path: impl Into<String>,
+        found: impl Into<String>,
+        allowed: impl Into<String>,
+    ) -> Self {
+        Self {
+            path: path.into(),
+            found: found.into(),
+            allowed: allowed.into(),
+        }
+    }
+}
+
+impl Display for SettingsFault {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> std::fmt::Result {
+        let Self {
+            path,
+            found,
+            allowed,
+        } = self;
+        write!(formatter, "{path}: found {found}; allowed: {allowed}")
+    }
+}
+
+impl std::error::Error for SettingsFault {}
+
+/// All faults of the settings; never empty.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize)]
+pub struct SettingsFaults {
+    /// The faults, in the order of the checks.
+    pub faults: Vec<SettingsFault>,
+}
+
+impl Display for SettingsFaults {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> std::fmt::Result {
+        for (index, fault) in self.faults.iter().enumerate() {
+            let separator = if index == 0 { "" } else { "\n" };
+            write!(formatter, "{separator}{fault}")?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for SettingsFaults {}
+
+/// Reads and checks a settings file.
+pub fn load(path: &Path) -> Result<InstanceSettings, SettingsFaults> {
+    load_with(path, &[])
+}
+
+/// Like [`load`], with values that take precedence over the file's; later
+/// ones take precedence over earlier ones.
+pub fn load_with(
+    path: &Path,
+    overrides: &[SettingOverride],
+) -> Result<InstanceSettings, SettingsFaults> {
+    match std::fs::read_to_string(path) {
+        Ok(text) => parse_with(&text, overrides),
+        Err(error) => {
+            let place = path.display().to_string();
+            let found = error.to_string();
+            let fault =
+                SettingsFault::new(place, found, "a readable file in UTF-8");
+            Err(SettingsFaults {
+                faults: vec![fault],
+            })
+        }
+    }
+}
+
+/// Checks the text of a settings file.
+pub fn parse(text: &str) -> Result<InstanceSettings, SettingsFaults> {
+    parse_with(text, &[])
+}
+
+/// Like [`parse`], with values that take precedence over the text's.
+pub fn parse_with(
+    text: &str,
+    overrides: &[SettingOverride],
+) -> Result<InstanceSettings, SettingsFaults> {
+    let mut faults = Vec::new();
+    let mut given = GivenValues::read(text, &mut faults);
+    if given.is_unreadable() {
+        // Every required key would be reported as missing.
+        return Err(SettingsFaults { faults });
+    }
+    given.override_with(overrides);
+    let checker = SettingsChecker::new(&given, &mut faults);
+    match checker.check() {
+        Some(settings) if faults.is_empty() => Ok(settings),
+        _ => Err(SettingsFaults { faults }),
+    }
+}
