cli: serve completions through the core

The shell around the core: the driver task and its handle, the HTTP listener with its own accept loop, the engine client, the checker of streamed answers, bounded stream buffers, metrics, logs and the serve command.

--- /dev/null
+++ b/cli/src/commands.rs
@@ -0,0 +1,3 @@
+//! The commands of the binary, one file each.
+
+pub mod serve;
--- /dev/null
+++ b/cli/src/commands/serve.rs
@@ -0,0 +1,226 @@
+//! `borageline serve`: runs one instance until it is told to stop.
+
+use std::{
+    io,
+    path::PathBuf,
+    process::ExitCode,
+    sync::Arc,
+    time::{SystemTime, UNIX_EPOCH},
+};
+
+use borageline_lib::{
+    core::{CoreSetup, ServingCore},
+    log_event::LogEvent,
+    settings::{self, InstanceSettings},
+    units::Incarnation,
+};
+use bpaf::Bpaf;
+use logforth::record::LevelFilter;
+use tokio::{
+    net::TcpListener,
+    signal::unix::{SignalKind, signal},
+    task::JoinHandle,
+};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    context::{ServerContext, SharedContext},
+    driver::{CoreDriver, CoreHandle, DriverClients, TickCore},
+    engine_client::EngineClient,
+    logging,
+    metrics::ServerMetrics,
+    peers::{PeerPool, PoolSetup, serve_peers},
+    platform::PlatformClient,
+    server::serve_callers,
+};
+
+/// Exit code for faulty settings.
+const SETTINGS_ERROR: u8 = 2;
+
+/// Runs one instance until it is told to stop.
+#[derive(Clone, Debug, Bpaf)]
+pub struct ServeOptions {
+    /// Settings file, JSON with comments.
+    #[bpaf(argument("FILE"))]
+    pub config: PathBuf,
+}
+
+/// Runs the command.
+pub fn run(options: &ServeOptions) -> ExitCode {
+    let settings = match settings::load(&options.config) {
+        Ok(settings) => settings,
+        Err(faults) => {
+            eprintln!("{faults}");
+            return ExitCode::from(SETTINGS_ERROR);
+        }
+    };
+    let level = LevelFilter::MoreSevereEqual(logforth::record::Level::Info);
+    if let Err(error) = logging::start(level) {
+        eprintln!("log cannot be started: {error}");
+        return ExitCode::FAILURE;
+    }
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build();
+    let result = runtime
+        .and_then(|runtime| runtime.block_on(async { serve(settings).await }));
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("instance has stopped: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn serve(settings: InstanceSettings) -> io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let instance = RunningInstance::start(settings).await?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    instance.stop().await;
+    Ok(())
+}
+
+/// One instance with its listeners.
+#[derive(Debug)]
+pub struct RunningInstance {
+    context: SharedContext,
+    stop: CancellationToken,
+    callers: JoinHandle<usize>,
+    peers: JoinHandle<io::Result<()>>,
+    driver: JoinHandle<()>,
+}
+
+impl RunningInstance {
+    /// Opens the listeners and starts to serve. A port of zero in the
+    /// settings is replaced by the one that the system chose.
+    pub async fn start(settings: InstanceSettings) -> io::Result<Self> {
+        Self::start_with(settings, ServingCore::new).await
+    }
+
+    /// Like [`Self::start`], with a core of the caller's making.
+    pub async fn start_with<C: TickCore>(
+        mut settings: InstanceSettings,
+        build: impl FnOnce(CoreSetup) -> C,
+    ) -> io::Result<Self> {
+        let callers = TcpListener::bind(settings.caller_address).await?;
+        let peers = TcpListener::bind(settings.peer_address).await?;
+        settings.caller_address = callers.local_addr()?;
+        settings.peer_address = peers.local_addr()?;
+        let settings = Arc::new(settings);
+        let incarnation = start_incarnation();
+        let metrics = Arc::new(ServerMetrics::new());
+        let engines = EngineClient::new();
+        let (handle, driver) = CoreDriver::spawn(
+            build(core_setup(&settings, incarnation)),
+            driver_clients(&settings, incarnation, engines.clone()),
+            metrics.clone(),
+        );
+        let context = SharedContext::new(ServerContext::new(
+            settings.clone(),
+            incarnation,
+            handle.clone(),
+            engines,
+            metrics,
+        ));
+        let stop = CancellationToken::new();
+        let callers =
+            tokio::spawn(serve_callers(callers, context.clone(), stop.clone()));
+        let secret = settings.fleet_secret.clone();
+        let answer = move |from, incarnation, message| {
+            let handle = handle.clone();
+            async move { handle.peer_called(from, incarnation, message).await }
+        };
+        let peers = tokio::spawn(serve_peers(peers, secret, answer));
+        let text = format!(
+            "{} serves callers at {}",
+            settings.instance, settings.caller_address,
+        );
+        logging::event(LogEvent::InstanceStarted, &text);
+        Ok(Self {
+            context,
+            stop,
+            callers,
+            peers,
+            driver,
+        })
+    }
+
+    /// Context of the handlers.
+    pub fn context(&self) -> &SharedContext {
+        &self.context
+    }
+
+    /// The core.
+    pub fn handle(&self) -> &CoreHandle {
+        &self.context.handle
+    }
+
+    /// Stops as planned: callers learn that this instance is leaving while
+    /// it still serves them, then running requests finish.
+    pub async fn stop(self) {
+        let limits = &self.context.settings.limits;
+        logging::event(LogEvent::StopBegun, "the planned stop has begun");
+        self.context.begin_stop();
+        self.context.handle.stop().await;
+        tokio::time::sleep(limits.address_ttl).await;
+        self.stop.cancel();
+        // An error means that the listener's task panicked.
+        let cut = self.callers.await.unwrap_or_default();
+        // The core gives its ownership away and withdraws claims.
+        let wait = limits.address_ttl;
+        let core = tokio::time::timeout(wait, self.context.handle.stopped());
+        let finished = core.await.is_ok();
+        self.peers.abort();
+        self.driver.abort();
+        let text = format!(
+            "the planned stop is over; connections cut: {cut}; \
+             core finished: {finished}",
+        );
+        logging::event(LogEvent::StopDone, &text);
+    }
+}
+
+fn start_incarnation() -> Incarnation {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    let millis = now.unwrap_or_default().as_millis();
+    Incarnation::new(u64::try_from(millis).unwrap_or(u64::MAX))
+}
+
+fn core_setup(
+    settings: &InstanceSettings,
+    incarnation: Incarnation,
+) -> CoreSetup {
+    CoreSetup {
+        instance: settings.instance.clone(),
+        incarnation,
+        domain: settings.failure_domain.clone(),
+        peer_address: settings.peer_address,
+        caller_address: settings.caller_address,
+        seeds: settings.seeds.clone(),
+        seed: rand::random(),
+        policy: settings.policy,
+    }
+}
+
+fn driver_clients(
+    settings: &InstanceSettings,
+    incarnation: Incarnation,
+    engines: EngineClient,
+) -> DriverClients {
+    let instance = settings.instance.clone();
+    let secret = settings.fleet_secret.clone();
+    let setup = PoolSetup::new(instance, incarnation, secret);
+    DriverClients {
+        engines,
+        platform: PlatformClient::new(
+            settings.log_service,
+            settings.instance_list,
+        ),
+        peers: PeerPool::new(setup),
+    }
+}
--- /dev/null
+++ b/cli/src/credentials.rs
@@ -0,0 +1,157 @@
+//! Credentials of callers and operators.
+//!
+//! The configuration holds SHA-256 digests of keys. A key is looked up by the
+//! start of its digest and the digest is then compared in constant time.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, PoisonError},
+};
+
+use borageline_lib::{
+    fleet::{FleetState, OperatorRole},
+    ids::{OperatorName, WorkspaceId},
+    refusal::{Refusal, RefusalCode},
+};
+use http::{HeaderMap, header};
+use sha2::{Digest, Sha256};
+use subtle::ConstantTimeEq;
+
+/// Characters of a digest by which keys are looked up.
+const LOOKUP_CHARS: usize = 16;
+
+/// Digest of a text in lower-case hex.
+pub fn hex_digest(parts: &[&[u8]]) -> String {
+    let mut hash = Sha256::new();
+    for part in parts {
+        hash.update((part.len() as u64).to_le_bytes());
+        hash.update(part);
+    }
+    hex(&hash.finalize())
+}
+
+/// Digest of a key as the configuration holds it, in lower-case hex.
+pub fn key_digest(key: &[u8]) -> String {
+    hex(&Sha256::digest(key))
+}
+
+fn hex(bytes: &[u8]) -> String {
+    use std::fmt::Write;
+    let mut text = String::with_capacity(bytes.len() * 2);
+    for byte in bytes {
+        write!(text, "{byte:02x}").expect("a string takes all text");
+    }
+    text
+}
+
+#[derive(Debug)]
+struct DigestIndex<T> {
+    entries: BTreeMap<Arc<str>, Vec<(Arc<str>, T)>>,
+}
+
+impl<T: Clone> DigestIndex<T> {
+    fn new(pairs: impl Iterator<Item = (Arc<str>, T)>) -> Self {
+        let mut entries = BTreeMap::<_, Vec<_>>::new();
+        for (digest, owner) in pairs {
+            let lookup = digest.get(..LOOKUP_CHARS).unwrap_or(&digest).into();
+            entries.entry(lookup).or_default().push((digest, owner));
+        }
+        Self { entries }
+    }
+
+    fn find(&self, digest: &str) -> Option<T> {
+        let candidates = self.entries.get(digest.get(..LOOKUP_CHARS)?)?;
+        let same =
+            |known: &str| bool::from(known.as_bytes().ct_eq(digest.as_bytes()));
+        candidates
+            .iter()
+            .find(|(known, _)| same(known))
+            .map(|(_, owner)| owner.clone())
+    }
+}
+
+#[derive(Debug)]
+struct CredentialIndex {
+    fleet: Arc<FleetState>,
+    workspaces: DigestIndex<WorkspaceId>,
+    operators: DigestIndex<(OperatorName, OperatorRole)>,
+}
+
+impl CredentialIndex {
+    fn new(fleet: Arc<FleetState>) -> Self {
+        let workspaces = fleet.workspaces.iter().flat_map(|(id, rule)| {
+            let digests = rule.key_digests.iter().cloned();
+            digests.map(move |digest| (digest, id.clone()))
+        });
+        let operators = fleet.operators.iter().map(|(name, rule)| {
+            (rule.key_digest.clone(), (name.clone(), rule.role))
+        });
+        Self {
+            workspaces: DigestIndex::new(workspaces),
+            operators: DigestIndex::new(operators),
+            fleet: fleet.clone(),
+        }
+    }
+}
+
+/// Index of the credentials in the newest configuration.
+#[derive(Debug, Default)]
+pub struct CredentialCache {
+    index: Mutex<Option<Arc<CredentialIndex>>>,
+}
+
+impl CredentialCache {
+    /// Workspace that a request's key belongs to.
+    pub fn workspace(
+        &self,
+        fleet: &Arc<FleetState>,
+        headers: &HeaderMap,
+    ) -> Result<WorkspaceId, Refusal> {
+        let digest = bearer_digest(headers)?;
+        let found = self.index(fleet).workspaces.find(&digest);
+        found.ok_or_else(|| unauthenticated("the key is not known"))
+    }
+
+    /// Operator that a request's key belongs to.
+    pub fn operator(
+        &self,
+        fleet: &Arc<FleetState>,
+        headers: &HeaderMap,
+    ) -> Result<(OperatorName, OperatorRole), Refusal> {
+        let digest = bearer_digest(headers)?;
+        let found = self.index(fleet).operators.find(&digest);
+        found.ok_or_else(|| unauthenticated("the key is not known"))
+    }
+
+    fn index(&self, fleet: &Arc<FleetState>) -> Arc<CredentialIndex> {
+        let mut index =
+            self.index.lock().unwrap_or_else(PoisonError::into_inner);
+        match &*index {
+            Some(index) if Arc::ptr_eq(&index.fleet, fleet) => index.clone(),
+            _ => {
+                let new = Arc::new(CredentialIndex::new(fleet.clone()));
+                *index = Some(new.clone());
+                new
+            }
+        }
+    }
+}
+
+fn bearer_digest(headers: &HeaderMap) -> Result<String, Refusal> {
+    let value = headers.get(header::AUTHORIZATION).ok_or_else(|| {
+        unauthenticated("the header authorization: Bearer KEY is missing")
+    })?;
+    let key = value
+        .as_bytes()
+        .split_at_checked("Bearer ".len())
+        .filter(|(scheme, _)| scheme.eq_ignore_ascii_case(b"Bearer "))
+        .ok_or_else(|| {
+            unauthenticated("the header authorization is not Bearer KEY")
+        })?
+        .1;
+    Ok(key_digest(key))
+}
+
+fn unauthenticated(message: &str) -> Refusal {
+    Refusal::new(RefusalCode::Unauthenticated, message)
+}
--- /dev/null
+++ b/cli/src/http_client.rs
@@ -0,0 +1,357 @@
+//! HTTP calls to engines, services and the platform.
+//!
+//! Tells apart what matters for a truthful answer: a connection that was
+//! refused, so that nothing was sent, and every later failure, after which
+//! the other side may have acted.
+
+use std::{
+    fmt::{Display, Formatter},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
+
+use borageline_lib::{
+    api::ErrorBody, core::CallFailure, refusal::RunState, units::ByteSize,
+};
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::{TokioExecutor, TokioTimer},
+};
+use serde::{Serialize, de::DeserializeOwned};
+
+/// Time for a TCP connection to be made.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Largest answer that is read as a whole.
+pub const ANSWER_MAX: ByteSize = ByteSize::new(16 << 20);
+/// Largest part of an error answer that is read.
+const ERROR_MAX_BYTES: usize = 16 << 10;
+/// Idle connections kept for one peer.
+const IDLE_PER_PEER: usize = 64;
+/// Shorter than the idle time after which common servers close a connection.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
+
+/// Why an HTTP call failed.
+#[derive(Clone, Debug, PartialEq)]
+pub enum HttpFault {
+    /// No connection was made; nothing was sent.
+    Refused {
+        /// Step of the call.
+        step: &'static str,
+        /// Other side.
+        peer: SocketAddr,
+        /// Cause, for people.
+        message: Arc<str>,
+    },
+    /// The connection broke.
+    Broken {
+        /// Step of the call.
+        step: &'static str,
+        /// Other side.
+        peer: SocketAddr,
+        /// Cause, for people.
+        message: Arc<str>,
+    },
+    /// No answer came in time.
+    TimedOut {
+        /// Step of the call.
+        step: &'static str,
+        /// Other side.
+        peer: SocketAddr,
+        /// Time that was allowed.
+        after: Duration,
+    },
+    /// The other side answered with an error.
+    Status {
+        /// Step of the call.
+        step: &'static str,
+        /// Other side.
+        peer: SocketAddr,
+        /// Status of the answer.
+        status: StatusCode,
+        /// Body of the answer, if it was one of the known form.
+        body: Option<Box<ErrorBody>>,
+    },
+    /// The answer was not of the form expected.
+    Malformed {
+        /// Step of the call.
+        step: &'static str,
+        /// Other side.
+        peer: SocketAddr,
+        /// Cause, for people.
+        message: Arc<str>,
+    },
+}
+
+impl HttpFault {
+    /// Whether the other side may have acted on the call.
+    pub fn run_state(&self) -> RunState {
+        match self {
+            Self::Refused { .. } => RunState::NotRun,
+            Self::Status {
+                body: Some(body), ..
+            } => body.error.run_state,
+            _ => RunState::MayHaveRun,
+        }
+    }
+}
+
+impl Display for HttpFault {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Refused {
+                step,
+                peer,
+                message,
+            } => {
+                write!(formatter, "{step} at {peer}: no connection: {message}")
+            }
+            Self::Broken {
+                step,
+                peer,
+                message,
+            } => write!(formatter, "{step} at {peer}: broken: {message}"),
+            Self::TimedOut { step, peer, after } => {
+                write!(formatter, "{step} at {peer}: no answer in {after:?}")
+            }
+            Self::Status {
+                step,
+                peer,
+                status,
+                body,
+            } => {
+                write!(formatter, "{step} at {peer}: status {status}")?;
+                match body {
+                    Some(body) => write!(
+                        formatter,
+                        ": {}: {}",
+                        body.error.code, body.error.message,
+                    ),
+                    None => Ok(()),
+                }
+            }
+            Self::Malformed {
+                step,
+                peer,
+                message,
+            } => write!(formatter, "{step} at {peer}: malformed: {message}"),
+        }
+    }
+}
+
+impl std::error::Error for HttpFault {}
+
+impl From<HttpFault> for CallFailure {
+    fn from(fault: HttpFault) -> Self {
+        Self {
+            run_state: fault.run_state(),
+            message: fault.to_string().into(),
+        }
+    }
+}
+
+/// Step, other side and time of one call.
+#[derive(Clone, Copy, Debug)]
+pub struct CallTarget {
+    /// Step, for errors.
+    pub step: &'static str,
+    /// Other side.
+    pub peer: SocketAddr,
+    /// Time until the head of the answer.
+    pub timeout: Duration,
+}
+
+/// HTTP/1.1 client with a pool of connections.
+#[derive(Clone, Debug)]
+pub struct HttpClient {
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl HttpClient {
+    /// A client that keeps connections.
+    pub fn new() -> Self {
+        Self::build(IDLE_PER_PEER, true, CONNECT_TIMEOUT)
+    }
+
+    /// A client that keeps connections and makes them within a time.
+    pub fn with_connect_timeout(connect: Duration) -> Self {
+        Self::build(IDLE_PER_PEER, true, connect)
+    }
+
+    /// A client that makes a connection for each call and repeats none.
+    ///
+    /// A kept connection may be closed by the other side just as the call is
+    /// written, and then nobody knows whether the call ran.
+    pub fn without_reuse() -> Self {
+        Self::build(0, false, CONNECT_TIMEOUT)
+    }
+
+    fn build(idle: usize, repeats: bool, connect: Duration) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(connect));
+        connector.set_nodelay(true);
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(IDLE_TIMEOUT)
+            .pool_max_idle_per_host(idle)
+            .retry_canceled_requests(repeats)
+            .build(connector);
+        Self { client }
+    }
+
+    /// Sends a request and returns the head of its answer, whatever its
+    /// status.
+    pub async fn send(
+        &self,
+        target: CallTarget,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, HttpFault> {
+        let CallTarget {
+            step,
+            peer,
+            timeout,
+        } = target;
+        let answer =
+            tokio::time::timeout(timeout, self.client.request(request));
+        match answer.await {
+            Ok(Ok(response)) => Ok(response),
+            Ok(Err(error)) => {
+                let message = with_causes(&error);
+                Err(if error.is_connect() {
+                    HttpFault::Refused {
+                        step,
+                        peer,
+                        message,
+                    }
+                } else {
+                    HttpFault::Broken {
+                        step,
+                        peer,
+                        message,
+                    }
+                })
+            }
+            Err(_) => Err(HttpFault::TimedOut {
+                step,
+                peer,
+                after: timeout,
+            }),
+        }
+    }
+
+    /// Sends a request and fails unless the status is a success.
+    pub async fn send_checked(
+        &self,
+        target: CallTarget,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, HttpFault> {
+        let response = self.send(target, request).await?;
+        let status = response.status();
+        if status.is_success() {
+            return Ok(response);
+        }
+        let body = Limited::new(response.into_body(), ERROR_MAX_BYTES);
+        let read = tokio::time::timeout(target.timeout, body.collect()).await;
+        let body = match read {
+            Ok(Ok(body)) => serde_json::from_slice(&body.to_bytes()).ok(),
+            _ => None,
+        };
+        Err(HttpFault::Status {
+            step: target.step,
+            peer: target.peer,
+            status,
+            body,
+        })
+    }
+
+    /// Sends a request and reads its whole answer as JSON.
+    pub async fn call<T: DeserializeOwned>(
+        &self,
+        target: CallTarget,
+        request: Request<Full<Bytes>>,
+    ) -> Result<T, HttpFault> {
+        let response = self.send_checked(target, request).await?;
+        let bytes = read_whole(target, response.into_body()).await?;
+        serde_json::from_slice(&bytes).map_err(|error| HttpFault::Malformed {
+            step: target.step,
+            peer: target.peer,
+            message: error.to_string().into(),
+        })
+    }
+}
+
+impl Default for HttpClient {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// Reads a whole answer within the target's time.
+pub async fn read_whole(
+    target: CallTarget,
+    body: Incoming,
+) -> Result<Bytes, HttpFault> {
+    let CallTarget {
+        step,
+        peer,
+        timeout,
+    } = target;
+    let limit = usize::try_from(ANSWER_MAX.get()).unwrap_or(usize::MAX);
+    let body = Limited::new(body, limit).collect();
+    match tokio::time::timeout(timeout, body).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) => Err(HttpFault::Broken {
+            step,
+            peer,
+            message: error.to_string().into(),
+        }),
+        Err(_) => Err(HttpFault::TimedOut {
+            step,
+            peer,
+            after: timeout,
+        }),
+    }
+}
+
+/// Builds a request without a body.
+pub fn plain_request(
+    method: Method,
+    peer: SocketAddr,
+    path: &str,
+) -> Request<Full<Bytes>> {
+    Request::builder()
+        .method(method)
+        .uri(format!("http://{peer}{path}"))
+        .body(Full::default())
+        .expect("address and path built from ids make a URI")
+}
+
+/// Builds a request with a JSON body.
+pub fn json_request<T: Serialize>(
+    method: Method,
+    peer: SocketAddr,
+    path: &str,
+    body: &T,
+) -> Request<Full<Bytes>> {
+    let body = serde_json::to_vec(body).expect("bodies are plain JSON");
+    let mut request = plain_request(method, peer, path);
+    *request.body_mut() = Full::new(body.into());
+    let json = header::HeaderValue::from_static("application/json");
+    request.headers_mut().insert(header::CONTENT_TYPE, json);
+    request
+}
+
+fn with_causes(error: &dyn std::error::Error) -> Arc<str> {
+    let mut text = error.to_string();
+    let mut cause = error.source();
+    while let Some(error) = cause {
+        text.push_str(": ");
+        text.push_str(&error.to_string());
+        cause = error.source();
+    }
+    text.into()
+}
--- /dev/null
+++ b/cli/src/lib.rs
@@ -0,0 +1,23 @@
+//! The shell around the deterministic core: sockets, clocks and tasks.
+//!
+//! The binary is a thin wrapper over this library, so that tests can start
+//! servers in their own process.
+
+pub mod buffer;
+pub mod callers;
+pub mod commands;
+pub mod context;
+pub mod credentials;
+pub mod driver;
+pub mod engine_client;
+pub mod http_client;
+pub mod logging;
+pub mod metrics;
+pub mod operators;
+pub mod peers;
+pub mod platform;
+pub mod prompt;
+pub mod reply;
+pub mod request_task;
+pub mod server;
+pub mod services;
--- /dev/null
+++ b/cli/src/server.rs
@@ -0,0 +1,282 @@
+//! The HTTP listener: accepts connections, bounds them and drains them.
+
+use std::{
+    collections::BTreeMap,
+    convert::Infallible,
+    net::{IpAddr, SocketAddr},
+    panic::AssertUnwindSafe,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use borageline_lib::{
+    api::ErrorBody,
+    log_event::LogEvent,
+    refusal::{Refusal, RefusalCode},
+    settings::InstanceLimits,
+};
+use gotham::{
+    helpers::http::Body, router::Router, service::call_handler, state::State,
+};
+use http::{Request, Response, StatusCode};
+use hyper::{body::Incoming, service::service_fn};
+use hyper_util::{
+    rt::{TokioExecutor, TokioIo, TokioTimer},
+    server::{conn::auto::Builder, graceful::GracefulShutdown},
+};
+use tokio::{
+    io::AsyncWriteExt,
+    net::{TcpListener, TcpStream},
+};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    callers::build_router,
+    context::SharedContext,
+    logging,
+    reply::{ConnectionCloser, RenderedAnswer, refusal_answer},
+};
+
+/// Pause after a failed accept, which mostly means that no file descriptor is
+/// free.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+/// Bytes that hyper may buffer for writing on one connection, besides the
+/// stream buffers.
+const WRITE_BUFFER_BYTES: usize = 64 << 10;
+/// Requests at once on one HTTP/2 connection.
+const STREAMS_PER_CONNECTION: u32 = 256;
+/// Time to tell a caller that it has too many connections.
+const REJECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+#[derive(Debug, Default)]
+struct ConnectionTable {
+    total: u32,
+    by_address: BTreeMap<IpAddr, u32>,
+}
+
+/// Counts connections, in total and by address.
+#[derive(Debug)]
+struct ConnectionLimiter {
+    table: Mutex<ConnectionTable>,
+    context: SharedContext,
+}
+
+impl ConnectionLimiter {
+    fn lock(&self) -> MutexGuard<'_, ConnectionTable> {
+        self.table.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn admit(
+        self: &Arc<Self>,
+        address: IpAddr,
+    ) -> Result<ConnectionSlot, Refusal> {
+        let limits = &self.context.settings.limits;
+        let mut table = self.lock();
+        if table.total >= limits.connections {
+            let text = "the instance has too many connections";
+            return Err(Refusal::new(RefusalCode::Overloaded, text));
+        }
+        let count = table.by_address.entry(address).or_default();
+        if *count >= limits.connections_per_address {
+            let text = format!("too many connections from {address}");
+            return Err(Refusal::new(RefusalCode::AddressLimit, text));
+        }
+        *count += 1;
+        table.total += 1;
+        self.context.metrics.connections.set(table.total.into());
+        let limiter = self.clone();
+        Ok(ConnectionSlot { limiter, address })
+    }
+}
+
+/// One counted connection.
+#[derive(Debug)]
+struct ConnectionSlot {
+    limiter: Arc<ConnectionLimiter>,
+    address: IpAddr,
+}
+
+impl Drop for ConnectionSlot {
+    fn drop(&mut self) {
+        let mut table = self.limiter.lock();
+        table.total -= 1;
+        let metrics = &self.limiter.context.metrics;
+        metrics.connections.set(table.total.into());
+        if let Some(count) = table.by_address.get_mut(&self.address) {
+            *count -= 1;
+            if *count == 0 {
+                table.by_address.remove(&self.address);
+            }
+        }
+    }
+}
+
+/// Serves the listener until `stop` is cancelled, then closes it, lets
+/// running requests finish for a time, and closes what is left.
+///
+/// Returns the number of connections that were cut.
+pub async fn serve_callers(
+    listener: TcpListener,
+    context: SharedContext,
+    stop: CancellationToken,
+) -> usize {
+    let graceful = GracefulShutdown::new();
+    let kill = CancellationToken::new();
+    let server = Arc::new(CallerServer {
+        router: build_router(&context),
+        builder: build_connections(&context.settings.limits),
+        context: context.clone(),
+    });
+    let limiter = Arc::new(ConnectionLimiter {
+        table: Mutex::default(),
+        context: context.clone(),
+    });
+    loop {
+        let accepted = tokio::select! {
+            biased;
+            () = stop.cancelled() => break,
+            accepted = listener.accept() => accepted,
+        };
+        let (stream, address) = match accepted {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                logging::event(LogEvent::AcceptFailed, &error.to_string());
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        match limiter.admit(address.ip()) {
+            Ok(slot) => {
+                let server = server.clone();
+                let kill = kill.child_token();
+                let watcher = graceful.watcher();
+                tokio::spawn(async move {
+                    server.serve(stream, address, watcher, kill).await;
+                    drop(slot);
+                });
+            }
+            Err(refusal) => {
+                context.metrics.count_refusal(refusal.code);
+                tokio::spawn(reject(stream, refusal));
+            }
+        }
+    }
+    drop(listener);
+    let wait = context.settings.limits.stop_timeout;
+    let drained = tokio::time::timeout(wait, graceful.shutdown()).await;
+    let left = limiter.lock().total as usize;
+    kill.cancel();
+    if drained.is_ok() { 0 } else { left }
+}
+
+fn build_connections(limits: &InstanceLimits) -> Builder<TokioExecutor> {
+    let mut builder = Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.header_timeout)
+        .max_buf_size(WRITE_BUFFER_BYTES);
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .max_concurrent_streams(STREAMS_PER_CONNECTION)
+        .max_send_buf_size(WRITE_BUFFER_BYTES)
+        .keep_alive_interval(Some(limits.header_timeout));
+    builder
+}
+
+struct CallerServer {
+    router: Router,
+    builder: Builder<TokioExecutor>,
+    context: SharedContext,
+}
+
+impl CallerServer {
+    async fn serve(
+        self: Arc<Self>,
+        stream: TcpStream,
+        address: SocketAddr,
+        watcher: hyper_util::server::graceful::Watcher,
+        kill: CancellationToken,
+    ) {
+        // A failure only means that small answers may be delayed.
+        let _ = stream.set_nodelay(true);
+        let closer = ConnectionCloser(kill.clone());
+        let service = service_fn(|request| {
+            let closer = closer.clone();
+            let server = self.clone();
+            async move { server.answer(request, address, closer).await }
+        });
+        let io = TokioIo::new(stream);
+        let connection = self.builder.serve_connection(io, service);
+        let connection = watcher.watch(connection);
+        tokio::select! {
+            // Callers break connections at will; requests on them notice.
+            _ = connection => {}
+            () = kill.cancelled() => {}
+        }
+    }
+
+    async fn answer(
+        &self,
+        request: Request<Incoming>,
+        address: SocketAddr,
+        closer: ConnectionCloser,
+    ) -> Result<Response<Body>, Infallible> {
+        let http1 = request.version() < http::Version::HTTP_2;
+        let path = request.uri().path().to_owned();
+        let mut state = State::from_request(request, address);
+        // Closing an HTTP/2 connection would cut its other requests.
+        if http1 {
+            state.put(closer);
+        }
+        let router = self.router.clone();
+        let answer = call_handler(router, AssertUnwindSafe(state)).await;
+        Ok(match answer {
+            Ok(response) => self.render(response, &path),
+            Err(error) => self.internal(&error.to_string()),
+        })
+    }
+
+    /// Gives answers of gotham's own the form of all errors.
+    fn render(&self, response: Response<Body>, path: &str) -> Response<Body> {
+        if response.extensions().get::<RenderedAnswer>().is_some() {
+            return response;
+        }
+        match response.status() {
+            StatusCode::NOT_FOUND | StatusCode::METHOD_NOT_ALLOWED => {
+                let text = format!("{path} or its method is not known");
+                let refusal = Refusal::new(RefusalCode::UnknownPath, text);
+                let request = self.context.next_request();
+                refusal_answer(&self.context, &request, &refusal)
+            }
+            status => self.internal(&format!("handler ended with {status}")),
+        }
+    }
+
+    fn internal(&self, text: &str) -> Response<Body> {
+        let refusal = Refusal::new(RefusalCode::Internal, text)
+            .with_run_state(borageline_lib::refusal::RunState::MayHaveRun);
+        let request = self.context.next_request();
+        refusal_answer(&self.context, &request, &refusal)
+    }
+}
+
+/// Tells a caller why its connection is closed.
+async fn reject(mut stream: TcpStream, refusal: Refusal) {
+    let body = serde_json::to_string(&ErrorBody::new(&refusal, None))
+        .expect("bodies are plain JSON");
+    let status = StatusCode::from_u16(refusal.code.status())
+        .expect("codes have valid statuses");
+    let text = format!(
+        "HTTP/1.1 {status}\r\ncontent-type: application/json\r\n\
+         content-length: {}\r\nconnection: close\r\n\r\n{body}",
+        body.len(),
+    );
+    let write = async {
+        stream.write_all(text.as_bytes()).await?;
+        stream.shutdown().await
+    };
+    // The connection is closed whether or not the caller takes the answer.
+    let _ = tokio::time::timeout(REJECT_TIMEOUT, write).await;
+}
--- /dev/null
+++ b/cli/tests/test_serve/fixture.rs
@@ -0,0 +1,278 @@
+//! An engine and a core for tests of the shell.
+//!
+//! The engine answers as each test scripts it. The core publishes a fixed
+//! view, sends every request to that engine and lets a test choose what
+//! follows a failure.
+
+use std::{
+    collections::BTreeSet,
+    convert::Infallible,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use borageline::{
+    commands::serve::RunningInstance, credentials::key_digest, driver::TickCore,
+};
+use borageline_lib::{
+    api::PriorityClass,
+    core::{
+        AssignedEngine, Assignment, CoreAction, CoreEvent, InstanceReadiness,
+        PublishedView, RequestDecision, RequestProgress,
+    },
+    fleet::{FleetState, WorkspaceRule},
+    ids::UpstreamId,
+    refusal::{Refusal, RefusalCode},
+    settings::{InstanceLimits, InstanceSettings},
+    units::Timestamp,
+};
+use bytes::Bytes;
+use futures::future::BoxFuture;
+use http::{Request, Response};
+use http_body_util::{BodyExt, Full, combinators::BoxBody};
+use hyper::{body::Incoming, service::service_fn};
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
+
+/// Body of a scripted answer.
+pub(crate) type ScriptBody = BoxBody<Bytes, std::io::Error>;
+/// Handler of a scripted engine.
+pub(crate) type Script = Arc<
+    dyn Fn(Request<Incoming>) -> BoxFuture<'static, Response<ScriptBody>>
+        + Send
+        + Sync,
+>;
+
+/// Key of the only workspace.
+pub(crate) const KEY: &str = "test-key";
+
+/// Starts an engine that answers with a script.
+pub(crate) async fn start_engine(script: Script) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        loop {
+            let (stream, _) = listener.accept().await.unwrap();
+            let script = script.clone();
+            tokio::spawn(async move {
+                let service = service_fn(move |request| {
+                    let answer = script(request);
+                    async move { Ok::<_, Infallible>(answer.await) }
+                });
+                let builder = hyper_util::server::conn::auto::Builder::new(
+                    TokioExecutor::new(),
+                );
+                let io = TokioIo::new(stream);
+                let _ = builder.serve_connection(io, service).await;
+            });
+        }
+    });
+    address
+}
+
+/// A scripted answer with a whole body.
+pub(crate) fn whole(body: impl Into<Bytes>) -> Response<ScriptBody> {
+    let body = Full::new(body.into()).map_err(|never| match never {});
+    Response::new(body.boxed())
+}
+
+/// One part of an answer as an event.
+pub(crate) fn part(id: &str, index: u64, text: &str, last: bool) -> String {
+    let reason = if last { "\"stop\"" } else { "null" };
+    format!(
+        "data: {{\"id\":\"{id}\",\"object\":\"text_completion\",\
+         \"model\":\"m\",\"index_from\":{index},\"token_count\":1,\
+         \"choices\":[{{\"index\":0,\"text\":\"{text}\",\
+         \"finish_reason\":{reason}}}]}}\n\n"
+    )
+}
+
+/// End marker as an event.
+pub(crate) const END: &str = "data: [DONE]\n\n";
+
+/// Request id that an engine was given.
+pub(crate) fn request_id(request: &Request<Incoming>) -> String {
+    let value = request.headers().get("x-request-id").unwrap();
+    value.to_str().unwrap().into()
+}
+
+/// Core that sends every request to one engine.
+pub(crate) struct FixedCore {
+    engine: SocketAddr,
+    on_failure: RequestDecision,
+    published: bool,
+    progress: Arc<Mutex<Vec<RequestProgress>>>,
+}
+
+impl FixedCore {
+    fn view(&self) -> PublishedView {
+        let mut fleet = FleetState::default();
+        let rule = WorkspaceRule {
+            key_digests: BTreeSet::from([key_digest(KEY.as_bytes()).into()]),
+            enabled: true,
+            default_class: PriorityClass::Interactive,
+            classes: BTreeSet::from([PriorityClass::Interactive]),
+            models: None,
+            domains: None,
+            limits: Vec::new(),
+        };
+        fleet.workspaces.insert("w".parse().unwrap(), rule);
+        PublishedView {
+            fleet: Arc::new(fleet),
+            readiness: InstanceReadiness::Ready,
+            models: BTreeSet::from(["m".parse().unwrap()]),
+            ..PublishedView::default()
+        }
+    }
+}
+
+impl TickCore for FixedCore {
+    fn tick(
+        &mut self,
+        now: Timestamp,
+        events: Vec<CoreEvent>,
+    ) -> Vec<CoreAction> {
+        let mut actions = Vec::new();
+        if !std::mem::replace(&mut self.published, true) {
+            actions.push(CoreAction::Publish(Arc::new(self.view())));
+        }
+        for event in events {
+            match event {
+                CoreEvent::Arrived(spec) => {
+                    let assignment = Assignment {
+                        engines: vec![assigned(self.engine)],
+                        send_before: now.after(Duration::from_millis(500)),
+                        priority: 1,
+                    };
+                    let decision = RequestDecision::Dispatch(assignment);
+                    actions.push(CoreAction::Decide(spec.request, decision));
+                }
+                CoreEvent::Progress(request, progress) => {
+                    if matches!(progress, RequestProgress::Failed { .. }) {
+                        let decision = self.on_failure.clone();
+                        actions.push(CoreAction::Decide(request, decision));
+                    }
+                    self.progress.lock().unwrap().push(progress);
+                }
+                CoreEvent::StopAsked => actions.push(CoreAction::StopDone),
+                _ => {}
+            }
+        }
+        actions
+    }
+
+    fn next_timer(&self) -> Option<Timestamp> {
+        None
+    }
+}
+
+/// The scripted engine as the core assigns it.
+pub(crate) fn assigned(address: SocketAddr) -> AssignedEngine {
+    AssignedEngine {
+        engine: "e".parse::<UpstreamId>().unwrap(),
+        address,
+        prompt: borageline_lib::units::TokenCount::new(1),
+        incarnation: None,
+    }
+}
+
+/// Decision that ends a failed request.
+pub(crate) fn end_failed() -> RequestDecision {
+    RequestDecision::End(Refusal::new(RefusalCode::UpstreamFailed, "failed"))
+}
+
+/// An instance in this process.
+pub(crate) struct TestServer {
+    /// The instance.
+    pub(crate) instance: RunningInstance,
+    /// Address for callers.
+    pub(crate) address: SocketAddr,
+    /// Progress that the core was told of.
+    pub(crate) progress: Arc<Mutex<Vec<RequestProgress>>>,
+}
+
+/// Limits with short times.
+pub(crate) fn limits() -> InstanceLimits {
+    InstanceLimits {
+        body_timeout: Duration::from_millis(300),
+        header_timeout: Duration::from_millis(300),
+        address_ttl: Duration::from_millis(100),
+        stop_timeout: Duration::from_secs(5),
+        ..InstanceLimits::default()
+    }
+}
+
+/// Starts an instance in front of an engine.
+pub(crate) async fn start_server(
+    engine: SocketAddr,
+    limits: InstanceLimits,
+    on_failure: RequestDecision,
+) -> TestServer {
+    let unused = "127.0.0.1:1".parse().unwrap();
+    let settings = InstanceSettings {
+        instance: "i".parse().unwrap(),
+        failure_domain: "d".parse().unwrap(),
+        caller_address: "127.0.0.1:0".parse().unwrap(),
+        peer_address: "127.0.0.1:0".parse().unwrap(),
+        seeds: Vec::new(),
+        fleet_secret: "secret".into(),
+        log_service: unused,
+        instance_list: unused,
+        weight_store: None,
+        limits,
+        policy: borageline_lib::core::PolicyName::Product,
+    };
+    let progress = Arc::new(Mutex::new(Vec::new()));
+    let core = FixedCore {
+        engine,
+        on_failure,
+        published: false,
+        progress: progress.clone(),
+    };
+    let instance = RunningInstance::start_with(settings, |_| core);
+    let instance = instance.await.unwrap();
+    let mut view = instance.handle().watch_view();
+    let ready =
+        |view: &Arc<PublishedView>| view.readiness == InstanceReadiness::Ready;
+    view.wait_for(ready).await.unwrap();
+    let address = instance.context().settings.caller_address;
+    TestServer {
+        instance,
+        address,
+        progress,
+    }
+}
+
+/// Head and body of a completion request.
+pub(crate) fn completion(key: &str, body: &str) -> String {
+    format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\
+         authorization: Bearer {key}\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len(),
+    )
+}
+
+/// Body of a streamed completion request.
+pub(crate) const STREAMED: &str =
+    r#"{"model":"m","prompt":"hello","max_tokens":64,"stream":true}"#;
+
+/// Writes bytes to a new connection and reads until it is closed.
+pub(crate) async fn exchange(address: SocketAddr, bytes: &str) -> String {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    stream.write_all(bytes.as_bytes()).await.unwrap();
+    read_all(&mut stream).await
+}
+
+/// Reads until the connection is closed.
+pub(crate) async fn read_all(stream: &mut TcpStream) -> String {
+    let mut text = Vec::new();
+    let read = stream.read_to_end(&mut text);
+    let read = tokio::time::timeout(Duration::from_secs(20), read).await;
+    // A reset after the answer is as good as an end.
+    let _ = read.expect("connection is closed within 20 s");
+    String::from_utf8_lossy(&text).into_owned()
+}
--- /dev/null
+++ b/cli/tests/test_serve/main.rs
@@ -0,0 +1,9 @@
+//! Tests of `borageline serve` against scripted engines and services.
+
+#![expect(
+    clippy::unwrap_used,
+    reason = "clippy only exempts functions marked as tests"
+)]
+
+mod fixture;
+mod test_completions;
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -4,6 +4,7 @@
 //! seeded random source as input and returns actions. Sockets, clocks and
 //! tasks live in the `borageline` binary, which carries the actions out.
 
+pub mod answer;
 pub mod api;
 pub mod core;
 pub mod derives;
--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -85,3 +85,50 @@
         }
     }
 }
+
+/// What is wrong with a settings file.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SettingsFaults(pub Arc<str>);
+
+impl std::fmt::Display for SettingsFaults {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for SettingsFaults {}
+
+/// Loads a settings file. Temporary: reads the required fields only.
+pub fn load(
+    path: &std::path::Path,
+) -> Result<InstanceSettings, SettingsFaults> {
+    let fault = |text: String| SettingsFaults(text.into());
+    let text = std::fs::read_to_string(path)
+        .map_err(|error| fault(format!("{}: {error}", path.display())))?;
+    let options = jsonc_parser::ParseOptions::default();
+    let value: serde_json::Value =
+        jsonc_parser::parse_to_serde_value(&text, &options)
+            .map_err(|error| fault(error.to_string()))?;
+    let get = |name: &str| {
+        let text = value.get(name).and_then(serde_json::Value::as_str);
+        text.ok_or_else(|| fault(format!("{name} is missing")))
+    };
+    let address = |name: &str| {
+        let parsed = get(name)?.parse::<SocketAddr>();
+        parsed.map_err(|error| fault(format!("{name}: {error}")))
+    };
+    let id = |error: crate::ids::IdError| fault(error.to_string());
+    Ok(InstanceSettings {
+        instance: get("instance")?.parse().map_err(id)?,
+        failure_domain: get("failure_domain")?.parse().map_err(id)?,
+        caller_address: address("caller_address")?,
+        peer_address: address("peer_address")?,
+        seeds: Vec::new(),
+        fleet_secret: get("fleet_secret")?.into(),
+        log_service: address("log_service")?,
+        instance_list: address("instance_list")?,
+        weight_store: None,
+        limits: InstanceLimits::default(),
+        policy: crate::core::PolicyName::default(),
+    })
+}
