testutils: add the engine, service, log and list stand-ins

Tests need something outside of borageline to run against. Add a model engine that simulates continuous batching in scaled time, a plain service that counts its runs, the log service and the instance list, each usable in-process and through the binary borageline-standin, with faults injected at run time. Generated text follows from the prompt's digest (FNV-1a, so that it can be continued on another engine), so answers can be checked to the byte. Adds the workspace dependency fnv.

--- /dev/null
+++ b/testutils/src/client.rs
@@ -0,0 +1,305 @@
+//! A small HTTP client for tests, with a checked reader of streamed parts.
+//!
+//! Each call opens a connection of its own, so that faults of one call do
+//! not reach another.
+
+use std::{
+    fmt::{Display, Formatter},
+    net::SocketAddr,
+    time::Duration,
+};
+
+use borageline_lib::api::{CompletionPart, END_MARKER, REQUEST_ID_HEADER};
+use bytes::{Bytes, BytesMut};
+use http::{HeaderMap, Method, Request, StatusCode, header};
+use http_body_util::{BodyExt, Full};
+use hyper::{body::Incoming, client::conn::http1};
+use hyper_util::rt::TokioIo;
+use serde::{Serialize, de::DeserializeOwned};
+use tokio::net::TcpStream;
+
+/// Why a call or a stream failed.
+#[derive(Debug)]
+pub enum ClientError {
+    /// The connection was not made; nothing was sent.
+    Connect(std::io::Error),
+    /// The connection failed after it was made.
+    Transport(hyper::Error),
+    /// The request or a body is malformed.
+    Malformed(String),
+    /// The stream ended without its end marker.
+    Truncated {
+        /// Tokens that came.
+        tokens: u64,
+    },
+    /// The stream held an error in place of a part.
+    ErrorEvent(String),
+    /// A part has another id than the stream.
+    ForeignId(String),
+    /// A part does not follow the one before.
+    Index {
+        /// Index that was expected.
+        expected: u64,
+        /// Index that came.
+        found: u64,
+    },
+    /// No answer in time.
+    Timeout(Duration),
+}
+
+impl Display for ClientError {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Connect(error) => write!(formatter, "connect: {error}"),
+            Self::Transport(error) => write!(formatter, "transport: {error}"),
+            Self::Malformed(error) => write!(formatter, "malformed: {error}"),
+            Self::Truncated { tokens } => {
+                write!(formatter, "stream ended early after {tokens} tokens")
+            }
+            Self::ErrorEvent(text) => write!(formatter, "error event: {text}"),
+            Self::ForeignId(id) => write!(formatter, "part of request {id}"),
+            Self::Index { expected, found } => write!(
+                formatter,
+                "part begins at {found}, expected was {expected}"
+            ),
+            Self::Timeout(limit) => {
+                write!(formatter, "no answer within {limit:?}")
+            }
+        }
+    }
+}
+
+impl std::error::Error for ClientError {}
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub struct ClientAnswer {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl ClientAnswer {
+    /// The body as JSON.
+    pub fn json<T: DeserializeOwned>(&self) -> Result<T, ClientError> {
+        serde_json::from_slice(&self.body)
+            .map_err(|error| ClientError::Malformed(error.to_string()))
+    }
+
+    /// The body as text.
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+}
+
+/// Sends a request and returns the head of the answer with its open body.
+pub async fn open(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: impl Into<Bytes>,
+) -> Result<http::Response<Incoming>, ClientError> {
+    let stream = TcpStream::connect(address).await;
+    let stream = stream.map_err(ClientError::Connect)?;
+    stream.set_nodelay(true).map_err(ClientError::Connect)?;
+    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let (mut sender, connection) = handshake.map_err(ClientError::Transport)?;
+    tokio::spawn(connection);
+    let mut builder = Request::builder()
+        .method(method)
+        .uri(path)
+        .header(header::HOST, address.to_string());
+    for (name, value) in headers {
+        builder = builder.header(*name, *value);
+    }
+    let request = builder
+        .body(Full::new(body.into()))
+        .map_err(|error| ClientError::Malformed(error.to_string()))?;
+    let answer = sender.send_request(request).await;
+    answer.map_err(ClientError::Transport)
+}
+
+/// Sends a request and reads the whole answer.
+pub async fn call(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: impl Into<Bytes>,
+) -> Result<ClientAnswer, ClientError> {
+    let response = open(address, method, path, headers, body).await?;
+    let (head, body) = response.into_parts();
+    let body = body.collect().await.map_err(ClientError::Transport)?;
+    Ok(ClientAnswer {
+        status: head.status,
+        headers: head.headers,
+        body: body.to_bytes(),
+    })
+}
+
+/// Sends a GET.
+pub async fn get(
+    address: SocketAddr,
+    path: &str,
+) -> Result<ClientAnswer, ClientError> {
+    call(address, Method::GET, path, &[], Bytes::new()).await
+}
+
+/// Sends a GET and reads the answer as JSON, whatever its status.
+pub async fn get_json<T: DeserializeOwned>(
+    address: SocketAddr,
+    path: &str,
+) -> Result<T, ClientError> {
+    get(address, path).await?.json()
+}
+
+/// Sends a POST with a JSON body.
+pub async fn post_json<T: Serialize>(
+    address: SocketAddr,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &T,
+) -> Result<ClientAnswer, ClientError> {
+    let bytes = serde_json::to_vec(body)
+        .map_err(|error| ClientError::Malformed(error.to_string()))?;
+    let mut all = vec![("content-type", "application/json")];
+    all.extend_from_slice(headers);
+    call(address, Method::POST, path, &all, bytes).await
+}
+
+/// A streamed answer that is read part by part.
+#[derive(Debug)]
+pub struct PartReader {
+    body: Incoming,
+    buffer: BytesMut,
+    id: String,
+    /// Status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Index of the next token.
+    pub next: u64,
+    /// Whether the end marker came.
+    pub ended: bool,
+}
+
+impl PartReader {
+    /// Opens a streamed completion with a JSON body.
+    pub async fn post<T: Serialize>(
+        address: SocketAddr,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &T,
+    ) -> Result<Self, ClientError> {
+        let bytes = serde_json::to_vec(body)
+            .map_err(|error| ClientError::Malformed(error.to_string()))?;
+        let mut all = vec![("content-type", "application/json")];
+        all.extend_from_slice(headers);
+        let answer = open(address, Method::POST, path, &all, bytes).await?;
+        Ok(Self::new(answer, 0))
+    }
+
+    /// Resumes a stream of an engine from a token index.
+    pub async fn resume(
+        address: SocketAddr,
+        request: &str,
+        from: u64,
+    ) -> Result<Self, ClientError> {
+        let path = format!("/v1/requests/{request}/stream?from={from}");
+        let answer =
+            open(address, Method::GET, &path, &[], Bytes::new()).await?;
+        Ok(Self::new(answer, from))
+    }
+
+    /// Reads the parts of an answer; its `x-request-id` is the id of each.
+    pub fn new(answer: http::Response<Incoming>, from: u64) -> Self {
+        let (head, body) = answer.into_parts();
+        let id = head.headers.get(REQUEST_ID_HEADER);
+        let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
+        Self {
+            body,
+            buffer: BytesMut::new(),
+            id: id.to_owned(),
+            status: head.status,
+            headers: head.headers,
+            next: from,
+            ended: false,
+        }
+    }
+
+    /// Reads the next data field; `None` at the end of the body.
+    pub async fn next_event(&mut self) -> Result<Option<String>, ClientError> {
+        loop {
+            let found = self.buffer.windows(2).position(|two| two == b"\n\n");
+            if let Some(end) = found {
+                let event = self.buffer.split_to(end + 2);
+                let text = String::from_utf8_lossy(&event[..end]);
+                let data = text.strip_prefix("data:").unwrap_or(&text);
+                return Ok(Some(data.trim_start().to_owned()));
+            }
+            match self.body.frame().await {
+                None => return Ok(None),
+                Some(Err(error)) => return Err(ClientError::Transport(error)),
+                Some(Ok(frame)) => {
+                    if let Some(data) = frame.data_ref() {
+                        self.buffer.extend_from_slice(data);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Reads the next part without checking its id and index; `None` at the
+    /// end marker.
+    pub async fn next_unchecked(
+        &mut self,
+    ) -> Result<Option<CompletionPart>, ClientError> {
+        let Some(event) = self.next_event().await? else {
+            return Err(ClientError::Truncated { tokens: self.next });
+        };
+        if event == END_MARKER {
+            self.ended = true;
+            return Ok(None);
+        }
+        match serde_json::from_str(&event) {
+            Ok(part) => Ok(Some(part)),
+            Err(_) => Err(ClientError::ErrorEvent(event)),
+        }
+    }
+
+    /// Reads the next part and checks its id and index; `None` at the end
+    /// marker.
+    pub async fn next_part(
+        &mut self,
+    ) -> Result<Option<CompletionPart>, ClientError> {
+        let Some(part) = self.next_unchecked().await? else {
+            return Ok(None);
+        };
+        if part.id.as_str() != self.id {
+            return Err(ClientError::ForeignId(part.id.to_string()));
+        }
+        if part.index_from != self.next {
+            return Err(ClientError::Index {
+                expected: self.next,
+                found: part.index_from,
+            });
+        }
+        self.next += part.token_count;
+        Ok(Some(part))
+    }
+
+    /// Reads the rest of the text, to the end marker.
+    pub async fn read_text(&mut self) -> Result<String, ClientError> {
+        let mut text = String::new();
+        while let Some(part) = self.next_part().await? {
+            for choice in part.choices {
+                text.push_str(&choice.text);
+            }
+        }
+        Ok(text)
+    }
+}
--- /dev/null
+++ b/testutils/src/engine_stream.rs
@@ -0,0 +1,222 @@
+//! The streamed answer of a model engine, with the faults of its parts.
+
+use std::{collections::VecDeque, sync::Arc, time::Instant};
+
+use borageline_lib::{
+    api::{
+        CompletionChoice, CompletionPart, END_MARKER, ErrorBody, ErrorDetail,
+    },
+    ids::{ModelName, RequestId},
+    refusal::RunState,
+};
+use bytes::Bytes;
+use futures::stream;
+use http::{HeaderValue, Response, header};
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Frame;
+
+use crate::{
+    content,
+    engine::Engine,
+    engine_config::{EntryEnd, EntryKey, EntryReader},
+    fault::{lock, take_one},
+    http_server::{Answer, AnswerBody, CutConnection},
+};
+
+/// Id of the parts that belong to no request of the caller.
+pub const FOREIGN_ID: &str = "foreign-request";
+
+/// Faults of the parts of streams.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct PartFaults {
+    pub(crate) foreign: u64,
+    pub(crate) duplicate: u64,
+    pub(crate) truncate: u64,
+    pub(crate) truncate_after: u64,
+    pub(crate) late: u64,
+    pub(crate) late_ms: u64,
+}
+
+/// One reader of a completion; detaches when it is dropped.
+pub(crate) struct PartStream {
+    engine: Arc<Engine>,
+    key: EntryKey,
+    model: ModelName,
+    reader: EntryReader,
+    next: u64,
+    last_sent: bool,
+    end_sent: bool,
+    parts_left: Option<u64>,
+    queue: VecDeque<Bytes>,
+}
+
+impl Drop for PartStream {
+    fn drop(&mut self) {
+        let now = Instant::now();
+        let mut sim = lock(&self.engine.sim);
+        sim.detach(&self.key, &self.reader, self.end_sent, now);
+        drop(sim);
+        self.engine.wake.notify_one();
+    }
+}
+
+impl PartStream {
+    pub(crate) fn new(
+        engine: Arc<Engine>,
+        key: EntryKey,
+        model: ModelName,
+        reader: EntryReader,
+        from: u64,
+    ) -> Self {
+        let mut faults = lock(&engine.part_faults);
+        let parts_left =
+            take_one(&mut faults.truncate).then_some(faults.truncate_after);
+        drop(faults);
+        Self {
+            engine,
+            key,
+            model,
+            reader,
+            next: from,
+            last_sent: false,
+            end_sent: false,
+            parts_left,
+            queue: VecDeque::new(),
+        }
+    }
+
+    /// The stream as the answer to a call.
+    pub(crate) fn into_answer(self) -> Answer {
+        let request = HeaderValue::from_str(self.key.0.as_str());
+        let request = request.map_err(|_| CutConnection)?;
+        let frames = stream::try_unfold(self, |mut parts| async move {
+            let bytes = parts.next_bytes().await?;
+            Ok(bytes.map(|bytes| (Frame::data(bytes), parts)))
+        });
+        let body: AnswerBody = StreamBody::new(frames).boxed_unsync();
+        let mut response = Response::new(body);
+        let headers = response.headers_mut();
+        let kind = HeaderValue::from_static("text/event-stream");
+        headers.insert(header::CONTENT_TYPE, kind);
+        headers.insert(borageline_lib::api::REQUEST_ID_HEADER, request);
+        Ok(response)
+    }
+
+    async fn next_bytes(&mut self) -> Result<Option<Bytes>, CutConnection> {
+        if let Some(bytes) = self.queue.pop_front() {
+            return Ok(Some(bytes));
+        }
+        if self.end_sent {
+            return Ok(None);
+        }
+        if self.parts_left == Some(0) {
+            return Err(CutConnection);
+        }
+        if self.last_sent {
+            self.end_sent = true;
+            return Ok(Some(event(END_MARKER)));
+        }
+        let next = self.next;
+        let mut progress = self.reader.progress.clone();
+        let ready = progress
+            .wait_for(|now| now.generated > next || now.end.is_some())
+            .await
+            .map(|now| *now)
+            .map_err(|_| CutConnection)?;
+        self.delay_part().await;
+        self.engine.gate.wait_thawed().await;
+        if ready.generated <= next {
+            match ready.end {
+                Some(EntryEnd::Finished) => {}
+                Some(EntryEnd::Expired) => return Ok(Some(self.expired())),
+                _ => return Err(CutConnection),
+            }
+        }
+        self.queue_parts(ready.generated)?;
+        Ok(self.queue.pop_front())
+    }
+
+    async fn delay_part(&self) {
+        let late_ms = {
+            let mut faults = lock(&self.engine.part_faults);
+            take_one(&mut faults.late).then_some(faults.late_ms)
+        };
+        if let Some(late_ms) = late_ms {
+            let delay = std::time::Duration::from_millis(late_ms);
+            tokio::time::sleep(delay).await;
+        }
+    }
+
+    /// Ends the stream with an error and no end marker.
+    fn expired(&mut self) -> Bytes {
+        self.end_sent = true;
+        let error = ErrorDetail {
+            code: "deadline_exceeded".into(),
+            message: "the deadline has passed at the engine".into(),
+            run_state: RunState::Ran,
+            retry_after_ms: None,
+            request_id: Some(self.key.0.clone()),
+        };
+        let body = serde_json::to_string(&ErrorBody { error });
+        event(&body.unwrap_or_default())
+    }
+
+    fn queue_parts(&mut self, generated: u64) -> Result<(), CutConnection> {
+        let limit = self.engine.part_tokens;
+        let available = generated.saturating_sub(self.next);
+        let count = available.min(limit);
+        let last = self.next + count >= self.reader.max_tokens;
+        let text = content::text_range(self.reader.digest, self.next, count);
+        let real = self.render(&self.key.0, self.next, count, text, last)?;
+        let (foreign, duplicate) = {
+            let mut faults = lock(&self.engine.part_faults);
+            let foreign = take_one(&mut faults.foreign);
+            (foreign, take_one(&mut faults.duplicate))
+        };
+        if foreign {
+            let id = FOREIGN_ID.parse().map_err(|_| CutConnection)?;
+            let digest = !self.reader.digest;
+            let text = content::text_range(digest, self.next, count);
+            let part = self.render(&id, self.next, count, text, false)?;
+            self.queue.push_back(part);
+        }
+        if duplicate {
+            self.queue.push_back(real.clone());
+        }
+        self.queue.push_back(real);
+        self.next += count;
+        self.last_sent = last;
+        if let Some(left) = &mut self.parts_left {
+            *left -= 1;
+        }
+        Ok(())
+    }
+
+    fn render(
+        &self,
+        id: &RequestId,
+        index_from: u64,
+        token_count: u64,
+        text: String,
+        last: bool,
+    ) -> Result<Bytes, CutConnection> {
+        let part = CompletionPart {
+            id: id.clone(),
+            object: "text_completion".into(),
+            model: self.model.clone(),
+            index_from,
+            token_count,
+            choices: vec![CompletionChoice {
+                index: 0,
+                text,
+                finish_reason: last.then(|| "length".into()),
+            }],
+        };
+        let text = serde_json::to_string(&part).map_err(|_| CutConnection)?;
+        Ok(event(&text))
+    }
+}
+
+fn event(data: &str) -> Bytes {
+    Bytes::from(format!("data: {data}\n\n"))
+}
--- /dev/null
+++ b/testutils/src/instance_list.rs
@@ -0,0 +1,252 @@
+//! Stand-in of the instance list.
+//!
+//! `GET /v1/instances` answers the list as it was one lag ago. Entries come
+//! and go through `POST /v1/instances` (one entry, registered or updated),
+//! `DELETE /v1/instances/{id}` and the faults `add`, `remove` and
+//! `mark_leaving`. With a time to live, an entry that was registered through
+//! HTTP and is not registered again in time is removed; entries from `add`
+//! stay.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
+
+use borageline_lib::platform_api::{InstanceListing, ListedInstance};
+use http::{Method, StatusCode};
+use serde_json::{Value, json};
+
+use crate::{
+    fault::{Fault, FaultError, FaultGate, lock},
+    http_server::{
+        Answer, Call, CallError, Handle, Standin, json_answer, not_found, serve,
+    },
+};
+
+/// Properties of an instance list.
+#[derive(Clone, Copy, Debug)]
+pub struct ListConfig {
+    /// Age of answers.
+    pub lag: Duration,
+    /// Time after which an entry must be registered again.
+    pub entry_ttl: Option<Duration>,
+}
+
+impl Default for ListConfig {
+    fn default() -> Self {
+        Self {
+            lag: Duration::from_millis(500),
+            entry_ttl: None,
+        }
+    }
+}
+
+type Entries = BTreeMap<Arc<str>, ListedInstance>;
+
+#[derive(Debug)]
+struct ListState {
+    lag: Duration,
+    entries: Entries,
+    registered: BTreeMap<Arc<str>, Instant>,
+    history: VecDeque<(Instant, Entries)>,
+    reads: u64,
+    registrations: u64,
+}
+
+/// An instance list.
+#[derive(Debug)]
+pub struct InstanceList {
+    entry_ttl: Option<Duration>,
+    gate: FaultGate,
+    state: Mutex<ListState>,
+}
+
+/// Starts an instance list.
+pub async fn spawn(
+    listen: SocketAddr,
+    config: ListConfig,
+) -> io::Result<Handle<InstanceList>> {
+    let list = InstanceList {
+        entry_ttl: config.entry_ttl,
+        gate: FaultGate::default(),
+        state: Mutex::new(ListState {
+            lag: config.lag,
+            entries: Entries::new(),
+            registered: BTreeMap::new(),
+            history: VecDeque::new(),
+            reads: 0,
+            registrations: 0,
+        }),
+    };
+    serve(listen, Arc::new(list)).await
+}
+
+impl InstanceList {
+    /// Adds or replaces an entry that stays until it is removed.
+    pub fn add(&self, instance: ListedInstance) {
+        let mut state = lock(&self.state);
+        state.registered.remove(&instance.id);
+        state.entries.insert(instance.id.clone(), instance);
+        state.remember();
+    }
+
+    /// Removes an entry; false if there is none.
+    pub fn remove(&self, id: &str) -> bool {
+        let mut state = lock(&self.state);
+        let known = state.entries.remove(id).is_some();
+        state.registered.remove(id);
+        state.remember();
+        known
+    }
+
+    /// Marks an entry as leaving, or not; false if there is none.
+    pub fn mark_leaving(&self, id: &str, leaving: bool) -> bool {
+        let mut state = lock(&self.state);
+        let Some(entry) = state.entries.get_mut(id) else {
+            return false;
+        };
+        entry.leaving = leaving;
+        state.remember();
+        true
+    }
+
+    /// The list without lag.
+    pub fn current(&self) -> InstanceListing {
+        let mut state = lock(&self.state);
+        state.drop_expired(self.entry_ttl);
+        listing(&state.entries)
+    }
+
+    fn read(&self) -> InstanceListing {
+        let mut state = lock(&self.state);
+        state.reads += 1;
+        state.drop_expired(self.entry_ttl);
+        state.lagging()
+    }
+
+    fn register(&self, call: &Call) -> Answer {
+        let instance: ListedInstance = call.json()?;
+        let mut state = lock(&self.state);
+        let id = instance.id.clone();
+        state.registrations += 1;
+        state.registered.insert(id.clone(), Instant::now());
+        let old = state.entries.insert(id, instance.clone());
+        if old.as_ref() != Some(&instance) {
+            state.remember();
+        }
+        json_answer(StatusCode::OK, &json!({"registered": true}))
+    }
+}
+
+fn listing(entries: &Entries) -> InstanceListing {
+    InstanceListing {
+        instances: entries.values().cloned().collect(),
+    }
+}
+
+impl ListState {
+    fn remember(&mut self) {
+        self.history
+            .push_back((Instant::now(), self.entries.clone()));
+    }
+
+    fn drop_expired(&mut self, ttl: Option<Duration>) {
+        let Some(ttl) = ttl else { return };
+        let before = self.registered.len();
+        let entries = &mut self.entries;
+        self.registered.retain(|id, at| {
+            let kept = at.elapsed() < ttl;
+            if !kept {
+                entries.remove(id);
+            }
+            kept
+        });
+        if self.registered.len() < before {
+            self.remember();
+        }
+    }
+
+    /// The newest state that is at least one lag old.
+    fn lagging(&mut self) -> InstanceListing {
+        let old = self
+            .history
+            .iter()
+            .take_while(|(at, _)| at.elapsed() >= self.lag)
+            .count();
+        // The newest one that is old enough stays in front.
+        self.history.drain(..old.saturating_sub(1));
+        match self.history.front() {
+            Some((_, entries)) if old > 0 => listing(entries),
+            _ => listing(&Entries::new()),
+        }
+    }
+}
+
+fn found(known: bool, id: &str) -> Result<(), FaultError> {
+    if known {
+        return Ok(());
+    }
+    Err(FaultError::Unknown(id.to_owned()))
+}
+
+impl Standin for InstanceList {
+    fn gate(&self) -> &FaultGate {
+        &self.gate
+    }
+
+    async fn answer(self: Arc<Self>, call: Call) -> Answer {
+        let segments = call.segments();
+        match (&call.method, segments.as_slice()) {
+            (&Method::GET, ["v1", "instances"]) => {
+                json_answer(StatusCode::OK, &self.read())
+            }
+            (&Method::POST, ["v1", "instances"]) => self.register(&call),
+            (&Method::DELETE, ["v1", "instances", id @ ..]) => {
+                let id = id.join("/");
+                if self.remove(&id) {
+                    return json_answer(
+                        StatusCode::OK,
+                        &json!({"removed": true}),
+                    );
+                }
+                let message = format!("instance {id} is not listed");
+                let status = StatusCode::NOT_FOUND;
+                Err(CallError::new(status, "unknown_instance", message))
+            }
+            _ => Err(not_found(&call)),
+        }
+    }
+
+    fn control(&self, fault: Fault) -> Result<(), FaultError> {
+        if self.gate.apply(&fault) {
+            return Ok(());
+        }
+        match fault {
+            Fault::Add { instance } => self.add(instance),
+            Fault::Remove { id } => found(self.remove(&id), &id)?,
+            Fault::MarkLeaving { id, leaving } => {
+                found(self.mark_leaving(&id, leaving), &id)?;
+            }
+            Fault::Lag { lag_ms } => {
+                lock(&self.state).lag = Duration::from_millis(lag_ms);
+            }
+            Fault::Restart => self.gate.cut_connections(),
+            other => return Err(FaultError::Unsupported(other)),
+        }
+        Ok(())
+    }
+
+    fn report(&self) -> Value {
+        let current = self.current();
+        let state = lock(&self.state);
+        json!({
+            "instances": current.instances,
+            "reads": state.reads,
+            "registrations": state.registrations,
+            "lag_ms": u64::try_from(state.lag.as_millis()).unwrap_or(u64::MAX),
+        })
+    }
+}
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -1,1 +1,19 @@
-//! Stand-ins.
+//! Stand-ins for what surrounds borageline, and helpers for tests.
+//!
+//! Each stand-in serves HTTP/1.1 on a loopback address, in this process
+//! through a `spawn` function or as a process of its own through the binary
+//! `borageline-standin`. Faults are injected through the handle or through
+//! `POST /control`; see [`fault::Fault`] for the bodies.
+
+pub mod client;
+pub mod content;
+pub mod engine;
+pub mod engine_config;
+pub mod engine_sim;
+pub mod engine_stream;
+pub mod fault;
+pub mod http_server;
+pub mod instance_list;
+pub mod log_service;
+pub mod plain_service;
+pub mod prefix_cache;
--- a/testutils/src/main.rs
+++ b/testutils/src/main.rs
@@ -1,2 +1,63 @@
-//! Stand-in processes.
-fn main() {}
+//! `borageline-standin`: one stand-in as a process of its own.
+//!
+//! Prints `{"address":"127.0.0.1:PORT"}` as one line on standard output once
+//! it listens, and runs until it is ended. Faults arrive at `POST /control`.
+
+mod arguments;
+
+use std::{fmt::Display, io::Write, net::SocketAddr, process::ExitCode};
+
+use arguments::Command;
+use borageline_testutils::{
+    engine, http_server::Handle, instance_list, log_service, plain_service,
+};
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    match run(arguments::command().run()).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("borageline-standin: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(command: Command) -> std::io::Result<()> {
+    match command {
+        Command::Engine(options) => {
+            let (listen, config) = options.into_config();
+            stay(engine::spawn(listen, config).await?).await
+        }
+        Command::Service { listen, delay_ms } => {
+            let delay = std::time::Duration::from_millis(delay_ms);
+            stay(plain_service::spawn(listen, delay).await?).await
+        }
+        Command::Log(options) => {
+            let (listen, config) = options.into_config();
+            stay(log_service::spawn(listen, config).await?).await
+        }
+        Command::List(options) => {
+            let (listen, config, entries) = options.into_config();
+            let handle = instance_list::spawn(listen, config).await?;
+            for entry in entries {
+                handle.control.add(entry);
+            }
+            stay(handle).await
+        }
+    }
+}
+
+/// Announces the address and keeps the stand-in running.
+async fn stay<S>(handle: Handle<S>) -> std::io::Result<()> {
+    announce(handle.address)?;
+    handle.shutdown.cancelled().await;
+    Ok(())
+}
+
+fn announce(address: impl Display + Into<SocketAddr>) -> std::io::Result<()> {
+    let line = serde_json::json!({"address": address.to_string()});
+    let mut output = std::io::stdout().lock();
+    writeln!(output, "{line}")?;
+    output.flush()
+}
--- /dev/null
+++ b/testutils/tests/test_engine.rs
@@ -0,0 +1,265 @@
+//! The model engine.
+
+#![expect(clippy::unwrap_used, reason = "a failing helper fails its test")]
+
+use std::{net::SocketAddr, time::Duration};
+
+use borageline_lib::{
+    api::PromptInput,
+    engine_api::{
+        CapabilityReport, EngineRequest, HeldReport, KvState, LoadReport,
+        PrefillAnswer, PrefillRequest,
+    },
+};
+use borageline_testutils::{
+    client::{self, ClientError, PartReader},
+    content,
+    engine::{self, Engine},
+    engine_config::EngineConfig,
+    fault::Fault,
+    http_server::{Handle, Standin},
+};
+use http::{Method, StatusCode};
+
+fn local() -> SocketAddr {
+    ([127, 0, 0, 1], 0).into()
+}
+
+fn warm_config() -> EngineConfig {
+    let engine = "engine-1".parse().unwrap();
+    let mut config = EngineConfig::new(engine, "model-a".parse().unwrap());
+    config.starts_cold = false;
+    config.time_scale = 100.0;
+    config.recovery = Duration::ZERO;
+    config
+}
+
+async fn start(config: EngineConfig) -> Handle<Engine> {
+    engine::spawn(local(), config).await.unwrap()
+}
+
+fn tokens(count: u32) -> PromptInput {
+    PromptInput::Tokens((0..count).collect())
+}
+
+fn request(prompt: PromptInput, max_tokens: u32) -> EngineRequest {
+    EngineRequest {
+        model: "model-a".parse().unwrap(),
+        prompt,
+        max_tokens,
+        stream: true,
+        priority: 1,
+        imported: None,
+    }
+}
+
+async fn send(
+    address: SocketAddr,
+    id: &str,
+    body: &EngineRequest,
+) -> Result<PartReader, ClientError> {
+    let headers = [("x-request-id", id)];
+    PartReader::post(address, "/v1/completions", &headers, body).await
+}
+
+/// Guards against parts that are lost, repeated or altered on the way.
+#[tokio::test]
+async fn test_stream_content_exact() {
+    let engine = start(warm_config()).await;
+    let prompt = PromptInput::Text("how old is hard hat 17?".into());
+    let digest = content::prompt_digest(&prompt);
+    let body = request(prompt, 100);
+    let mut reader = send(engine.address, "request-1", &body).await.unwrap();
+    let text = reader.read_text().await.unwrap();
+    assert_eq!(text, content::expected_text(digest, 100));
+    assert!(reader.ended);
+    let held: HeldReport =
+        client::get_json(engine.address, "/v1/held").await.unwrap();
+    assert!(held.requests.is_empty());
+}
+
+/// Guards against an engine that takes more than its memory, with the state
+/// of its other requests kept.
+#[tokio::test]
+async fn test_overcommit_falls_over() {
+    let engine = start(warm_config()).await;
+    let address = engine.address;
+    let before: CapabilityReport =
+        client::get_json(address, "/v1/capabilities").await.unwrap();
+    let body = request(tokens(300_000), 1_000);
+    let mut first = send(address, "first", &body).await.unwrap();
+    let second = send(address, "second", &body).await;
+    assert!(matches!(second, Err(ClientError::Transport(_))));
+    assert!(matches!(
+        first.read_text().await,
+        Err(ClientError::Transport(_))
+    ));
+    let after: CapabilityReport =
+        client::get_json(address, "/v1/capabilities").await.unwrap();
+    assert!(after.incarnation > before.incarnation);
+    let counters = engine.control.with_sim(|sim| sim.counters);
+    assert_eq!(counters.falls, 1);
+    assert_eq!(counters.tokens_lost, 301_000);
+}
+
+/// Guards against a gentle engine that loses state when it refuses.
+#[tokio::test]
+async fn test_overcommit_gentle_refuses() {
+    let mut config = warm_config();
+    config.gentle = true;
+    let engine = start(config).await;
+    let body = request(tokens(300_000), 100);
+    let mut first = send(engine.address, "first", &body).await.unwrap();
+    let second = send(engine.address, "second", &body).await.unwrap();
+    assert_eq!(second.status, StatusCode::CONFLICT);
+    let text = first.read_text().await.unwrap();
+    let digest = content::prompt_digest(&tokens(300_000));
+    assert_eq!(text, content::expected_text(digest, 100));
+}
+
+/// Guards against a cold engine that carries as much as a warm one.
+#[tokio::test]
+async fn test_cold_engine_falls_over() {
+    let mut config = warm_config();
+    config.starts_cold = true;
+    config.warm_up_s = 1_000.0;
+    let engine = start(config).await;
+    let body = request(tokens(10_000), 1_000);
+    let mut readers = Vec::new();
+    for id in ["first", "second"] {
+        readers.push(send(engine.address, id, &body).await.unwrap());
+    }
+    assert!(send(engine.address, "third", &body).await.is_err());
+    let falls = engine.control.with_sim(|sim| sim.counters.falls);
+    assert_eq!(falls, 1);
+}
+
+/// Guards against cancelled requests that go on holding memory.
+#[tokio::test]
+async fn test_cancel_frees_memory() {
+    let engine = start(warm_config()).await;
+    let address = engine.address;
+    let body = request(tokens(200_000), 10_000);
+    let mut reader = send(address, "request-1", &body).await.unwrap();
+    let path = "/v1/requests/request-1";
+    let answer = client::call(address, Method::DELETE, path, &[], "").await;
+    assert_eq!(answer.unwrap().status, StatusCode::OK);
+    assert!(reader.read_text().await.is_err());
+    assert_eq!(engine.control.with_sim(|sim| sim.held()), 0);
+}
+
+/// Guards against a truncated stream that cannot be taken up again at the
+/// index where it was cut.
+#[tokio::test]
+async fn test_resume_after_truncation() {
+    let engine = start(warm_config()).await;
+    let fault = Fault::TruncateStreams {
+        after_parts: 2,
+        count: 1,
+    };
+    engine.control.control(fault).unwrap();
+    let body = request(tokens(100), 500);
+    let address = engine.address;
+    let mut reader = send(address, "request-1", &body).await.unwrap();
+    let mut text = String::new();
+    while let Ok(Some(part)) = reader.next_part().await {
+        text.push_str(&part.choices[0].text);
+    }
+    assert!(!reader.ended);
+    let resumed = PartReader::resume(address, "request-1", reader.next).await;
+    text.push_str(&resumed.unwrap().read_text().await.unwrap());
+    let digest = content::prompt_digest(&tokens(100));
+    assert_eq!(text, content::expected_text(digest, 500));
+}
+
+async fn read_with_fault(fault: Fault) -> Result<String, ClientError> {
+    let engine = start(warm_config()).await;
+    engine.control.control(fault).unwrap();
+    let body = request(tokens(10), 50);
+    let mut reader = send(engine.address, "request-1", &body).await?;
+    reader.read_text().await
+}
+
+/// Guards against injected foreign parts that a checking reader accepts.
+#[tokio::test]
+async fn test_foreign_part_noticed() {
+    let text = read_with_fault(Fault::ForeignId { count: 1 }).await;
+    assert!(matches!(text, Err(ClientError::ForeignId(_))));
+}
+
+/// Guards against injected duplicate parts that a checking reader accepts.
+#[tokio::test]
+async fn test_duplicate_part_noticed() {
+    let text = read_with_fault(Fault::DuplicateParts { count: 1 }).await;
+    assert!(matches!(text, Err(ClientError::Index { .. })));
+}
+
+/// Guards against segments on two engines that give another answer than the
+/// whole prompt on one.
+#[tokio::test]
+async fn test_segments_answer_as_whole() {
+    let first = start(warm_config()).await;
+    let second = start(warm_config()).await;
+    let ids: Vec<u32> = (0..600_000).collect();
+    let prefill = PrefillRequest {
+        model: "model-a".parse().unwrap(),
+        prompt: PromptInput::Tokens(ids[..350_000].into()),
+        priority: 1,
+        imported: None,
+    };
+    let headers = [("x-request-id", "audit-1")];
+    let path = "/v1/kv/prefill";
+    let answer = client::post_json(first.address, path, &headers, &prefill);
+    let state: KvState =
+        answer.await.unwrap().json::<PrefillAnswer>().unwrap().state;
+    assert_eq!(state.tokens.get(), 350_000);
+    let mut body = request(PromptInput::Tokens(ids[350_000..].into()), 40);
+    body.imported = Some(state);
+    let mut reader = send(second.address, "audit-1", &body).await.unwrap();
+    let text = reader.read_text().await.unwrap();
+    let whole = content::prompt_digest(&PromptInput::Tokens(ids.into()));
+    assert_eq!(text, content::expected_text(whole, 40));
+    // The segment is held until it is released.
+    assert_eq!(first.control.with_sim(|sim| sim.held()), 350_000);
+    let path = "/v1/requests/audit-1";
+    let released = client::call(first.address, Method::DELETE, path, &[], "");
+    assert_eq!(released.await.unwrap().status, StatusCode::OK);
+    assert_eq!(first.control.with_sim(|sim| sim.held()), 0);
+}
+
+/// Guards against prefill that does not slow the decoding beside it, which
+/// would hide the interference that borageline has to keep low.
+#[tokio::test]
+async fn test_prefill_slows_decode() {
+    let mut config = warm_config();
+    config.load_lag = Duration::ZERO;
+    let engine = start(config).await;
+    let address = engine.address;
+    let alone: LoadReport =
+        client::get_json(address, "/v1/load").await.unwrap();
+    let body = request(tokens(390_000), 10);
+    let long = send(address, "long", &body).await.unwrap();
+    let busy: LoadReport = client::get_json(address, "/v1/load").await.unwrap();
+    assert!(busy.prefill_backlog.get() > 0);
+    assert!(busy.decode_rate.get() * 2 < alone.decode_rate.get());
+    let short = request(tokens(10), 100);
+    let sent = std::time::Instant::now();
+    let mut reader = send(address, "short", &short).await.unwrap();
+    reader.read_text().await.unwrap();
+    // 100 tokens take 20 ms alone and 122 ms beside chunks of prefill.
+    assert!(sent.elapsed() > Duration::from_millis(60));
+    drop(long);
+}
+
+/// Guards against requests that are kept after their deadline.
+#[tokio::test]
+async fn test_deadline_frees_request() {
+    let engine = start(warm_config()).await;
+    let headers = [("x-request-id", "late"), ("x-deadline-ms", "50")];
+    let body = request(tokens(100), 100_000);
+    let path = "/v1/completions";
+    let reader = PartReader::post(engine.address, path, &headers, &body);
+    let text = reader.await.unwrap().read_text().await;
+    assert!(matches!(text, Err(ClientError::ErrorEvent(_))));
+    assert_eq!(engine.control.with_sim(|sim| sim.held()), 0);
+}
