lib: follow the config stream and judge its freshness

Evidence counts from the sending of questions; gossip that comes unasked is not evidence, since it may have waited while the instance was paused.

--- /dev/null
+++ b/lib/src/config_reader.rs
@@ -0,0 +1,472 @@
+//! Following the `config` stream.
+//!
+//! The reader owns the configuration and decides which offset to read next. It
+//! crosses missing records by a snapshot from the log or from a peer, and
+//! appends a snapshot before the newest one is too old. It is ready once it
+//! has applied the log to its head or, with the log down, holds the newest
+//! state of the peers that it asked.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use rand::{Rng, SeedableRng, seq::IndexedRandom};
+use rand_chacha::ChaCha8Rng;
+
+use crate::{
+    core::CallFailure,
+    fleet::{ApplyOutcome, FleetRecord, FleetSnapshot, FleetState},
+    ids::InstanceId,
+    log_event::LogEvent,
+    peer_api::{StateAnswer, StateQuery},
+    platform_api::{AppendAnswer, RecordPage},
+    units::{LogOffset, LogTime, Timestamp},
+};
+
+/// How long the log may wait for a record before it answers an empty page.
+pub const LOG_WAIT: Duration = Duration::from_millis(500);
+/// Time beyond the wait after which a reading counts as lost.
+const READ_GRACE: Duration = Duration::from_secs(2);
+/// First delay after a failed reading; doubled with each further one.
+const BACKOFF_MIN: Duration = Duration::from_millis(100);
+/// Longest delay after a failed reading. Must leave room for several readings
+/// within the lifetime of evidence.
+const BACKOFF_MAX: Duration = Duration::from_millis(800);
+/// Number of peers asked for their state at the start.
+const PEERS_ASKED: usize = 3;
+/// Time for a peer to send its state.
+const PEER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Delay before a peer that is ahead is asked; the log is usually faster.
+const AHEAD_DELAY: Duration = Duration::from_millis(300);
+/// Interval between two times of asking peers.
+const ASK_INTERVAL: Duration = Duration::from_secs(1);
+/// A snapshot is appended when the newest is older than the retention divided
+/// by this.
+const SNAPSHOT_SHARE: u64 = 3;
+/// Longest random delay before a snapshot, as a share of the retention.
+const SNAPSHOT_DELAY_SHARE: u64 = 30;
+/// Longest random delay before a snapshot.
+const SNAPSHOT_DELAY_MAX: Duration = Duration::from_secs(60);
+
+/// Input of the reader.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ReaderEvent {
+    /// The log was read, or not.
+    Read {
+        /// When the question was sent.
+        sent_at: Timestamp,
+        /// The page.
+        result: Result<RecordPage, CallFailure>,
+    },
+    /// A peer answered with its state, or did not.
+    PeerState {
+        /// Peer that was asked.
+        peer: InstanceId,
+        /// Its answer.
+        answer: Option<StateAnswer>,
+    },
+    /// A peer said which offset it has applied.
+    PeerApplied {
+        /// Peer.
+        peer: InstanceId,
+        /// Highest offset that it applied, if any.
+        applied: Option<LogOffset>,
+    },
+    /// The snapshot was appended, or not, or that is not known.
+    SnapshotAppended(Result<AppendAnswer, CallFailure>),
+}
+
+/// Output of the reader.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ReaderAction {
+    /// Read the `config` stream.
+    Read {
+        /// First offset to read.
+        from: LogOffset,
+        /// How long the log may wait for a record.
+        wait: Duration,
+    },
+    /// Ask a peer for its state.
+    AskPeer {
+        /// Peer.
+        peer: InstanceId,
+        /// Question.
+        query: StateQuery,
+        /// How long to wait for the answer.
+        timeout: Duration,
+    },
+    /// Append a snapshot to the `config` stream.
+    AppendSnapshot(serde_json::Value),
+    /// The log answered; the page was applied.
+    LogAnswered {
+        /// When the question was sent.
+        sent_at: Timestamp,
+        /// Whether the applied offset is the log's head.
+        confirmed: bool,
+    },
+    /// A record was judged.
+    Judged(LogOffset, ApplyOutcome),
+    /// Log a numbered event.
+    Log(LogEvent, Arc<str>),
+}
+
+/// Follows the `config` stream and holds the configuration.
+#[derive(Debug)]
+pub struct ConfigReader {
+    state: Arc<FleetState>,
+    peers: Vec<InstanceId>,
+    complete: bool,
+    log_failing: bool,
+    failures: u32,
+    read_lost_at: Option<Timestamp>,
+    read_due: Timestamp,
+    at_head: bool,
+    /// Next offset to look at for a snapshot while records are missing.
+    scan: Option<LogOffset>,
+    asked: BTreeMap<InstanceId, Timestamp>,
+    peer_state_seen: bool,
+    ask_due: Timestamp,
+    ahead: Option<(InstanceId, LogOffset, Timestamp)>,
+    snapshot_due: Option<Timestamp>,
+    rng: ChaCha8Rng,
+}
+
+impl ConfigReader {
+    /// A reader without any configuration.
+    pub fn new(seed: u64) -> Self {
+        Self {
+            state: Arc::default(),
+            peers: Vec::new(),
+            complete: false,
+            log_failing: false,
+            failures: 0,
+            read_lost_at: None,
+            read_due: Timestamp::ZERO,
+            at_head: false,
+            scan: None,
+            asked: BTreeMap::new(),
+            peer_state_seen: false,
+            ask_due: Timestamp::ZERO,
+            ahead: None,
+            snapshot_due: None,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+        }
+    }
+
+    /// Configuration applied so far.
+    pub fn state(&self) -> &Arc<FleetState> {
+        &self.state
+    }
+
+    /// Whether the configuration is complete.
+    pub fn is_ready(&self) -> bool {
+        self.complete && self.state.applied.is_some()
+    }
+
+    /// Sets the live peers that can be asked for their state.
+    pub fn set_peers(&mut self, peers: Vec<InstanceId>) {
+        self.peers = peers;
+    }
+
+    /// Answers a peer that asks for newer configuration. `listing` is the last
+    /// instance listing as JSON text.
+    pub fn answer_state(
+        &self,
+        query: &StateQuery,
+        listing: Option<Arc<str>>,
+    ) -> StateAnswer {
+        let newer = self.is_ready() && self.state.applied > query.applied;
+        let snapshot = newer.then(|| {
+            let snapshot = self.state.snapshot();
+            let json = serde_json::to_string(&snapshot);
+            json.expect("state has text keys").into()
+        });
+        StateAnswer { snapshot, listing }
+    }
+
+    /// Takes an event in.
+    pub fn handle(
+        &mut self,
+        now: Timestamp,
+        event: ReaderEvent,
+    ) -> Vec<ReaderAction> {
+        let mut actions = Vec::new();
+        match event {
+            ReaderEvent::Read { sent_at, result } => {
+                self.read_lost_at = None;
+                match result {
+                    Ok(page) => {
+                        self.take_page(now, sent_at, page, &mut actions);
+                    }
+                    Err(failure) => {
+                        self.read_failed(now, &failure, &mut actions);
+                    }
+                }
+            }
+            ReaderEvent::PeerState { peer, answer } => {
+                self.asked.remove(&peer);
+                if let Some(answer) = answer {
+                    self.take_state(&peer, answer, &mut actions);
+                }
+                self.settle_peers();
+            }
+            ReaderEvent::PeerApplied { peer, applied } => {
+                self.note_ahead(now, peer, applied);
+            }
+            ReaderEvent::SnapshotAppended(Ok(answer)) => {
+                let text = format!("snapshot at {}", answer.first_offset);
+                let event = LogEvent::SnapshotAppended;
+                actions.push(ReaderAction::Log(event, text.into()));
+            }
+            // Still due after the next reading, with a new delay.
+            ReaderEvent::SnapshotAppended(Err(_)) => {}
+        }
+        actions.extend(self.tick(now));
+        actions
+    }
+
+    /// Sends what is due.
+    pub fn tick(&mut self, now: Timestamp) -> Vec<ReaderAction> {
+        let mut actions = Vec::new();
+        if self.read_lost_at.is_some_and(|lost| now >= lost) {
+            self.read_lost_at = None;
+        }
+        self.asked.retain(|_, due| now < *due);
+        self.settle_peers();
+        self.ask_peers(now, &mut actions);
+        self.append_snapshot(now, &mut actions);
+        if self.read_lost_at.is_none() && now >= self.read_due {
+            let behind = !self.at_head;
+            let wait = if behind { Duration::ZERO } else { LOG_WAIT };
+            let from = self.scan.unwrap_or(self.state.next_offset());
+            self.read_lost_at = Some(now.after(wait + READ_GRACE));
+            actions.push(ReaderAction::Read { from, wait });
+        }
+        actions
+    }
+
+    /// When the reader wants to be called without input.
+    pub fn next_timer(&self) -> Option<Timestamp> {
+        let read = self.read_lost_at.unwrap_or(self.read_due);
+        let asked = self.asked.values().copied();
+        let ahead = self.ahead.iter().map(|(_, _, at)| at.after(AHEAD_DELAY));
+        let ask = (!self.is_ready()).then_some(self.ask_due);
+        let ask = ask.into_iter().chain(ahead.map(|at| at.max(self.ask_due)));
+        let timers = asked.chain(ask).chain(self.snapshot_due);
+        timers.chain([read]).min()
+    }
+
+    fn take_page(
+        &mut self,
+        now: Timestamp,
+        sent_at: Timestamp,
+        page: RecordPage,
+        actions: &mut Vec<ReaderAction>,
+    ) {
+        self.failures = 0;
+        self.read_due = now;
+        if std::mem::take(&mut self.log_failing) {
+            let event = LogEvent::LogAvailable;
+            actions.push(ReaderAction::Log(event, "log answers again".into()));
+        }
+        self.apply_records(&page, actions);
+        let confirmed = self.state.next_offset() == page.head;
+        self.at_head = confirmed;
+        self.complete |= confirmed;
+        self.advance_scan(now, &page);
+        if self.state.next_offset() > page.head {
+            self.read_due = now.after(BACKOFF_MAX);
+            let next = self.state.next_offset();
+            let text = format!("head {} is below {next}", page.head);
+            let event = LogEvent::LogUnavailable;
+            actions.push(ReaderAction::Log(event, text.into()));
+        }
+        let answered = ReaderAction::LogAnswered { sent_at, confirmed };
+        actions.push(answered);
+        self.plan_snapshot(now, page.now_ms, page.retention_ms);
+    }
+
+    fn apply_records(
+        &mut self,
+        page: &RecordPage,
+        actions: &mut Vec<ReaderAction>,
+    ) {
+        for record in &page.records {
+            if record.offset < self.state.next_offset() {
+                continue;
+            }
+            let state = Arc::make_mut(&mut self.state);
+            let outcome = state.apply(record);
+            if let ApplyOutcome::Skipped { reason } = &outcome {
+                let text = format!("offset {}: {reason}", record.offset);
+                let event = LogEvent::RecordSkipped;
+                actions.push(ReaderAction::Log(event, text.into()));
+            }
+            if outcome == ApplyOutcome::Gap {
+                continue;
+            }
+            actions.push(ReaderAction::Judged(record.offset, outcome));
+            if state.applied < Some(record.offset) {
+                // A snapshot was installed; reading goes on after it.
+                self.scan = None;
+                return;
+            }
+        }
+    }
+
+    /// While records are missing, goes through the log for a snapshot and
+    /// starts again at the earliest record when it has reached the head.
+    fn advance_scan(&mut self, now: Timestamp, page: &RecordPage) {
+        if page.earliest <= self.state.next_offset() {
+            self.scan = None;
+            return;
+        }
+        let last = page.records.last().map(|record| record.offset.next());
+        let next = last.or(self.scan).unwrap_or(page.earliest);
+        self.scan = Some(next.max(page.earliest));
+        if next >= page.head {
+            self.scan = Some(page.earliest);
+            self.read_due = now.after(BACKOFF_MAX);
+        }
+    }
+
+    fn read_failed(
+        &mut self,
+        now: Timestamp,
+        failure: &CallFailure,
+        actions: &mut Vec<ReaderAction>,
+    ) {
+        let factor = 1 << self.failures.min(8);
+        self.failures += 1;
+        let longest = (BACKOFF_MIN * factor).min(BACKOFF_MAX);
+        let delay = longest.mul_f64(self.rng.random_range(0.5..=1.0));
+        self.read_due = now.after(delay);
+        if !std::mem::replace(&mut self.log_failing, true) {
+            let event = LogEvent::LogUnavailable;
+            actions.push(ReaderAction::Log(event, failure.message.clone()));
+        }
+    }
+
+    fn take_state(
+        &mut self,
+        peer: &InstanceId,
+        answer: StateAnswer,
+        actions: &mut Vec<ReaderAction>,
+    ) {
+        let Some(text) = answer.snapshot else { return };
+        let parsed = serde_json::from_str::<FleetSnapshot>(&text);
+        let installed = match parsed {
+            Ok(snapshot) if snapshot.state.applied <= self.state.applied => {
+                self.peer_state_seen = true;
+                return;
+            }
+            Ok(snapshot) => Arc::make_mut(&mut self.state)
+                .install(snapshot)
+                .map_err(|error| error.to_string()),
+            Err(error) => Err(error.to_string()),
+        };
+        match installed {
+            Ok(()) => {
+                self.scan = None;
+                self.peer_state_seen = true;
+            }
+            Err(error) => {
+                let text = format!("state from {peer}: {error}");
+                let event = LogEvent::RecordSkipped;
+                actions.push(ReaderAction::Log(event, text.into()));
+            }
+        }
+    }
+
+    /// With the log down, the newest state of the peers is complete once all
+    /// that were asked have answered or timed out.
+    fn settle_peers(&mut self) {
+        let settled = self.peer_state_seen && self.asked.is_empty();
+        if settled && self.log_failing {
+            self.complete = true;
+        }
+    }
+
+    fn ask_peers(&mut self, now: Timestamp, actions: &mut Vec<ReaderAction>) {
+        if now < self.ask_due {
+            return;
+        }
+        let mut peers = Vec::new();
+        if !self.is_ready() || self.scan.is_some() {
+            let chosen = self.peers.choose_multiple(&mut self.rng, PEERS_ASKED);
+            peers.extend(chosen.cloned());
+        }
+        if let Some((peer, offset, since)) = &self.ahead {
+            if Some(*offset) <= self.state.applied {
+                self.ahead = None;
+            } else if now >= since.after(AHEAD_DELAY) {
+                peers.push(peer.clone());
+                self.ahead = None;
+            }
+        }
+        for peer in peers {
+            self.ask_due = now.after(ASK_INTERVAL);
+            let due = now.after(PEER_TIMEOUT);
+            if self.asked.insert(peer.clone(), due).is_none() {
+                // Only a whole state from a peer shows, with the log down,
+                // that what was read so far is complete.
+                let applied = self.state.applied.filter(|_| self.is_ready());
+                actions.push(ReaderAction::AskPeer {
+                    peer,
+                    query: StateQuery { applied },
+                    timeout: PEER_TIMEOUT,
+                });
+            }
+        }
+    }
+
+    fn note_ahead(
+        &mut self,
+        now: Timestamp,
+        peer: InstanceId,
+        applied: Option<LogOffset>,
+    ) {
+        let Some(offset) = applied.filter(|_| applied > self.state.applied)
+        else {
+            return;
+        };
+        let since = self.ahead.as_ref().map_or(now, |(_, _, since)| *since);
+        self.ahead = Some((peer, offset, since));
+    }
+
+    fn plan_snapshot(
+        &mut self,
+        now: Timestamp,
+        log_now: LogTime,
+        retention_ms: u64,
+    ) {
+        let Some(snapshot_at) = self.state.snapshot_at else {
+            return;
+        };
+        let age = log_now.saturating_sub(snapshot_at).get();
+        if !self.at_head || age <= retention_ms / SNAPSHOT_SHARE {
+            self.snapshot_due = None;
+            return;
+        }
+        let longest =
+            Duration::from_millis(retention_ms / SNAPSHOT_DELAY_SHARE);
+        let longest = longest.min(SNAPSHOT_DELAY_MAX);
+        let rng = &mut self.rng;
+        self.snapshot_due.get_or_insert_with(|| {
+            now.after(longest.mul_f64(rng.random_range(0.0..=1.0)))
+        });
+    }
+
+    fn append_snapshot(
+        &mut self,
+        now: Timestamp,
+        actions: &mut Vec<ReaderAction>,
+    ) {
+        if !self.at_head || self.snapshot_due.is_none_or(|due| now < due) {
+            return;
+        }
+        self.snapshot_due = None;
+        let record = FleetRecord::Snapshot(Box::new(self.state.snapshot()));
+        let value = serde_json::to_value(record);
+        let value = value.expect("state has text keys");
+        actions.push(ReaderAction::AppendSnapshot(value));
+    }
+}
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -22,7 +22,7 @@
         DomainId, InstanceId, ModelName, OperatorName, OrderId, ServiceName,
         UpstreamId, WorkspaceId,
     },
-    units::{Incarnation, LogOffset, TokenCount, TokenRate},
+    units::{Incarnation, LogOffset, LogTime, TokenCount, TokenRate},
     value_type,
 };
 
@@ -314,6 +314,9 @@
         pub applied: Option<LogOffset>,
         /// Offset of the last record that changed the configuration.
         pub version: LogOffset,
+        /// When the newest snapshot was appended, by the log service's clock;
+        /// without one, when the first record was.
+        pub snapshot_at: Option<LogTime>,
         /// Order that made the last change.
         pub last_order: Option<OrderId>,
         /// Failure domains with rules.
--- a/lib/src/fleet/apply.rs
+++ b/lib/src/fleet/apply.rs
@@ -141,6 +141,7 @@
             return self.cross_gap(record.offset, parsed.ok());
         }
         self.applied = Some(record.offset);
+        self.snapshot_at.get_or_insert(record.appended_at);
         match parsed {
             Err(error) => skipped(format!("record is invalid: {error}")),
             Ok(FleetRecord::Order(order)) => {
@@ -161,11 +162,7 @@
                 self.apply_lease(upstream, entry, replaces)
             }
             Ok(FleetRecord::Snapshot(snapshot)) => {
-                skipped(if snapshot.is_intact() {
-                    SnapshotError::NotNewer
-                } else {
-                    SnapshotError::Digest
-                })
+                self.apply_snapshot(record, &snapshot)
             }
         }
     }
@@ -239,6 +236,22 @@
         }
     }
 
+    /// A snapshot of what is applied already only sets when the next is due.
+    fn apply_snapshot(
+        &mut self,
+        record: &LogRecord,
+        snapshot: &FleetSnapshot,
+    ) -> ApplyOutcome {
+        if snapshot.state.applied >= Some(record.offset) {
+            return skipped(SnapshotError::Future);
+        }
+        if !snapshot.is_intact() {
+            return skipped(SnapshotError::Digest);
+        }
+        self.snapshot_at = Some(record.appended_at);
+        ApplyOutcome::Applied
+    }
+
     /// An expected version of zero means that nothing was ever changed. The
     /// first change can itself stand at offset zero, and two orders that both
     /// expect an empty configuration must not both win.
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -5,10 +5,12 @@
 //! tasks live in the `borageline` binary, which carries the actions out.
 
 pub mod api;
+pub mod config_reader;
 pub mod core;
 pub mod derives;
 pub mod engine_api;
 pub mod fleet;
+pub mod freshness;
 pub mod ids;
 pub mod log_event;
 pub mod membership;
--- a/lib/src/membership/probe.rs
+++ b/lib/src/membership/probe.rs
@@ -167,6 +167,23 @@
         }
     }
 
+    /// Asks members for their gossip out of turn.
+    pub fn ask(
+        &mut self,
+        now: Timestamp,
+        peers: &[InstanceId],
+    ) -> Vec<MemberAction> {
+        let mut actions = Vec::new();
+        for peer in peers {
+            if let Some(to) = self.peer_address(peer) {
+                let purpose = CallPurpose::Contact;
+                let target = Some(peer.clone());
+                self.probe(now, purpose, target, to, &mut actions);
+            }
+        }
+        actions
+    }
+
     /// Takes the answer to a message, or that none came.
     pub(super) fn take_answer(
         &mut self,
--- a/lib/src/units.rs
+++ b/lib/src/units.rs
@@ -51,6 +51,12 @@
         Self(self.0.saturating_add(micros))
     }
 
+    /// The time before by a duration; none if that precedes the origin.
+    pub fn before(self, duration: Duration) -> Option<Self> {
+        let micros = u64::try_from(duration.as_micros()).ok()?;
+        self.0.checked_sub(micros).map(Self)
+    }
+
     /// Duration since an earlier time; zero if it is later.
     pub fn since(self, earlier: Self) -> Duration {
         Duration::from_micros(self.0.saturating_sub(earlier.0))
