--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod ids;
 pub mod log_event;
 pub mod membership;
+pub mod order_desk;
 pub mod ownership;
 pub mod peer_api;
 pub mod platform_api;
