lib: run non-idempotent calls at most once

Claims, releases and outcomes are judged by their order in the call streams. Append answers only tell of failures; success is learnt by reading on, so a lost answer changes nothing.

--- /dev/null
+++ b/lib/src/call_log/stream.rs
@@ -0,0 +1,457 @@
+//! One call stream at its owner: reading, appending and those who wait.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use super::{
+    CallAction, CallAppend, CallAsker, CallJudge, CallRecord, ClaimVerdict,
+    is_key_valid, is_retention_enough,
+};
+use crate::{
+    core::CallFailure,
+    ids::{InstanceId, RequestId},
+    peer_api::{
+        CallKey, CallResult, ClaimAnswer, ClaimAsk, PeerReply, SettleNotice,
+    },
+    platform_api::{AppendAnswer, LogRecord, RecordPage},
+    refusal::{Refusal, RefusalCode, RunState},
+    units::{LogOffset, LogTime, Timestamp},
+};
+
+/// Least time between the starts of two appends to one stream.
+const APPEND_INTERVAL: Duration = Duration::from_millis(50);
+/// Time after which an append counts as unknown and the next may start.
+const APPEND_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long the log may wait for a record before it answers an empty page.
+const LOG_WAIT: Duration = Duration::from_millis(500);
+/// Time beyond the wait after which a reading counts as lost.
+const READ_GRACE: Duration = Duration::from_secs(2);
+/// First delay after a failed reading; doubled with each further one.
+const BACKOFF_MIN: Duration = Duration::from_millis(100);
+/// Longest delay after a failed reading.
+const BACKOFF_MAX: Duration = Duration::from_secs(1);
+/// Longest time that a claim waits to be read back.
+const CLAIM_WAIT_MAX: Duration = Duration::from_secs(10);
+/// Longest time that a release or outcome waits to be read back.
+const SETTLE_WAIT: Duration = Duration::from_secs(3);
+/// Time after the deadline of an attempt in which it still counts as running.
+const IN_PROGRESS_GRACE: LogTime = LogTime::new(5_000);
+/// Most claims and notices that wait on one stream.
+const WAITERS_MAX: usize = 4_096;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum WaiterKind {
+    Claim,
+    Release,
+    Outcome,
+}
+
+type WaiterId = (RequestId, WaiterKind);
+
+/// A record that is to be read back, and who is told.
+#[derive(Clone, Debug)]
+struct Waiter {
+    key: CallKey,
+    digest: Arc<str>,
+    askers: Vec<CallAsker>,
+    due: Timestamp,
+    /// Whether an append may have written the record.
+    may_stand: bool,
+    /// Present until the record is part of an append.
+    queued: Option<CallRecord>,
+}
+
+/// One stream that this instance owns.
+#[derive(Debug, Default)]
+pub(super) struct StreamTable {
+    judge: CallJudge,
+    next: LogOffset,
+    at_head: bool,
+    retention_ms: u64,
+    log_now: LogTime,
+    failures: u32,
+    read_lost_at: Option<Timestamp>,
+    read_due: Timestamp,
+    in_flight: Option<(CallAppend, Timestamp, Vec<WaiterId>)>,
+    append_due: Timestamp,
+    waiters: BTreeMap<WaiterId, Waiter>,
+}
+
+impl StreamTable {
+    /// Number of keys held in memory.
+    pub(super) fn key_count(&self) -> usize {
+        self.judge.len()
+    }
+
+    /// Answers a claim at once if no append is needed, or queues it.
+    pub(super) fn take_claim(
+        &mut self,
+        now: Timestamp,
+        asker: CallAsker,
+        entry: InstanceId,
+        ask: ClaimAsk,
+        live: &[InstanceId],
+    ) -> Option<ClaimAnswer> {
+        if !self.at_head {
+            let code = RefusalCode::NotReady;
+            return Some(undecided(
+                code,
+                "the call stream is still being read",
+            ));
+        }
+        if !is_retention_enough(self.retention_ms) {
+            let code = RefusalCode::NotReady;
+            return Some(undecided(
+                code,
+                "the log's retention is below the lifetime of keys",
+            ));
+        }
+        if !is_key_valid(&ask.key, self.log_now) {
+            return Some(ClaimAnswer::KeyExpired);
+        }
+        if self.judge.is_released(&ask.key, &ask.attempt) {
+            return Some(released_answer());
+        }
+        let verdict = self.judge.verdict(&ask.key, &ask.attempt, &ask.digest);
+        if let Some(answer) = self.answer_for(verdict, live) {
+            return Some(answer);
+        }
+        if self.waiters.len() >= WAITERS_MAX {
+            let code = RefusalCode::NotReady;
+            return Some(undecided(code, "too many claims are waiting"));
+        }
+        let time_left_ms = ask.time_left.as_millis() as u64;
+        let record = CallRecord::Claim {
+            key: ask.key.clone(),
+            attempt: ask.attempt.clone(),
+            entry,
+            digest: ask.digest.clone(),
+            time_left_ms,
+        };
+        let due = now.after(ask.time_left.min(CLAIM_WAIT_MAX));
+        let id = (ask.attempt, WaiterKind::Claim);
+        self.wait(id, asker, ask.key, ask.digest, due, record);
+        None
+    }
+
+    pub(super) fn take_notice(
+        &mut self,
+        now: Timestamp,
+        asker: CallAsker,
+        notice: SettleNotice,
+    ) -> Option<PeerReply> {
+        let SettleNotice {
+            key,
+            attempt,
+            result,
+        } = notice;
+        if self.is_settled(&key, &attempt, &result) {
+            return Some(PeerReply::Done);
+        }
+        if self.waiters.len() >= WAITERS_MAX {
+            let text = "too many notices are waiting";
+            return Some(PeerReply::Rejected(text.into()));
+        }
+        let (kind, record) = match result {
+            CallResult::Released => {
+                let key = key.clone();
+                let attempt = attempt.clone();
+                let record = CallRecord::Release { key, attempt };
+                (WaiterKind::Release, record)
+            }
+            CallResult::Ran(outcome) => {
+                let record = CallRecord::Outcome {
+                    key: key.clone(),
+                    attempt: attempt.clone(),
+                    outcome,
+                };
+                (WaiterKind::Outcome, record)
+            }
+        };
+        let due = now.after(SETTLE_WAIT);
+        self.wait((attempt, kind), asker, key, "".into(), due, record);
+        None
+    }
+
+    fn is_settled(
+        &self,
+        key: &CallKey,
+        attempt: &RequestId,
+        result: &CallResult,
+    ) -> bool {
+        match result {
+            CallResult::Released => self.judge.is_released(key, attempt),
+            CallResult::Ran(_) => self.judge.is_recorded(key, attempt),
+        }
+    }
+
+    /// Queues a record, or joins those who wait for the same one.
+    fn wait(
+        &mut self,
+        id: WaiterId,
+        asker: CallAsker,
+        key: CallKey,
+        digest: Arc<str>,
+        due: Timestamp,
+        record: CallRecord,
+    ) {
+        let waiter = self.waiters.entry(id).or_insert_with(|| Waiter {
+            key,
+            digest,
+            askers: Vec::new(),
+            due,
+            may_stand: false,
+            queued: Some(record),
+        });
+        waiter.askers.push(asker);
+    }
+
+    /// The answer to a claim, unless neither it nor another holds the key.
+    fn answer_for(
+        &self,
+        verdict: ClaimVerdict,
+        live: &[InstanceId],
+    ) -> Option<ClaimAnswer> {
+        Some(match verdict {
+            ClaimVerdict::Free => return None,
+            ClaimVerdict::Won => ClaimAnswer::Won,
+            ClaimVerdict::Recorded(outcome) => ClaimAnswer::Recorded(outcome),
+            ClaimVerdict::DigestMismatch => ClaimAnswer::DigestMismatch,
+            ClaimVerdict::Held(entry, ends_at) => {
+                let end = ends_at.saturating_add(IN_PROGRESS_GRACE);
+                if live.contains(&entry) && self.log_now < end {
+                    ClaimAnswer::InProgress
+                } else {
+                    ClaimAnswer::MayHaveRun
+                }
+            }
+        })
+    }
+
+    pub(super) fn take_read(
+        &mut self,
+        now: Timestamp,
+        result: Result<RecordPage, CallFailure>,
+        live: &[InstanceId],
+        actions: &mut Vec<CallAction>,
+    ) {
+        self.read_lost_at = None;
+        let Ok(page) = result else {
+            let delay = BACKOFF_MIN * (1 << self.failures.min(8));
+            self.failures += 1;
+            self.read_due = now.after(delay.min(BACKOFF_MAX));
+            return;
+        };
+        self.failures = 0;
+        self.read_due = now;
+        self.retention_ms = page.retention_ms;
+        self.log_now = self.log_now.max(page.now_ms);
+        // Records that the log dropped concern keys past their lifetime.
+        self.next = self.next.max(page.earliest);
+        for record in &page.records {
+            if record.offset == self.next {
+                self.next = record.offset.next();
+                self.take_record(record, live, actions);
+            }
+        }
+        self.at_head = self.next == page.head;
+        if self.next > page.head {
+            self.read_due = now.after(BACKOFF_MAX);
+        }
+        self.judge.expire(page.now_ms);
+    }
+
+    /// Judges a record and tells those who wait for it.
+    fn take_record(
+        &mut self,
+        record: &LogRecord,
+        live: &[InstanceId],
+        actions: &mut Vec<CallAction>,
+    ) {
+        let Some(parsed) = self.judge.apply(record) else {
+            return;
+        };
+        let id = match parsed {
+            CallRecord::Claim { attempt, .. } => (attempt, WaiterKind::Claim),
+            CallRecord::Release { attempt, .. } => {
+                (attempt, WaiterKind::Release)
+            }
+            CallRecord::Outcome { attempt, .. } => {
+                (attempt, WaiterKind::Outcome)
+            }
+        };
+        let Some(waiter) = self.waiters.remove(&id) else {
+            return;
+        };
+        let reply = if id.1 == WaiterKind::Claim {
+            let verdict =
+                self.judge.verdict(&waiter.key, &id.0, &waiter.digest);
+            let answer = self.answer_for(verdict, live);
+            PeerReply::Claim(answer.unwrap_or_else(|| {
+                if is_key_valid(&waiter.key, record.appended_at) {
+                    released_answer()
+                } else {
+                    ClaimAnswer::KeyExpired
+                }
+            }))
+        } else {
+            PeerReply::Done
+        };
+        answer_all(waiter, &reply, actions);
+    }
+
+    pub(super) fn take_append(
+        &mut self,
+        append: CallAppend,
+        result: &Result<AppendAnswer, CallFailure>,
+        actions: &mut Vec<CallAction>,
+    ) {
+        let ours =
+            |(current, _, _): &mut (CallAppend, _, _)| *current == append;
+        let Some((_, _, ids)) = self.in_flight.take_if(ours) else {
+            return;
+        };
+        let Err(failure) = result else { return };
+        if failure.run_state != RunState::NotRun {
+            return;
+        }
+        for id in ids {
+            if let Some(waiter) = self.waiters.remove(&id) {
+                let message = failure.message.as_ref();
+                let reply = match id.1 {
+                    WaiterKind::Claim => {
+                        let code = RefusalCode::LogUnavailable;
+                        PeerReply::Claim(undecided(code, message))
+                    }
+                    _ => PeerReply::Rejected(message.into()),
+                };
+                answer_all(waiter, &reply, actions);
+            }
+        }
+    }
+
+    /// Answers those whose record was not read back in time.
+    pub(super) fn expire(
+        &mut self,
+        now: Timestamp,
+        actions: &mut Vec<CallAction>,
+    ) {
+        if self
+            .in_flight
+            .as_ref()
+            .is_some_and(|(_, due, _)| now >= *due)
+        {
+            self.in_flight = None;
+        }
+        let expired = |_: &WaiterId, waiter: &mut Waiter| now >= waiter.due;
+        for (id, waiter) in self.waiters.extract_if(.., expired) {
+            let reply = match id.1 {
+                WaiterKind::Claim if waiter.may_stand => {
+                    let code = RefusalCode::DeadlineExceeded;
+                    let text = "the claim was not read back in time";
+                    PeerReply::Claim(undecided(code, text))
+                }
+                WaiterKind::Claim => {
+                    let code = RefusalCode::LogUnavailable;
+                    let text = "the log did not take the claim in time";
+                    PeerReply::Claim(undecided(code, text))
+                }
+                _ => PeerReply::Rejected("not read back in time".into()),
+            };
+            answer_all(waiter, &reply, actions);
+        }
+    }
+
+    pub(super) fn start_append(
+        &mut self,
+        now: Timestamp,
+        number: u64,
+    ) -> Option<Vec<serde_json::Value>> {
+        if self.in_flight.is_some() || now < self.append_due {
+            return None;
+        }
+        let mut ids = Vec::new();
+        let mut records = Vec::new();
+        for (id, waiter) in &mut self.waiters {
+            if let Some(record) = waiter.queued.take() {
+                waiter.may_stand = true;
+                let value = serde_json::to_value(record);
+                records.push(value.expect("record has text keys"));
+                ids.push(id.clone());
+            }
+        }
+        if records.is_empty() {
+            return None;
+        }
+        let due = now.after(APPEND_TIMEOUT);
+        self.in_flight = Some((CallAppend(number), due, ids));
+        self.append_due = now.after(APPEND_INTERVAL);
+        Some(records)
+    }
+
+    pub(super) fn start_read(
+        &mut self,
+        now: Timestamp,
+    ) -> Option<(LogOffset, Duration)> {
+        self.read_lost_at.take_if(|lost| now >= *lost);
+        if self.read_lost_at.is_some() || now < self.read_due {
+            return None;
+        }
+        let wait = if self.at_head {
+            LOG_WAIT
+        } else {
+            Duration::ZERO
+        };
+        self.read_lost_at = Some(now.after(wait + READ_GRACE));
+        Some((self.next, wait))
+    }
+
+    /// Answers all who wait, as another instance owns the stream now.
+    pub(super) fn hand_over(
+        &mut self,
+        owner: Option<&InstanceId>,
+        actions: &mut Vec<CallAction>,
+    ) {
+        for ((_, kind), waiter) in std::mem::take(&mut self.waiters) {
+            let reply = match kind {
+                WaiterKind::Claim if waiter.may_stand => {
+                    let code = RefusalCode::DeadlineExceeded;
+                    let text = "the call stream has a new owner";
+                    PeerReply::Claim(undecided(code, text))
+                }
+                WaiterKind::Claim => {
+                    PeerReply::Claim(ClaimAnswer::NotOwner(owner.cloned()))
+                }
+                _ => PeerReply::Rejected("not the owner".into()),
+            };
+            answer_all(waiter, &reply, actions);
+        }
+    }
+
+    pub(super) fn next_timer(&self) -> Option<Timestamp> {
+        let read = self.read_lost_at.unwrap_or(self.read_due);
+        let waiters = self.waiters.values().map(|waiter| waiter.due);
+        let queued = self.waiters.values().any(|w| w.queued.is_some());
+        let append = self.in_flight.as_ref().map(|(_, due, _)| *due);
+        let append = append.or(queued.then_some(self.append_due));
+        waiters.chain(append).chain([read]).min()
+    }
+}
+
+fn answer_all(
+    waiter: Waiter,
+    reply: &PeerReply,
+    actions: &mut Vec<CallAction>,
+) {
+    for asker in waiter.askers {
+        actions.push(CallAction::Answer(asker, reply.clone()));
+    }
+}
+
+fn released_answer() -> ClaimAnswer {
+    let code = RefusalCode::DeadlineExceeded;
+    undecided(code, "the attempt was released")
+}
+
+fn undecided(code: RefusalCode, message: &str) -> ClaimAnswer {
+    ClaimAnswer::Undecided(Refusal::new(code, message))
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -5,6 +5,7 @@
 //! tasks live in the `borageline` binary, which carries the actions out.
 
 pub mod api;
+pub mod call_log;
 pub mod config_reader;
 pub mod core;
 pub mod derives;
