--- a/cli/src/lib.rs
+++ b/cli/src/lib.rs
@@ -21,3 +21,4 @@
 pub mod request_task;
 pub mod server;
 pub mod services;
+mod traffic;
