cli: forward calls to plain services

Idempotent routes are repeated at another process; all others are claimed, sent once over a fresh connection, and settled.

--- a/cli/src/lib.rs
+++ b/cli/src/lib.rs
@@ -20,5 +20,6 @@
 pub mod reply;
 pub mod request_task;
 pub mod server;
+pub mod service_route;
 pub mod services;
 mod traffic;
--- a/cli/src/services.rs
+++ b/cli/src/services.rs
@@ -1,16 +1,453 @@
 //! Calls to plain services.
+//!
+//! A call on an idempotent route is repeated at another process where that
+//! can help. Any other call is claimed first, sent at most once, and its
+//! outcome is recorded.
 
-use borageline_lib::refusal::{Refusal, RefusalCode};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use borageline_lib::{
+    api::{DEADLINE_HEADER, IDEMPOTENCY_KEY_HEADER, REQUEST_ID_HEADER},
+    core::InstanceReadiness,
+    fleet::ServiceRule,
+    ids::{RequestId, WorkspaceId},
+    peer_api::{CallKey, CallOutcome, CallResult, ClaimAnswer},
+    refusal::{Refusal, RefusalCode, RetryReason, RunState},
+    units::Timestamp,
+};
+use bytes::Bytes;
 use gotham::helpers::http::Body;
-use http::Response;
+use http::{
+    HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header,
+};
+use http_body_util::{BodyExt, Full};
+use sha2::{Digest, Sha256};
+use uuid::Uuid;
+
+use crate::{
+    buffer::HeldBytes,
+    callers::{authenticate, body_limits, stale},
+    context::SharedContext,
+    credentials::hex_digest,
+    http_client::{CallTarget, HttpClient, HttpFault, read_whole},
+    reply::{CallerRequest, RenderedAnswer, id_value, read_body},
+    service_route::{ServicePath, passing_headers},
+};
 
-use crate::{context::SharedContext, reply::CallerRequest};
+/// Processes that one call is tried at.
+const ATTEMPTS_MAX: usize = 3;
+/// Largest answer that is recorded as a whole.
+const RECORD_MAX_BYTES: usize = 16 << 10;
+/// Version of the UUIDs that serve as idempotency keys.
+const KEY_VERSION: usize = 7;
+
+/// A call to a plain service with its body complete.
+#[derive(Debug)]
+struct ServiceCall {
+    request: RequestId,
+    workspace: WorkspaceId,
+    path: ServicePath,
+    method: Method,
+    headers: HeaderMap,
+    body: Bytes,
+    deadline: Timestamp,
+    // Keeps the body counted.
+    _held: HeldBytes,
+}
+
+/// Whole answer of a process.
+#[derive(Debug)]
+struct ServiceAnswer {
+    status: StatusCode,
+    headers: HeaderMap,
+    body: Bytes,
+}
 
 /// Handles `/v1/services/{service}/{path}`.
 pub async fn call(
-    _context: SharedContext,
-    _call: CallerRequest,
-    _body: Body,
+    context: SharedContext,
+    call: CallerRequest,
+    body: Body,
 ) -> Result<Response<Body>, Refusal> {
-    Err(Refusal::new(RefusalCode::UnknownService, "not implemented"))
+    let view = context.handle.view();
+    let (workspace, _) = authenticate(&context, &view, &call)?;
+    let path = ServicePath::parse(&call.uri)?;
+    let rule = view.fleet.services.get(&path.service).cloned();
+    if rule.is_none() && !view.services.contains_key(&path.service) {
+        let text = format!("service {} is not known", path.service);
+        return Err(Refusal::new(RefusalCode::UnknownService, text));
+    }
+    let limits = body_limits(&context);
+    let budget = context.body_budget.clone();
+    let body = read_body(body, &call.headers, limits, budget).await?;
+    let rule = rule.unwrap_or_else(|| default_rule(&context));
+    let idempotent = path.is_idempotent(&rule, &call.method);
+    let timeout = Duration::from_millis(rule.timeout_ms);
+    let key = call.headers.get(IDEMPOTENCY_KEY_HEADER).cloned();
+    let call = ServiceCall {
+        request: call.request,
+        workspace,
+        path,
+        method: call.method,
+        headers: passing_headers(&call.headers),
+        body: body.bytes,
+        deadline: call.arrived.after(timeout),
+        _held: body.held,
+    };
+    if idempotent {
+        return call.repeat(&context).await;
+    }
+    let key = parse_key(key.as_ref())?;
+    // A claimed call goes on to its recorded outcome even if the caller
+    // hangs up.
+    let task = tokio::spawn(async move { call.run_once(&context, key).await });
+    task.await.unwrap_or_else(|error| {
+        Err(Refusal::new(RefusalCode::Internal, error.to_string())
+            .with_run_state(RunState::MayHaveRun))
+    })
+}
+
+/// Rule of a service without one: no route may be repeated.
+fn default_rule(context: &SharedContext) -> ServiceRule {
+    let timeout = context.settings.limits.default_timeout.as_millis();
+    ServiceRule {
+        routes: Vec::new(),
+        timeout_ms: u64::try_from(timeout).unwrap_or(u64::MAX),
+    }
+}
+
+fn parse_key(value: Option<&HeaderValue>) -> Result<Uuid, Refusal> {
+    let invalid = |text: &str| Refusal::new(RefusalCode::KeyInvalid, text);
+    let value = value.ok_or_else(|| {
+        invalid("the route needs the header idempotency-key with a UUIDv7")
+    })?;
+    let key = value
+        .to_str()
+        .ok()
+        .and_then(|text| text.parse::<Uuid>().ok());
+    key.filter(|key| key.get_version_num() == KEY_VERSION)
+        .ok_or_else(|| invalid("idempotency-key is not a UUIDv7"))
+}
+
+impl ServiceCall {
+    /// Serves a call that may be repeated.
+    async fn repeat(
+        self,
+        context: &SharedContext,
+    ) -> Result<Response<Body>, Refusal> {
+        let processes = self.processes(context)?;
+        let count = processes.len().min(ATTEMPTS_MAX);
+        let mut last = None;
+        let mut run_state = RunState::NotRun;
+        for (tried, peer) in processes.into_iter().take(count).enumerate() {
+            let left = self.time_left(context);
+            if left.is_zero() {
+                break;
+            }
+            // A frozen process must leave time for another one.
+            let share = u32::try_from(count - tried).unwrap_or(1);
+            let client = &context.services;
+            let result = self.send(context, client, peer, left / share).await;
+            let reason = match result {
+                Ok(answer)
+                    if answer.status == StatusCode::SERVICE_UNAVAILABLE =>
+                {
+                    last = Some(Ok(answer));
+                    RetryReason::UpstreamLeaving
+                }
+                Ok(answer) => return Ok(self.render(answer)),
+                Err(fault @ HttpFault::Refused { .. }) => {
+                    last = Some(Err(fault));
+                    RetryReason::ConnectFailed
+                }
+                Err(fault) => {
+                    run_state = RunState::MayHaveRun;
+                    last = Some(Err(fault));
+                    RetryReason::FailedBeforeFirstPart
+                }
+            };
+            if tried + 1 < count {
+                context.metrics.count_retry(reason);
+            }
+        }
+        match last {
+            Some(Ok(answer)) => Ok(self.render(answer)),
+            Some(Err(fault)) => Err(failed(&fault).with_run_state(run_state)),
+            None => Err(Refusal::new(
+                RefusalCode::DeadlineExceeded,
+                "the deadline passed before the call was sent",
+            )),
+        }
+    }
+
+    /// Serves a call that must run at most once.
+    async fn run_once(
+        self,
+        context: &SharedContext,
+        key: Uuid,
+    ) -> Result<Response<Body>, Refusal> {
+        self.processes(context)?;
+        let key = CallKey {
+            workspace: self.workspace.clone(),
+            service: self.path.service.clone(),
+            key,
+        };
+        let handle = &context.handle;
+        let attempt = self.request.clone();
+        let digest = self.digest();
+        let answer = handle
+            .claim(key.clone(), attempt.clone(), digest, self.deadline)
+            .await;
+        match answer {
+            ClaimAnswer::Won => {}
+            ClaimAnswer::Recorded(outcome) => return self.replay(outcome),
+            other => return Err(unclaimed(other)),
+        }
+        let (result, response) = match self.send_once(context).await {
+            Ok(answer) => {
+                let result = CallResult::Ran(outcome(&answer));
+                (Some(result), Ok(self.render(answer)))
+            }
+            Err(refusal) if refusal.run_state == RunState::NotRun => {
+                (Some(CallResult::Released), Err(refusal))
+            }
+            // Without an outcome the key stays claimed, and repeats hear that
+            // the call may have run.
+            Err(refusal) => (None, Err(refusal)),
+        };
+        if let Some(result) = result {
+            handle.settle(key, attempt, result).await;
+        }
+        response
+    }
+
+    /// Sends a claimed call; another process is tried only if no byte was
+    /// written.
+    async fn send_once(
+        &self,
+        context: &SharedContext,
+    ) -> Result<ServiceAnswer, Refusal> {
+        let processes = self.processes(context)?;
+        let mut last = None;
+        for peer in processes.into_iter().take(ATTEMPTS_MAX) {
+            // Time has passed since the list was taken, and domains may have
+            // been closed.
+            self.check_sendable(context)?;
+            let left = self.time_left(context);
+            let client = &context.single_calls;
+            match self.send(context, client, peer, left).await {
+                Ok(answer) => return Ok(answer),
+                Err(fault @ HttpFault::Refused { .. }) => {
+                    context.metrics.count_retry(RetryReason::ConnectFailed);
+                    last = Some(fault);
+                }
+                Err(fault) => {
+                    return Err(
+                        failed(&fault).with_run_state(RunState::MayHaveRun)
+                    );
+                }
+            }
+        }
+        let fault = last.expect("at least one process was tried");
+        Err(failed(&fault))
+    }
+
+    /// Refuses to send on evidence that may be old.
+    fn check_sendable(&self, context: &SharedContext) -> Result<(), Refusal> {
+        let view = context.handle.view();
+        if context.handle.is_paused()
+            || view.readiness == InstanceReadiness::Stale
+        {
+            return Err(stale());
+        }
+        if self.time_left(context).is_zero() {
+            return Err(Refusal::new(
+                RefusalCode::DeadlineExceeded,
+                "the deadline passed before the call was sent",
+            ));
+        }
+        Ok(())
+    }
+
+    /// Addresses of the service's processes, each call starting at another.
+    fn processes(
+        &self,
+        context: &SharedContext,
+    ) -> Result<Vec<SocketAddr>, Refusal> {
+        self.check_sendable(context)?;
+        let view = context.handle.view();
+        let service = &self.path.service;
+        let listed = view.services.get(service);
+        let listed = listed.filter(|listed| !listed.is_empty());
+        let listed = listed.ok_or_else(|| {
+            let text = format!("no process of service {service} can be used");
+            Refusal::new(RefusalCode::NoUpstream, text)
+        })?;
+        let mut processes: Vec<_> =
+            listed.iter().map(|(_, address)| *address).collect();
+        let start = context.next_sequence() as usize % processes.len();
+        processes.rotate_left(start);
+        Ok(processes)
+    }
+
+    async fn send(
+        &self,
+        context: &SharedContext,
+        client: &HttpClient,
+        peer: SocketAddr,
+        timeout: Duration,
+    ) -> Result<ServiceAnswer, HttpFault> {
+        let target = CallTarget {
+            step: "call service",
+            peer,
+            timeout,
+        };
+        let request = self.build(peer, timeout).map_err(|error| {
+            // Nothing was sent, and another process would not help.
+            HttpFault::Refused {
+                step: target.step,
+                peer,
+                message: error.to_string().into(),
+            }
+        })?;
+        let response = client.send(target, request).await?;
+        let (head, body) = response.into_parts();
+        let returned = head.headers.get(REQUEST_ID_HEADER);
+        if returned.is_some_and(|id| *id != self.request.as_str()) {
+            context.metrics.foreign_parts.inc();
+            return Err(HttpFault::Malformed {
+                step: target.step,
+                peer,
+                message: "answer belongs to another request".into(),
+            });
+        }
+        let target = CallTarget {
+            timeout: self.time_left(context).min(timeout),
+            ..target
+        };
+        Ok(ServiceAnswer {
+            status: head.status,
+            headers: passing_headers(&head.headers),
+            body: read_whole(target, body).await?,
+        })
+    }
+
+    fn build(
+        &self,
+        peer: SocketAddr,
+        timeout: Duration,
+    ) -> Result<Request<Full<Bytes>>, http::Error> {
+        let mut request = Request::builder()
+            .method(self.method.clone())
+            .uri(format!("http://{peer}{}", self.path.target))
+            .body(Full::new(self.body.clone()))?;
+        let headers = request.headers_mut();
+        *headers = self.headers.clone();
+        headers.insert(REQUEST_ID_HEADER, id_value(&self.request));
+        let millis = u64::try_from(timeout.as_millis()).unwrap_or(u64::MAX);
+        headers.insert(DEADLINE_HEADER, HeaderValue::from(millis));
+        Ok(request)
+    }
+
+    fn digest(&self) -> Arc<str> {
+        let content_type = self.headers.get(header::CONTENT_TYPE);
+        hex_digest(&[
+            self.method.as_str().as_bytes(),
+            self.path.target.as_bytes(),
+            content_type.map_or(&[], HeaderValue::as_bytes),
+            &self.body,
+        ])
+        .into()
+    }
+
+    fn time_left(&self, context: &SharedContext) -> Duration {
+        self.deadline.since(context.handle.clock().now())
+    }
+
+    fn render(&self, answer: ServiceAnswer) -> Response<Body> {
+        let body = Full::new(answer.body).map_err(|never| match never {});
+        let mut response = Response::new(Body::new(body));
+        *response.status_mut() = answer.status;
+        *response.headers_mut() = answer.headers;
+        let id = id_value(&self.request);
+        response.headers_mut().insert(REQUEST_ID_HEADER, id);
+        response.extensions_mut().insert(RenderedAnswer);
+        response
+    }
+
+    fn replay(&self, outcome: CallOutcome) -> Result<Response<Body>, Refusal> {
+        let Some(body) = outcome.body else {
+            let text = format!(
+                "an earlier attempt ran with status {}; its answer was too \
+                 large to keep and has the digest {}",
+                outcome.status, outcome.body_digest,
+            );
+            let refusal = Refusal::new(RefusalCode::KeyMayHaveRun, text);
+            return Err(refusal.with_run_state(RunState::Ran));
+        };
+        let mut headers = HeaderMap::new();
+        if let Ok(value) = HeaderValue::from_str(&outcome.content_type) {
+            headers.insert(header::CONTENT_TYPE, value);
+        }
+        Ok(self.render(ServiceAnswer {
+            status: StatusCode::from_u16(outcome.status)
+                .unwrap_or(StatusCode::BAD_GATEWAY),
+            headers,
+            body: Bytes::copy_from_slice(body.as_bytes()),
+        }))
+    }
+}
+
+/// What is recorded of an answer.
+fn outcome(answer: &ServiceAnswer) -> CallOutcome {
+    let content_type = answer.headers.get(header::CONTENT_TYPE);
+    let content_type = content_type.and_then(|value| value.to_str().ok());
+    let text = std::str::from_utf8(&answer.body).ok();
+    let body = text.filter(|text| text.len() <= RECORD_MAX_BYTES);
+    let digest = Sha256::digest(&answer.body);
+    CallOutcome {
+        status: answer.status.as_u16(),
+        content_type: content_type.unwrap_or_default().into(),
+        body: body.map(Into::into),
+        body_digest: format!("{digest:x}").into(),
+    }
+}
+
+fn unclaimed(answer: ClaimAnswer) -> Refusal {
+    let (code, text) = match answer {
+        ClaimAnswer::Undecided(refusal) => return refusal,
+        ClaimAnswer::InProgress => {
+            let text = "the first use of the key is still under way";
+            return Refusal::new(RefusalCode::KeyInProgress, text)
+                .with_run_state(RunState::MayHaveRun);
+        }
+        ClaimAnswer::MayHaveRun => {
+            let text = "an earlier attempt with this key may have run";
+            return Refusal::new(RefusalCode::KeyMayHaveRun, text)
+                .with_run_state(RunState::MayHaveRun);
+        }
+        ClaimAnswer::DigestMismatch => (
+            RefusalCode::KeyConflict,
+            "the key was used for another request",
+        ),
+        ClaimAnswer::KeyExpired => (
+            RefusalCode::KeyInvalid,
+            "the key is older than 24 h or more than 5 min ahead",
+        ),
+        ClaimAnswer::NotOwner(_)
+        | ClaimAnswer::Won
+        | ClaimAnswer::Recorded(_) => {
+            (RefusalCode::Internal, "the key's owner is not known")
+        }
+    };
+    Refusal::new(code, text)
+}
+
+fn failed(fault: &HttpFault) -> Refusal {
+    let code = match fault {
+        HttpFault::TimedOut { .. } => RefusalCode::DeadlineExceeded,
+        HttpFault::Refused { .. } => RefusalCode::NoUpstream,
+        _ => RefusalCode::UpstreamFailed,
+    };
+    Refusal::new(code, fault.to_string()).with_run_state(fault.run_state())
 }
