core: compose configuration, membership, ownership, calls and orders

Cause: the thin core placed requests but knew neither the log nor its peers.

Change: one tick runs the config reader, freshness, membership, ownership, call streams and the order desk and routes between them. Upstreams come from the instance list; engines are read by their owners only. Placement is still least requests, without grants.

--- a/lib/src/config_reader.rs
+++ b/lib/src/config_reader.rs
@@ -179,7 +179,11 @@
             let json = serde_json::to_string(&snapshot);
             json.expect("state has text keys").into()
         });
-        StateAnswer { snapshot, listing }
+        StateAnswer {
+            snapshot,
+            listing,
+            facts: Vec::new(),
+        }
     }
 
     /// Takes an event in.
--- a/lib/src/core.rs
+++ b/lib/src/core.rs
@@ -4,23 +4,33 @@
 //! carries out the [`CoreAction`]s that come back. The core holds no socket,
 //! clock or task, so that a run can be repeated from its events.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+mod routing;
+mod serving_core;
+mod upstream_reader;
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
+
+pub use self::serving_core::ServingCore;
 
 use crate::{
     api::{InstanceAddress, PriorityClass},
     engine_api::{CapabilityReport, EngineOrder, HeldReport, LoadReport},
-    fleet::{CONFIG_STREAM, FleetOrder, FleetState},
+    fleet::{FleetOrder, FleetState},
     ids::{
-        DomainId, InstanceId, ModelName, OrderId, RequestId, StreamName,
-        UpstreamId, WorkspaceId,
+        DomainId, InstanceId, ModelName, OrderId, RequestId, ServiceName,
+        StreamName, UpstreamId, WorkspaceId,
     },
     peer_api::{
         CallKey, CallResult, ClaimAnswer, OrderReport, PeerMessage, PeerReply,
     },
-    platform_api::{AppendAnswer, InstanceListing, ListedKind, RecordPage},
+    platform_api::{AppendAnswer, InstanceListing, RecordPage},
     refusal::{Refusal, RefusalCode, RetryReason, RunState},
     units::{Incarnation, LogOffset, Timestamp, TokenCount},
-    view::{UpstreamEntry, UpstreamTable},
 };
 
 /// Number of one call that the shell carries out and answers.
@@ -343,242 +353,7 @@
     /// Whether this instance takes new requests.
     pub readiness: InstanceReadiness,
     /// Processes of plain services that take new work.
-    pub services:
-        BTreeMap<crate::ids::ServiceName, Vec<(UpstreamId, SocketAddr)>>,
+    pub services: BTreeMap<ServiceName, Vec<(UpstreamId, SocketAddr)>>,
     /// Models that some engine has loaded.
-    pub models: std::collections::BTreeSet<ModelName>,
-}
-
-/// Interval between two readings of the instance list.
-const LIST_INTERVAL: Duration = Duration::from_millis(500);
-/// Interval between two readings of an engine's capabilities.
-const CAPABILITY_INTERVAL: Duration = Duration::from_millis(500);
-/// How long the log may wait for a record before it answers an empty page.
-const LOG_WAIT: Duration = Duration::from_millis(500);
-
-/// Decides for one instance.
-#[derive(Debug)]
-pub struct ServingCore {
-    setup: CoreSetup,
-    fleet: FleetState,
-    upstreams: UpstreamTable,
-    running: BTreeMap<RequestId, (RequestSpec, UpstreamId)>,
-    started: bool,
-    list_due: Timestamp,
-    capability_due: Timestamp,
-    published: Option<Arc<PublishedView>>,
-}
-
-impl ServingCore {
-    /// A core that knows nothing yet.
-    pub fn new(setup: CoreSetup) -> Self {
-        Self {
-            setup,
-            fleet: FleetState::default(),
-            upstreams: UpstreamTable::new(),
-            running: BTreeMap::new(),
-            started: false,
-            list_due: Timestamp::ZERO,
-            capability_due: Timestamp::ZERO,
-            published: None,
-        }
-    }
-
-    /// Takes events in and decides.
-    pub fn tick(
-        &mut self,
-        now: Timestamp,
-        events: Vec<CoreEvent>,
-    ) -> Vec<CoreAction> {
-        let mut actions = Vec::new();
-        if !self.started {
-            self.started = true;
-            actions.push(self.read_config());
-        }
-        for event in events {
-            self.handle(now, event, &mut actions);
-        }
-        if now >= self.list_due {
-            self.list_due = now.after(LIST_INTERVAL);
-            actions.push(CoreAction::ReadList);
-        }
-        if now >= self.capability_due {
-            self.capability_due = now.after(CAPABILITY_INTERVAL);
-            for (id, entry) in self.upstreams.iter() {
-                if entry.service.is_none() {
-                    let read =
-                        CoreAction::ReadCapability(id.clone(), entry.address);
-                    actions.push(read);
-                }
-            }
-        }
-        self.publish(&mut actions);
-        actions
-    }
-
-    /// When the core wants to be called without input.
-    pub fn next_timer(&self) -> Option<Timestamp> {
-        Some(self.list_due.min(self.capability_due))
-    }
-
-    fn read_config(&self) -> CoreAction {
-        let from = self.fleet.applied.map_or(LogOffset::ZERO, LogOffset::next);
-        CoreAction::ReadLog {
-            stream: CONFIG_STREAM.parse().expect("constant is an id"),
-            from,
-            wait: LOG_WAIT,
-        }
-    }
-
-    fn handle(
-        &mut self,
-        now: Timestamp,
-        event: CoreEvent,
-        actions: &mut Vec<CoreAction>,
-    ) {
-        match event {
-            CoreEvent::Arrived(spec) => self.place(now, spec, actions),
-            CoreEvent::Progress(request, progress) => {
-                self.progress(request, progress, actions);
-            }
-            CoreEvent::LogRead { result, .. } => {
-                if let Ok(page) = result {
-                    self.fleet.applied =
-                        page.records.last().map(|record| record.offset);
-                }
-                actions.push(self.read_config());
-            }
-            CoreEvent::ListRead(Ok(listing)) => self.take_listing(listing),
-            CoreEvent::CapabilityRead(id, Ok(report)) => {
-                if let Some(entry) = self.upstreams.get(&id).cloned() {
-                    let capability = Some(Arc::new(report));
-                    let entry = UpstreamEntry {
-                        capability,
-                        ..entry
-                    };
-                    self.upstreams.insert(id, entry);
-                }
-            }
-            CoreEvent::PeerCalled { inbound, .. } => {
-                let reply = PeerReply::Rejected("not implemented".into());
-                actions.push(CoreAction::AnswerPeer(inbound, reply));
-            }
-            CoreEvent::StopAsked => actions.push(CoreAction::StopDone),
-            _ => {}
-        }
-    }
-
-    fn take_listing(&mut self, listing: InstanceListing) {
-        for line in listing.instances {
-            let service = match line.kind {
-                ListedKind::Instance => continue,
-                ListedKind::Engine => None,
-                ListedKind::Service(service) => Some(service),
-            };
-            let Ok(id) = line.id.parse::<UpstreamId>() else {
-                continue;
-            };
-            let capability = self
-                .upstreams
-                .get(&id)
-                .and_then(|old| old.capability.clone());
-            let entry = UpstreamEntry {
-                address: line.address,
-                domain: line.failure_domain,
-                service,
-                leaving: line.leaving,
-                capability,
-            };
-            self.upstreams.insert(id, entry);
-        }
-    }
-
-    fn place(
-        &mut self,
-        now: Timestamp,
-        spec: RequestSpec,
-        actions: &mut Vec<CoreAction>,
-    ) {
-        let load = |id: &UpstreamId| {
-            self.running
-                .values()
-                .filter(|(_, engine)| engine == id)
-                .count()
-        };
-        let engines = self.upstreams.serving(&spec.model);
-        let chosen = engines.iter().min_by_key(|id| load(id)).cloned();
-        let decision = match chosen {
-            Some(engine) => {
-                let address = self.upstreams.get(&engine).map(|e| e.address);
-                let address = address.expect("index names known engines");
-                let assigned = AssignedEngine {
-                    engine: engine.clone(),
-                    address,
-                    prompt: spec.prompt,
-                    incarnation: None,
-                };
-                let assignment = Assignment {
-                    engines: vec![assigned],
-                    send_before: now.after(Duration::from_millis(500)),
-                    priority: 0,
-                };
-                self.running
-                    .insert(spec.request.clone(), (spec.clone(), engine));
-                RequestDecision::Dispatch(assignment)
-            }
-            None => RequestDecision::End(Refusal::new(
-                RefusalCode::NoUpstream,
-                format!("no engine serves model {}", spec.model),
-            )),
-        };
-        actions.push(CoreAction::Decide(spec.request, decision));
-    }
-
-    fn progress(
-        &mut self,
-        request: RequestId,
-        progress: RequestProgress,
-        actions: &mut Vec<CoreAction>,
-    ) {
-        match progress {
-            RequestProgress::Sent(_) | RequestProgress::FirstPart => {}
-            RequestProgress::Finished(_) | RequestProgress::CallerGone => {
-                self.running.remove(&request);
-            }
-            RequestProgress::Failed { .. } => {
-                self.running.remove(&request);
-                let refusal =
-                    Refusal::new(RefusalCode::UpstreamFailed, "engine failed")
-                        .with_run_state(RunState::MayHaveRun);
-                let decision = RequestDecision::End(refusal);
-                actions.push(CoreAction::Decide(request, decision));
-            }
-        }
-    }
-
-    fn publish(&mut self, actions: &mut Vec<CoreAction>) {
-        let mut view = PublishedView {
-            fleet: Arc::new(self.fleet.clone()),
-            addresses: vec![InstanceAddress {
-                address: self.setup.caller_address,
-                failure_domain: self.setup.domain.clone(),
-            }],
-            readiness: InstanceReadiness::Ready,
-            ..PublishedView::default()
-        };
-        for (id, entry) in self.upstreams.iter() {
-            if let Some(service) = &entry.service {
-                let processes = view.services.entry(service.clone());
-                processes.or_default().push((id.clone(), entry.address));
-            }
-            if let Some(report) = &entry.capability {
-                view.models.extend(report.models.iter().cloned());
-            }
-        }
-        if self.published.as_deref() != Some(&view) {
-            let view = Arc::new(view);
-            self.published = Some(view.clone());
-            actions.push(CoreAction::Publish(view));
-        }
-    }
+    pub models: BTreeSet<ModelName>,
 }
--- /dev/null
+++ b/lib/src/core/routing.rs
@@ -0,0 +1,741 @@
+//! Routing between the parts of the core, and between them and the shell.
+
+use std::{sync::Arc, time::Duration};
+
+use super::{
+    AssignedEngine, Assignment, CallFailure, CallNumber, CoreAction, CoreEvent,
+    InboundNumber, RequestDecision, RequestSpec, ServingCore,
+};
+use crate::{
+    call_log::{
+        CallAction, CallAppend, CallAsker, CallEvent, EntryAction, EntryCall,
+        EntryEvent, stream_name,
+    },
+    config_reader::{ReaderAction, ReaderEvent},
+    fleet::{ApplyOutcome, CONFIG_STREAM},
+    ids::{InstanceId, RequestId, StreamName, UpstreamId},
+    log_event::LogEvent,
+    membership::{MemberAction, MemberEvent, ProbeNumber},
+    order_desk::{DeskAction, DeskEvent, DeskView, OrderAppend},
+    peer_api::{
+        ClaimAsk, MemberState, PeerMessage, PeerReply, SettleNotice,
+        StateAnswer,
+    },
+    platform_api::{AppendAnswer, InstanceListing, RecordPage},
+    refusal::{Refusal, RefusalCode, RunState},
+    units::Timestamp,
+};
+
+/// Who waits for the answer to a call.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) enum CallPurpose {
+    /// A probe of the membership.
+    Probe(ProbeNumber),
+    /// A question for a peer's configuration.
+    PeerState(InstanceId),
+    /// A claim or notice about an idempotency key.
+    CallEntry(EntryCall),
+    /// An append of a snapshot.
+    Snapshot,
+    /// An append of orders.
+    Order(OrderAppend),
+    /// An append to a call stream.
+    Call(CallAppend),
+}
+
+/// Actions of one tick.
+#[derive(Debug, Default)]
+pub(super) struct TickOutput {
+    pub(super) actions: Vec<CoreAction>,
+}
+
+impl TickOutput {
+    pub(super) fn log(&mut self, event: LogEvent, text: &str) {
+        self.actions.push(CoreAction::Log(event, text.into()));
+    }
+
+    pub(super) fn decide(
+        &mut self,
+        request: RequestId,
+        decision: RequestDecision,
+    ) {
+        self.actions.push(CoreAction::Decide(request, decision));
+    }
+
+    pub(super) fn end_failed(&mut self, request: RequestId) {
+        let refusal =
+            Refusal::new(RefusalCode::UpstreamFailed, "engine failed")
+                .with_run_state(RunState::MayHaveRun);
+        self.decide(request, RequestDecision::End(refusal));
+    }
+}
+
+fn config_stream() -> StreamName {
+    CONFIG_STREAM.parse().expect("constant is an id")
+}
+
+impl ServingCore {
+    /// Takes in an event that is not about a request.
+    pub(super) fn route_event(
+        &mut self,
+        now: Timestamp,
+        event: CoreEvent,
+        output: &mut TickOutput,
+    ) {
+        match event {
+            CoreEvent::PeerCalled {
+                inbound,
+                from,
+                message,
+                ..
+            } => self.route_message(now, inbound, from, message, output),
+            CoreEvent::PeerAnswered {
+                call,
+                sent_at,
+                result,
+            } => self.route_answer(now, call, sent_at, result, output),
+            CoreEvent::LogRead {
+                stream,
+                sent_at,
+                result,
+            } => self.route_page(now, &stream, sent_at, result, output),
+            CoreEvent::LogAppended { call, result } => {
+                self.route_append(now, call, result, output);
+            }
+            CoreEvent::ListRead(result) => {
+                self.take_list(now, result, output);
+            }
+            CoreEvent::CapabilityRead(id, result) => {
+                self.upstreams.capability_read(now, &id, result.is_ok());
+                if let Ok(report) = result {
+                    self.members.engine_facts().observe(report);
+                    let fact = self.members.engine_facts().get(&id);
+                    self.upstreams.take_fact(&id, fact);
+                }
+            }
+            CoreEvent::LoadRead(id, Ok(report)) => {
+                let incarnation = report.incarnation;
+                self.upstreams.check_incarnation(now, &id, incarnation);
+                if report.leaving {
+                    self.upstreams.note_leaving(&id, incarnation);
+                }
+            }
+            CoreEvent::OrderGiven(inbound, order) => {
+                let event = DeskEvent::Given(inbound, order);
+                self.handle_desk(now, event, output);
+            }
+            CoreEvent::OrderAsked(inbound, order) => {
+                let event = DeskEvent::Asked(inbound, order);
+                self.handle_desk(now, event, output);
+            }
+            CoreEvent::ClaimAsked {
+                inbound,
+                key,
+                attempt,
+                digest,
+                deadline,
+            } => {
+                let event = EntryEvent::Asked {
+                    inbound,
+                    key,
+                    attempt,
+                    digest,
+                    deadline,
+                };
+                let actions = self.call_entries.handle(now, event);
+                self.route_call_entries(now, actions, output);
+            }
+            CoreEvent::CallSettled {
+                key,
+                attempt,
+                result,
+            } => {
+                let event = EntryEvent::Settled {
+                    key,
+                    attempt,
+                    result,
+                };
+                let actions = self.call_entries.handle(now, event);
+                self.route_call_entries(now, actions, output);
+            }
+            _ => {}
+        }
+    }
+
+    fn route_message(
+        &mut self,
+        now: Timestamp,
+        inbound: InboundNumber,
+        from: InstanceId,
+        message: PeerMessage,
+        output: &mut TickOutput,
+    ) {
+        match message {
+            PeerMessage::Probe(gossip) => {
+                let event = MemberEvent::Probed {
+                    inbound,
+                    from,
+                    gossip,
+                };
+                let actions = self.members.handle(now, event);
+                self.route_members(now, actions, output);
+            }
+            PeerMessage::IndirectProbe(target, gossip) => {
+                let event = MemberEvent::IndirectAsked {
+                    inbound,
+                    from,
+                    target,
+                    gossip,
+                };
+                let actions = self.members.handle(now, event);
+                self.route_members(now, actions, output);
+            }
+            PeerMessage::FetchState(query) => {
+                let listing = self.upstreams.listing();
+                let listing = listing.map(|listing| {
+                    let json = serde_json::to_string(listing.as_ref());
+                    json.expect("a listing is JSON").into()
+                });
+                let answer = StateAnswer {
+                    facts: self.members.engine_facts().all(),
+                    ..self.reader.answer_state(&query, listing)
+                };
+                let reply = PeerReply::State(answer);
+                Self::answer_peer(inbound, reply, output);
+            }
+            PeerMessage::ClaimCall(ask) => {
+                let asker = CallAsker::Peer(inbound);
+                self.claim_call(now, asker, from, ask, output);
+            }
+            PeerMessage::SettleCall(notice) => {
+                let asker = CallAsker::Peer(inbound);
+                self.settle_call(now, asker, notice, output);
+            }
+            PeerMessage::Grant(_)
+            | PeerMessage::Notice(_)
+            | PeerMessage::Query(_) => {
+                let reply = PeerReply::Rejected("not supported".into());
+                Self::answer_peer(inbound, reply, output);
+            }
+        }
+    }
+
+    fn route_answer(
+        &mut self,
+        now: Timestamp,
+        call: CallNumber,
+        sent_at: Timestamp,
+        result: Result<PeerReply, CallFailure>,
+        output: &mut TickOutput,
+    ) {
+        let Some(purpose) = self.pending.remove(&call) else {
+            return;
+        };
+        if result.is_ok() && !matches!(purpose, CallPurpose::Probe(_)) {
+            let event = MemberEvent::PeerHeard { sent_at };
+            let actions = self.members.handle(now, event);
+            self.route_members(now, actions, output);
+        }
+        match purpose {
+            CallPurpose::Probe(number) => {
+                let reply = result.ok();
+                let event = MemberEvent::Answered {
+                    number,
+                    sent_at,
+                    reply,
+                };
+                let actions = self.members.handle(now, event);
+                self.route_members(now, actions, output);
+            }
+            CallPurpose::PeerState(peer) => {
+                self.take_peer_state(now, peer, result, output);
+            }
+            CallPurpose::CallEntry(call) => {
+                let event = EntryEvent::Answered { call, result };
+                let actions = self.call_entries.handle(now, event);
+                self.route_call_entries(now, actions, output);
+            }
+            CallPurpose::Snapshot
+            | CallPurpose::Order(_)
+            | CallPurpose::Call(_) => {}
+        }
+    }
+
+    fn route_append(
+        &mut self,
+        now: Timestamp,
+        call: CallNumber,
+        result: Result<AppendAnswer, CallFailure>,
+        output: &mut TickOutput,
+    ) {
+        match self.pending.remove(&call) {
+            Some(CallPurpose::Snapshot) => {
+                let event = ReaderEvent::SnapshotAppended(result);
+                let actions = self.reader.handle(now, event);
+                self.route_reader(now, actions, output);
+            }
+            Some(CallPurpose::Order(append)) => {
+                let event = DeskEvent::Appended(append, result);
+                self.handle_desk(now, event, output);
+            }
+            Some(CallPurpose::Call(append)) => {
+                let event = CallEvent::Appended { append, result };
+                let actions = self.calls.handle(now, event);
+                self.route_calls(now, actions, output);
+            }
+            _ => {}
+        }
+    }
+
+    fn route_page(
+        &mut self,
+        now: Timestamp,
+        stream: &StreamName,
+        sent_at: Timestamp,
+        result: Result<RecordPage, CallFailure>,
+        output: &mut TickOutput,
+    ) {
+        if stream.as_str() == CONFIG_STREAM {
+            let event = ReaderEvent::Read { sent_at, result };
+            let actions = self.reader.handle(now, event);
+            self.route_reader(now, actions, output);
+            return;
+        }
+        let index = stream.as_str().strip_prefix("calls-");
+        let index = index.and_then(|text| text.parse().ok());
+        if let Some(index) = index {
+            let event = CallEvent::Read {
+                stream: index,
+                result,
+            };
+            let actions = self.calls.handle(now, event);
+            self.route_calls(now, actions, output);
+        }
+    }
+
+    fn take_peer_state(
+        &mut self,
+        now: Timestamp,
+        peer: InstanceId,
+        result: Result<PeerReply, CallFailure>,
+        output: &mut TickOutput,
+    ) {
+        let answer = match result {
+            Ok(PeerReply::State(answer)) => Some(answer),
+            _ => None,
+        };
+        if let Some(answer) = &answer {
+            for fact in answer.facts.clone() {
+                self.take_fact(fact);
+            }
+            if self.upstreams.listing().is_none()
+                && let Some(listing) = &answer.listing
+                && let Ok(listing) = serde_json::from_str(listing)
+            {
+                self.take_list(now, Ok(listing), output);
+            }
+        }
+        let event = ReaderEvent::PeerState { peer, answer };
+        let actions = self.reader.handle(now, event);
+        self.route_reader(now, actions, output);
+    }
+
+    fn take_fact(&mut self, fact: crate::peer_api::EngineFact) {
+        let id = fact.report.engine.clone();
+        if self.members.engine_facts().merge(fact) {
+            let fact = self.members.engine_facts().get(&id);
+            self.upstreams.take_fact(&id, fact);
+        }
+    }
+
+    fn take_list(
+        &mut self,
+        now: Timestamp,
+        result: Result<InstanceListing, CallFailure>,
+        output: &mut TickOutput,
+    ) {
+        let listing = match result {
+            Ok(listing) => listing,
+            Err(failure) => {
+                self.upstreams.list_failed();
+                output.log(LogEvent::ListUnavailable, &failure.message);
+                return;
+            }
+        };
+        let facts = self.members.engine_facts().clone();
+        let lines = self.upstreams.take_listing(now, listing, &facts);
+        let event = MemberEvent::Listed(lines);
+        let actions = self.members.handle(now, event);
+        self.route_members(now, actions, output);
+    }
+
+    pub(super) fn route_members(
+        &mut self,
+        now: Timestamp,
+        actions: Vec<MemberAction>,
+        output: &mut TickOutput,
+    ) {
+        for action in actions {
+            match action {
+                MemberAction::Call {
+                    number,
+                    to,
+                    instance,
+                    message,
+                    timeout,
+                } => {
+                    let call = self.number_call(CallPurpose::Probe(number));
+                    output.actions.push(CoreAction::CallPeer {
+                        call,
+                        to,
+                        instance,
+                        message,
+                        timeout,
+                    });
+                }
+                MemberAction::Answer(inbound, reply) => {
+                    Self::answer_peer(inbound, reply, output);
+                }
+                MemberAction::Heard {
+                    peer,
+                    asked_at,
+                    gossip,
+                } => {
+                    for fact in gossip.facts.clone() {
+                        self.take_fact(fact);
+                    }
+                    self.freshness.peer_heard(
+                        now,
+                        peer.clone(),
+                        asked_at,
+                        &gossip,
+                    );
+                    let event = ReaderEvent::PeerApplied {
+                        peer,
+                        applied: gossip.applied,
+                    };
+                    let actions = self.reader.handle(now, event);
+                    self.route_reader(now, actions, output);
+                }
+                MemberAction::Changed(instance, state) => {
+                    if state != MemberState::Suspect {
+                        let text = format!("{instance} is {state:?}");
+                        output.log(LogEvent::MemberChanged, &text);
+                    }
+                }
+            }
+        }
+    }
+
+    pub(super) fn route_reader(
+        &mut self,
+        now: Timestamp,
+        actions: Vec<ReaderAction>,
+        output: &mut TickOutput,
+    ) {
+        for action in actions {
+            match action {
+                ReaderAction::Read { from, wait } => {
+                    let stream = config_stream();
+                    let read = CoreAction::ReadLog { stream, from, wait };
+                    output.actions.push(read);
+                }
+                ReaderAction::AskPeer {
+                    peer,
+                    query,
+                    timeout,
+                } => {
+                    let message = PeerMessage::FetchState(query);
+                    let purpose = CallPurpose::PeerState(peer.clone());
+                    self.call_instance(
+                        &peer, purpose, message, timeout, output,
+                    );
+                }
+                ReaderAction::AppendSnapshot(record) => {
+                    let call = self.number_call(CallPurpose::Snapshot);
+                    output.actions.push(CoreAction::AppendLog {
+                        call,
+                        stream: config_stream(),
+                        records: vec![record],
+                    });
+                }
+                ReaderAction::LogAnswered { sent_at, confirmed } => {
+                    let applied = self.reader.state().applied;
+                    self.freshness.set_applied(applied);
+                    self.freshness.log_answered(sent_at, confirmed);
+                }
+                ReaderAction::Judged(offset, outcome) => {
+                    log_judged(offset, &outcome, output);
+                }
+                ReaderAction::Log(event, text) => output.log(event, &text),
+            }
+        }
+        // Orders are answered as soon as they are read back.
+        self.tick_desk(now, output);
+    }
+
+    /// Sends a message to a peer whose address membership knows.
+    pub(super) fn call_instance(
+        &mut self,
+        instance: &InstanceId,
+        purpose: CallPurpose,
+        message: PeerMessage,
+        timeout: Duration,
+        output: &mut TickOutput,
+    ) -> bool {
+        let Some(to) = self.members.peer_address(instance) else {
+            return false;
+        };
+        let call = self.number_call(purpose);
+        output.actions.push(CoreAction::CallPeer {
+            call,
+            to,
+            instance: Some(instance.clone()),
+            message,
+            timeout,
+        });
+        true
+    }
+
+    fn claim_call(
+        &mut self,
+        now: Timestamp,
+        asker: CallAsker,
+        entry: InstanceId,
+        ask: ClaimAsk,
+        output: &mut TickOutput,
+    ) {
+        let event = CallEvent::Claim { asker, entry, ask };
+        let actions = self.calls.handle(now, event);
+        self.route_calls(now, actions, output);
+    }
+
+    fn settle_call(
+        &mut self,
+        now: Timestamp,
+        asker: CallAsker,
+        notice: SettleNotice,
+        output: &mut TickOutput,
+    ) {
+        let event = CallEvent::Settle { asker, notice };
+        let actions = self.calls.handle(now, event);
+        self.route_calls(now, actions, output);
+    }
+
+    pub(super) fn route_calls(
+        &mut self,
+        now: Timestamp,
+        actions: Vec<CallAction>,
+        output: &mut TickOutput,
+    ) {
+        for action in actions {
+            match action {
+                CallAction::Answer(CallAsker::Peer(inbound), reply) => {
+                    Self::answer_peer(inbound, reply, output);
+                }
+                CallAction::Answer(CallAsker::Local(call), reply) => {
+                    let result = Ok(reply);
+                    let event = EntryEvent::Answered { call, result };
+                    let actions = self.call_entries.handle(now, event);
+                    self.route_call_entries(now, actions, output);
+                }
+                CallAction::Read { stream, from, wait } => {
+                    let stream = stream_name(stream);
+                    let read = CoreAction::ReadLog { stream, from, wait };
+                    output.actions.push(read);
+                }
+                CallAction::Append {
+                    append,
+                    stream,
+                    records,
+                } => {
+                    let call = self.number_call(CallPurpose::Call(append));
+                    output.actions.push(CoreAction::AppendLog {
+                        call,
+                        stream: stream_name(stream),
+                        records,
+                    });
+                }
+            }
+        }
+    }
+
+    pub(super) fn route_call_entries(
+        &mut self,
+        now: Timestamp,
+        actions: Vec<EntryAction>,
+        output: &mut TickOutput,
+    ) {
+        for action in actions {
+            match action {
+                EntryAction::Call {
+                    call,
+                    to,
+                    message,
+                    timeout,
+                } => {
+                    self.send_call(now, call, &to, message, timeout, output);
+                }
+                EntryAction::Answer(inbound, answer) => {
+                    let answer = CoreAction::AnswerClaim(inbound, answer);
+                    output.actions.push(answer);
+                }
+                EntryAction::Log(event, text) => output.log(event, &text),
+            }
+        }
+    }
+
+    /// Sends a claim or notice to the owner of its stream, which can be this
+    /// instance.
+    fn send_call(
+        &mut self,
+        now: Timestamp,
+        call: EntryCall,
+        to: &InstanceId,
+        message: PeerMessage,
+        timeout: Duration,
+        output: &mut TickOutput,
+    ) {
+        if *to == self.setup.instance {
+            let asker = CallAsker::Local(call);
+            let entry = to.clone();
+            match message {
+                PeerMessage::ClaimCall(ask) => {
+                    self.claim_call(now, asker, entry, ask, output);
+                }
+                PeerMessage::SettleCall(notice) => {
+                    self.settle_call(now, asker, notice, output);
+                }
+                _ => {}
+            }
+            return;
+        }
+        let purpose = CallPurpose::CallEntry(call);
+        if !self.call_instance(to, purpose, message, timeout, output) {
+            let result = Err(CallFailure {
+                run_state: RunState::NotRun,
+                message: format!("address of {to} is not known").into(),
+            });
+            let event = EntryEvent::Answered { call, result };
+            let actions = self.call_entries.handle(now, event);
+            self.route_call_entries(now, actions, output);
+        }
+    }
+
+    pub(super) fn tick_desk(
+        &mut self,
+        now: Timestamp,
+        output: &mut TickOutput,
+    ) {
+        let fleet = self.reader.state().clone();
+        let view = DeskView {
+            fleet: &fleet,
+            members: &self.members,
+            ready: self.reader.is_ready(),
+        };
+        let actions = self.desk.tick(now, view);
+        self.route_desk(now, actions, output);
+    }
+
+    fn handle_desk(
+        &mut self,
+        now: Timestamp,
+        event: DeskEvent,
+        output: &mut TickOutput,
+    ) {
+        let fleet = self.reader.state().clone();
+        let view = DeskView {
+            fleet: &fleet,
+            members: &self.members,
+            ready: self.reader.is_ready(),
+        };
+        let actions = self.desk.handle(now, event, view);
+        self.route_desk(now, actions, output);
+    }
+
+    fn route_desk(
+        &mut self,
+        now: Timestamp,
+        actions: Vec<DeskAction>,
+        output: &mut TickOutput,
+    ) {
+        for action in actions {
+            match action {
+                DeskAction::Append(append, records) => {
+                    let call = self.number_call(CallPurpose::Order(append));
+                    output.actions.push(CoreAction::AppendLog {
+                        call,
+                        stream: config_stream(),
+                        records,
+                    });
+                }
+                DeskAction::Answer(inbound, report) => {
+                    let answer = CoreAction::AnswerOrder(inbound, report);
+                    output.actions.push(answer);
+                }
+                DeskAction::AskMembers(peers) => {
+                    let actions = self.members.ask(now, &peers);
+                    self.route_members(now, actions, output);
+                }
+            }
+        }
+    }
+
+    /// Places a request on the engine with the fewest requests.
+    pub(super) fn place(
+        &mut self,
+        now: Timestamp,
+        spec: RequestSpec,
+        output: &mut TickOutput,
+    ) {
+        let view = self.view(now);
+        let load = |id: &UpstreamId| {
+            self.running.values().filter(|e| *e == id).count()
+        };
+        let engines = view.upstreams.serving(&spec.model).iter();
+        let engines = engines.filter(|id| view.accepts_work(id));
+        let chosen = engines.min_by_key(|id| load(id)).cloned();
+        let decision = match (view.fresh, chosen) {
+            (false, _) => RequestDecision::End(Refusal::new(
+                RefusalCode::ConfigurationStale,
+                "the configuration may be out of date",
+            )),
+            (true, None) => RequestDecision::End(Refusal::new(
+                RefusalCode::NoUpstream,
+                format!("no engine serves model {}", spec.model),
+            )),
+            (true, Some(engine)) => {
+                let entry = view.upstreams.get(&engine);
+                let address = entry.map(|entry| entry.address);
+                let assigned = AssignedEngine {
+                    engine: engine.clone(),
+                    address: address.expect("index names known engines"),
+                    prompt: spec.prompt,
+                    incarnation: None,
+                };
+                self.running.insert(spec.request.clone(), engine);
+                RequestDecision::Dispatch(Assignment {
+                    engines: vec![assigned],
+                    send_before: now.after(Duration::from_millis(500)),
+                    priority: 0,
+                })
+            }
+        };
+        output.decide(spec.request, decision);
+    }
+}
+
+fn log_judged(
+    offset: crate::units::LogOffset,
+    outcome: &ApplyOutcome,
+    output: &mut TickOutput,
+) {
+    let text: Arc<str> = match outcome {
+        ApplyOutcome::Applied => format!("offset {offset} applied").into(),
+        ApplyOutcome::Rejected { reason } => {
+            format!("offset {offset} rejected: {reason}").into()
+        }
+        _ => return,
+    };
+    output.log(LogEvent::OrderJudged, &text);
+}
--- /dev/null
+++ b/lib/src/core/serving_core.rs
@@ -0,0 +1,385 @@
+//! The composition of the parts of the core into one tick.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use super::{
+    CallNumber, CoreAction, CoreEvent, CoreSetup, InboundNumber,
+    InstanceReadiness, PublishedView, RequestProgress,
+    routing::{CallPurpose, TickOutput},
+    upstream_reader::UpstreamReader,
+};
+use crate::{
+    api::InstanceAddress,
+    call_log::{CALL_STREAMS, CallEntryTable, CallTable},
+    config_reader::ConfigReader,
+    freshness::{Freshness, FreshnessTable},
+    ids::{InstanceId, RequestId, UpstreamId},
+    log_event::LogEvent,
+    membership::{GossipFacts, MemberSetup, MemberTable},
+    order_desk::OrderDesk,
+    ownership::{OwnershipTable, stream_owner},
+    units::Timestamp,
+    view::FleetView,
+};
+
+/// Interval between two updates of what changes slowly: the members known to
+/// be alive and the addresses for callers.
+const SLOW_INTERVAL: Duration = Duration::from_millis(200);
+/// Time within which members are known alive, for the majority rule.
+const ALIVE_WINDOW: Duration = Duration::from_secs(600);
+/// Most members told at once that this instance is leaving.
+const LEAVE_TOLD: usize = 16;
+
+/// Decides for one instance.
+#[derive(Debug)]
+pub struct ServingCore {
+    pub(super) setup: CoreSetup,
+    pub(super) members: MemberTable,
+    pub(super) reader: ConfigReader,
+    pub(super) freshness: FreshnessTable,
+    pub(super) ownership: OwnershipTable,
+    pub(super) upstreams: UpstreamReader,
+    pub(super) calls: CallTable,
+    pub(super) call_entries: CallEntryTable,
+    pub(super) desk: OrderDesk,
+    pub(super) running: BTreeMap<RequestId, UpstreamId>,
+    pub(super) pending: BTreeMap<CallNumber, CallPurpose>,
+    pub(super) next_call: u64,
+    stopping: bool,
+    stop_done: bool,
+    slow_due: Timestamp,
+    owners_version: Option<u64>,
+    last_freshness: Option<Freshness>,
+    published: Option<PublishedView>,
+    published_key: Option<(u64, u64, InstanceReadiness)>,
+}
+
+impl ServingCore {
+    /// A core that knows nothing yet.
+    pub fn new(setup: CoreSetup) -> Self {
+        let members = MemberTable::new(MemberSetup {
+            instance: setup.instance.clone(),
+            incarnation: setup.incarnation,
+            domain: setup.domain.clone(),
+            peer_address: setup.peer_address,
+            caller_address: setup.caller_address,
+            seeds: setup.seeds.clone(),
+            seed: setup.seed,
+        });
+        Self {
+            members,
+            reader: ConfigReader::new(setup.seed.wrapping_add(1)),
+            freshness: FreshnessTable::new(),
+            ownership: OwnershipTable::new(),
+            upstreams: UpstreamReader::default(),
+            calls: CallTable::new(setup.instance.clone()),
+            call_entries: CallEntryTable::new(),
+            desk: OrderDesk::new(),
+            running: BTreeMap::new(),
+            pending: BTreeMap::new(),
+            next_call: 0,
+            stopping: false,
+            stop_done: false,
+            slow_due: Timestamp::ZERO,
+            owners_version: None,
+            last_freshness: None,
+            published: None,
+            published_key: None,
+            setup,
+        }
+    }
+
+    /// Takes events in and decides.
+    pub fn tick(
+        &mut self,
+        now: Timestamp,
+        events: Vec<CoreEvent>,
+    ) -> Vec<CoreAction> {
+        let mut output = TickOutput::default();
+        self.update_facts(now);
+        for event in events {
+            self.handle(now, event, &mut output);
+        }
+        self.run_systems(now, &mut output);
+        self.publish(now, &mut output);
+        output.actions
+    }
+
+    /// When the core wants to be called without input.
+    pub fn next_timer(&self) -> Option<Timestamp> {
+        let timers = [
+            self.members.next_timer(),
+            self.reader.next_timer(),
+            self.upstreams.next_timer(),
+            self.calls.next_timer(),
+            self.call_entries.next_timer(),
+            self.desk.next_timer(),
+            Some(self.slow_due),
+        ];
+        timers.into_iter().flatten().min()
+    }
+
+    /// Begins a planned stop: the instance owns nothing from here on and
+    /// tells others at once.
+    pub(super) fn begin_stop(
+        &mut self,
+        now: Timestamp,
+        output: &mut TickOutput,
+    ) {
+        if std::mem::replace(&mut self.stopping, true) {
+            return;
+        }
+        self.members.leave();
+        let peers: Vec<InstanceId> =
+            self.members.members().keys().cloned().collect();
+        let count = peers.len().min(LEAVE_TOLD);
+        let actions = self.members.ask(now, &peers[..count]);
+        self.route_members(now, actions, output);
+        output.log(LogEvent::StopBegun, "leaving the address answers");
+    }
+
+    fn run_systems(&mut self, now: Timestamp, output: &mut TickOutput) {
+        let actions = self.members.tick(now);
+        self.route_members(now, actions, output);
+        let actions = self.reader.tick(now);
+        self.route_reader(now, actions, output);
+        self.freshness.set_applied(self.reader.state().applied);
+        let peers = self.freshness.peers_to_ask(now);
+        let actions = self.members.ask(now, &peers);
+        self.route_members(now, actions, output);
+        if now >= self.slow_due {
+            self.slow_due = now.after(SLOW_INTERVAL);
+            self.update_slowly(now);
+        }
+        self.update_owners(now, output);
+        self.read_upstreams(now, output);
+        let actions = self.calls.tick(now);
+        self.route_calls(now, actions, output);
+        let actions = self.call_entries.tick(now);
+        self.route_call_entries(now, actions, output);
+        self.tick_desk(now, output);
+        self.report_freshness(now, output);
+        let idle = self.running.is_empty() && self.call_entries.is_empty();
+        if self.stopping && idle && !self.stop_done {
+            self.stop_done = true;
+            output.actions.push(CoreAction::StopDone);
+        }
+    }
+
+    /// Sets what the next gossip says.
+    fn update_facts(&mut self, now: Timestamp) {
+        let facts = GossipFacts {
+            applied: self.reader.state().applied,
+            confirmed_at: self.freshness.confirmed_at(),
+            log_reached: self.freshness.log_reached(now),
+            engines: Vec::new(),
+        };
+        self.members.set_facts(facts);
+    }
+
+    fn update_slowly(&mut self, now: Timestamp) {
+        let known = self.members.alive_within(now, ALIVE_WINDOW);
+        self.freshness.set_known_alive(known);
+        let present = self.members.members().iter();
+        let present = present.filter(|(_, entry)| entry.is_present());
+        let peers = present.map(|(id, _)| id.clone()).collect();
+        self.reader.set_peers(peers);
+        self.upstreams.expire(now);
+        self.published_key = None;
+    }
+
+    fn update_owners(&mut self, now: Timestamp, output: &mut TickOutput) {
+        let members = &self.members;
+        let changed = self.ownership.refresh(
+            members.version(),
+            self.upstreams.version(),
+            self.upstreams.table(),
+            || members.owner_candidates(),
+        );
+        if changed {
+            let own = &self.setup.instance;
+            let owners = self.ownership.owners();
+            let count = owners.values().filter(|id| *id == own).count();
+            let text = format!("{count} engines owned");
+            output.log(LogEvent::OwnershipTaken, &text);
+        }
+        if self.owners_version != Some(members.version()) {
+            self.owners_version = Some(members.version());
+            let candidates = members.owner_candidates();
+            let owners: [Option<InstanceId>; CALL_STREAMS] =
+                std::array::from_fn(|index| stream_owner(index, &candidates));
+            let live = candidates.into_keys().collect();
+            self.call_entries.set_owners(owners.clone());
+            let actions = self.calls.set_owners(owners, live);
+            self.route_calls(now, actions, output);
+        }
+    }
+
+    fn read_upstreams(&mut self, now: Timestamp, output: &mut TickOutput) {
+        let live = self.members.live_count();
+        if self.upstreams.list_due(now, live) {
+            output.actions.push(CoreAction::ReadList);
+        }
+        let owners = self.ownership.owners().clone();
+        let own = &self.setup.instance;
+        for id in self.upstreams.capabilities_due(now, own, &owners) {
+            if let Some(entry) = self.upstreams.table().get(&id) {
+                let read = CoreAction::ReadCapability(id, entry.address);
+                output.actions.push(read);
+            }
+        }
+    }
+
+    fn report_freshness(&mut self, now: Timestamp, output: &mut TickOutput) {
+        let freshness = self.freshness.freshness(now);
+        let before = self.last_freshness.replace(freshness);
+        if freshness == Freshness::Stale
+            && before.is_some_and(|before| before != Freshness::Stale)
+        {
+            let text = "no evidence that the applied configuration is newest";
+            output.log(LogEvent::ConfigurationStale, text);
+        }
+    }
+
+    /// Whether this instance takes new requests.
+    pub(super) fn readiness(&self, now: Timestamp) -> InstanceReadiness {
+        if self.stopping {
+            InstanceReadiness::Stopping
+        } else if !self.reader.is_ready() {
+            InstanceReadiness::Starting
+        } else if self.freshness.is_fresh(now) {
+            InstanceReadiness::Ready
+        } else {
+            InstanceReadiness::Stale
+        }
+    }
+
+    /// What placement and accounting may read.
+    pub(super) fn view(&self, now: Timestamp) -> FleetView<'_> {
+        FleetView {
+            own: &self.setup.instance,
+            own_domain: &self.setup.domain,
+            fleet: self.reader.state(),
+            upstreams: self.upstreams.table(),
+            owners: self.ownership.owners(),
+            live_instances: self.members.live_count(),
+            fresh: self.reader.is_ready() && self.freshness.is_fresh(now),
+            may_own: self.members.may_own(now),
+        }
+    }
+
+    fn publish(&mut self, now: Timestamp, output: &mut TickOutput) {
+        let readiness = self.readiness(now);
+        let applied = self.reader.state().applied;
+        let applied = applied.map_or(0, |offset| offset.get() + 1);
+        let key = (applied, self.upstreams.version(), readiness);
+        if self.published_key == Some(key) {
+            return;
+        }
+        self.published_key = Some(key);
+        let view = self.build_published(now, readiness);
+        if let Some(old) = &self.published
+            && Arc::ptr_eq(&old.fleet, &view.fleet)
+            && old.addresses == view.addresses
+            && old.readiness == view.readiness
+            && old.services == view.services
+            && old.models == view.models
+        {
+            return;
+        }
+        if readiness == InstanceReadiness::Ready
+            && self.published.as_ref().map(|old| old.readiness)
+                != Some(InstanceReadiness::Ready)
+        {
+            output.log(LogEvent::InstanceReady, "accepting requests");
+        }
+        self.published = Some(view.clone());
+        output.actions.push(CoreAction::Publish(Arc::new(view)));
+    }
+
+    fn build_published(
+        &self,
+        now: Timestamp,
+        readiness: InstanceReadiness,
+    ) -> PublishedView {
+        let callers = self.members.live_callers(&self.setup.domain);
+        let addresses = callers
+            .into_iter()
+            .map(|(address, failure_domain)| InstanceAddress {
+                address,
+                failure_domain,
+            })
+            .collect();
+        let mut published = PublishedView {
+            fleet: self.reader.state().clone(),
+            addresses,
+            readiness,
+            ..PublishedView::default()
+        };
+        let view = self.view(now);
+        for (id, entry) in view.upstreams.iter() {
+            if let Some(service) = &entry.service
+                && view.accepts_work(id)
+            {
+                let processes = published.services.entry(service.clone());
+                processes.or_default().push((id.clone(), entry.address));
+            }
+            if let Some(report) = &entry.capability {
+                published.models.extend(report.models.iter().cloned());
+            }
+        }
+        published
+    }
+
+    /// Takes one event in.
+    fn handle(
+        &mut self,
+        now: Timestamp,
+        event: CoreEvent,
+        output: &mut TickOutput,
+    ) {
+        match event {
+            CoreEvent::Arrived(spec) => self.place(now, spec, output),
+            CoreEvent::Progress(request, progress) => {
+                self.take_progress(request, progress, output);
+            }
+            CoreEvent::StopAsked => self.begin_stop(now, output),
+            other => self.route_event(now, other, output),
+        }
+    }
+
+    fn take_progress(
+        &mut self,
+        request: RequestId,
+        progress: RequestProgress,
+        output: &mut TickOutput,
+    ) {
+        match progress {
+            RequestProgress::Sent(_) | RequestProgress::FirstPart => {}
+            RequestProgress::Finished(_) | RequestProgress::CallerGone => {
+                self.running.remove(&request);
+            }
+            RequestProgress::Failed { .. } => {
+                self.running.remove(&request);
+                output.end_failed(request);
+            }
+        }
+    }
+
+    /// Gives a call to another process a number.
+    pub(super) fn number_call(&mut self, purpose: CallPurpose) -> CallNumber {
+        self.next_call += 1;
+        let call = CallNumber(self.next_call);
+        self.pending.insert(call, purpose);
+        call
+    }
+
+    /// Answers a peer.
+    pub(super) fn answer_peer(
+        inbound: InboundNumber,
+        reply: crate::peer_api::PeerReply,
+        output: &mut TickOutput,
+    ) {
+        output.actions.push(CoreAction::AnswerPeer(inbound, reply));
+    }
+}
--- a/lib/src/ownership.rs
+++ b/lib/src/ownership.rs
@@ -64,12 +64,12 @@
 
 /// Owners of the engines, kept until the members or upstreams change.
 #[derive(Clone, Debug, Default)]
-pub struct OwnerTable {
+pub struct OwnershipTable {
     versions: Option<(u64, u64)>,
     owners: Arc<BTreeMap<UpstreamId, InstanceId>>,
 }
 
-impl OwnerTable {
+impl OwnershipTable {
     /// A table without owners.
     pub fn new() -> Self {
         Self::default()
