--- a/testutils/src/arguments.rs
+++ b/testutils/src/arguments.rs
@@ -8,7 +8,7 @@
 };
 use borageline_testutils::{
     engine_config::EngineConfig, instance_list::ListConfig,
-    log_service::LogConfig,
+    log_service::LogConfig, weight_store::WeightConfig,
 };
 use bpaf::Bpaf;
 
@@ -35,6 +35,22 @@
     /// Instance list.
     #[bpaf(command)]
     List(#[bpaf(external(list_options))] ListOptions),
+    /// Rate-limited weight store.
+    #[bpaf(command)]
+    Weights(#[bpaf(external(weight_options))] WeightOptions),
+    /// TCP forwarder.
+    #[bpaf(command)]
+    Forwarder {
+        /// Address to listen on; port 0 picks one.
+        #[bpaf(argument("ADDRESS"))]
+        listen: SocketAddr,
+        /// Address to forward to.
+        #[bpaf(argument("ADDRESS"))]
+        target: SocketAddr,
+        /// Address for control calls; port 0 picks one.
+        #[bpaf(argument("ADDRESS"), fallback(([127, 0, 0, 1], 0).into()))]
+        control: SocketAddr,
+    },
 }
 
 /// Options of a model engine; a rate or time left out has the default of
@@ -215,3 +231,26 @@
         (self.listen, config, self.entry)
     }
 }
+
+/// Options of a weight store.
+#[derive(Debug, Clone, Bpaf)]
+pub(crate) struct WeightOptions {
+    /// Address to listen on; port 0 picks one.
+    #[bpaf(argument("ADDRESS"))]
+    listen: SocketAddr,
+    /// Bytes per second, of all readers together.
+    #[bpaf(argument("BYTES"))]
+    bytes_per_s: Option<u64>,
+    /// Size of each model's weights.
+    #[bpaf(argument("BYTES"))]
+    model_bytes: Option<u64>,
+}
+
+impl WeightOptions {
+    pub(crate) fn into_config(self) -> (SocketAddr, WeightConfig) {
+        let mut config = WeightConfig::default();
+        set(&mut config.bytes_per_s, self.bytes_per_s);
+        set(&mut config.model_bytes, self.model_bytes);
+        (self.listen, config)
+    }
+}
--- a/testutils/src/engine.rs
+++ b/testutils/src/engine.rs
@@ -43,11 +43,14 @@
     },
 };
 
-/// Longest time between two looks at deadlines when nothing runs.
-const IDLE_CHECK: Duration = Duration::from_millis(20);
+/// Longest time between two looks at deadlines while requests are held.
+const HELD_CHECK: Duration = Duration::from_millis(20);
+
+/// Longest time between two looks at an empty engine.
+const EMPTY_CHECK: Duration = Duration::from_secs(1);
 
 /// Time between two samples of the load.
-const LOAD_SAMPLE: Duration = Duration::from_millis(20);
+const LOAD_SAMPLE: Duration = Duration::from_millis(50);
 
 /// Bodies from this size on are parsed away from the I/O threads.
 const LARGE_BODY: usize = 64 << 10;
@@ -96,9 +99,12 @@
             () = shutdown.cancelled() => return,
         }
         let now = Instant::now();
-        let due = lock(&engine.sim).advance(now);
-        let idle = now + IDLE_CHECK;
-        let until = due.unwrap_or(idle).min(idle);
+        let (due, empty) = {
+            let mut sim = lock(&engine.sim);
+            (sim.advance(now), sim.is_empty())
+        };
+        let check = if empty { EMPTY_CHECK } else { HELD_CHECK };
+        let until = due.unwrap_or(now + check).min(now + check);
         // A new request joins at the next step, so that only an idle engine
         // is woken by it.
         let woken = async {
@@ -218,6 +224,7 @@
         let key = (id, EntryKind::Completion);
         let new = NewEntry {
             key: key.clone(),
+            model: request.model,
             prompt: read.tokens,
             max_tokens: u64::from(request.max_tokens),
             priority: request.priority,
@@ -226,7 +233,7 @@
             deadline: deadline(&call),
         };
         let reader = self.admit(new)?;
-        PartStream::new(self, key, request.model, reader, 0).into_answer()
+        PartStream::new(self, key, reader, 0).into_answer()
     }
 
     async fn prefill(self: Arc<Self>, call: Call) -> Answer {
@@ -243,6 +250,7 @@
         let position = read.start + read.tokens;
         let new = NewEntry {
             key: (id.clone(), EntryKind::Segment(read.start)),
+            model: request.model,
             prompt: read.tokens,
             max_tokens: 0,
             priority: request.priority,
@@ -340,11 +348,8 @@
             return Err(CallError::new(status, "unknown_request", message));
         };
         let from = call.number("from").unwrap_or(0);
-        let model = lock(&self.orders).models.first().cloned();
-        let model = model.or_else(|| self.config.models.first().cloned());
-        let model = model.ok_or(CallError::Cut)?;
         let key = (id, EntryKind::Completion);
-        PartStream::new(self, key, model, reader, from).into_answer()
+        PartStream::new(self, key, reader, from).into_answer()
     }
 
     fn cancel(&self, id: &str) -> Answer {
--- a/testutils/src/engine_config.rs
+++ b/testutils/src/engine_config.rs
@@ -130,6 +130,8 @@
 pub struct NewEntry {
     /// Key.
     pub key: EntryKey,
+    /// Model.
+    pub model: ModelName,
     /// Prompt tokens.
     pub prompt: u64,
     /// Most tokens to generate.
@@ -158,6 +160,8 @@
 /// A stream that is to be read.
 #[derive(Clone, Debug)]
 pub struct EntryReader {
+    /// Model.
+    pub model: ModelName,
     /// Digest of the prompt.
     pub digest: u64,
     /// Most tokens to generate.
--- a/testutils/src/engine_sim.rs
+++ b/testutils/src/engine_sim.rs
@@ -140,6 +140,11 @@
         self.config.load_lag
     }
 
+    /// Whether nothing is held.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
     /// Tokens held.
     pub fn held(&self) -> u64 {
         self.held
@@ -217,6 +222,7 @@
     ) -> EntryReader {
         let progress = watch::Sender::new(EntryProgress::default());
         let reader = EntryReader {
+            model: new.model.clone(),
             digest: new.digest,
             max_tokens: new.max_tokens,
             progress: progress.subscribe(),
@@ -244,6 +250,7 @@
         let entry = self.entries.get_mut(&key)?;
         entry.attached += 1;
         Some(EntryReader {
+            model: entry.new.model.clone(),
             digest: entry.new.digest,
             max_tokens: entry.new.max_tokens,
             progress: entry.progress.subscribe(),
--- a/testutils/src/engine_stream.rs
+++ b/testutils/src/engine_stream.rs
@@ -6,7 +6,7 @@
     api::{
         CompletionChoice, CompletionPart, END_MARKER, ErrorBody, ErrorDetail,
     },
-    ids::{ModelName, RequestId},
+    ids::RequestId,
     refusal::RunState,
 };
 use bytes::Bytes;
@@ -41,7 +41,6 @@
 pub(crate) struct PartStream {
     engine: Arc<Engine>,
     key: EntryKey,
-    model: ModelName,
     reader: EntryReader,
     next: u64,
     last_sent: bool,
@@ -64,7 +63,6 @@
     pub(crate) fn new(
         engine: Arc<Engine>,
         key: EntryKey,
-        model: ModelName,
         reader: EntryReader,
         from: u64,
     ) -> Self {
@@ -75,7 +73,6 @@
         Self {
             engine,
             key,
-            model,
             reader,
             next: from,
             last_sent: false,
@@ -203,7 +200,7 @@
         let part = CompletionPart {
             id: id.clone(),
             object: "text_completion".into(),
-            model: self.model.clone(),
+            model: self.reader.model.clone(),
             index_from,
             token_count,
             choices: vec![CompletionChoice {
--- a/testutils/src/fault.rs
+++ b/testutils/src/fault.rs
@@ -28,7 +28,8 @@
     /// A fault, as the body of `POST /control`.
     #[serde(tag = "fault", rename_all = "snake_case", deny_unknown_fields)]
     pub enum Fault {
-        /// Ends all faults; state that was lost stays lost.
+        /// Ends all faults. State that was lost stays lost, and what
+        /// `leave`, `lag` and the weight store's `bandwidth` set stays set.
         Clear,
         /// Fails every call: `{"fault":"fail","mode":"close"}`.
         Fail {
@@ -134,7 +135,8 @@
             /// First offset that is kept.
             before: u64,
         },
-        /// Forwarder: closes new connections at once, and the present ones.
+        /// Forwarder: closes its port, so that connecting fails; present
+        /// connections stay.
         Refuse,
         /// Forwarder: delays data in both directions.
         Delay {
--- /dev/null
+++ b/testutils/src/forwarder.rs
@@ -0,0 +1,302 @@
+//! TCP forwarder between two processes, to break what lies between them.
+//!
+//! Forwards each connection to a target address. Its faults are `cut`,
+//! `refuse` (the port is closed, so that connecting fails), `delay`,
+//! `stall` (one direction holds data back while the connection stays open),
+//! `bandwidth`, `freeze` (both directions hold data back), `fail` (refuse
+//! and cut) and `clear`. The control address is another port.
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use bytes::{Bytes, BytesMut};
+use serde_json::{Value, json};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{
+        TcpListener, TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
+    sync::{mpsc, watch},
+    time::Instant,
+};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    fault::{Direction, Fault, FaultError, FaultGate},
+    http_server::{Answer, Call, Handle, Standin, not_found, serve},
+};
+
+/// Bytes read at once.
+const CHUNK_BYTES: usize = 16 << 10;
+
+/// Chunks held in one direction; with more, the sender has to wait.
+const CHUNKS_HELD: usize = 16;
+
+/// Time between two attempts to bind the port again.
+const REBIND_WAIT: Duration = Duration::from_millis(10);
+
+#[derive(Clone, Copy, Debug, Default)]
+struct LinkState {
+    refuse: bool,
+    frozen: bool,
+    stall_to_target: bool,
+    stall_to_client: bool,
+    delay: Duration,
+    bytes_per_s: Option<u64>,
+}
+
+impl LinkState {
+    fn stalls(&self, direction: Direction) -> bool {
+        let stalled = match direction {
+            Direction::ToTarget => self.stall_to_target,
+            Direction::ToClient => self.stall_to_client,
+        };
+        stalled || self.frozen
+    }
+}
+
+/// A TCP forwarder.
+#[derive(Debug)]
+pub struct Forwarder {
+    target: SocketAddr,
+    /// Serves control calls; its connection token also ends forwarded
+    /// connections.
+    gate: FaultGate,
+    link: watch::Sender<LinkState>,
+    accepted: AtomicU64,
+    open: AtomicU64,
+    to_target: AtomicU64,
+    to_client: AtomicU64,
+}
+
+/// A running forwarder; it stops when the handle is dropped.
+#[derive(Debug)]
+pub struct ForwarderHandle {
+    /// Address that it forwards from.
+    pub address: SocketAddr,
+    /// Address of `POST /control`.
+    pub control_address: SocketAddr,
+    /// The forwarder, for faults and counters.
+    pub control: Arc<Forwarder>,
+    /// Cancelled to stop it.
+    pub shutdown: CancellationToken,
+    // Kept for its listener, which stops when it is dropped.
+    _server: Handle<Forwarder>,
+}
+
+/// Starts a forwarder to a target, with its control calls on `control`.
+pub async fn spawn(
+    listen: SocketAddr,
+    target: SocketAddr,
+    control: SocketAddr,
+) -> io::Result<ForwarderHandle> {
+    let forwarder = Arc::new(Forwarder {
+        target,
+        gate: FaultGate::default(),
+        link: watch::Sender::new(LinkState::default()),
+        accepted: AtomicU64::new(0),
+        open: AtomicU64::new(0),
+        to_target: AtomicU64::new(0),
+        to_client: AtomicU64::new(0),
+    });
+    let listener = TcpListener::bind(listen).await?;
+    let address = listener.local_addr()?;
+    let server = serve(control, forwarder.clone()).await?;
+    let shutdown = server.shutdown.clone();
+    let accept = accept_all(forwarder.clone(), listener, shutdown.clone());
+    tokio::spawn(accept);
+    Ok(ForwarderHandle {
+        address,
+        control_address: server.address,
+        control: forwarder,
+        shutdown,
+        _server: server,
+    })
+}
+
+async fn accept_all(
+    forwarder: Arc<Forwarder>,
+    listener: TcpListener,
+    shutdown: CancellationToken,
+) {
+    let Ok(address) = listener.local_addr() else {
+        return;
+    };
+    let mut listener = Some(listener);
+    let mut link = forwarder.link.subscribe();
+    loop {
+        if link.borrow_and_update().refuse {
+            listener = None;
+        } else if listener.is_none() {
+            listener = TcpListener::bind(address).await.ok();
+        }
+        let accepted = async {
+            match &listener {
+                Some(listener) => listener.accept().await.ok(),
+                None => {
+                    tokio::time::sleep(REBIND_WAIT).await;
+                    None
+                }
+            }
+        };
+        tokio::select! {
+            accepted = accepted => {
+                if let Some((stream, _)) = accepted {
+                    let task = forward(forwarder.clone(), stream);
+                    let stop = shutdown.clone();
+                    tokio::spawn(stop.run_until_cancelled_owned(task));
+                }
+            }
+            _ = link.changed() => {}
+            () = shutdown.cancelled() => return,
+        }
+    }
+}
+
+/// Counts a connection as open.
+struct OpenConnection(Arc<Forwarder>);
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.open.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+async fn forward(forwarder: Arc<Forwarder>, client: TcpStream) {
+    forwarder.accepted.fetch_add(1, Ordering::Relaxed);
+    forwarder.open.fetch_add(1, Ordering::Relaxed);
+    let _open = OpenConnection(forwarder.clone());
+    let cut = forwarder.gate.connection_token();
+    let Ok(target) = TcpStream::connect(forwarder.target).await else {
+        return;
+    };
+    // Failing to set the option costs time and breaks nothing.
+    let _ = client.set_nodelay(true);
+    let _ = target.set_nodelay(true);
+    let (client_read, client_write) = client.into_split();
+    let (target_read, target_write) = target.into_split();
+    let there =
+        pump(&forwarder, Direction::ToTarget, client_read, target_write);
+    let back = pump(&forwarder, Direction::ToClient, target_read, client_write);
+    tokio::select! {
+        _ = async { tokio::join!(there, back) } => {}
+        () = cut.cancelled() => {}
+    }
+}
+
+/// Moves the data of one direction until its end.
+async fn pump(
+    forwarder: &Forwarder,
+    direction: Direction,
+    mut from: OwnedReadHalf,
+    to: OwnedWriteHalf,
+) {
+    let (sender, receiver) = mpsc::channel(CHUNKS_HELD);
+    let read = async move {
+        let mut buffer = BytesMut::new();
+        loop {
+            buffer.reserve(CHUNK_BYTES);
+            match from.read_buf(&mut buffer).await {
+                Ok(0) | Err(_) => return,
+                Ok(_) => {}
+            }
+            let chunk = (Instant::now(), buffer.split().freeze());
+            if sender.send(chunk).await.is_err() {
+                return;
+            }
+        }
+    };
+    tokio::join!(read, write_all(forwarder, direction, receiver, to));
+}
+
+async fn write_all(
+    forwarder: &Forwarder,
+    direction: Direction,
+    mut receiver: mpsc::Receiver<(Instant, Bytes)>,
+    mut to: OwnedWriteHalf,
+) {
+    let counter = match direction {
+        Direction::ToTarget => &forwarder.to_target,
+        Direction::ToClient => &forwarder.to_client,
+    };
+    let mut link = forwarder.link.subscribe();
+    while let Some((read_at, chunk)) = receiver.recv().await {
+        let delay = link.borrow().delay;
+        tokio::time::sleep_until(read_at + delay).await;
+        // The sender of the state lives as long as the forwarder.
+        let _ = link.wait_for(|state| !state.stalls(direction)).await;
+        let rate = link.borrow().bytes_per_s;
+        if let Some(rate) = rate {
+            let seconds = chunk.len() as f64 / rate.max(1) as f64;
+            tokio::time::sleep(Duration::from_secs_f64(seconds)).await;
+        }
+        if to.write_all(&chunk).await.is_err() {
+            return;
+        }
+        counter.fetch_add(chunk.len() as u64, Ordering::Relaxed);
+    }
+    // The end of one direction is passed on; the other may go on.
+    let _ = to.shutdown().await;
+}
+
+impl Forwarder {
+    fn modify(&self, change: impl FnOnce(&mut LinkState)) {
+        self.link.send_modify(change);
+    }
+}
+
+impl Standin for Forwarder {
+    fn gate(&self) -> &FaultGate {
+        &self.gate
+    }
+
+    async fn answer(self: Arc<Self>, call: Call) -> Answer {
+        Err(not_found(&call))
+    }
+
+    fn control(&self, fault: Fault) -> Result<(), FaultError> {
+        match fault {
+            Fault::Clear => self.modify(|link| *link = LinkState::default()),
+            Fault::Cut | Fault::Restart => self.gate.cut_connections(),
+            Fault::Refuse => self.modify(|link| link.refuse = true),
+            Fault::Fail { .. } => {
+                self.modify(|link| link.refuse = true);
+                self.gate.cut_connections();
+            }
+            Fault::Freeze => self.modify(|link| link.frozen = true),
+            Fault::Delay { delay_ms } | Fault::Slow { delay_ms } => {
+                let delay = Duration::from_millis(delay_ms);
+                self.modify(|link| link.delay = delay);
+            }
+            Fault::Stall { direction } => {
+                self.modify(|link| match direction {
+                    Direction::ToTarget => link.stall_to_target = true,
+                    Direction::ToClient => link.stall_to_client = true,
+                });
+            }
+            Fault::Bandwidth { bytes_per_s } => {
+                self.modify(|link| link.bytes_per_s = Some(bytes_per_s));
+            }
+            other => return Err(FaultError::Unsupported(other)),
+        }
+        Ok(())
+    }
+
+    fn report(&self) -> Value {
+        json!({
+            "target": self.target,
+            "accepted": self.accepted.load(Ordering::Relaxed),
+            "open": self.open.load(Ordering::Relaxed),
+            "bytes_to_target": self.to_target.load(Ordering::Relaxed),
+            "bytes_to_client": self.to_client.load(Ordering::Relaxed),
+        })
+    }
+}
--- a/testutils/src/main.rs
+++ b/testutils/src/main.rs
@@ -1,15 +1,16 @@
 //! `borageline-standin`: one stand-in as a process of its own.
 //!
 //! Prints `{"address":"127.0.0.1:PORT"}` as one line on standard output once
-//! it listens, and runs until it is ended. Faults arrive at `POST /control`.
+//! it listens (a forwarder adds `"control"`), and runs until it is ended. Faults arrive at `POST /control`.
 
 mod arguments;
 
-use std::{fmt::Display, io::Write, net::SocketAddr, process::ExitCode};
+use std::{io::Write, process::ExitCode};
 
 use arguments::Command;
 use borageline_testutils::{
-    engine, http_server::Handle, instance_list, log_service, plain_service,
+    engine, forwarder, http_server::Handle, instance_list, log_service,
+    plain_service, weight_store,
 };
 
 #[tokio::main]
@@ -45,18 +46,34 @@
             }
             stay(handle).await
         }
+        Command::Weights(options) => {
+            let (listen, config) = options.into_config();
+            stay(weight_store::spawn(listen, config).await?).await
+        }
+        Command::Forwarder {
+            listen,
+            target,
+            control,
+        } => {
+            let handle = forwarder::spawn(listen, target, control).await?;
+            announce(&serde_json::json!({
+                "address": handle.address,
+                "control": handle.control_address,
+            }))?;
+            handle.shutdown.cancelled().await;
+            Ok(())
+        }
     }
 }
 
 /// Announces the address and keeps the stand-in running.
 async fn stay<S>(handle: Handle<S>) -> std::io::Result<()> {
-    announce(handle.address)?;
+    announce(&serde_json::json!({"address": handle.address}))?;
     handle.shutdown.cancelled().await;
     Ok(())
 }
 
-fn announce(address: impl Display + Into<SocketAddr>) -> std::io::Result<()> {
-    let line = serde_json::json!({"address": address.to_string()});
+fn announce(line: &serde_json::Value) -> std::io::Result<()> {
     let mut output = std::io::stdout().lock();
     writeln!(output, "{line}")?;
     output.flush()
--- /dev/null
+++ b/testutils/src/weight_store.rs
@@ -0,0 +1,200 @@
+//! Stand-in of the weight store.
+//!
+//! `GET /v1/weights/{model}` answers the size of the weights after the time
+//! that it takes to read them. All readers share one rate, in turns of a
+//! hundredth of a second. A reader that goes away stops using its share.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
+
+use borageline_lib::platform_api::WeightAnswer;
+use http::{Method, StatusCode};
+use serde_json::{Value, json};
+
+use crate::{
+    fault::{Fault, FaultError, FaultGate, lock},
+    http_server::{
+        Answer, Call, Handle, Standin, json_answer, not_found, serve,
+    },
+};
+
+/// Turns of one reader per second at the full rate.
+const TURNS_PER_S: u64 = 100;
+
+/// Time over which the rate is measured.
+const RATE_WINDOW: Duration = Duration::from_secs(1);
+
+/// Properties of a weight store.
+#[derive(Clone, Copy, Debug)]
+pub struct WeightConfig {
+    /// Bytes per second, of all readers together.
+    pub bytes_per_s: u64,
+    /// Size of each model's weights.
+    pub model_bytes: u64,
+}
+
+impl Default for WeightConfig {
+    fn default() -> Self {
+        Self {
+            bytes_per_s: 1 << 30,
+            model_bytes: 256 << 20,
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct WeightState {
+    bytes_per_s: u64,
+    free_at: Option<Instant>,
+    running: u64,
+    peak_running: u64,
+    finished: BTreeMap<String, u64>,
+    given_up: u64,
+    window: VecDeque<(Instant, u64)>,
+    window_bytes: u64,
+    peak_window_bytes: u64,
+}
+
+impl WeightState {
+    /// Takes one turn; returns its bytes and when it is over.
+    fn take_turn(&mut self, left: u64, now: Instant) -> (u64, Instant) {
+        let rate = self.bytes_per_s.max(1);
+        let bytes = left.min((rate / TURNS_PER_S).max(1));
+        let start = self.free_at.map_or(now, |free_at| free_at.max(now));
+        let length = Duration::from_secs_f64(bytes as f64 / rate as f64);
+        let end = start + length;
+        self.free_at = Some(end);
+        (bytes, end)
+    }
+
+    fn count_bytes(&mut self, bytes: u64, now: Instant) {
+        self.window.push_back((now, bytes));
+        self.window_bytes += bytes;
+        while let Some((at, old)) = self.window.front()
+            && now.duration_since(*at) >= RATE_WINDOW
+        {
+            self.window_bytes -= old;
+            self.window.pop_front();
+        }
+        let peak = self.peak_window_bytes.max(self.window_bytes);
+        self.peak_window_bytes = peak;
+    }
+}
+
+/// A weight store.
+#[derive(Debug)]
+pub struct WeightStore {
+    model_bytes: u64,
+    gate: FaultGate,
+    state: Mutex<WeightState>,
+}
+
+/// Starts a weight store.
+pub async fn spawn(
+    listen: SocketAddr,
+    config: WeightConfig,
+) -> io::Result<Handle<WeightStore>> {
+    let store = WeightStore {
+        model_bytes: config.model_bytes,
+        gate: FaultGate::default(),
+        state: Mutex::new(WeightState {
+            bytes_per_s: config.bytes_per_s,
+            ..WeightState::default()
+        }),
+    };
+    serve(listen, Arc::new(store)).await
+}
+
+/// Counts a load as running; as given up if it is dropped before its end.
+struct RunningLoad<'a> {
+    store: &'a WeightStore,
+    finished: bool,
+}
+
+impl<'a> RunningLoad<'a> {
+    fn new(store: &'a WeightStore) -> Self {
+        let mut state = lock(&store.state);
+        state.running += 1;
+        state.peak_running = state.peak_running.max(state.running);
+        Self {
+            store,
+            finished: false,
+        }
+    }
+}
+
+impl Drop for RunningLoad<'_> {
+    fn drop(&mut self) {
+        let mut state = lock(&self.store.state);
+        state.running -= 1;
+        state.given_up += u64::from(!self.finished);
+    }
+}
+
+impl WeightStore {
+    async fn load(&self, model: String) -> Answer {
+        let mut load = RunningLoad::new(self);
+        let mut left = self.model_bytes;
+        while left > 0 {
+            self.gate.wait_thawed().await;
+            let now = Instant::now();
+            let (bytes, end) = lock(&self.state).take_turn(left, now);
+            tokio::time::sleep_until(end.into()).await;
+            lock(&self.state).count_bytes(bytes, Instant::now());
+            left -= bytes;
+        }
+        load.finished = true;
+        *lock(&self.state).finished.entry(model).or_default() += 1;
+        let bytes = self.model_bytes;
+        json_answer(StatusCode::OK, &WeightAnswer { bytes })
+    }
+}
+
+impl Standin for WeightStore {
+    fn gate(&self) -> &FaultGate {
+        &self.gate
+    }
+
+    async fn answer(self: Arc<Self>, call: Call) -> Answer {
+        let segments = call.segments();
+        match (&call.method, segments.as_slice()) {
+            (&Method::GET, ["v1", "weights", model @ ..])
+                if !model.is_empty() =>
+            {
+                self.load(model.join("/")).await
+            }
+            _ => Err(not_found(&call)),
+        }
+    }
+
+    fn control(&self, fault: Fault) -> Result<(), FaultError> {
+        if self.gate.apply(&fault) {
+            return Ok(());
+        }
+        match fault {
+            Fault::Bandwidth { bytes_per_s } => {
+                lock(&self.state).bytes_per_s = bytes_per_s;
+            }
+            Fault::Restart => self.gate.cut_connections(),
+            other => return Err(FaultError::Unsupported(other)),
+        }
+        Ok(())
+    }
+
+    fn report(&self) -> Value {
+        let state = lock(&self.state);
+        json!({
+            "bytes_per_s": state.bytes_per_s,
+            "running": state.running,
+            "peak_running": state.peak_running,
+            "finished": state.finished,
+            "given_up": state.given_up,
+            "peak_bytes_per_s": state.peak_window_bytes,
+        })
+    }
+}
