--- a/cli/src/engine_client.rs
+++ b/cli/src/engine_client.rs
@@ -13,7 +13,6 @@
         LoadReport, PrefillAnswer, PrefillRequest,
     },
     ids::RequestId,
-    refusal::RunState,
 };
 use bytes::Bytes;
 use http::{HeaderValue, Method, Request, StatusCode};
@@ -36,6 +35,9 @@
 /// Time for an engine to take an order.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(5_000);
 
+/// Code of an engine's refusal of a request that it cannot hold.
+const OVERCOMMITTED: &str = "overcommitted";
+
 /// Request id and time left that go with each request to an engine.
 #[derive(Clone, Copy, Debug)]
 pub struct RequestTag<'a> {
@@ -225,16 +227,9 @@
         HttpFault::Refused { .. } => StreamFailure::ConnectFailed,
         HttpFault::Broken { .. } => StreamFailure::Cut,
         HttpFault::TimedOut { .. } => StreamFailure::Silent,
-        // An engine that cannot hold a request says 503 and that it did not
-        // run it.
-        HttpFault::Status { status, body, .. }
-            if *status == StatusCode::SERVICE_UNAVAILABLE
-                && body.as_ref().is_some_and(|body| {
-                    body.error.run_state == RunState::NotRun
-                }) =>
-        {
-            StreamFailure::Overcommitted
-        }
+        HttpFault::Status {
+            body: Some(body), ..
+        } if *body.error.code == *OVERCOMMITTED => StreamFailure::Overcommitted,
         HttpFault::Status { .. } | HttpFault::Malformed { .. } => {
             StreamFailure::EngineError
         }
--- a/cli/src/request_task.rs
+++ b/cli/src/request_task.rs
@@ -170,7 +170,7 @@
                     return RequestEnd::Refused(truncated());
                 }
                 Some(RequestDecision::Dispatch(assignment)) => {
-                    self.cancel_placed();
+                    self.make_way(&assignment).await;
                     self.dispatch(assignment, ticket, sender).await
                 }
                 Some(RequestDecision::Resume(_))
@@ -433,11 +433,7 @@
         fault: &HttpFault,
     ) -> AttemptFailure {
         let failure = stream_failure(fault);
-        let unsent = matches!(
-            failure,
-            StreamFailure::ConnectFailed | StreamFailure::Overcommitted,
-        );
-        if unsent {
+        if fault.run_state() == RunState::NotRun {
             self.run_state = before;
             self.placed.retain(|placed| placed.engine != engine.engine);
         }
@@ -445,6 +441,24 @@
         AttemptFailure { engine, failure }
     }
 
+    /// Cancels earlier attempts. An engine that is to get the request again
+    /// must have let go of it before.
+    async fn make_way(&mut self, assignment: &Assignment) {
+        let again = |placed: &AssignedEngine| {
+            assignment.engines.iter().any(|e| e.engine == placed.engine)
+        };
+        let (same, others): (Vec<_>, Vec<_>) = std::mem::take(&mut self.placed)
+            .into_iter()
+            .partition(again);
+        self.placed = others;
+        self.cancel_placed();
+        for engine in same {
+            let request = &self.spec.request;
+            // A failure shows when the engine refuses the repeated request.
+            let _ = self.tools.engines.cancel(engine.address, request).await;
+        }
+    }
+
     fn cancel_placed(&mut self) {
         for engine in std::mem::take(&mut self.placed) {
             let engines = self.tools.engines.clone();
