cli: add the commands that check settings and talk to an instance

check-config, config schema, config default, query and order are thin: the first three print what the library says, the other two are HTTP clients.

An order whose answer is lost ends with exit code 3 and the command that asks for its outcome. A connection that was never made and an HTTP refusal end with 1. An error in another form than borageline's own counts as lost if it is a server error, since a proxy in between cannot know what became of the order.

--- /dev/null
+++ b/cli/src/commands.rs
@@ -0,0 +1,102 @@
+//! The commands of the binary, one file each.
+//!
+//! Exit codes are the same for all of them: see [`ExitReason`].
+
+pub mod check_config;
+pub mod config;
+pub mod order;
+pub mod query;
+
+use std::{path::Path, process::ExitCode};
+
+use borageline_lib::settings::{
+    InstanceSettings, SettingOverride, SettingsFaults, load_with, schema,
+};
+use bpaf::{Bpaf, Parser, long};
+
+use self::{
+    check_config::{CheckConfigOptions, check_config_options},
+    config::{ConfigOptions, config_options},
+    order::{OrderOptions, order_options},
+    query::{QueryOptions, query_options},
+};
+
+/// Why a command ended, as its exit code says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ExitReason {
+    /// What was asked is done.
+    Done,
+    /// It was refused or has failed.
+    Failed,
+    /// The command line or the settings are wrong.
+    Usage,
+    /// It was sent, and whether it ran is not known.
+    Unknown,
+}
+
+impl From<ExitReason> for ExitCode {
+    fn from(reason: ExitReason) -> Self {
+        match reason {
+            ExitReason::Done => Self::from(0),
+            ExitReason::Failed => Self::from(1),
+            ExitReason::Usage => Self::from(2),
+            ExitReason::Unknown => Self::from(3),
+        }
+    }
+}
+
+/// A command that checks settings or talks to a running instance.
+#[derive(Clone, Debug, Bpaf)]
+pub enum ToolCommand {
+    /// `check-config`.
+    CheckConfig(#[bpaf(external(check_config_options))] CheckConfigOptions),
+    /// `config`.
+    Config(#[bpaf(external(config_options))] ConfigOptions),
+    /// `query`.
+    Query(#[bpaf(external(query_options))] QueryOptions),
+    /// `order`.
+    Order(#[bpaf(external(order_options))] OrderOptions),
+}
+
+impl ToolCommand {
+    /// Runs the command.
+    pub fn run(&self) -> ExitReason {
+        match self {
+            Self::CheckConfig(options) => check_config::run(options),
+            Self::Config(options) => config::run(options),
+            Self::Query(options) => query::run(options),
+            Self::Order(options) => order::run(options),
+        }
+    }
+}
+
+/// Parser of the flags `--set KEY=VALUE`.
+pub fn set_flags() -> impl Parser<Vec<SettingOverride>> {
+    long("set")
+        .help("Put a value in place of the file's; may be repeated")
+        .argument::<String>("KEY=VALUE")
+        .complete(|input| complete_key(input))
+        .parse(|text| SettingOverride::from_flag(&text))
+        .many()
+}
+
+fn complete_key(input: &str) -> Vec<(String, Option<String>)> {
+    let rows = schema().settings.into_iter();
+    rows.filter(|row| row.key.starts_with(input))
+        .map(|row| (format!("{}=", row.key), Some(row.description.into())))
+        .collect()
+}
+
+/// Loads settings with what the environment and the flags put in their place.
+pub fn load_settings(
+    path: &Path,
+    flags: &[SettingOverride],
+) -> Result<InstanceSettings, SettingsFaults> {
+    // Settings are UTF-8, so that a variable that is not cannot name one.
+    let variables = std::env::vars_os().filter_map(|(key, value)| {
+        Some((key.into_string().ok()?, value.into_string().ok()?))
+    });
+    let mut overrides = SettingOverride::from_variables(variables);
+    overrides.extend_from_slice(flags);
+    load_with(path, &overrides)
+}
--- /dev/null
+++ b/cli/src/output.rs
@@ -0,0 +1,140 @@
+//! Output of the commands for people: tables, and colour on a terminal.
+
+use std::{
+    fmt::Display,
+    io::{self, Write},
+};
+
+use borageline_lib::peer_api::OrderReport;
+use owo_colors::{OwoColorize, Stream};
+use serde_json::Value;
+
+use crate::commands::ExitReason;
+
+/// Writes text to the standard output.
+///
+/// A reader such as `head` that has seen enough is no failure.
+pub(crate) fn print_text(text: &str) -> ExitReason {
+    let mut output = io::stdout().lock();
+    let written = output
+        .write_all(text.as_bytes())
+        .and_then(|()| output.flush());
+    match written {
+        Ok(()) => ExitReason::Done,
+        Err(error) if error.kind() == io::ErrorKind::BrokenPipe => {
+            ExitReason::Done
+        }
+        Err(error) => {
+            print_error(format_args!("output not written: {error}"));
+            ExitReason::Failed
+        }
+    }
+}
+
+/// Writes a message to the standard error output.
+pub(crate) fn print_error(message: impl Display) {
+    let label = "error:";
+    let label = label.if_supports_color(Stream::Stderr, |text| text.red());
+    eprintln!("{label} {message}");
+}
+
+/// Writes a hint to the standard error output.
+pub(crate) fn print_hint(message: impl Display) {
+    let label = "hint:";
+    let label = label.if_supports_color(Stream::Stderr, |text| text.cyan());
+    eprintln!("{label} {message}");
+}
+
+/// Renders a report as lines of name and value.
+pub(crate) fn render_report(report: &OrderReport) -> String {
+    let yes_no = |value| if value { "yes" } else { "no" };
+    let accepted = match report.accepted {
+        Some(true) => paint_good("yes"),
+        Some(false) => paint_bad("no"),
+        None => paint_bad("not known"),
+    };
+    let offset = report.offset.map(|offset| offset.to_string());
+    let waiting: Vec<_> = report
+        .waiting_for
+        .iter()
+        .map(|instance| instance.as_str())
+        .collect();
+    let run_state = serde_json::to_value(report.run_state)
+        .ok()
+        .and_then(|value| value.as_str().map(str::to_owned));
+    let mut lines =
+        vec![("order", report.order.to_string()), ("accepted", accepted)];
+    lines.extend(offset.map(|offset| ("offset", offset)));
+    lines.extend(report.reason.as_ref().map(|it| ("reason", it.to_string())));
+    lines.push(("in force", yes_no(report.in_force).to_owned()));
+    if !waiting.is_empty() {
+        lines.push(("waiting for", waiting.join(", ")));
+    }
+    lines.extend(run_state.map(|state| ("run state", state)));
+    let lines = lines
+        .iter()
+        .map(|(name, value)| format!("{name:<11}  {value}\n"));
+    lines.collect()
+}
+
+fn paint_good(text: &str) -> String {
+    text.if_supports_color(Stream::Stdout, |text| text.green())
+        .to_string()
+}
+
+fn paint_bad(text: &str) -> String {
+    text.if_supports_color(Stream::Stdout, |text| text.red())
+        .to_string()
+}
+
+/// Renders rows as a table; what is not a list of objects stays JSON.
+pub(crate) fn render_rows(answer: &Value) -> String {
+    let rows = answer.get("rows").unwrap_or(answer);
+    let objects: Option<Vec<_>> = rows
+        .as_array()
+        .map(|items| items.iter().map(Value::as_object).collect())
+        .unwrap_or_default();
+    let Some(objects) = objects else {
+        return format!("{answer:#}\n");
+    };
+    let mut names: Vec<&str> = Vec::new();
+    for name in objects.iter().flat_map(|object| object.keys()) {
+        if !names.contains(&name.as_str()) {
+            names.push(name);
+        }
+    }
+    let header = names.iter().map(|name| name.to_uppercase()).collect();
+    let cells = |object: &&serde_json::Map<String, Value>| {
+        names
+            .iter()
+            .map(|name| render_cell(object.get(*name)))
+            .collect()
+    };
+    let lines: Vec<Vec<String>> = std::iter::once(header)
+        .chain(objects.iter().map(cells))
+        .collect();
+    let width = |column: usize| {
+        let lengths = lines.iter().map(|line| line[column].chars().count());
+        lengths.max().unwrap_or_default()
+    };
+    let widths: Vec<_> = (0..names.len()).map(width).collect();
+    let mut text = String::new();
+    for line in &lines {
+        let padded = line
+            .iter()
+            .zip(&widths)
+            .map(|(cell, width)| format!("{cell:<width$}"));
+        let joined = padded.collect::<Vec<_>>().join("  ");
+        text.push_str(joined.trim_end());
+        text.push('\n');
+    }
+    text
+}
+
+fn render_cell(value: Option<&Value>) -> String {
+    match value {
+        None | Some(Value::Null) => "-".into(),
+        Some(Value::String(text)) => text.clone(),
+        Some(other) => other.to_string(),
+    }
+}
--- /dev/null
+++ b/cli/tests/test_commands.rs
@@ -0,0 +1,483 @@
+//! Tests of the commands as processes: output and exit codes.
+
+#![expect(
+    clippy::unwrap_used,
+    reason = "a failed step in a helper fails the test"
+)]
+
+use std::{
+    io::{BufRead, BufReader, Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    path::Path,
+    process::Command,
+    sync::mpsc::{Receiver, channel},
+    thread,
+};
+
+use rstest::rstest;
+use serde_json::{Value, json};
+
+const DONE: i32 = 0;
+const FAILED: i32 = 1;
+const USAGE: i32 = 2;
+const UNKNOWN: i32 = 3;
+
+const CHANGE: &str =
+    r#"{"kind":"close_domain","domain":"domain-a","mode":"finish"}"#;
+
+struct CommandEnd {
+    code: i32,
+    output: String,
+    errors: String,
+}
+
+/// Runs the binary with an operator key in its environment.
+fn run(arguments: &[&str]) -> CommandEnd {
+    run_with_key(arguments, Some("operator-key"))
+}
+
+fn run_with_key(arguments: &[&str], key: Option<&str>) -> CommandEnd {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_borageline"));
+    command
+        .args(arguments)
+        .env_remove("BORAGELINE_OPERATOR_KEY");
+    if let Some(key) = key {
+        command.env("BORAGELINE_OPERATOR_KEY", key);
+    }
+    let output = command.output().unwrap();
+    CommandEnd {
+        code: output.status.code().unwrap(),
+        output: String::from_utf8(output.stdout).unwrap(),
+        errors: String::from_utf8(output.stderr).unwrap(),
+    }
+}
+
+/// One request as the scripted instance received it.
+struct SeenRequest {
+    line: String,
+    authorization: String,
+    body: String,
+}
+
+/// Reads one request; `None` if the connection closes first.
+fn read_request(stream: &TcpStream) -> Option<SeenRequest> {
+    let mut reader = BufReader::new(stream);
+    let mut line = String::new();
+    reader.read_line(&mut line).unwrap();
+    let mut authorization = String::new();
+    let mut length = 0;
+    loop {
+        let mut header = String::new();
+        if reader.read_line(&mut header).unwrap() == 0 {
+            return None;
+        }
+        let Some((name, value)) = header.trim_end().split_once(": ") else {
+            break;
+        };
+        match name.to_lowercase().as_str() {
+            "authorization" => authorization = value.to_owned(),
+            "content-length" => length = value.parse().unwrap(),
+            _ => {}
+        }
+    }
+    let mut body = vec![0; length];
+    reader.read_exact(&mut body).unwrap();
+    Some(SeenRequest {
+        line: line.trim_end().to_owned(),
+        authorization,
+        body: String::from_utf8(body).unwrap(),
+    })
+}
+
+/// Answers one connection after the other; an empty answer closes it.
+fn start_instance(answers: Vec<String>) -> (SocketAddr, Receiver<SeenRequest>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (sender, receiver) = channel();
+    thread::spawn(move || {
+        for answer in answers {
+            let (mut stream, _) = listener.accept().unwrap();
+            if let Some(request) = read_request(&stream) {
+                sender.send(request).unwrap();
+            }
+            stream.write_all(answer.as_bytes()).unwrap();
+        }
+    });
+    (address, receiver)
+}
+
+fn answer(status: &str, body: &Value) -> String {
+    let body = body.to_string();
+    let length = body.len();
+    format!(
+        "HTTP/1.1 {status}\r\ncontent-length: {length}\r\n\
+         connection: close\r\n\r\n{body}",
+    )
+}
+
+fn report(accepted: Option<bool>, in_force: bool) -> Value {
+    json!({
+        "order": "o-1", "offset": 4, "accepted": accepted,
+        "reason": null, "in_force": in_force,
+        "waiting_for": if in_force { vec![] } else { vec!["entry-2"] },
+        "run_state": if accepted.is_some() { "ran" } else { "may_have_run" },
+    })
+}
+
+fn refusal(code: &str, run_state: &str) -> Value {
+    json!({"error": {
+        "code": code, "message": "version 3 is not 2",
+        "run_state": run_state, "request_id": "r-1",
+    }})
+}
+
+fn write_file(directory: &Path, name: &str, text: &str) -> String {
+    let path = directory.join(name);
+    std::fs::write(&path, text).unwrap();
+    path.display().to_string()
+}
+
+/// Guards against a default file that the command itself refuses.
+#[test]
+fn test_default_file_is_valid() {
+    let default = run(&["config", "default"]);
+    assert_eq!(default.code, DONE);
+    let directory = tempfile::tempdir().unwrap();
+    let file = write_file(directory.path(), "a.jsonc", &default.output);
+    let end = run(&["check-config", &file]);
+    assert_eq!(end.code, DONE, "{}", end.errors);
+    assert!(end.output.contains("entry-1"), "{}", end.output);
+}
+
+/// Guards against faults that are left out or end with another code.
+#[test]
+fn test_check_config_prints_every_fault() {
+    let directory = tempfile::tempdir().unwrap();
+    let text = r#"{"instance": "a b", "limits": {"connections": 0}}"#;
+    let file = write_file(directory.path(), "a.jsonc", text);
+    let end = run(&["check-config", &file, "--set", "policy=fastest"]);
+    assert_eq!(end.code, USAGE);
+    let paths: Vec<_> = end
+        .errors
+        .lines()
+        .map(|line| line.split(':').next().unwrap())
+        .collect();
+    insta::assert_snapshot!(paths.join("\n"), @r#"
+    failure_domain
+    caller_address
+    peer_address
+    fleet_secret
+    log_service
+    instance_list
+    instance
+    policy (--set policy)
+    limits.connections
+    "#);
+}
+
+/// Guards against a schema that scripts cannot read.
+#[test]
+fn test_schema_as_json() {
+    let end = run(&["config", "schema", "--json"]);
+    assert_eq!(end.code, DONE);
+    let schema: Value = serde_json::from_str(&end.output).unwrap();
+    let rows = schema["settings"].as_array().unwrap();
+    let row = rows
+        .iter()
+        .find(|row| row["key"] == "limits.body_bytes")
+        .unwrap();
+    insta::assert_snapshot!(format!("{row:#}"), @r#"
+    {
+      "allowed": "1024 to 1073741824 B",
+      "default": 16777216,
+      "description": "largest request body",
+      "instead": null,
+      "key": "limits.body_bytes",
+      "max": 1073741824,
+      "min": 1024,
+      "required": false,
+      "type": "whole number",
+      "unit": "B",
+      "variable": "BORAGELINE_LIMITS_BODY_BYTES"
+    }
+    "#);
+}
+
+/// Guards against usage errors that look like refusals.
+#[rstest]
+#[case::no_command(&[])]
+#[case::unknown_command(&["frobnicate"])]
+#[case::no_file(&["check-config"])]
+#[case::missing_file(&["check-config", "/nonexistent.jsonc"])]
+#[case::no_address(&["query", "engines"])]
+#[case::bad_address(&["query", "--address", "here", "engines"])]
+#[case::bad_key_file(
+    &["query", "--address", "127.0.0.1:9", "--key-file", "/nonexistent", "q"]
+)]
+#[case::bad_change(&["order", "--address", "127.0.0.1:9", "{}"])]
+#[case::no_change(&["order", "--address", "127.0.0.1:9", "[]"])]
+#[case::trailing_text(&["order", "--address", "127.0.0.1:9", "[] []"])]
+#[case::bad_wait(&["order", "--address", "127.0.0.1:9", "--wait", "x", CHANGE])]
+#[case::outcome_and_change(
+    &["order", "--address", "127.0.0.1:9", "--outcome", "o-1", CHANGE]
+)]
+fn test_usage_error(#[case] arguments: &[&str]) {
+    let end = run(arguments);
+    assert_eq!(end.code, USAGE, "{}", end.errors);
+    assert!(!end.errors.is_empty());
+}
+
+/// Guards against an order sent without a credential.
+#[test]
+fn test_missing_key_is_usage_error() {
+    let arguments = ["order", "--address", "127.0.0.1:9", CHANGE];
+    let end = run_with_key(&arguments, None);
+    assert_eq!(end.code, USAGE);
+    assert!(end.errors.contains("--key-file"), "{}", end.errors);
+}
+
+/// Guards against help without an example.
+#[rstest]
+#[case(&["check-config", "--help"])]
+#[case(&["config", "--help"])]
+#[case(&["config", "schema", "--help"])]
+#[case(&["config", "default", "--help"])]
+#[case(&["query", "--help"])]
+#[case(&["order", "--help"])]
+fn test_help_has_example(#[case] arguments: &[&str]) {
+    let end = run(arguments);
+    assert_eq!(end.code, DONE);
+    assert!(
+        end.output.contains("Example: borageline "),
+        "{}",
+        end.output
+    );
+}
+
+/// Guards against completion that does not offer the settings.
+#[test]
+fn test_completion_offers_setting_keys() {
+    let end = run(&[
+        "--bpaf-complete-rev=8",
+        "check-config",
+        "--set",
+        "limits.con",
+    ]);
+    assert!(end.output.contains("limits.connections="), "{}", end.output);
+}
+
+/// Guards against an order that is sent in another form or shown wrongly.
+#[test]
+fn test_order_accepted() {
+    let script = vec![answer("200 OK", &report(Some(true), true))];
+    let (address, requests) = start_instance(script);
+    let address = address.to_string();
+    let directory = tempfile::tempdir().unwrap();
+    let key = write_file(directory.path(), "key", "key-of-file\n");
+    let end = run(&[
+        "order",
+        "--address",
+        &address,
+        "--key-file",
+        &key,
+        "--expect",
+        "3",
+        "--order-id",
+        "o-1",
+        CHANGE,
+    ]);
+    assert_eq!(end.code, DONE, "{}", end.errors);
+    insta::assert_snapshot!(end.output, @r#"
+    order        o-1
+    accepted     yes
+    offset       4
+    in force     yes
+    run state    ran
+    "#);
+    let request = requests.recv().unwrap();
+    assert_eq!(request.line, "POST /v1/order HTTP/1.1");
+    assert_eq!(request.authorization, "Bearer key-of-file");
+    let body: Value = serde_json::from_str(&request.body).unwrap();
+    let change: Value = serde_json::from_str(CHANGE).unwrap();
+    let expected = json!({
+        "order": "o-1", "expect_version": 3, "changes": [change],
+    });
+    assert_eq!(body, expected);
+}
+
+/// Guards against two orders with one id when the caller names none.
+#[test]
+fn test_order_ids_differ() {
+    let ids = [0, 1].map(|_| {
+        let script = vec![answer("200 OK", &report(Some(true), true))];
+        let (address, requests) = start_instance(script);
+        run(&["order", "--address", &address.to_string(), CHANGE]);
+        let body = requests.recv().unwrap().body;
+        let body: Value = serde_json::from_str(&body).unwrap();
+        body["order"].as_str().unwrap().to_owned()
+    });
+    assert_ne!(ids[0], ids[1]);
+    assert_eq!(uuid::Uuid::parse_str(&ids[0]).unwrap().get_version_num(), 7);
+}
+
+/// Guards against an exit code that claims more than the answer says.
+#[rstest]
+#[case::rejected(answer("409 Conflict", &refusal("order_rejected", "not_run")), FAILED)]
+#[case::forbidden(answer("403 Forbidden", &refusal("forbidden", "not_run")), FAILED)]
+#[case::refused_unknown(answer("500 Internal", &refusal("internal", "may_have_run")), UNKNOWN)]
+#[case::other_error(answer("502 Bad Gateway", &json!("proxy")), UNKNOWN)]
+#[case::other_refusal(answer("404 Not Found", &json!("proxy")), FAILED)]
+#[case::judged_rejected(answer("200 OK", &report(Some(false), false)), FAILED)]
+#[case::not_judged(answer("202 Accepted", &report(None, false)), UNKNOWN)]
+#[case::broken_after_sending(String::new(), UNKNOWN)]
+#[case::cut_answer("HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n{".into(), UNKNOWN)]
+#[case::malformed_report(answer("200 OK", &json!({})), UNKNOWN)]
+fn test_order_exit_code(#[case] script: String, #[case] code: i32) {
+    let (address, _requests) = start_instance(vec![script]);
+    let address = address.to_string();
+    let end =
+        run(&["order", "--address", &address, "--order-id", "o-1", CHANGE]);
+    assert_eq!(end.code, code, "{}", end.errors);
+    let hint = format!(
+        "hint: ask again with: borageline order --address {address} \
+         --outcome o-1",
+    );
+    assert_eq!(
+        end.errors.contains(&hint),
+        code == UNKNOWN,
+        "{}",
+        end.errors
+    );
+}
+
+/// Guards against a refused connection being reported as an unknown outcome.
+#[test]
+fn test_order_connection_refused() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    drop(listener);
+    let end = run(&["order", "--address", &address, CHANGE]);
+    assert_eq!(end.code, FAILED, "{}", end.errors);
+    assert!(end.errors.contains("not sent"), "{}", end.errors);
+}
+
+/// Guards against a silent instance that holds the command for ever.
+#[test]
+fn test_order_timeout() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let end = run(&["order", "--address", &address, "--timeout", "1", CHANGE]);
+    assert_eq!(end.code, UNKNOWN, "{}", end.errors);
+}
+
+/// Guards against a wait that ends before the order is in force.
+#[test]
+fn test_order_wait_in_force() {
+    let script = vec![
+        answer("200 OK", &report(Some(true), false)),
+        answer("200 OK", &report(Some(true), false)),
+        answer("200 OK", &report(Some(true), true)),
+    ];
+    let (address, requests) = start_instance(script);
+    let end = run(&[
+        "order",
+        "--address",
+        &address.to_string(),
+        "--wait",
+        "in-force",
+        "--json",
+        CHANGE,
+    ]);
+    assert_eq!(end.code, DONE, "{}", end.errors);
+    let shown: Value = serde_json::from_str(&end.output).unwrap();
+    assert_eq!(shown["in_force"], true);
+    assert_eq!(requests.recv().unwrap().line, "POST /v1/order HTTP/1.1");
+    let asked = requests.recv().unwrap().line;
+    assert_eq!(asked, "GET /v1/orders/o-1 HTTP/1.1");
+}
+
+/// Guards against success for an order that is not in force everywhere.
+#[test]
+fn test_order_wait_ends_without_force() {
+    let script = vec![answer("200 OK", &report(Some(true), false))];
+    let (address, _requests) = start_instance(script);
+    let end = run(&[
+        "order",
+        "--address",
+        &address.to_string(),
+        "--wait",
+        "in-force",
+        "--timeout",
+        "1",
+        CHANGE,
+    ]);
+    assert_eq!(end.code, FAILED, "{}", end.errors);
+    assert!(
+        end.output.contains("waiting for  entry-2"),
+        "{}",
+        end.output
+    );
+}
+
+/// Guards against an outcome that is asked for in the wrong place.
+#[test]
+fn test_order_outcome() {
+    let script = vec![answer("200 OK", &report(Some(true), false))];
+    let (address, requests) = start_instance(script);
+    let address = address.to_string();
+    let end = run(&["order", "--address", &address, "--outcome", "o-1"]);
+    assert_eq!(end.code, DONE, "{}", end.errors);
+    let asked = requests.recv().unwrap().line;
+    assert_eq!(asked, "GET /v1/orders/o-1 HTTP/1.1");
+}
+
+/// Guards against a lost question being reported as an unknown outcome.
+#[rstest]
+#[case::outcome("order", &["--outcome", "o-1"])]
+#[case::query("query", &["engines"])]
+fn test_lost_question_is_failure(
+    #[case] command: &str,
+    #[case] arguments: &[&str],
+) {
+    let (address, _requests) = start_instance(vec![String::new()]);
+    let address = address.to_string();
+    let end = run(&[&[command, "--address", &address], arguments].concat());
+    assert_eq!(end.code, FAILED, "{}", end.errors);
+}
+
+/// Guards against rows that people cannot read, or JSON that was reformed.
+#[test]
+fn test_query_rows() {
+    let rows = json!({"rows": [
+        {"engine": "co-m-1", "held": 7},
+        {"engine": "co-m-10", "held": 1200, "state": "cold"},
+    ]});
+    let script = vec![answer("200 OK", &rows), answer("200 OK", &rows)];
+    let (address, requests) = start_instance(script);
+    let address = address.to_string();
+    let end = run(&["query", "--address", &address, "engines"]);
+    assert_eq!(end.code, DONE, "{}", end.errors);
+    insta::assert_snapshot!(end.output, @r#"
+    ENGINE   HELD  STATE
+    co-m-1   7     -
+    co-m-10  1200  cold
+    "#);
+    assert_eq!(requests.recv().unwrap().body, r#"{"query":"engines"}"#);
+    let end = run(&["query", "--address", &address, "--json", "engines"]);
+    let shown: Value = serde_json::from_str(&end.output).unwrap();
+    assert_eq!(shown, rows);
+}
+
+/// Guards against a refused query that ends as done.
+#[test]
+fn test_query_refused() {
+    let body = refusal("unauthenticated", "not_run");
+    let script = vec![answer("401 Unauthorized", &body)];
+    let (address, _requests) = start_instance(script);
+    let end = run(&["query", "--address", &address.to_string(), "engines"]);
+    assert_eq!(end.code, FAILED);
+    assert_eq!(
+        end.errors,
+        "error: unauthenticated: version 3 is not 2 (request r-1)\n",
+    );
+}
