peers: bound connections without proof and replace silent ones

A connection could make the server hold a 4 MiB frame before it proved that it knows the secret, so that 2,048 of them could take 8 GiB. At most 128 connections without proof are open now.

Dropping a silent connection waited for a lock that a concurrent connection attempt may hold, beyond the call's own timeout; it only sets a mark now.

Damaged recordings of real traffic and arbitrary bytes are sent to the peer port in property tests, and the recording is searched for the secret.

--- a/cli/src/peers/pool.rs
+++ b/cli/src/peers/pool.rs
@@ -104,6 +104,8 @@
     proof: Arc<str>,
     meter: Arc<ReadMeter>,
     dispatch: AbortHandle,
+    /// Set when the next call is to make a new connection.
+    broken: AtomicBool,
 }
 
 impl Drop for PeerLink {
@@ -179,7 +181,7 @@
         };
         let silent = link.meter.bytes() == received;
         if may_be_broken(&error, silent) {
-            slot.forget(&link).await;
+            link.broken.store(true, Ordering::Relaxed);
         }
         let run_state = match error {
             RpcError::Send(_) => RunState::NotRun,
@@ -201,7 +203,7 @@
     ) -> Result<Arc<PeerLink>, CallFailure> {
         let mut cached = slot.link.lock().await;
         if let Some(link) = cached.as_ref()
-            && !link.dispatch.is_finished()
+            && link.is_usable()
         {
             return Ok(link.clone());
         }
@@ -236,6 +238,7 @@
             proof: "".into(),
             meter,
             dispatch: dispatch.abort_handle(),
+            broken: AtomicBool::new(false),
         };
         let challenge = link
             .client
@@ -271,6 +274,11 @@
 }
 
 impl PeerLink {
+    fn is_usable(&self) -> bool {
+        let broken = self.broken.load(Ordering::Relaxed);
+        !broken && !self.dispatch.is_finished()
+    }
+
     async fn exchange(
         &self,
         setup: &PoolSetup,
@@ -327,14 +335,6 @@
         let quiet = used.elapsed() >= limit;
         quiet && self.permits.available_permits() == IN_FLIGHT_MAX
     }
-
-    /// Drops a connection from the cache unless it was replaced already.
-    async fn forget(&self, link: &Arc<PeerLink>) {
-        let mut cached = self.link.lock().await;
-        if cached.as_ref().is_some_and(|held| Arc::ptr_eq(held, link)) {
-            *cached = None;
-        }
-    }
 }
 
 async fn sweep_idle(shared: Weak<PoolShared>, period: Duration) {
--- a/cli/src/peers/server.rs
+++ b/cli/src/peers/server.rs
@@ -4,7 +4,7 @@
     future::Future,
     io,
     sync::{
-        Arc,
+        Arc, Mutex, PoisonError,
         atomic::{AtomicBool, Ordering},
     },
     time::Duration,
@@ -23,7 +23,7 @@
 };
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::Semaphore,
+    sync::{OwnedSemaphorePermit, Semaphore},
     task::JoinSet,
     time::sleep,
 };
@@ -37,6 +37,9 @@
 /// Most inbound connections: 950 peers, and as many again that are being
 /// replaced by new ones.
 const CONNECTIONS_MAX: usize = 2_048;
+/// Most connections that have not yet proven that they know the secret. Each can
+/// make the server hold a frame; the bound keeps strangers below 512 MiB.
+const UNPROVEN_MAX: usize = 128;
 /// Time for a new connection to prove that it knows the secret.
 const PROOF_TIMEOUT: Duration = Duration::from_secs(5);
 /// Longer than the callers' own idle timeout, so that they close first and
@@ -81,6 +84,7 @@
     F: Future<Output = PeerReply> + Send + 'static,
 {
     let room = Arc::new(Semaphore::new(CONNECTIONS_MAX));
+    let unproven_room = Arc::new(Semaphore::new(UNPROVEN_MAX));
     let mut tasks = JoinSet::new();
     loop {
         let stream = tokio::select! {
@@ -93,14 +97,22 @@
             },
             Some(_) = tasks.join_next() => continue,
         };
-        let Ok(permit) = room.clone().try_acquire_owned() else {
+        // A stream that finds no room is closed; the peer may try again.
+        let permit = room.clone().try_acquire_owned();
+        let unproven = unproven_room.clone().try_acquire_owned();
+        let (Ok(permit), Ok(unproven)) = (permit, unproven) else {
             continue;
         };
-        let secret = secret.clone();
+        let connection = PeerConnection {
+            secret: secret.clone(),
+            nonce: rand::random(),
+            proven: AtomicBool::new(false),
+            unproven: Mutex::new(Some(unproven)),
+        };
         let meter = meter.clone();
         let handler = handler.clone();
         tasks.spawn(async move {
-            serve_connection(stream, secret, meter, handler).await;
+            serve_connection(stream, connection, meter, handler).await;
             drop(permit);
         });
     }
@@ -108,7 +120,7 @@
 
 async fn serve_connection<H, F>(
     stream: TcpStream,
-    secret: Arc<str>,
+    connection: PeerConnection,
     total: Arc<TrafficMeter>,
     handler: H,
 ) where
@@ -124,11 +136,7 @@
     }
     let stream = CountedStream::new(stream, total);
     let meter = stream.meter();
-    let connection = Arc::new(PeerConnection {
-        secret,
-        nonce: rand::random(),
-        proven: AtomicBool::new(false),
-    });
+    let connection = Arc::new(connection);
     let service = PeerService {
         connection: connection.clone(),
         handler,
@@ -165,6 +173,8 @@
     secret: Arc<str>,
     nonce: [u8; 32],
     proven: AtomicBool,
+    /// Place among the connections without proof, given up with the proof.
+    unproven: Mutex<Option<OwnedSemaphorePermit>>,
 }
 
 impl PeerConnection {
@@ -184,7 +194,11 @@
                 envelope.from,
             ));
         }
-        self.proven.store(true, Ordering::Relaxed);
+        if !self.proven.swap(true, Ordering::Relaxed) {
+            let mut unproven =
+                self.unproven.lock().unwrap_or_else(PoisonError::into_inner);
+            unproven.take();
+        }
         Ok(())
     }
 }
--- a/cli/tests/test_peers.rs
+++ b/cli/tests/test_peers.rs
@@ -390,9 +390,140 @@
     assert_eq!(reply, Ok(rows("b")));
 }
 
+/// Passes bytes between a client and a server and keeps the client's.
+async fn record_through(
+    server: SocketAddr,
+) -> (SocketAddr, JoinHandle<Vec<u8>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let task = tokio::spawn(async move {
+        let (client, _) = listener.accept().await.unwrap();
+        let (mut from_client, mut to_client) = client.into_split();
+        let server = TcpStream::connect(server).await.unwrap();
+        let (mut from_server, mut to_server) = server.into_split();
+        let back = tokio::spawn(async move {
+            tokio::io::copy(&mut from_server, &mut to_client).await
+        });
+        let mut recorded = Vec::new();
+        let mut chunk = [0; 4_096];
+        while let Ok(count @ 1..) = from_client.read(&mut chunk).await {
+            recorded.extend_from_slice(&chunk[..count]);
+            to_server.write_all(&chunk[..count]).await.unwrap();
+        }
+        back.abort();
+        recorded
+    });
+    (address, task)
+}
+
+/// Bytes that a pool sends for one call.
+async fn record_call() -> Vec<u8> {
+    let server = start_server("127.0.0.1:0").await;
+    let (address, recorded) = record_through(server.address).await;
+    let pool = make_pool();
+    let reply = pool.call(address, query("a"), TIMEOUT).await;
+    assert_eq!(reply, Ok(rows("a")));
+    drop(pool);
+    recorded.await.unwrap()
+}
+
+/// Guards against a secret that whoever reads the traffic can take.
+#[tokio::test]
+async fn test_secret_not_sent() {
+    let bytes = record_call().await;
+    let contains = |text: &str| {
+        bytes
+            .windows(text.len())
+            .any(|window| window == text.as_bytes())
+    };
+    assert!(contains("entry-1"), "the recording has no envelope");
+    assert!(!contains(SECRET));
+}
+
+/// Guards against strangers that take every place or hold it for ever.
+#[tokio::test]
+async fn test_connections_without_proof_bounded() {
+    let server = start_server("127.0.0.1:0").await;
+    let mut streams = Vec::new();
+    for _ in 0..129 {
+        streams.push(TcpStream::connect(server.address).await.unwrap());
+    }
+    let mut last = streams.pop().unwrap();
+    let read = timeout(TIMEOUT, last.read(&mut [0; 1])).await;
+    assert!(read.is_ok(), "connection 129 stays open");
+    let pool = make_pool();
+    let reply = pool.call(server.address, query("a"), TIMEOUT).await;
+    assert_eq!(reply.unwrap_err().run_state, RunState::NotRun);
+    drop(streams);
+    let served = async {
+        while pool
+            .call(server.address, query("a"), TIMEOUT)
+            .await
+            .is_err()
+        {
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    timeout(TIMEOUT, served).await.unwrap();
+}
+
+/// Guards against a proof that leaves its connection counted as a stranger's.
+#[tokio::test]
+async fn test_connections_with_proof_not_counted_as_strangers() {
+    let server = start_server("127.0.0.1:0").await;
+    let pools: Vec<_> = (0..150).map(|_| make_pool()).collect();
+    for pool in &pools {
+        let reply = pool.call(server.address, query("a"), TIMEOUT).await;
+        assert_eq!(reply, Ok(rows("a")));
+    }
+}
+
+/// Guards against a lost route that blocks a peer until TCP gives up.
+#[tokio::test]
+async fn test_silent_connection_replaced() {
+    let server = start_server("127.0.0.1:0").await;
+    let pool = make_pool();
+    let reply = pool.call(server.address, query("a"), TIMEOUT).await;
+    assert_eq!(reply, Ok(rows("a")));
+    let before = pool.traffic().sent;
+    let limit = Duration::from_millis(100);
+    let slow = pool.call(server.address, query("slow"), limit).await;
+    assert!(slow.is_err());
+    let middle = pool.traffic().sent;
+    let reply = pool.call(server.address, query("a"), TIMEOUT).await;
+    assert_eq!(reply, Ok(rows("a")));
+    // A new connection starts with a challenge, a kept one does not.
+    let last = pool.traffic().sent.saturating_sub(middle);
+    let kept = middle.saturating_sub(before);
+    assert!(last > kept, "{last} after {kept}");
+}
+
+fn make_runtime() -> tokio::runtime::Runtime {
+    tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap()
+}
+
+/// Sends bytes to a new server and checks that it still answers.
+async fn check_server_survives(parts: Vec<Vec<u8>>) {
+    let server = start_server("127.0.0.1:0").await;
+    let mut stream = TcpStream::connect(server.address).await.unwrap();
+    for part in parts {
+        // The server may have closed the connection already.
+        if stream.write_all(&part).await.is_err() {
+            break;
+        }
+    }
+    let pool = make_pool();
+    let reply = pool.call(server.address, query("a"), TIMEOUT).await;
+    assert_eq!(reply, Ok(rows("a")));
+    assert!(!server.task.is_finished());
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
-        cases: 64,
+        cases: 96,
         failure_persistence: None,
         rng_seed: proptest::test_runner::RngSeed::Fixed(11),
         ..ProptestConfig::default()
@@ -407,26 +538,30 @@
         ),
         framed: bool,
     ) {
-        let runtime = tokio::runtime::Builder::new_current_thread()
-            .enable_all()
-            .build()
-            .unwrap();
-        runtime.block_on(async {
-            let server = start_server("127.0.0.1:0").await;
-            let mut stream = TcpStream::connect(server.address).await.unwrap();
-            for frame in frames {
-                let length = (frame.len() as u32).to_be_bytes();
-                let head = if framed { &length[..] } else { &[] };
-                let bytes = [head, &frame].concat();
-                // The server may have closed the connection already.
-                if stream.write_all(&bytes).await.is_err() {
-                    break;
-                }
+        let parts = frames.into_iter().map(|frame| {
+            let length = (frame.len() as u32).to_be_bytes();
+            let head = if framed { &length[..] } else { &[] };
+            [head, &frame].concat()
+        });
+        let parts = parts.collect();
+        make_runtime().block_on(check_server_survives(parts));
+    }
+
+    /// Guards against damaged messages that stop the server.
+    #[test]
+    fn test_damaged_message_does_not_stop_server(
+        changes in prop::collection::vec(
+            (any::<prop::sample::Index>(), any::<u8>()),
+            1..6,
+        ),
+    ) {
+        make_runtime().block_on(async {
+            let mut bytes = record_call().await;
+            for (index, value) in changes {
+                let index = index.index(bytes.len());
+                bytes[index] = value;
             }
-            let pool = make_pool();
-            let reply = pool.call(server.address, query("a"), TIMEOUT).await;
-            assert_eq!(reply, Ok(rows("a")));
-            assert!(!server.task.is_finished());
+            check_server_survives(vec![bytes]).await;
         });
     }
 }
