--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -2,31 +2,24 @@
 
 use std::process::ExitCode;
 
-use borageline::commands::serve::{self, ServeOptions, serve_options};
-use bpaf::{OptionParser, Parser};
+use borageline::commands::{ExitReason, tool_command};
+use bpaf::{Args, Parser};
 
-/// Exit code for a faulty command line.
-const USAGE_ERROR: u8 = 2;
-
-fn options() -> OptionParser<ServeOptions> {
-    serve_options()
-        .to_options()
-        .descr("runs one instance until it is told to stop")
-        .command("serve")
-        .to_options()
-        .descr("serving layer between callers and language-model engines")
-        .version(env!("CARGO_PKG_VERSION"))
-}
+/// Width of help texts.
+const HELP_WIDTH: usize = 100;
 
 fn main() -> ExitCode {
-    match options().run_inner(bpaf::Args::current_args()) {
-        Ok(options) => serve::run(&options),
+    let parser = tool_command()
+        .to_options()
+        .descr("Serving layer between callers and language-model engines")
+        .version(env!("CARGO_PKG_VERSION"));
+    match parser.run_inner(Args::current_args()) {
+        Ok(command) => command.run().into(),
         Err(failure) => {
-            failure.print_message(100);
-            if failure.exit_code() == 0 {
-                ExitCode::SUCCESS
-            } else {
-                ExitCode::from(USAGE_ERROR)
+            failure.print_message(HELP_WIDTH);
+            match failure.exit_code() {
+                0 => ExitReason::Done.into(),
+                _ => ExitReason::Usage.into(),
             }
         }
     }
