--- /dev/null
+++ b/lib/tests/test_ownership.rs
@@ -0,0 +1,114 @@
+//! Ownership: agreement and minimal movement.
+
+#![expect(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+mod common;
+
+use std::collections::BTreeMap;
+
+use borageline_lib::{
+    call_log::CALL_STREAMS,
+    ids::{InstanceId, UpstreamId},
+    ownership::{OwnerCandidates, OwnerTable, owners, stream_owner},
+    view::{UpstreamEntry, UpstreamTable},
+};
+use proptest::prelude::*;
+
+fn table(engines: usize, domains: usize) -> UpstreamTable {
+    let mut table = UpstreamTable::new();
+    for index in 0..engines {
+        let entry = UpstreamEntry {
+            address: ([127, 0, 0, 1], 9_000).into(),
+            domain: format!("d{}", index % domains).parse().unwrap(),
+            service: None,
+            leaving: false,
+            capability: None,
+        };
+        table.insert(format!("e{index}").parse().unwrap(), entry);
+    }
+    table
+}
+
+fn candidates(members: &[(u8, usize)]) -> OwnerCandidates {
+    let member = |(id, domain): &(u8, usize)| {
+        let id = format!("i{id}").parse().unwrap();
+        (id, format!("d{domain}").parse().unwrap())
+    };
+    members.iter().map(member).collect()
+}
+
+/// The naive rule: the position of the instance by number of engine.
+fn modulo_owners(
+    upstreams: &UpstreamTable,
+    members: &OwnerCandidates,
+) -> BTreeMap<UpstreamId, InstanceId> {
+    let ids: Vec<_> = members.keys().collect();
+    let owner = |index: usize| ids[index % ids.len()].clone();
+    let engines = upstreams.iter().enumerate();
+    engines.map(|(n, (id, _))| (id.clone(), owner(n))).collect()
+}
+
+proptest! {
+    #![proptest_config(common::config(128))]
+
+    /// Guards against a change of one instance that moves engines between
+    /// others, and against owners outside an engine's live domain.
+    #[test]
+    fn test_property_minimal_movement(
+        members in prop::collection::btree_map(0..30u8, 0..3usize, 2..12),
+        removed in 0..12usize,
+    ) {
+        let upstreams = table(60, 3);
+        let members: Vec<_> = members.into_iter().collect();
+        let gone = members[removed % members.len()];
+        let rest: Vec<_> =
+            members.iter().copied().filter(|m| *m != gone).collect();
+        let (before, after) = (candidates(&members), candidates(&rest));
+        let old = owners(&upstreams, &before);
+        let new = owners(&upstreams, &after);
+        prop_assert_eq!(old.len(), 60);
+        let gone_id: InstanceId = format!("i{}", gone.0).parse().unwrap();
+        // The last instance of a domain that comes back takes its engines
+        // from instances elsewhere; nothing else may move.
+        for (engine, owner) in &old {
+            let moved = new[engine] != *owner;
+            prop_assert_eq!(moved, *owner == gone_id);
+            let domain = &upstreams.get(engine).unwrap().domain;
+            let local = before.values().any(|d| d == domain);
+            prop_assert!(!local || before[owner] == *domain);
+        }
+        for index in 0..CALL_STREAMS {
+            let old = stream_owner(index, &before).unwrap();
+            let new = stream_owner(index, &after).unwrap();
+            prop_assert!(old == new || old == gone_id);
+        }
+    }
+}
+
+/// Shows that the property above catches a rule without minimal movement.
+#[test]
+fn test_modulo_moves_engines_of_others() {
+    let upstreams = table(60, 1);
+    let before = candidates(&[(0, 0), (1, 0), (2, 0), (3, 0)]);
+    let after = candidates(&[(0, 0), (1, 0), (2, 0)]);
+    let old = modulo_owners(&upstreams, &before);
+    let new = modulo_owners(&upstreams, &after);
+    let gone: InstanceId = "i3".parse().unwrap();
+    let moved = |(id, owner): &(&UpstreamId, &InstanceId)| {
+        new[*id] != **owner && **owner != gone
+    };
+    assert!(old.iter().any(|entry| moved(&entry)));
+}
+
+/// Guards against a cached table that misses a change.
+#[test]
+fn test_owner_table_follows_versions() {
+    let upstreams = table(10, 1);
+    let mut table = OwnerTable::new();
+    let one = || candidates(&[(0, 0)]);
+    let two = || candidates(&[(0, 0), (1, 0)]);
+    assert!(table.refresh(1, 1, &upstreams, one));
+    assert!(!table.refresh(1, 1, &upstreams, || panic!("is cached")));
+    assert!(table.refresh(2, 1, &upstreams, two));
+    assert_eq!(**table.owners(), owners(&upstreams, &two()));
+}
