--- a/lib/tests/test_ownership.rs
+++ b/lib/tests/test_ownership.rs
@@ -9,7 +9,7 @@
 use borageline_lib::{
     call_log::CALL_STREAMS,
     ids::{InstanceId, UpstreamId},
-    ownership::{OwnerCandidates, OwnerTable, owners, stream_owner},
+    ownership::{OwnerCandidates, OwnershipTable, owners, stream_owner},
     view::{UpstreamEntry, UpstreamTable},
 };
 use proptest::prelude::*;
@@ -104,7 +104,7 @@
 #[test]
 fn test_owner_table_follows_versions() {
     let upstreams = table(10, 1);
-    let mut table = OwnerTable::new();
+    let mut table = OwnershipTable::new();
     let one = || candidates(&[(0, 0)]);
     let two = || candidates(&[(0, 0), (1, 0)]);
     assert!(table.refresh(1, 1, &upstreams, one));
