--- a/testutils/tests/test_engine.rs
+++ b/testutils/tests/test_engine.rs
@@ -2,7 +2,10 @@
 
 #![expect(clippy::unwrap_used, reason = "a failing helper fails its test")]
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use borageline_lib::{
     api::PromptInput,
@@ -251,7 +254,7 @@
     assert!(busy.prefill_backlog.get() > 0);
     assert!(busy.decode_rate.get() * 2 < alone.decode_rate.get());
     let short = request(tokens(10), 100);
-    let sent = std::time::Instant::now();
+    let sent = Instant::now();
     let mut reader = send(address, "short", &short).await.unwrap();
     reader.read_text().await.unwrap();
     // 100 tokens take 20 ms alone and 122 ms beside chunks of prefill.
@@ -271,3 +274,91 @@
     assert!(matches!(text, Err(ClientError::ErrorEvent(_))));
     assert_eq!(engine.control.with_sim(|sim| sim.held()), 0);
 }
+
+/// Guards against a request whose reader went away that stops, or that is
+/// kept for ever.
+#[tokio::test]
+async fn test_detached_goes_on_until_ttl() {
+    let mut config = warm_config();
+    config.detached_ttl = Duration::from_millis(300);
+    let engine = start(config).await;
+    let body = request(tokens(100), 1_000);
+    let mut reader = send(engine.address, "request-1", &body).await.unwrap();
+    reader.next_part().await.unwrap();
+    drop(reader);
+    let path = "/v1/held";
+    let until = Instant::now() + Duration::from_secs(10);
+    loop {
+        let held: HeldReport =
+            client::get_json(engine.address, path).await.unwrap();
+        if held.requests.is_empty() {
+            break;
+        }
+        assert!(Instant::now() < until, "{held:?}");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let counters = engine.control.with_sim(|sim| sim.counters);
+    assert_eq!((counters.finished, counters.abandoned), (1, 1));
+    assert_eq!(counters.generated_tokens, 1_000);
+}
+
+/// Guards against a frozen engine that answers or generates, and that does
+/// not go on afterwards.
+#[tokio::test]
+async fn test_freeze_and_thaw() {
+    let engine = start(warm_config()).await;
+    let body = request(tokens(100), 2_000);
+    let mut reader = send(engine.address, "request-1", &body).await.unwrap();
+    reader.next_part().await.unwrap();
+    engine.control.control(Fault::Freeze).unwrap();
+    let wait = Duration::from_millis(50);
+    // A step that was running when the engine froze still counts.
+    tokio::time::sleep(wait).await;
+    let before = engine.control.with_sim(|sim| sim.counters);
+    let load = client::get(engine.address, "/v1/load");
+    assert!(tokio::time::timeout(wait, load).await.is_err());
+    let after = engine.control.with_sim(|sim| sim.counters);
+    assert_eq!(before, after);
+    engine.control.control(Fault::Clear).unwrap();
+    reader.read_text().await.unwrap();
+    assert_eq!(reader.next, 2_000);
+}
+
+/// Guards against a request of high priority that waits behind the prefill
+/// of one with low priority.
+#[tokio::test]
+async fn test_priority_overtakes_prefill() {
+    let engine = start(warm_config()).await;
+    let low = request(tokens(390_000), 10);
+    let mut low = send(engine.address, "low", &low).await.unwrap();
+    let mut high = request(tokens(2_000), 1);
+    high.priority = 9;
+    let mut high = send(engine.address, "high", &high).await.unwrap();
+    high.read_text().await.unwrap();
+    let counters = engine.control.with_sim(|sim| sim.counters);
+    assert_eq!(counters.finished, 1);
+    assert!(counters.prefilled_tokens < 390_000);
+    low.read_text().await.unwrap();
+}
+
+/// Guards against a lag that is not there: an owner that trusts the report
+/// would never be tested against an old one.
+#[tokio::test]
+async fn test_load_report_lags() {
+    let mut config = warm_config();
+    config.load_lag = Duration::from_secs(1);
+    let engine = start(config).await;
+    slow_down(&engine, 0.01);
+    tokio::time::sleep(Duration::from_millis(1_100)).await;
+    let body = request(tokens(1_000), 1_000);
+    let _reader = send(engine.address, "request-1", &body).await.unwrap();
+    let path = "/v1/load";
+    let early: LoadReport =
+        client::get_json(engine.address, path).await.unwrap();
+    assert_eq!(early.held.get(), 0);
+    assert!(early.age_ms >= 1_000);
+    tokio::time::sleep(Duration::from_millis(1_100)).await;
+    let late: LoadReport =
+        client::get_json(engine.address, path).await.unwrap();
+    assert_eq!(late.held.get(), 2_000);
+}
