--- a/cli/src/commands.rs
+++ b/cli/src/commands.rs
@@ -6,6 +6,7 @@
 pub mod config;
 pub mod order;
 pub mod query;
+pub mod serve;
 
 use std::{path::Path, process::ExitCode};
 
@@ -19,6 +20,7 @@
     config::{ConfigOptions, config_options},
     order::{OrderOptions, order_options},
     query::{QueryOptions, query_options},
+    serve::{ServeOptions, serve_options},
 };
 
 /// Why a command ended, as its exit code says.
@@ -45,9 +47,11 @@
     }
 }
 
-/// A command that checks settings or talks to a running instance.
+/// One command of the binary.
 #[derive(Clone, Debug, Bpaf)]
-pub enum ToolCommand {
+pub enum CliCommand {
+    /// `serve`.
+    Serve(#[bpaf(external(serve_options))] ServeOptions),
     /// `check-config`.
     CheckConfig(#[bpaf(external(check_config_options))] CheckConfigOptions),
     /// `config`.
@@ -58,14 +62,15 @@
     Order(#[bpaf(external(order_options))] OrderOptions),
 }
 
-impl ToolCommand {
+impl CliCommand {
     /// Runs the command.
-    pub fn run(&self) -> ExitReason {
+    pub fn run(&self) -> ExitCode {
         match self {
-            Self::CheckConfig(options) => check_config::run(options),
-            Self::Config(options) => config::run(options),
-            Self::Query(options) => query::run(options),
-            Self::Order(options) => order::run(options),
+            Self::Serve(options) => serve::run(options),
+            Self::CheckConfig(options) => check_config::run(options).into(),
+            Self::Config(options) => config::run(options).into(),
+            Self::Query(options) => query::run(options).into(),
+            Self::Order(options) => order::run(options).into(),
         }
     }
 }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -4,15 +4,20 @@
 //! seeded random source as input and returns actions. Sockets, clocks and
 //! tasks live in the `borageline` binary, which carries the actions out.
 
+pub mod answer;
 pub mod api;
+pub mod call_log;
+pub mod config_reader;
 pub mod core;
 pub mod derives;
 pub mod engine_api;
 pub mod engine_facts;
 pub mod fleet;
+pub mod freshness;
 pub mod ids;
 pub mod log_event;
 pub mod membership;
+pub mod order_desk;
 pub mod ownership;
 pub mod peer_api;
 pub mod platform_api;
