--- a/cli/src/commands.rs
+++ b/cli/src/commands.rs
@@ -47,15 +47,9 @@
     }
 }
 
-<<<<<<< HEAD
-/// A command of the binary.
-#[derive(Clone, Debug, Bpaf)]
-pub enum ToolCommand {
-=======
 /// One command of the binary.
 #[derive(Clone, Debug, Bpaf)]
 pub enum CliCommand {
->>>>>>> edge
     /// `serve`.
     Serve(#[bpaf(external(serve_options))] ServeOptions),
     /// `check-config`.
@@ -73,17 +67,10 @@
     pub fn run(&self) -> ExitCode {
         match self {
             Self::Serve(options) => serve::run(options),
-<<<<<<< HEAD
-            Self::CheckConfig(options) => check_config::run(options),
-            Self::Config(options) => config::run(options),
-            Self::Query(options) => query::run(options),
-            Self::Order(options) => order::run(options),
-=======
             Self::CheckConfig(options) => check_config::run(options).into(),
             Self::Config(options) => config::run(options).into(),
             Self::Query(options) => query::run(options).into(),
             Self::Order(options) => order::run(options).into(),
->>>>>>> edge
         }
     }
 }
--- a/cli/src/commands/serve.rs
+++ b/cli/src/commands/serve.rs
@@ -3,6 +3,7 @@
 use std::{
     io,
     path::PathBuf,
+    process::ExitCode,
     sync::Arc,
     time::{SystemTime, UNIX_EPOCH},
 };
@@ -24,7 +25,6 @@
 
 use super::{load_settings, set_flags};
 use crate::{
-    commands::{ExitReason, load_settings, set_flags},
     context::{ServerContext, SharedContext},
     driver::{CoreDriver, CoreHandle, DriverClients, TickCore},
     engine_client::EngineClient,
@@ -35,25 +35,6 @@
     server::serve_callers,
 };
 
-<<<<<<< HEAD
-/// Run one instance until it is told to stop
-///
-/// Example: borageline serve --config instance.jsonc
-#[derive(Clone, Debug, Bpaf)]
-#[bpaf(command("serve"))]
-pub struct ServeOptions {
-    /// Settings file, JSON with comments
-    #[bpaf(argument("FILE"))]
-    pub config: PathBuf,
-    /// Values in place of the file's.
-    #[bpaf(external(set_flags))]
-    pub flags: Vec<SettingOverride>,
-}
-
-/// Runs the command.
-pub fn run(options: &ServeOptions) -> ExitReason {
-    let settings = match load_settings(&options.config, &options.flags) {
-=======
 /// Exit code for faulty settings.
 const SETTINGS_ERROR: u8 = 2;
 
@@ -79,17 +60,16 @@
 /// Runs the command.
 pub fn run(options: &ServeOptions) -> ExitCode {
     let settings = match load_settings(&options.config, &options.set) {
->>>>>>> edge
         Ok(settings) => settings,
         Err(faults) => {
             eprintln!("{faults}");
-            return ExitReason::Usage;
+            return ExitCode::from(SETTINGS_ERROR);
         }
     };
     let level = LevelFilter::MoreSevereEqual(logforth::record::Level::Info);
     if let Err(error) = logging::start(level) {
         eprintln!("log cannot be started: {error}");
-        return ExitReason::Failed;
+        return ExitCode::FAILURE;
     }
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
@@ -97,10 +77,10 @@
     let result = runtime
         .and_then(|runtime| runtime.block_on(async { serve(settings).await }));
     match result {
-        Ok(()) => ExitReason::Done,
+        Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("instance has stopped: {error}");
-            ExitReason::Failed
+            ExitCode::FAILURE
         }
     }
 }
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -2,11 +2,7 @@
 
 use std::process::ExitCode;
 
-<<<<<<< HEAD
-use borageline::commands::{ExitReason, tool_command};
-=======
 use borageline::commands::{ExitReason, cli_command};
->>>>>>> edge
 use bpaf::{Args, Parser};
 
 /// Width of help texts.
