--- a/bench/src/caller.rs
+++ b/bench/src/caller.rs
@@ -101,8 +101,9 @@
         if let Some(idempotency_key) = idempotency_key {
             builder = builder.header(IDEMPOTENCY_KEY_HEADER, idempotency_key);
         }
-        let request =
-            builder.body(Full::new(body)).map_err(|error| error.to_string())?;
+        let request = builder
+            .body(Full::new(body))
+            .map_err(|error| error.to_string())?;
         let response = self
             .client
             .request(request)
@@ -133,7 +134,11 @@
             })
             .await;
         let outcome = outcome.unwrap_or_else(CallerOutcome::Broken);
-        CallerRecord { first_part, total: started.elapsed(), outcome }
+        CallerRecord {
+            first_part,
+            total: started.elapsed(),
+            outcome,
+        }
     }
 
     async fn stream(
@@ -145,13 +150,12 @@
         pace: Option<Duration>,
         on_part: &mut impl FnMut(),
     ) -> Result<CallerOutcome, String> {
-        let http_request = Request::post(format!(
-            "http://{address}/v1/completions"
-        ))
-        .header(header::AUTHORIZATION, format!("Bearer {key}"))
-        .header(header::CONTENT_TYPE, "application/json")
-        .body(Full::new(body))
-        .map_err(|error| error.to_string())?;
+        let http_request =
+            Request::post(format!("http://{address}/v1/completions"))
+                .header(header::AUTHORIZATION, format!("Bearer {key}"))
+                .header(header::CONTENT_TYPE, "application/json")
+                .body(Full::new(body))
+                .map_err(|error| error.to_string())?;
         let response = self
             .client
             .request(http_request)
@@ -169,7 +173,9 @@
         let mut body = response.into_body();
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|error| error.to_string())?;
-            let Ok(data) = frame.into_data() else { continue };
+            let Ok(data) = frame.into_data() else {
+                continue;
+            };
             if let Some(detail) = answer.feed(&data, on_part)? {
                 return Ok(CallerOutcome::Refused(detail));
             }
@@ -218,7 +224,9 @@
         line: &str,
         on_part: &mut impl FnMut(),
     ) -> Result<Option<ErrorDetail>, String> {
-        let Some(data) = line.strip_prefix("data:") else { return Ok(None) };
+        let Some(data) = line.strip_prefix("data:") else {
+            return Ok(None);
+        };
         let data = data.trim_start();
         if data == END_MARKER {
             self.ended = true;
--- /dev/null
+++ b/bench/src/fleet.rs
@@ -0,0 +1,431 @@
+//! A fleet of real processes on loopback: stand-ins and instances.
+
+use std::{
+    fmt::Write as _, fs, io, net::SocketAddr, path::PathBuf, process::Command,
+    time::Duration,
+};
+
+use borageline_lib::{
+    api::PriorityClass,
+    fleet::{
+        FleetChange, FleetOrder, FleetRecord, LimitRule, OperatorRole,
+        OperatorRule, RouteRule, ServiceRule, WorkspaceRule,
+    },
+    ids::{DomainId, OrderId},
+    platform_api::{AppendRequest, ListedInstance, ListedKind},
+};
+use borageline_testutils::process::{
+    AddressLine, ChildProcess, ChildSignal, binary_path, free_addresses,
+    start_announced, wait_http,
+};
+use http::Method;
+use serde_json::json;
+use sha2::{Digest, Sha256};
+use tokio::time::Instant;
+
+use crate::caller::CallerClient;
+
+/// Model that all engines of a fleet serve.
+pub const MODEL: &str = "draft-1";
+/// Plain service of a fleet.
+pub const SERVICE: &str = "numbering";
+/// Key of the operator of a fleet.
+pub const OPERATOR_KEY: &str = "operator-key-of-the-bench";
+/// Secret of the instances of a fleet.
+const FLEET_SECRET: &str = "secret-of-the-bench-fleet";
+/// Time for one process to announce its address.
+const START_LIMIT: Duration = Duration::from_secs(10);
+/// Time for all instances to be ready.
+const READY_LIMIT: Duration = Duration::from_secs(20);
+
+/// What a fleet is made of.
+#[derive(Clone, Debug)]
+pub struct FleetPlan {
+    /// Failure domains.
+    pub domains: usize,
+    /// Instances, spread over the domains.
+    pub instances: usize,
+    /// Engines, spread over the domains.
+    pub engines: usize,
+    /// Processes of the plain service.
+    pub services: usize,
+    /// Workspaces.
+    pub workspaces: usize,
+    /// Serving policy of the instances.
+    pub policy: String,
+    /// More arguments for each engine.
+    pub engine_arguments: Vec<String>,
+    /// More settings for each instance, as `key=value`.
+    pub settings: Vec<String>,
+}
+
+impl FleetPlan {
+    /// Three domains with one instance and one engine each.
+    pub fn new(policy: &str) -> Self {
+        Self {
+            domains: 3,
+            instances: 3,
+            engines: 3,
+            services: 1,
+            workspaces: 1,
+            policy: policy.into(),
+            engine_arguments: vec!["--start-warm".into()],
+            settings: Vec::new(),
+        }
+    }
+}
+
+/// One running process of a fleet.
+#[derive(Debug)]
+pub struct FleetProcess {
+    /// Name, as in the instance list.
+    pub name: String,
+    /// Address of its HTTP interface.
+    pub address: SocketAddr,
+    /// Failure domain.
+    pub domain: DomainId,
+    /// The process.
+    pub child: ChildProcess,
+}
+
+/// A running fleet; its processes end when it is dropped.
+#[derive(Debug)]
+pub struct BenchFleet {
+    /// Log service.
+    pub log: FleetProcess,
+    /// Instance list.
+    pub list: FleetProcess,
+    /// Engines.
+    pub engines: Vec<FleetProcess>,
+    /// Processes of the plain service.
+    pub services: Vec<FleetProcess>,
+    /// Instances.
+    pub instances: Vec<FleetProcess>,
+    directory: PathBuf,
+}
+
+/// Key of a workspace.
+pub fn workspace_key(index: usize) -> String {
+    format!("workspace-key-{index}")
+}
+
+/// Name of a failure domain.
+pub fn domain_name(index: usize) -> DomainId {
+    let name = format!("domain-{}", (b'a' + index as u8) as char);
+    name.parse().expect("name is an id")
+}
+
+fn digest(key: &str) -> String {
+    let mut hex = String::new();
+    for byte in Sha256::digest(key.as_bytes()) {
+        write!(hex, "{byte:02x}").expect("writing to text cannot fail");
+    }
+    hex
+}
+
+fn standin(kind: &str, arguments: &[String]) -> io::Result<Command> {
+    let mut command = Command::new(binary_path("borageline-standin")?);
+    command
+        .args([kind, "--listen", "127.0.0.1:0"])
+        .args(arguments);
+    Ok(command)
+}
+
+fn start_standin(
+    kind: &str,
+    name: &str,
+    domain: DomainId,
+    arguments: &[String],
+) -> io::Result<FleetProcess> {
+    let command = standin(kind, arguments)?;
+    let (child, line): (ChildProcess, AddressLine) =
+        start_announced(command, START_LIMIT)?;
+    let address = line.address;
+    let name = name.into();
+    Ok(FleetProcess {
+        name,
+        address,
+        domain,
+        child,
+    })
+}
+
+impl BenchFleet {
+    /// Starts all processes and waits until every instance is ready.
+    pub async fn start(plan: &FleetPlan) -> io::Result<Self> {
+        let directory = std::env::temp_dir()
+            .join(format!("borageline-bench-{}", std::process::id()));
+        fs::create_dir_all(&directory)?;
+        let first = domain_name(0);
+        let log = start_standin("log", "log", first.clone(), &[])?;
+        let mut engines = Vec::new();
+        for index in 0..plan.engines {
+            let name = format!("engine-{index}");
+            let mut arguments = vec!["--id".into(), name.clone()];
+            arguments.extend(["--model".into(), MODEL.into()]);
+            arguments.extend(plan.engine_arguments.iter().cloned());
+            let domain = domain_name(index % plan.domains);
+            let engine = start_standin("engine", &name, domain, &arguments)?;
+            engines.push(engine);
+        }
+        let mut services = Vec::new();
+        for index in 0..plan.services {
+            let name = format!("{SERVICE}-{index}");
+            let domain = domain_name(index % plan.domains);
+            services.push(start_standin("service", &name, domain, &[])?);
+        }
+        let peers = free_addresses(plan.instances)?;
+        let callers = free_addresses(plan.instances)?;
+        let mut entries = Vec::new();
+        for (index, address) in peers.iter().enumerate() {
+            let name = format!("instance-{index}");
+            let domain = domain_name(index % plan.domains);
+            let kind = ListedKind::Instance;
+            entries.push(listed(&name, kind, *address, &domain));
+        }
+        for engine in &engines {
+            let kind = ListedKind::Engine;
+            let entry =
+                listed(&engine.name, kind, engine.address, &engine.domain);
+            entries.push(entry);
+        }
+        for service in &services {
+            let name = SERVICE.parse().expect("constant is an id");
+            let kind = ListedKind::Service(name);
+            let entry =
+                listed(&service.name, kind, service.address, &service.domain);
+            entries.push(entry);
+        }
+        let arguments: Vec<String> = entries
+            .iter()
+            .flat_map(|entry| {
+                let json = serde_json::to_string(entry);
+                ["--entry".into(), json.expect("an entry is JSON")]
+            })
+            .collect();
+        let list = start_standin("list", "list", first, &arguments)?;
+        let mut fleet = Self {
+            log,
+            list,
+            engines,
+            services,
+            instances: Vec::new(),
+            directory,
+        };
+        fleet.write_configuration(plan).await?;
+        for (index, caller) in callers.into_iter().enumerate() {
+            fleet.start_instance(plan, index, caller, &peers)?;
+        }
+        fleet.wait_ready().await?;
+        Ok(fleet)
+    }
+
+    /// Starts one instance with its settings file.
+    pub fn start_instance(
+        &mut self,
+        plan: &FleetPlan,
+        index: usize,
+        caller: SocketAddr,
+        peers: &[SocketAddr],
+    ) -> io::Result<()> {
+        let name = format!("instance-{index}");
+        let domain = domain_name(index % plan.domains);
+        let settings = json!({
+            "instance": name,
+            "failure_domain": domain,
+            "caller_address": caller,
+            "peer_address": peers[index],
+            "seeds": &peers[..peers.len().min(3)],
+            "fleet_secret": FLEET_SECRET,
+            "log_service": self.log.address,
+            "instance_list": self.list.address,
+            "policy": plan.policy,
+            "limits": { "address_ttl_ms": 1_000 },
+        });
+        let file = self.directory.join(format!("{name}.jsonc"));
+        fs::write(&file, settings.to_string())?;
+        let mut command = Command::new(binary_path("borageline")?);
+        command.arg("serve").arg("--config").arg(&file);
+        for setting in &plan.settings {
+            command.arg("--set").arg(setting);
+        }
+        let log = self.directory.join(format!("{name}.log"));
+        command
+            .stderr(fs::File::options().create(true).append(true).open(log)?);
+        let child = ChildProcess::start(command)?;
+        let address = caller;
+        self.instances.push(FleetProcess {
+            name,
+            address,
+            domain,
+            child,
+        });
+        Ok(())
+    }
+
+    /// Waits until every instance says that it is ready.
+    pub async fn wait_ready(&self) -> io::Result<()> {
+        for instance in &self.instances {
+            wait_http(instance.address, "/readyz", READY_LIMIT)
+                .await
+                .map_err(|error| {
+                    let text = format!("{}: {error:?}", instance.name);
+                    io::Error::other(text)
+                })?;
+        }
+        self.wait_models().await
+    }
+
+    /// Waits until every instance knows the engines' models.
+    async fn wait_models(&self) -> io::Result<()> {
+        let client = CallerClient::new();
+        let until = Instant::now() + READY_LIMIT;
+        for instance in &self.instances {
+            loop {
+                let body = json!({
+                    "model": MODEL, "prompt": "ping", "max_tokens": 1,
+                    "stream": false,
+                });
+                let answer = client
+                    .send(
+                        instance.address,
+                        Method::POST,
+                        "/v1/completions",
+                        &workspace_key(0),
+                        None,
+                        body.to_string().into(),
+                    )
+                    .await;
+                if matches!(answer, Ok((200, _))) {
+                    break;
+                }
+                if Instant::now() > until {
+                    let text = format!("{}: {answer:?}", instance.name);
+                    return Err(io::Error::other(text));
+                }
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+        Ok(())
+    }
+
+    async fn write_configuration(&self, plan: &FleetPlan) -> io::Result<()> {
+        let record = FleetRecord::Order(FleetOrder {
+            order: "bootstrap".parse().expect("constant is an id"),
+            expect_version: None,
+            issued_by: "bench".parse().expect("constant is an id"),
+            changes: configuration(plan),
+        });
+        let value = serde_json::to_value(record)?;
+        let body = serde_json::to_vec(&AppendRequest {
+            records: vec![value],
+        })?;
+        let path = "/v1/streams/config/records";
+        let client = CallerClient::new();
+        let answer = client
+            .send(self.log.address, Method::POST, path, "", None, body.into())
+            .await;
+        match answer {
+            Ok((200, _)) => Ok(()),
+            other => Err(io::Error::other(format!("{other:?}"))),
+        }
+    }
+
+    /// Gives an order by way of one instance and returns its report.
+    pub async fn order(
+        &self,
+        instance: usize,
+        id: &OrderId,
+        change: &FleetChange,
+    ) -> Result<(u16, serde_json::Value), String> {
+        let body = json!({ "order": id, "changes": [change] });
+        let (status, body) = CallerClient::new()
+            .send(
+                self.instances[instance].address,
+                Method::POST,
+                "/v1/order",
+                OPERATOR_KEY,
+                None,
+                body.to_string().into(),
+            )
+            .await?;
+        let report = serde_json::from_slice(&body);
+        Ok((status, report.map_err(|error| error.to_string())?))
+    }
+
+    /// Stops all instances as planned and waits for their ends.
+    pub fn stop_instances(&mut self) -> io::Result<()> {
+        for instance in &mut self.instances {
+            instance.child.signal(ChildSignal::Terminate)?;
+        }
+        for instance in &mut self.instances {
+            let status = instance.child.wait(READY_LIMIT)?;
+            if !status.success() {
+                let text = format!("{} ended with {status}", instance.name);
+                return Err(io::Error::other(text));
+            }
+        }
+        Ok(())
+    }
+}
+
+impl Drop for BenchFleet {
+    fn drop(&mut self) {
+        // The directory has only settings and logs of this run.
+        let _ = fs::remove_dir_all(&self.directory);
+    }
+}
+
+fn listed(
+    name: &str,
+    kind: ListedKind,
+    address: SocketAddr,
+    domain: &DomainId,
+) -> ListedInstance {
+    ListedInstance {
+        id: name.into(),
+        kind,
+        address,
+        failure_domain: domain.clone(),
+        leaving: false,
+    }
+}
+
+fn configuration(plan: &FleetPlan) -> Vec<FleetChange> {
+    let mut changes = vec![
+        FleetChange::SetOperator {
+            operator: "bench".parse().expect("constant is an id"),
+            rule: OperatorRule {
+                key_digest: digest(OPERATOR_KEY).into(),
+                role: OperatorRole::Admin,
+            },
+        },
+        FleetChange::SetService {
+            service: SERVICE.parse().expect("constant is an id"),
+            rule: ServiceRule {
+                routes: vec![RouteRule {
+                    method: "GET".into(),
+                    path_prefix: "/".into(),
+                    idempotent: true,
+                }],
+                timeout_ms: 5_000,
+            },
+        },
+    ];
+    for index in 0..plan.workspaces {
+        let workspace = format!("workspace-{index}");
+        changes.push(FleetChange::SetWorkspace {
+            workspace: workspace.parse().expect("name is an id"),
+            rule: WorkspaceRule {
+                key_digests: [digest(&workspace_key(index)).into()].into(),
+                enabled: true,
+                default_class: PriorityClass::Interactive,
+                classes: PriorityClass::ALL.iter().copied().collect(),
+                models: None,
+                domains: None,
+                limits: Vec::<LimitRule>::new(),
+            },
+        });
+    }
+    changes
+}
--- /dev/null
+++ b/bench/src/lib.rs
@@ -0,0 +1,10 @@
+//! Load and experiment tool of borageline.
+//!
+//! Starts fleets of real processes on loopback, sends them seeded workloads
+//! and prints figures beside those of the baselines.
+
+pub mod caller;
+pub mod fleet;
+pub mod quickstart;
+pub mod report;
+pub mod workload;
--- a/bench/src/report.rs
+++ b/bench/src/report.rs
@@ -30,17 +30,23 @@
     /// A report without figures.
     pub fn new(measure: &str, seed: u64) -> Self {
         let figures = BTreeMap::new();
-        Self { measure: measure.into(), seed, figures }
+        Self {
+            measure: measure.into(),
+            seed,
+            figures,
+        }
     }
 
     /// Adds the value of one policy to a figure.
     pub fn add(&mut self, policy: &str, name: &str, unit: &str, value: f64) {
         let figure =
-            self.figures.entry(name.into()).or_insert_with(|| MeasureFigure {
-                product: None,
-                baselines: BTreeMap::new(),
-                unit: unit.into(),
-            });
+            self.figures
+                .entry(name.into())
+                .or_insert_with(|| MeasureFigure {
+                    product: None,
+                    baselines: BTreeMap::new(),
+                    unit: unit.into(),
+                });
         if policy == "product" {
             figure.product = Some(value);
         } else {
--- a/bench/src/workload.rs
+++ b/bench/src/workload.rs
@@ -110,8 +110,10 @@
 pub fn mean_tokens(plan: &[PlannedRequest]) -> (f64, f64) {
     let count = plan.len().max(1) as f64;
     let prompt: u64 = plan.iter().map(|request| request.prompt_tokens).sum();
-    let output: u64 =
-        plan.iter().map(|request| u64::from(request.output_tokens)).sum();
+    let output: u64 = plan
+        .iter()
+        .map(|request| u64::from(request.output_tokens))
+        .sum();
     (prompt as f64 / count, output as f64 / count)
 }
 
