policy: add accounts, owners, placement and the entry side of requests

An owner grants from an account per engine, after a hold-down and a reading of the engine's list; an entry instance sends only under a valid grant. A grant that ran out without a notice stays counted until a later list of the engine does not contain it, so a lost notice cannot overcommit the engine.

GrantAsk and GrantNotice carry the number of the ask: a late notice on an earlier ask for the same request and engine must not free the newer grant. GrantNotice carries the reserved tokens, so that a new owner can book a request that it has not granted.

--- /dev/null
+++ b/lib/src/cold_start.rs
@@ -0,0 +1,135 @@
+//! The limit on an engine that may be cold.
+//!
+//! A cold engine has little capacity and fails under full load, and an engine
+//! may go cold without warning. The limit starts at the lowest step. It rises
+//! by one step (twice the concurrency and memory) after as many good ends as
+//! the step allows requests at once, but not before the engine has worked for
+//! some time on the step, because many tiny requests prove little. It falls to
+//! the lowest step at once on a new incarnation, on repeated errors or on
+//! latency far above the prediction. Requests that already run keep their
+//! places.
+
+use std::time::Duration;
+
+use crate::units::{Timestamp, TokenCount};
+
+/// Requests at once at the lowest step. A second owner may add one more.
+const FIRST_REQUESTS: u32 = 1;
+/// Time that the engine must have worked on a step before the next one.
+const STEP_WORK: Duration = Duration::from_secs(2);
+/// Share of the memory at the lowest step: one part in this many.
+const FIRST_MEMORY_PARTS: u64 = 16;
+/// A first part later than this many times the prediction is a slow one.
+const SLOW_FACTOR: u32 = 4;
+/// First parts faster than this are never slow, whatever was predicted.
+const SLOW_FLOOR: Duration = Duration::from_secs(1);
+/// Slow first parts or errors in a row that mean that the engine is cold.
+const BAD_IN_A_ROW: u32 = 2;
+/// Highest step; by then the limit is beyond any engine's size.
+const LAST_STEP: u32 = 12;
+
+/// Limit on concurrency and memory of one engine.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ColdLimit {
+    step: u32,
+    good: u32,
+    bad: u32,
+    worked: Duration,
+    busy_from: Option<Timestamp>,
+}
+
+impl ColdLimit {
+    /// A limit at its lowest step.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Present step.
+    pub fn step(&self) -> u32 {
+        self.step
+    }
+
+    /// Most requests at once.
+    pub fn requests(&self) -> u32 {
+        FIRST_REQUESTS << self.step
+    }
+
+    /// Most memory at once on an engine with this much memory.
+    pub fn tokens(&self, memory: TokenCount) -> TokenCount {
+        let part = (memory.get() / FIRST_MEMORY_PARTS).max(1);
+        let tokens = part.saturating_mul(1 << self.step);
+        TokenCount::new(tokens.min(memory.get()))
+    }
+
+    /// Whether one more request may be added. A single request may exceed the
+    /// memory limit on an otherwise empty engine; without that, an engine that
+    /// only gets long prompts would stay cold.
+    pub fn allows(
+        &self,
+        memory: TokenCount,
+        held: usize,
+        used: TokenCount,
+        tokens: TokenCount,
+    ) -> bool {
+        if held == 0 {
+            return true;
+        }
+        let limit = self.tokens(memory);
+        held < self.requests() as usize && used.saturating_add(tokens) <= limit
+    }
+
+    /// Takes in whether the engine has work from now on.
+    pub fn set_busy(&mut self, now: Timestamp, busy: bool) {
+        if let Some(from) = self.busy_from {
+            self.worked = self.worked.saturating_add(now.since(from));
+        }
+        self.busy_from = busy.then_some(now);
+    }
+
+    /// Takes a good end in.
+    pub fn finished(&mut self) {
+        self.bad = 0;
+        self.good = self.good.saturating_add(1);
+        let proved = self.good >= self.requests() && self.worked >= STEP_WORK;
+        if proved && self.step < LAST_STEP {
+            self.step += 1;
+            self.good = 0;
+            self.worked = Duration::ZERO;
+        }
+    }
+
+    /// Takes the time of a first part in.
+    pub fn first_part(&mut self, predicted: Duration, observed: Duration) {
+        let slow = predicted.saturating_mul(SLOW_FACTOR).max(SLOW_FLOOR);
+        if observed > slow {
+            self.failed();
+        } else {
+            self.bad = 0;
+        }
+    }
+
+    /// Takes the time of a whole answer in.
+    pub fn ended(&mut self, predicted: Duration, observed: Duration) {
+        if observed <= predicted.saturating_mul(SLOW_FACTOR).max(SLOW_FLOOR) {
+            self.finished();
+        }
+    }
+
+    /// Takes an error of the engine in.
+    pub fn failed(&mut self) {
+        self.bad += 1;
+        self.good = 0;
+        if self.bad >= BAD_IN_A_ROW {
+            self.reset();
+        }
+    }
+
+    /// Falls to the lowest step.
+    pub fn reset(&mut self) {
+        let busy_from = self.busy_from;
+        *self = Self {
+            busy_from,
+            ..Self::default()
+        };
+    }
+}
--- /dev/null
+++ b/lib/src/entry/group.rs
@@ -0,0 +1,170 @@
+//! Groups of engines for prompts larger than one engine's memory.
+//!
+//! The engines of a group lie in one failure domain and are asked in ascending
+//! order of their ids, so that two groups cannot wait for each other. Any
+//! failure returns all grants of the group; it is tried again after a backoff.
+
+use std::collections::BTreeMap;
+
+use super::{
+    EntryAction, EntryRow, EntryTable, GroupPart,
+    asking::{full_size, need},
+    unreachable,
+};
+use crate::{
+    ids::{DomainId, UpstreamId},
+    refusal::{Refusal, RefusalCode},
+    units::{Timestamp, TokenCount},
+    view::FleetView,
+};
+
+/// Most engines of one group.
+const GROUP_MAX: usize = 16;
+
+impl EntryTable {
+    /// Plans a group and asks for its first engine.
+    pub(super) fn place_large(
+        &mut self,
+        now: Timestamp,
+        mut row: EntryRow,
+        view: &FleetView,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        row.candidates.clear();
+        let room = |id: &UpstreamId| full_size(id, view);
+        if self.plan(&row, view, room).is_none() {
+            let tokens = row.spec.prompt.saturating_add(row.spec.output);
+            let message = format!(
+                "no engine or group of engines can hold {tokens} of model {}",
+                row.spec.model,
+            );
+            let refusal = Refusal::new(RefusalCode::PromptTooLarge, message);
+            return self.end(row, refusal, actions);
+        }
+        let table = &self.candidates;
+        let room = |id: &UpstreamId| {
+            full_size(id, view).min(table.headroom(now, id, view))
+        };
+        row.grouped = true;
+        match self.plan(&row, view, room) {
+            Some(parts) => self.ask_part(now, row, parts, view, actions),
+            None => {
+                row.transient = true;
+                row.last = Some(no_room());
+                self.round_over(now, row, actions);
+            }
+        }
+    }
+
+    /// Asks for the next engine of a group.
+    pub(super) fn ask_part(
+        &mut self,
+        now: Timestamp,
+        mut row: EntryRow,
+        mut parts: Vec<GroupPart>,
+        view: &FleetView,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        let part = parts.remove(0);
+        let Some(owner) = view.owners.get(&part.engine).cloned() else {
+            row.transient = true;
+            row.last = Some(unreachable());
+            return self.round_over(now, row, actions);
+        };
+        row.tried.push(part.engine.clone());
+        let ask = self.build_ask(now, &row, &part, true, false);
+        self.send_ask(now, row, owner, ask, parts, actions);
+    }
+
+    /// Splits a request over the fewest engines of one failure domain, or says
+    /// that no domain has the room.
+    fn plan(
+        &self,
+        row: &EntryRow,
+        view: &FleetView,
+        room: impl Fn(&UpstreamId) -> TokenCount,
+    ) -> Option<Vec<GroupPart>> {
+        let need = need(row, view);
+        let mut domains: BTreeMap<&DomainId, Vec<(TokenCount, &UpstreamId)>> =
+            BTreeMap::new();
+        for id in view.upstreams.serving(need.model) {
+            let Some(entry) = view.upstreams.get(id) else {
+                continue;
+            };
+            let report = entry.capability.as_deref();
+            let segments = report.is_some_and(|report| report.segments);
+            let allowed = need
+                .domains
+                .is_none_or(|domains| domains.contains(&entry.domain));
+            if segments && allowed && view.accepts_work(id) {
+                let engines = domains.entry(&entry.domain).or_default();
+                engines.push((room(id), id));
+            }
+        }
+        domains
+            .into_values()
+            .filter_map(|engines| fewest(engines, need.tokens))
+            .min_by_key(Vec::len)
+            .and_then(|chosen| split(row, chosen))
+    }
+}
+
+/// The engines with the most room that hold a number of tokens together.
+fn fewest(
+    mut engines: Vec<(TokenCount, &UpstreamId)>,
+    tokens: TokenCount,
+) -> Option<Vec<(TokenCount, &UpstreamId)>> {
+    engines.sort_by(|left, right| right.cmp(left));
+    let mut sum = TokenCount::ZERO;
+    let enough = engines.iter().position(|(room, _)| {
+        sum = sum.saturating_add(*room);
+        sum >= tokens
+    })?;
+    engines.truncate(enough + 1);
+    engines.sort_by_key(|(_, id)| *id);
+    (engines.len() <= GROUP_MAX).then_some(engines)
+}
+
+/// Assigns segments in ascending order of the ids. The last engine also needs
+/// the room for the answer.
+fn split(
+    row: &EntryRow,
+    engines: Vec<(TokenCount, &UpstreamId)>,
+) -> Option<Vec<GroupPart>> {
+    let mut left = row.spec.prompt;
+    let last = engines.len() - 1;
+    let (room, _) = engines[last];
+    // At least one prompt token stays for the engine that decodes.
+    let keep = room.saturating_sub(row.spec.output).min(left);
+    if keep == TokenCount::ZERO {
+        return None;
+    }
+    let mut parts = Vec::with_capacity(engines.len());
+    for (at, (room, id)) in engines.into_iter().enumerate() {
+        let prompt = if at == last {
+            left
+        } else {
+            room.min(left.saturating_sub(TokenCount::new(1)))
+        };
+        left = left.saturating_sub(prompt);
+        if prompt == TokenCount::ZERO {
+            continue;
+        }
+        let output = if at == last {
+            row.spec.output
+        } else {
+            TokenCount::ZERO
+        };
+        parts.push(GroupPart {
+            engine: id.clone(),
+            prompt,
+            output,
+        });
+    }
+    Some(parts)
+}
+
+fn no_room() -> Refusal {
+    let message = "no group of engines has room for the prompt now";
+    Refusal::new(RefusalCode::NoCapacity, message)
+}
--- a/lib/src/ids.rs
+++ b/lib/src/ids.rs
@@ -122,4 +122,14 @@
         let text = format!("{instance}-{:x}-{sequence:x}", incarnation.get());
         Self(text.into())
     }
+
+    /// Instance that built the id, if the id has that form.
+    pub fn entry_instance(&self) -> Option<InstanceId> {
+        let mut parts = self.0.rsplitn(3, '-');
+        let sequence = parts.next()?;
+        let incarnation = parts.next()?;
+        u64::from_str_radix(sequence, 16).ok()?;
+        u64::from_str_radix(incarnation, 16).ok()?;
+        parts.next()?.parse().ok()
+    }
 }
--- /dev/null
+++ b/lib/src/ledger.rs
@@ -0,0 +1,526 @@
+//! The owner's account of one engine's memory and slots.
+//!
+//! A hold counts from the grant until the engine is known not to have the
+//! request: a grant that ran out without a notice, or a request that failed or
+//! was cancelled, stays counted until a list of the engine, asked for after
+//! that moment, does not contain it. The account therefore errs towards too
+//! much memory in use, never too little. The owner reads the lists and passes
+//! them in; this module sends nothing.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use crate::{
+    engine_api::HeldReport,
+    ids::{InstanceId, RequestId},
+    peer_api::{GrantAsk, GrantEvent, GrantNotice},
+    units::{Incarnation, Timestamp, TokenCount},
+};
+
+/// Validity of a grant, counted from the moment the question was sent.
+pub const GRANT_VALID: Duration = Duration::from_millis(500);
+/// How long the owner counts an unused grant after its answer. It exceeds the
+/// validity by the time that a request may be on its way to the engine.
+pub const GRANT_COUNTED: Duration = Duration::from_millis(750);
+/// How long a member of a complete group is counted after the last renewal.
+pub const KEPT_COUNTED: Duration = Duration::from_secs(5);
+/// How long a started request may be missing from the engine's list.
+pub const LIST_GRACE: Duration = Duration::from_secs(1);
+/// How long an adopted request may stay detached without a notice.
+pub const UNKNOWN_BOUND: Duration = Duration::from_secs(30);
+/// How long after its deadline a request is left to its entry instance.
+pub const DEADLINE_GRACE: Duration = Duration::from_secs(1);
+/// Interval between two cancellations of the same request.
+const CANCEL_INTERVAL: Duration = Duration::from_secs(2);
+/// Share of the memory that an owner may grant, in percent. The rest covers a
+/// second instance that believes it is the owner.
+const FULL_PERCENT: u64 = 90;
+/// Share of the memory that may be granted before the takeover is complete.
+const TAKEOVER_PERCENT: u64 = 10;
+
+/// State of one hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HoldState {
+    /// Granted; nothing is known of its use.
+    Granted,
+    /// Part of a complete group; will be sent later.
+    Kept,
+    /// Sent to the engine.
+    Started,
+    /// Adopted from the engine's list; no instance has accounted for it.
+    Adopted,
+    /// Over, or its time ran out; the engine may still have it.
+    Ending,
+}
+
+/// One request's part of an engine.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Hold {
+    /// Entry instance.
+    pub entry: Option<InstanceId>,
+    /// Number of the question that led to it.
+    pub ask: u64,
+    /// Memory counted.
+    pub tokens: TokenCount,
+    /// Prompt tokens to prefill.
+    pub prompt: TokenCount,
+    /// State.
+    pub state: HoldState,
+    /// When the state was entered.
+    pub since: Timestamp,
+    /// When a notice or an attached stream last accounted for it.
+    pub renewed: Timestamp,
+    /// When the state runs out.
+    pub expires: Option<Timestamp>,
+    /// When the request must have ended, if it is known.
+    pub deadline: Option<Timestamp>,
+    /// Whether prefill is still to be done as far as is known.
+    pub prefilling: bool,
+    cancel_due: Option<Timestamp>,
+}
+
+/// Changes that a report or notice brought about.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct LedgerChange {
+    /// Requests to cancel at the engine.
+    pub cancel: Vec<RequestId>,
+    /// Whether the engine came up with a new incarnation.
+    pub restarted: bool,
+}
+
+/// Account of one engine.
+#[derive(Clone, Debug, Default)]
+pub struct EngineLedger {
+    incarnation: Option<Incarnation>,
+    memory: TokenCount,
+    slots: u32,
+    complete: bool,
+    holds: BTreeMap<RequestId, Hold>,
+    used: TokenCount,
+}
+
+impl EngineLedger {
+    /// An account that knows nothing of its engine.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Sets the size of the engine.
+    pub fn set_size(&mut self, memory: TokenCount, slots: u32) {
+        self.memory = memory;
+        self.slots = slots;
+    }
+
+    /// Sets whether the takeover is complete.
+    pub fn set_complete(&mut self, complete: bool) {
+        self.complete = complete;
+    }
+
+    /// Whether the takeover is complete.
+    pub fn is_complete(&self) -> bool {
+        self.complete
+    }
+
+    /// Incarnation that the account belongs to.
+    pub fn incarnation(&self) -> Option<Incarnation> {
+        self.incarnation
+    }
+
+    /// Holds in the order of the request ids.
+    pub fn holds(&self) -> impl Iterator<Item = (&RequestId, &Hold)> {
+        self.holds.iter()
+    }
+
+    /// One hold.
+    pub fn hold(&self, request: &RequestId) -> Option<&Hold> {
+        self.holds.get(request)
+    }
+
+    /// Number of holds.
+    pub fn held(&self) -> usize {
+        self.holds.len()
+    }
+
+    /// Memory of the engine.
+    pub fn memory(&self) -> TokenCount {
+        self.memory
+    }
+
+    /// Memory that can be granted when the takeover is complete.
+    pub fn full_size(&self) -> TokenCount {
+        percent_of(self.memory, FULL_PERCENT)
+    }
+
+    /// Memory counted as in use.
+    pub fn used(&self) -> TokenCount {
+        self.used
+    }
+
+    /// Most memory that may be in use by grants of this owner.
+    pub fn allowed(&self) -> TokenCount {
+        if self.complete {
+            self.full_size()
+        } else {
+            percent_of(self.memory, TAKEOVER_PERCENT)
+        }
+    }
+
+    /// Most requests at once. One slot is left to a second owner.
+    pub fn allowed_slots(&self) -> u32 {
+        if self.complete && self.slots > 1 {
+            self.slots - 1
+        } else {
+            self.slots.min(1)
+        }
+    }
+
+    /// Memory that can still be granted.
+    pub fn headroom(&self) -> TokenCount {
+        self.allowed().saturating_sub(self.used)
+    }
+
+    /// Slots that can still be granted.
+    pub fn free_slots(&self) -> u32 {
+        let held = u32::try_from(self.holds.len()).unwrap_or(u32::MAX);
+        self.allowed_slots().saturating_sub(held)
+    }
+
+    /// Whether a request of this size fits.
+    pub fn fits(&self, tokens: TokenCount) -> bool {
+        self.incarnation.is_some()
+            && self.free_slots() > 0
+            && tokens <= self.headroom()
+    }
+
+    /// Prompt tokens of holds whose prefill is not known to be done.
+    pub fn prefill_backlog(&self) -> TokenCount {
+        let pending = self.holds.values().filter(|hold| hold.prefilling);
+        pending.map(|hold| hold.prompt).sum()
+    }
+
+    /// Takes an incarnation in; a new one drops every hold.
+    pub fn set_incarnation(&mut self, incarnation: Incarnation) -> bool {
+        if self.incarnation.is_some_and(|known| known >= incarnation) {
+            return false;
+        }
+        let restarted = self.incarnation.is_some();
+        self.incarnation = Some(incarnation);
+        if restarted {
+            self.holds.clear();
+            self.used = TokenCount::ZERO;
+        }
+        restarted
+    }
+
+    /// Books a grant. The caller has checked [`Self::fits`].
+    pub fn grant(
+        &mut self,
+        now: Timestamp,
+        entry: InstanceId,
+        ask: &GrantAsk,
+        tokens: TokenCount,
+    ) {
+        let hold = Hold {
+            entry: Some(entry),
+            ask: ask.ask,
+            tokens,
+            prompt: ask.prompt,
+            state: HoldState::Granted,
+            since: now,
+            renewed: now,
+            expires: Some(now.after(GRANT_COUNTED)),
+            deadline: Some(now.after(ask.time_left)),
+            prefilling: true,
+            cancel_due: None,
+        };
+        self.put(ask.request.clone(), hold);
+    }
+
+    /// Takes a notice of an entry instance in.
+    pub fn notice(
+        &mut self,
+        now: Timestamp,
+        from: &InstanceId,
+        notice: &GrantNotice,
+    ) {
+        let request = &notice.request;
+        let known = self.holds.get(request);
+        // A notice on an earlier question of the same request may come late.
+        if known.is_some_and(|hold| hold.ask > notice.ask) {
+            return;
+        }
+        match &notice.event {
+            GrantEvent::Unused => {
+                let granted = known.is_some_and(|hold| {
+                    matches!(hold.state, HoldState::Granted | HoldState::Kept)
+                });
+                if granted {
+                    self.drop_hold(request);
+                }
+            }
+            GrantEvent::Finished(_) => self.drop_hold(request),
+            GrantEvent::Overcommitted => self.drop_hold(request),
+            GrantEvent::Kept => {
+                self.renew(now, from, notice, HoldState::Kept);
+            }
+            GrantEvent::Started => {
+                self.renew(now, from, notice, HoldState::Started);
+            }
+            GrantEvent::FirstPart(_) => {
+                self.renew(now, from, notice, HoldState::Started);
+                if let Some(hold) = self.holds.get_mut(request) {
+                    hold.prefilling = false;
+                }
+            }
+            GrantEvent::Failed | GrantEvent::Cancelled => {
+                self.end(now, request, true);
+            }
+        }
+    }
+
+    /// Frees or adopts by the engine's list, which was asked for at a time.
+    pub fn reconcile(
+        &mut self,
+        now: Timestamp,
+        asked_at: Timestamp,
+        report: &HeldReport,
+        dead: &BTreeSet<InstanceId>,
+    ) -> LedgerChange {
+        if self.incarnation.is_some_and(|own| own > report.incarnation) {
+            return LedgerChange::default();
+        }
+        let restarted = self.set_incarnation(report.incarnation);
+        let listed: BTreeMap<_, _> = report
+            .requests
+            .iter()
+            .map(|held| (&held.request, held))
+            .collect();
+        let gone: Vec<RequestId> = self
+            .holds
+            .iter()
+            .filter(|(request, hold)| {
+                !listed.contains_key(*request) && freed(hold, asked_at)
+            })
+            .map(|(request, _)| request.clone())
+            .collect();
+        gone.iter().for_each(|request| self.drop_hold(request));
+        for held in listed.values() {
+            self.take_listed(now, &held.request, held.tokens, held.attached);
+        }
+        self.end_orphans(now, dead);
+        let cancel = self.overdue(now);
+        LedgerChange { cancel, restarted }
+    }
+
+    /// Marks the holds of a dead entry instance as ending.
+    pub fn member_dead(&mut self, now: Timestamp, dead: &InstanceId) {
+        let requests: Vec<RequestId> = self
+            .holds
+            .iter()
+            .filter(|(_, hold)| hold.entry.as_ref() == Some(dead))
+            .map(|(request, _)| request.clone())
+            .collect();
+        for request in requests {
+            self.end(now, &request, true);
+        }
+    }
+
+    /// Ends what ran out and names what to cancel at the engine.
+    pub fn tick(&mut self, now: Timestamp) -> Vec<RequestId> {
+        for hold in self.holds.values_mut() {
+            let expired = hold.expires.is_some_and(|at| at <= now);
+            let late = hold
+                .deadline
+                .is_some_and(|at| at.after(DEADLINE_GRACE) <= now);
+            if expired && hold.state != HoldState::Ending {
+                hold.state = HoldState::Ending;
+                hold.since = now;
+                hold.expires = None;
+            }
+            if late && hold.cancel_due.is_none() {
+                hold.state = HoldState::Ending;
+                hold.since = now;
+                hold.expires = None;
+                hold.cancel_due = Some(now);
+            }
+        }
+        self.overdue(now)
+    }
+
+    /// Whether a list of the engine would free or settle something.
+    pub fn wants_list(&self) -> bool {
+        self.holds
+            .values()
+            .any(|hold| hold.state == HoldState::Ending)
+    }
+
+    /// When [`Self::tick`] has something to do.
+    pub fn next_timer(&self) -> Option<Timestamp> {
+        let due = |hold: &Hold| {
+            let late = hold.deadline.map(|at| at.after(DEADLINE_GRACE));
+            let late = late.filter(|_| hold.cancel_due.is_none());
+            [hold.expires, hold.cancel_due, late]
+                .into_iter()
+                .flatten()
+                .min()
+        };
+        self.holds.values().filter_map(due).min()
+    }
+
+    fn put(&mut self, request: RequestId, hold: Hold) {
+        self.drop_hold(&request);
+        self.used = self.used.saturating_add(hold.tokens);
+        self.holds.insert(request, hold);
+    }
+
+    fn drop_hold(&mut self, request: &RequestId) {
+        if let Some(hold) = self.holds.remove(request) {
+            self.used = self.used.saturating_sub(hold.tokens);
+        }
+    }
+
+    /// Enters a state, and books the hold anew if it was not known, as happens
+    /// after a takeover or when a notice came late.
+    fn renew(
+        &mut self,
+        now: Timestamp,
+        from: &InstanceId,
+        notice: &GrantNotice,
+        state: HoldState,
+    ) {
+        let expires =
+            (state == HoldState::Kept).then(|| now.after(KEPT_COUNTED));
+        if let Some(hold) = self.holds.get_mut(&notice.request) {
+            let cancelled = hold.cancel_due.is_some();
+            let started = hold.state == HoldState::Started;
+            hold.entry = Some(from.clone());
+            hold.ask = notice.ask;
+            hold.renewed = now;
+            if cancelled || (started && state == HoldState::Kept) {
+                return;
+            }
+            if hold.state != state {
+                hold.since = now;
+            }
+            hold.state = state;
+            hold.expires = expires;
+            return;
+        }
+        let hold = Hold {
+            entry: Some(from.clone()),
+            ask: notice.ask,
+            tokens: notice.reserved,
+            prompt: TokenCount::ZERO,
+            state,
+            since: now,
+            renewed: now,
+            expires,
+            deadline: None,
+            prefilling: false,
+            cancel_due: None,
+        };
+        self.put(notice.request.clone(), hold);
+    }
+
+    fn end(&mut self, now: Timestamp, request: &RequestId, cancel: bool) {
+        if let Some(hold) = self.holds.get_mut(request) {
+            hold.state = HoldState::Ending;
+            hold.since = now;
+            hold.expires = None;
+            hold.prefilling = false;
+            hold.cancel_due = cancel.then_some(now);
+        }
+    }
+
+    fn take_listed(
+        &mut self,
+        now: Timestamp,
+        request: &RequestId,
+        tokens: TokenCount,
+        attached: bool,
+    ) {
+        let Some(hold) = self.holds.get_mut(request) else {
+            let hold = Hold {
+                entry: request.entry_instance(),
+                ask: 0,
+                tokens,
+                prompt: TokenCount::ZERO,
+                state: HoldState::Adopted,
+                since: now,
+                renewed: now,
+                expires: None,
+                deadline: None,
+                prefilling: false,
+                cancel_due: None,
+            };
+            self.put(request.clone(), hold);
+            return;
+        };
+        self.used = self.used.saturating_sub(hold.tokens);
+        hold.tokens = hold.tokens.max(tokens);
+        self.used = self.used.saturating_add(hold.tokens);
+        if attached {
+            hold.renewed = now;
+        }
+        if hold.cancel_due.is_some() {
+            return;
+        }
+        match hold.state {
+            HoldState::Adopted | HoldState::Started => {
+                if now.since(hold.renewed) >= UNKNOWN_BOUND {
+                    hold.cancel_due = Some(now);
+                }
+            }
+            HoldState::Granted | HoldState::Kept | HoldState::Ending => {
+                hold.state = HoldState::Started;
+                hold.since = now;
+                hold.renewed = now;
+                hold.expires = None;
+            }
+        }
+    }
+
+    fn end_orphans(&mut self, now: Timestamp, dead: &BTreeSet<InstanceId>) {
+        for hold in self.holds.values_mut() {
+            let orphaned = hold
+                .entry
+                .as_ref()
+                .is_some_and(|entry| dead.contains(entry));
+            if orphaned && hold.cancel_due.is_none() {
+                hold.state = HoldState::Ending;
+                hold.since = now;
+                hold.expires = None;
+                hold.cancel_due = Some(now);
+            }
+        }
+    }
+
+    fn overdue(&mut self, now: Timestamp) -> Vec<RequestId> {
+        let mut cancel = Vec::new();
+        for (request, hold) in &mut self.holds {
+            if hold.cancel_due.is_some_and(|at| at <= now) {
+                hold.cancel_due = Some(now.after(CANCEL_INTERVAL));
+                cancel.push(request.clone());
+            }
+        }
+        cancel
+    }
+}
+
+/// Whether a hold that a list does not contain is free.
+fn freed(hold: &Hold, asked_at: Timestamp) -> bool {
+    match hold.state {
+        HoldState::Granted | HoldState::Kept => false,
+        HoldState::Started => hold.since.after(LIST_GRACE) <= asked_at,
+        HoldState::Adopted => true,
+        HoldState::Ending => hold.since <= asked_at,
+    }
+}
+
+/// A percentage of a number of tokens.
+pub fn percent_of(memory: TokenCount, percent: u64) -> TokenCount {
+    let tokens = u128::from(memory.get()) * u128::from(percent) / 100;
+    TokenCount::new(u64::try_from(tokens).unwrap_or(u64::MAX))
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -5,15 +5,22 @@
 //! tasks live in the `borageline` binary, which carries the actions out.
 
 pub mod api;
+pub mod cold_start;
 pub mod core;
+pub mod cost;
 pub mod derives;
 pub mod engine_api;
+pub mod entry;
 pub mod fleet;
 pub mod ids;
+pub mod ledger;
 pub mod log_event;
+pub mod owner;
 pub mod peer_api;
+pub mod placement;
 pub mod platform_api;
 pub mod refusal;
+pub mod retry;
 pub mod settings;
 pub mod units;
 pub mod view;
--- /dev/null
+++ b/lib/src/owner.rs
@@ -0,0 +1,397 @@
+//! The engines that this instance owns.
+//!
+//! One row per owned engine joins its account, cold limit and cost model. The
+//! table answers asks for grants, keeps each account in step with the engine's
+//! own list and publishes summaries. It answers `NotOwner` unless the view
+//! says that this instance owns the engine and has fresh evidence of it. The
+//! core routes asks and notices here and carries the reads out; it reports one
+//! result for each read.
+
+mod row;
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use self::row::{OwnerRow, give, judge};
+use crate::{
+    cold_start::ColdLimit,
+    engine_api::{HeldReport, LoadReport},
+    ids::{InstanceId, RequestId, UpstreamId},
+    ledger::EngineLedger,
+    peer_api::{
+        EngineSummary, GrantAnswer, GrantAsk, GrantNotice, GrantRefusal,
+    },
+    units::{Timestamp, TokenCount},
+    view::FleetView,
+};
+
+/// Wait of a new owner until unused grants of the old one are void.
+pub const HOLD_DOWN: Duration = Duration::from_secs(1);
+/// Interval between two readings of an owned engine's load.
+pub const LOAD_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval between two readings of an owned engine's list.
+pub const HELD_INTERVAL: Duration = Duration::from_secs(2);
+/// Least interval between two readings of the list out of turn.
+pub const HELD_URGENT: Duration = Duration::from_millis(100);
+/// Prompts above this length go only to engines that take long prompts.
+pub const LONG_PROMPT: TokenCount = TokenCount::new(16_384);
+/// Interval between two comparisons of the rows with the view.
+const SYNC_INTERVAL: Duration = Duration::from_millis(100);
+/// Least time after which a refused ask may be repeated.
+const RETRY_MIN: Duration = Duration::from_millis(100);
+/// A read that the core has not reported by now is taken as lost.
+const READ_LOST: Duration = Duration::from_secs(30);
+/// Most dead instances that are remembered.
+const DEAD_MAX: usize = 1024;
+
+/// Input of the table.
+#[derive(Clone, Debug, PartialEq)]
+pub enum OwnerEvent {
+    /// An instance, perhaps this one, asks for a grant.
+    GrantAsked {
+        /// Entry instance.
+        from: InstanceId,
+        /// Number for the answer.
+        reply: u64,
+        /// The ask.
+        ask: GrantAsk,
+    },
+    /// An instance says what became of a grant.
+    Noticed(InstanceId, GrantNotice),
+    /// An engine's load was read, or not.
+    LoadRead(UpstreamId, Option<LoadReport>),
+    /// An engine's list of held requests was read, or not.
+    HeldRead(UpstreamId, Option<HeldReport>),
+    /// An instance is dead.
+    MemberDead(InstanceId),
+    /// An instance that was dead is back with a new incarnation.
+    MemberBack(InstanceId),
+}
+
+/// Output of the table.
+#[derive(Clone, Debug, PartialEq)]
+pub enum OwnerAction {
+    /// Answer an ask.
+    Answer {
+        /// Entry instance.
+        to: InstanceId,
+        /// Number of the ask's [`OwnerEvent::GrantAsked`].
+        reply: u64,
+        /// The answer.
+        answer: GrantAnswer,
+    },
+    /// Read an engine's load.
+    ReadLoad(UpstreamId),
+    /// Read an engine's list of held requests.
+    ReadHeld(UpstreamId),
+    /// Cancel a request at an engine.
+    CancelHeld(UpstreamId, RequestId),
+}
+
+/// How far the takeover of an engine is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TakeoverState {
+    /// Unused grants of the old owner may still be valid.
+    Waiting,
+    /// The engine's list is being read.
+    Reading,
+    /// The whole account is granted from.
+    Serving,
+}
+
+/// Rows of the engines that this instance owns.
+#[derive(Debug, Default)]
+pub struct OwnerTable {
+    rows: BTreeMap<UpstreamId, OwnerRow>,
+    dead: BTreeSet<InstanceId>,
+    sync_due: Timestamp,
+}
+
+impl OwnerTable {
+    /// A table without rows.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes one event in.
+    pub fn handle(
+        &mut self,
+        now: Timestamp,
+        event: OwnerEvent,
+        view: &FleetView,
+    ) -> Vec<OwnerAction> {
+        let mut actions = Vec::new();
+        match event {
+            OwnerEvent::GrantAsked { from, reply, ask } => {
+                let answer = self.asked(now, &from, &ask, view);
+                let to = from;
+                actions.push(OwnerAction::Answer { to, reply, answer });
+            }
+            OwnerEvent::Noticed(from, notice) => {
+                self.noticed(now, &from, &notice, view);
+            }
+            OwnerEvent::LoadRead(engine, report) => {
+                self.load_read(now, &engine, report);
+            }
+            OwnerEvent::HeldRead(engine, report) => {
+                self.held_read(now, &engine, report, &mut actions);
+            }
+            OwnerEvent::MemberDead(instance) => {
+                for row in self.rows.values_mut() {
+                    row.ledger.member_dead(now, &instance);
+                }
+                if self.dead.len() < DEAD_MAX {
+                    self.dead.insert(instance);
+                }
+            }
+            OwnerEvent::MemberBack(instance) => {
+                self.dead.remove(&instance);
+            }
+        }
+        self.run(now, &mut actions);
+        actions
+    }
+
+    /// Does what is due.
+    pub fn tick(
+        &mut self,
+        now: Timestamp,
+        view: &FleetView,
+    ) -> Vec<OwnerAction> {
+        let mut actions = Vec::new();
+        if now >= self.sync_due {
+            self.sync_due = now.after(SYNC_INTERVAL);
+            self.sync(now, view);
+        }
+        self.run(now, &mut actions);
+        actions
+    }
+
+    /// When the table wants to be called without input.
+    pub fn next_timer(&self) -> Option<Timestamp> {
+        let mut due = self.sync_due;
+        for row in self.rows.values() {
+            let reads = [
+                (row.load_due, row.load_asked),
+                (row.held_due, row.held_asked),
+            ];
+            for (at, asked) in reads {
+                due = due.min(asked.map_or(at, |at| at.after(READ_LOST)));
+            }
+            due = row.ledger.next_timer().map_or(due, |at| due.min(at));
+        }
+        Some(due)
+    }
+
+    /// Summaries of the owned engines, for dissemination.
+    pub fn summaries(&self, now: Timestamp) -> Vec<EngineSummary> {
+        self.rows
+            .iter()
+            .map(|(engine, row)| row.summary(now, engine))
+            .collect()
+    }
+
+    /// State of the takeover of an engine, if this instance owns it.
+    pub fn takeover(&self, engine: &UpstreamId) -> Option<TakeoverState> {
+        self.rows.get(engine).map(|row| row.state)
+    }
+
+    /// Account of an engine, if this instance owns it.
+    pub fn ledger(&self, engine: &UpstreamId) -> Option<&EngineLedger> {
+        self.rows.get(engine).map(|row| &row.ledger)
+    }
+
+    /// Cold limit of an engine, if this instance owns it.
+    pub fn cold_limit(&self, engine: &UpstreamId) -> Option<&ColdLimit> {
+        self.rows.get(engine).map(|row| &row.cold)
+    }
+
+    /// Adds rows of engines that came to this instance and removes the others.
+    fn sync(&mut self, now: Timestamp, view: &FleetView) {
+        self.rows.retain(|engine, _| view.owns(engine));
+        for (engine, owner) in view.owners {
+            if owner == view.own {
+                self.row(now, engine, view);
+            }
+        }
+        if !view.may_own {
+            self.rows.values_mut().for_each(|row| row.suspend(now));
+        }
+    }
+
+    fn row(
+        &mut self,
+        now: Timestamp,
+        engine: &UpstreamId,
+        view: &FleetView,
+    ) -> &mut OwnerRow {
+        let row = self
+            .rows
+            .entry(engine.clone())
+            .or_insert_with(|| OwnerRow::new(now));
+        let entry = view.upstreams.get(engine);
+        if let Some(report) = entry.and_then(|entry| entry.capability.as_ref())
+        {
+            row.take_capability(report);
+        }
+        let accepted = view.accepts_work(engine);
+        if accepted && !row.accepted {
+            row.cold.reset();
+        }
+        row.accepted = accepted;
+        row
+    }
+
+    fn asked(
+        &mut self,
+        now: Timestamp,
+        from: &InstanceId,
+        ask: &GrantAsk,
+        view: &FleetView,
+    ) -> GrantAnswer {
+        if !view.may_own || !view.owns(&ask.engine) {
+            let owner = view.owners.get(&ask.engine).cloned();
+            return GrantAnswer::NotOwner(owner);
+        }
+        let row = self.row(now, &ask.engine, view);
+        match judge(now, row, ask) {
+            Ok(()) => GrantAnswer::Granted(give(now, row, from, ask)),
+            Err(refusal) => GrantAnswer::Refused(GrantRefusal {
+                refusal,
+                summary: Some(row.summary(now, &ask.engine)),
+            }),
+        }
+    }
+
+    fn noticed(
+        &mut self,
+        now: Timestamp,
+        from: &InstanceId,
+        notice: &GrantNotice,
+        view: &FleetView,
+    ) {
+        if !view.owns(&notice.engine) {
+            return;
+        }
+        let row = self.row(now, &notice.engine, view);
+        row.ledger.notice(now, from, notice);
+        row.learn(now, notice);
+        row.set_busy(now);
+    }
+
+    fn load_read(
+        &mut self,
+        now: Timestamp,
+        engine: &UpstreamId,
+        report: Option<LoadReport>,
+    ) {
+        let Some(row) = self.rows.get_mut(engine) else {
+            return;
+        };
+        row.load_asked = None;
+        let Some(report) = report else {
+            return;
+        };
+        let known = row.ledger.incarnation();
+        if known.is_some_and(|known| known > report.incarnation) {
+            return;
+        }
+        if row.ledger.set_incarnation(report.incarnation) {
+            row.restarted();
+        }
+        if let Some(cost) = &mut row.cost {
+            cost.take_load(now, &report);
+        }
+        let age = report.age_ms.saturating_mul(1000);
+        let measured = now.get().saturating_sub(age);
+        let measured = Timestamp::new(measured);
+        row.measured_at = row.measured_at.max(Some(measured));
+    }
+
+    fn held_read(
+        &mut self,
+        now: Timestamp,
+        engine: &UpstreamId,
+        report: Option<HeldReport>,
+        actions: &mut Vec<OwnerAction>,
+    ) {
+        let Some(row) = self.rows.get_mut(engine) else {
+            return;
+        };
+        let Some(asked_at) = row.held_asked.take() else {
+            return;
+        };
+        let Some(report) = report else {
+            row.held_due = now.after(HELD_URGENT);
+            return;
+        };
+        let ledger = &mut row.ledger;
+        let change = ledger.reconcile(now, asked_at, &report, &self.dead);
+        if change.restarted {
+            row.restarted();
+        }
+        if row.state == TakeoverState::Reading {
+            row.state = TakeoverState::Serving;
+            row.ledger.set_complete(true);
+        }
+        row.held_urgent = row.ledger.wants_list();
+        let holds = &row.ledger;
+        row.forecasts
+            .retain(|request, _| holds.hold(request).is_some());
+        row.set_busy(now);
+        let engine = engine.clone();
+        actions.extend(
+            change.cancel.into_iter().map(|request| {
+                OwnerAction::CancelHeld(engine.clone(), request)
+            }),
+        );
+    }
+
+    /// Runs the timers of all rows.
+    fn run(&mut self, now: Timestamp, actions: &mut Vec<OwnerAction>) {
+        for (engine, row) in &mut self.rows {
+            for request in row.ledger.tick(now) {
+                let cancel = OwnerAction::CancelHeld(engine.clone(), request);
+                actions.push(cancel);
+                row.held_urgent = true;
+            }
+            row.held_urgent |= row.ledger.wants_list();
+            if row.state == TakeoverState::Waiting && now >= row.hold_down_until
+            {
+                row.state = TakeoverState::Reading;
+                row.held_due = now;
+            }
+            if due(now, row.load_due, row.load_asked) {
+                row.load_due = now.after(LOAD_INTERVAL);
+                row.load_asked = Some(now);
+                actions.push(OwnerAction::ReadLoad(engine.clone()));
+            }
+            read_held(now, engine, row, actions);
+        }
+    }
+}
+
+fn due(now: Timestamp, at: Timestamp, asked: Option<Timestamp>) -> bool {
+    asked.map_or(now >= at, |asked| now.since(asked) >= READ_LOST)
+}
+
+/// Reads the list each 2 s, and soon where something waits for it.
+fn read_held(
+    now: Timestamp,
+    engine: &UpstreamId,
+    row: &mut OwnerRow,
+    actions: &mut Vec<OwnerAction>,
+) {
+    if row.held_urgent {
+        row.held_urgent = false;
+        row.held_due = row.held_due.min(now.after(HELD_URGENT));
+    }
+    let waiting = row.state == TakeoverState::Waiting;
+    if !waiting && due(now, row.held_due, row.held_asked) {
+        row.held_due = now.after(HELD_INTERVAL);
+        row.held_asked = Some(now);
+        actions.push(OwnerAction::ReadHeld(engine.clone()));
+    }
+}
--- a/lib/src/peer_api.rs
+++ b/lib/src/peer_api.rs
@@ -168,6 +168,8 @@
 value_type! {
     /// Asks an engine's owner for a grant.
     pub struct GrantAsk {
+        /// Number of the question, rising at its entry instance.
+        pub ask: u64,
         /// Request that it is for.
         pub request: RequestId,
         /// Engine.
@@ -234,6 +236,10 @@
 value_type! {
     /// What became of a grant.
     pub struct GrantNotice {
+        /// Number of the question that led to the grant.
+        pub ask: u64,
+        /// Tokens reserved, so that a new owner can book them.
+        pub reserved: TokenCount,
         /// Request.
         pub request: RequestId,
         /// Engine.
