--- a/testutils/src/process.rs
+++ b/testutils/src/process.rs
@@ -16,6 +16,9 @@
 /// Time between two looks at a process or an address.
 const POLL_WAIT: Duration = Duration::from_millis(5);
 
+/// Longest time until all threads of a paused process are stopped.
+const STOP_LIMIT: Duration = Duration::from_secs(5);
+
 /// Signals that a test sends to its own children.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ChildSignal {
@@ -130,7 +133,7 @@
         self.child.wait()
     }
 
-    /// Sends a signal by the command `kill`.
+    /// Sends a signal by the command `kill`; a pause is in effect on return.
     ///
     /// The id belongs to the child until it is waited for, so no other
     /// process can be hit.
@@ -144,7 +147,10 @@
             .arg(self.id().to_string())
             .status()?;
         if status.success() {
-            return Ok(());
+            return match signal {
+                ChildSignal::Stop => self.wait_stopped(),
+                ChildSignal::Terminate | ChildSignal::Continue => Ok(()),
+            };
         }
         let text =
             format!("kill {} {}: {status}", signal.argument(), self.id());
@@ -152,6 +158,40 @@
     }
 }
 
+impl ChildProcess {
+    /// Waits until all threads are stopped. The signal returns earlier, and
+    /// a thread that is running then can still answer a call.
+    fn wait_stopped(&self) -> io::Result<()> {
+        let until = Instant::now() + STOP_LIMIT;
+        while !threads_stopped(self.id())? {
+            if Instant::now() >= until {
+                let text = format!("process {} does not stop", self.id());
+                return Err(io::Error::new(io::ErrorKind::TimedOut, text));
+            }
+            std::thread::sleep(POLL_WAIT);
+        }
+        Ok(())
+    }
+}
+
+/// Whether each thread of a process has the state `T` (stopped) in procfs.
+fn threads_stopped(id: u32) -> io::Result<bool> {
+    for thread in std::fs::read_dir(format!("/proc/{id}/task"))? {
+        let path = thread?.path().join("stat");
+        // A thread that has ended since the listing counts as running, so
+        // that the list is read again.
+        let Ok(stat) = std::fs::read_to_string(path) else {
+            return Ok(false);
+        };
+        // The name in parentheses can hold spaces; the state follows it.
+        let state = stat.rsplit(')').next().unwrap_or_default();
+        if !state.trim_start().starts_with('T') {
+            return Ok(false);
+        }
+    }
+    Ok(true)
+}
+
 impl Drop for ChildProcess {
     fn drop(&mut self) {
         // Fails only if the process has ended before.
