--- a/cli/src/services.rs
+++ b/cli/src/services.rs
@@ -182,11 +182,14 @@
 
     /// Serves a call that must run at most once.
     async fn run_once(
-        self,
+        mut self,
         context: &SharedContext,
         key: Uuid,
     ) -> Result<Response<Body>, Refusal> {
         self.processes(context)?;
+        let value = HeaderValue::from_str(&key.to_string())
+            .expect("a UUID holds no control characters");
+        self.headers.insert(IDEMPOTENCY_KEY_HEADER, value);
         let key = CallKey {
             workspace: self.workspace.clone(),
             service: self.path.service.clone(),
--- a/cli/tests/test_serve/fixture.rs
+++ b/cli/tests/test_serve/fixture.rs
@@ -5,7 +5,7 @@
 //! follows a failure.
 
 use std::{
-    collections::BTreeSet,
+    collections::{BTreeMap, BTreeSet},
     convert::Infallible,
     net::SocketAddr,
     sync::{Arc, Mutex},
@@ -21,16 +21,17 @@
         AssignedEngine, Assignment, CoreAction, CoreEvent, InstanceReadiness,
         PublishedView, RequestDecision, RequestProgress,
     },
-    fleet::{FleetState, WorkspaceRule},
-    ids::UpstreamId,
+    fleet::{FleetState, RouteRule, ServiceRule, WorkspaceRule},
+    ids::{ServiceName, UpstreamId},
+    peer_api::{CallResult, ClaimAnswer},
     refusal::{Refusal, RefusalCode},
     settings::{InstanceLimits, InstanceSettings},
     units::Timestamp,
 };
 use bytes::Bytes;
-use futures::future::BoxFuture;
+use futures::{FutureExt, StreamExt, future::BoxFuture};
 use http::{Request, Response};
-use http_body_util::{BodyExt, Full, combinators::BoxBody};
+use http_body_util::{BodyExt, Full, StreamBody, combinators::BoxBody};
 use hyper::{body::Incoming, service::service_fn};
 use hyper_util::rt::{TokioExecutor, TokioIo};
 use tokio::{
@@ -102,13 +103,60 @@
 
 /// Core that sends every request to one engine.
 pub(crate) struct FixedCore {
-    engine: SocketAddr,
-    on_failure: RequestDecision,
+    setup: TestSetup,
     published: bool,
     progress: Arc<Mutex<Vec<RequestProgress>>>,
+    settled: Arc<Mutex<Vec<CallResult>>>,
+}
+
+/// What a test chooses about an instance.
+#[derive(Clone)]
+pub(crate) struct TestSetup {
+    /// Limits.
+    pub(crate) limits: InstanceLimits,
+    /// Engine that gets every request.
+    pub(crate) engines: Vec<SocketAddr>,
+    /// What follows a failure.
+    pub(crate) on_failure: RequestDecision,
+    /// How long an assignment holds.
+    pub(crate) send_within: Duration,
+    /// Processes of the service `s`.
+    pub(crate) processes: Vec<SocketAddr>,
+    /// Answer to every claim.
+    pub(crate) claim: ClaimAnswer,
+}
+
+impl TestSetup {
+    /// An instance in front of one engine.
+    pub(crate) fn new(engine: SocketAddr) -> Self {
+        let refusal = Refusal::new(RefusalCode::UpstreamFailed, "failed");
+        Self {
+            limits: InstanceLimits {
+                body_timeout: Duration::from_millis(300),
+                header_timeout: Duration::from_millis(300),
+                address_ttl: Duration::from_millis(100),
+                stop_timeout: Duration::from_secs(5),
+                ..InstanceLimits::default()
+            },
+            engines: vec![engine],
+            on_failure: RequestDecision::End(refusal),
+            send_within: Duration::from_millis(500),
+            processes: Vec::new(),
+            claim: ClaimAnswer::Won,
+        }
+    }
+
+    /// Starts the instance.
+    pub(crate) async fn start(self) -> TestServer {
+        start_server(self).await
+    }
 }
 
 impl FixedCore {
+    fn assigned(&self) -> Vec<AssignedEngine> {
+        self.setup.engines.iter().copied().map(assigned).collect()
+    }
+
     fn view(&self) -> PublishedView {
         let mut fleet = FleetState::default();
         let rule = WorkspaceRule {
@@ -121,10 +169,22 @@
             limits: Vec::new(),
         };
         fleet.workspaces.insert("w".parse().unwrap(), rule);
+        let routes = vec![RouteRule {
+            method: "GET".into(),
+            path_prefix: "/items".into(),
+            idempotent: true,
+        }];
+        let service: ServiceName = "s".parse().unwrap();
+        let timeout_ms = 2_000;
+        let rule = ServiceRule { routes, timeout_ms };
+        fleet.services.insert(service.clone(), rule);
+        let processes = self.setup.processes.iter();
+        let processes = processes.map(|a| ("p".parse().unwrap(), *a));
         PublishedView {
             fleet: Arc::new(fleet),
             readiness: InstanceReadiness::Ready,
             models: BTreeSet::from(["m".parse().unwrap()]),
+            services: BTreeMap::from([(service, processes.collect())]),
             ..PublishedView::default()
         }
     }
@@ -144,8 +204,8 @@
             match event {
                 CoreEvent::Arrived(spec) => {
                     let assignment = Assignment {
-                        engines: vec![assigned(self.engine)],
-                        send_before: now.after(Duration::from_millis(500)),
+                        engines: self.assigned(),
+                        send_before: now.after(self.setup.send_within),
                         priority: 1,
                     };
                     let decision = RequestDecision::Dispatch(assignment);
@@ -153,11 +213,18 @@
                 }
                 CoreEvent::Progress(request, progress) => {
                     if matches!(progress, RequestProgress::Failed { .. }) {
-                        let decision = self.on_failure.clone();
+                        let decision = self.setup.on_failure.clone();
                         actions.push(CoreAction::Decide(request, decision));
                     }
                     self.progress.lock().unwrap().push(progress);
                 }
+                CoreEvent::ClaimAsked { inbound, .. } => {
+                    let answer = self.setup.claim.clone();
+                    actions.push(CoreAction::AnswerClaim(inbound, answer));
+                }
+                CoreEvent::CallSettled { result, .. } => {
+                    self.settled.lock().unwrap().push(result);
+                }
                 CoreEvent::StopAsked => actions.push(CoreAction::StopDone),
                 _ => {}
             }
@@ -173,18 +240,15 @@
 /// The scripted engine as the core assigns it.
 pub(crate) fn assigned(address: SocketAddr) -> AssignedEngine {
     AssignedEngine {
-        engine: "e".parse::<UpstreamId>().unwrap(),
+        engine: format!("e{}", address.port())
+            .parse::<UpstreamId>()
+            .unwrap(),
         address,
         prompt: borageline_lib::units::TokenCount::new(1),
         incarnation: None,
     }
 }
 
-/// Decision that ends a failed request.
-pub(crate) fn end_failed() -> RequestDecision {
-    RequestDecision::End(Refusal::new(RefusalCode::UpstreamFailed, "failed"))
-}
-
 /// An instance in this process.
 pub(crate) struct TestServer {
     /// The instance.
@@ -193,25 +257,11 @@
     pub(crate) address: SocketAddr,
     /// Progress that the core was told of.
     pub(crate) progress: Arc<Mutex<Vec<RequestProgress>>>,
+    /// Ends of claimed calls that the core was told of.
+    pub(crate) settled: Arc<Mutex<Vec<CallResult>>>,
 }
 
-/// Limits with short times.
-pub(crate) fn limits() -> InstanceLimits {
-    InstanceLimits {
-        body_timeout: Duration::from_millis(300),
-        header_timeout: Duration::from_millis(300),
-        address_ttl: Duration::from_millis(100),
-        stop_timeout: Duration::from_secs(5),
-        ..InstanceLimits::default()
-    }
-}
-
-/// Starts an instance in front of an engine.
-pub(crate) async fn start_server(
-    engine: SocketAddr,
-    limits: InstanceLimits,
-    on_failure: RequestDecision,
-) -> TestServer {
+async fn start_server(setup: TestSetup) -> TestServer {
     let unused = "127.0.0.1:1".parse().unwrap();
     let settings = InstanceSettings {
         instance: "i".parse().unwrap(),
@@ -223,15 +273,16 @@
         log_service: unused,
         instance_list: unused,
         weight_store: None,
-        limits,
+        limits: setup.limits.clone(),
         policy: borageline_lib::core::PolicyName::Product,
     };
     let progress = Arc::new(Mutex::new(Vec::new()));
+    let settled = Arc::new(Mutex::new(Vec::new()));
     let core = FixedCore {
-        engine,
-        on_failure,
+        setup,
         published: false,
         progress: progress.clone(),
+        settled: settled.clone(),
     };
     let instance = RunningInstance::start_with(settings, |_| core);
     let instance = instance.await.unwrap();
@@ -244,6 +295,7 @@
         instance,
         address,
         progress,
+        settled,
     }
 }
 
@@ -276,3 +328,69 @@
     let _ = read.expect("connection is closed within 20 s");
     String::from_utf8_lossy(&text).into_owned()
 }
+
+/// An engine that records every call and streams parts without end, each
+/// with a filler text, from the index that is asked for.
+pub(crate) struct EndlessEngine {
+    /// Address of the engine.
+    pub(crate) address: SocketAddr,
+    /// Method and path of each call, in order.
+    pub(crate) calls: Arc<Mutex<Vec<String>>>,
+}
+
+/// Starts an endless engine whose parts have a text of a length.
+pub(crate) async fn start_endless(text: usize, last: u64) -> EndlessEngine {
+    let calls = Arc::new(Mutex::new(Vec::new()));
+    let seen = calls.clone();
+    let script: Script = Arc::new(move |request| {
+        let call = format!("{} {}", request.method(), request.uri());
+        let query = request.uri().query().unwrap_or_default();
+        let from = query.strip_prefix("from=").unwrap_or("0");
+        let from: u64 = from.parse().unwrap();
+        seen.lock().unwrap().push(call);
+        let id = request_id_or(&request);
+        let text = "x".repeat(text);
+        let parts = futures::stream::iter(from..=last).map(move |index| {
+            let mut event = part(&id, index, &text, index == last);
+            if index == last {
+                event += END;
+            }
+            Ok(hyper::body::Frame::data(Bytes::from(event)))
+        });
+        async move { Response::new(BodyExt::boxed(StreamBody::new(parts))) }
+            .boxed()
+    });
+    let address = start_engine(script).await;
+    EndlessEngine { address, calls }
+}
+
+fn request_id_or(request: &Request<Incoming>) -> String {
+    let value = request.headers().get("x-request-id");
+    value.map_or("", |value| value.to_str().unwrap()).into()
+}
+
+/// Value of a metric without labels.
+pub(crate) fn metric(server: &TestServer, name: &str) -> f64 {
+    let text = server.instance.context().metrics.render();
+    let text = String::from_utf8(text).unwrap();
+    let line = text.lines().find(|line| line.starts_with(name));
+    let value = line.and_then(|line| line.rsplit(' ').next());
+    value.unwrap().parse().unwrap()
+}
+
+/// Waits until a condition holds, for at most ten seconds.
+pub(crate) async fn eventually(what: &str, holds: impl Fn() -> bool) {
+    for _ in 0..1_000 {
+        if holds() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("{what} did not come about within 10 s");
+}
+
+/// Address at which nothing listens.
+pub(crate) async fn dead_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    listener.local_addr().unwrap()
+}
--- a/cli/tests/test_serve/main.rs
+++ b/cli/tests/test_serve/main.rs
@@ -6,4 +6,6 @@
 )]
 
 mod fixture;
+mod test_bounds;
 mod test_completions;
+mod test_services;
--- /dev/null
+++ b/cli/tests/test_serve/test_bounds.rs
@@ -0,0 +1,205 @@
+//! Requests that are refused before they reach an engine, and the stop.
+
+use std::time::Duration;
+
+use rstest::rstest;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
+
+use crate::fixture::{
+    KEY, STREAMED, TestServer, TestSetup, completion, exchange, metric,
+    read_all, start_endless,
+};
+
+async fn start() -> TestServer {
+    let engine = start_endless(1, 3).await;
+    TestSetup::new(engine.address).start().await
+}
+
+/// Guards against errors without the documented body, code or status.
+#[rstest]
+#[case::no_json("{", 400, "malformed")]
+#[case::after_end(r#"{"model":"m","prompt":"a","max_tokens":1}x"#, 400, "end")]
+#[case::path(
+    r#"{"model":"m","prompt":"a","max_tokens":"b"}"#,
+    400,
+    "max_tokens"
+)]
+#[case::unknown_field(r#"{"modell":"m"}"#, 400, "modell")]
+#[case::no_tokens(r#"{"model":"m","prompt":"a","max_tokens":0}"#, 400, "least")]
+#[case::no_prompt(r#"{"model":"m","prompt":"","max_tokens":1}"#, 400, "empty")]
+#[case::model(
+    r#"{"model":"x","prompt":"a","max_tokens":1}"#,
+    404,
+    "unknown_model"
+)]
+#[case::class(
+    r#"{"model":"m","prompt":"a","max_tokens":1,"class":"batch"}"#,
+    403,
+    "forbidden"
+)]
+#[case::timeout(
+    r#"{"model":"m","prompt":"a","max_tokens":1,"timeout_ms":99999999}"#,
+    400,
+    "timeout_ms"
+)]
+#[tokio::test]
+async fn test_refusal_of_faulty_body(
+    #[case] body: &str,
+    #[case] status: u16,
+    #[case] text: &str,
+) {
+    let server = start().await;
+    let answer = exchange(server.address, &completion(KEY, body)).await;
+    let head = format!("HTTP/1.1 {status}");
+    assert!(answer.starts_with(&head), "{answer}");
+    assert!(answer.contains(text), "{answer}");
+    assert!(answer.contains("\"run_state\":\"not_run\""), "{answer}");
+    assert!(answer.contains("x-request-id: i-"), "{answer}");
+}
+
+/// Guards against requests that are served on a wrong credential.
+#[rstest]
+#[case::wrong_key("authorization: Bearer wrong\r\n")]
+#[case::empty_key("authorization: Bearer \r\n")]
+#[case::other_scheme("authorization: Basic test-key\r\n")]
+#[case::short("authorization: B\r\n")]
+#[case::missing("")]
+#[tokio::test]
+async fn test_refusal_of_bad_credential(#[case] header: &str) {
+    let server = start().await;
+    let request = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\
+         {header}content-length: {}\r\n\r\n{STREAMED}",
+        STREAMED.len(),
+    );
+    let answer = exchange(server.address, &request).await;
+    assert!(answer.starts_with("HTTP/1.1 401"), "{answer}");
+    assert!(answer.contains("unauthenticated"), "{answer}");
+}
+
+/// Guards against a body that is held although it is too large, both where
+/// its length is stated and where it is not.
+#[rstest]
+#[case::stated("content-length: 2000\r\n\r\n".to_owned())]
+#[case::chunked(format!(
+    "transfer-encoding: chunked\r\n\r\n7d0\r\n{}\r\n0\r\n\r\n",
+    "x".repeat(2_000),
+))]
+#[tokio::test]
+async fn test_refusal_of_large_body(#[case] rest: String) {
+    let engine = start_endless(1, 3).await;
+    let mut setup = TestSetup::new(engine.address);
+    setup.limits.body_bytes = borageline_lib::units::ByteSize::new(1_000);
+    let server = setup.start().await;
+    let request = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: x\r\n\
+         authorization: Bearer {KEY}\r\n{rest}",
+    );
+    let answer = exchange(server.address, &request).await;
+    assert!(answer.starts_with("HTTP/1.1 413"), "{answer}");
+    assert!(answer.contains("body_too_large"), "{answer}");
+    assert_eq!(metric(&server, "borageline_body_bytes"), 0.0);
+}
+
+/// Guards against a caller that holds a place by sending its body slowly.
+#[tokio::test]
+async fn test_refusal_of_slow_body() {
+    let server = start().await;
+    let request = completion(KEY, STREAMED);
+    let part = &request[..request.len() - 5];
+    let answer = exchange(server.address, part).await;
+    assert!(answer.starts_with("HTTP/1.1 408"), "{answer}");
+    assert!(answer.contains("slow_sender"), "{answer}");
+    assert_eq!(metric(&server, "borageline_body_bytes"), 0.0);
+}
+
+/// Guards against a caller that holds a connection by sending its headers
+/// slowly.
+#[tokio::test]
+async fn test_close_of_slow_headers() {
+    let server = start().await;
+    let started = std::time::Instant::now();
+    exchange(server.address, "POST /v1/completions HTTP/1.1\r\nhost:").await;
+    assert!(started.elapsed() < Duration::from_secs(3));
+}
+
+/// Guards against one address that takes all connections.
+#[tokio::test]
+async fn test_refusal_of_many_connections() {
+    let engine = start_endless(1, 3).await;
+    let mut setup = TestSetup::new(engine.address);
+    setup.limits.connections_per_address = 1;
+    setup.limits.header_timeout = Duration::from_secs(20);
+    let server = setup.start().await;
+    let mut first = TcpStream::connect(server.address).await.unwrap();
+    first.write_all(b"GET /healthz HTTP/1.1\r\n").await.unwrap();
+    let mut second = TcpStream::connect(server.address).await.unwrap();
+    let answer = read_all(&mut second).await;
+    assert!(answer.starts_with("HTTP/1.1 429"), "{answer}");
+    first.write_all(b"host: x\r\n\r\n").await.unwrap();
+    let mut answer = [0; 12];
+    first.read_exact(&mut answer).await.unwrap();
+    assert_eq!(&answer, b"HTTP/1.1 200");
+}
+
+/// Guards against errors of the router in another form than all others.
+#[rstest]
+#[case("GET /nothing", 404)]
+#[case("GET /v1/completions", 404)]
+#[case("POST /v1/query", 404)]
+#[case("GET /v1/services/nope/x", 401)]
+#[case("POST /v1/order", 401)]
+#[tokio::test]
+async fn test_refusal_of_unknown_path(#[case] line: &str, #[case] status: u16) {
+    let server = start().await;
+    let request =
+        format!("{line} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n");
+    let answer = exchange(server.address, &request).await;
+    let head = format!("HTTP/1.1 {status}");
+    assert!(answer.starts_with(&head), "{answer}");
+    assert!(answer.contains("\"run_state\":\"not_run\""), "{answer}");
+}
+
+/// Guards against refusal counters that are missing while they are zero.
+#[tokio::test]
+async fn test_metrics_list_all_codes() {
+    let server = start().await;
+    let request = "GET /metrics HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\
+                   \r\n";
+    let answer = exchange(server.address, request).await;
+    for code in borageline_lib::refusal::RefusalCode::ALL {
+        let series = format!("borageline_refusals_total{{code=\"{code}\"}} 0");
+        assert!(answer.contains(&series), "{series} is missing");
+    }
+}
+
+/// Guards against a planned stop that cuts a running request or refuses new
+/// ones while callers may still know the address.
+#[tokio::test]
+async fn test_stop_finishes_running_requests() {
+    let engine = start_endless(2_000, 2_000).await;
+    let mut setup = TestSetup::new(engine.address);
+    setup.limits.address_ttl = Duration::from_millis(500);
+    let server = setup.start().await;
+    let mut running = TcpStream::connect(server.address).await.unwrap();
+    let request = completion(KEY, STREAMED);
+    running.write_all(request.as_bytes()).await.unwrap();
+    let mut head = [0; 12];
+    running.read_exact(&mut head).await.unwrap();
+    let address = server.address;
+    let stop = tokio::spawn(server.instance.stop());
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let ready = "GET /readyz HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
+    let answer = exchange(address, ready).await;
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    let answer = exchange(address, &completion(KEY, STREAMED)).await;
+    assert!(answer.contains("data: [DONE]"));
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    assert!(TcpStream::connect(address).await.is_err());
+    let answer = read_all(&mut running).await;
+    assert!(answer.contains("data: [DONE]"));
+    stop.await.unwrap();
+}
--- a/cli/tests/test_serve/test_completions.rs
+++ b/cli/tests/test_serve/test_completions.rs
@@ -1,13 +1,30 @@
 //! Completions from the caller's connection to a scripted engine.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
+
+use borageline_lib::core::{RequestDecision, RequestProgress, StreamFailure};
+use futures::FutureExt;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
 
 use crate::fixture::{
-    END, KEY, STREAMED, completion, end_failed, exchange, limits, part,
-    request_id, start_engine, start_server, whole,
+    END, KEY, STREAMED, TestServer, TestSetup, assigned, completion,
+    dead_address, eventually, exchange, metric, part, read_all, request_id,
+    start_endless, start_engine, whole,
 };
-use borageline_lib::core::{RequestProgress, StreamFailure};
-use futures::FutureExt;
+
+fn failures(server: &TestServer) -> Vec<StreamFailure> {
+    let progress = server.progress.lock().unwrap();
+    let failed = progress.iter().filter_map(|progress| match progress {
+        RequestProgress::Failed { failure, .. } => Some(*failure),
+        _ => None,
+    });
+    failed.collect()
+}
+
+const COLLECTED: &str = r#"{"model":"m","prompt":"hello","max_tokens":64}"#;
 
 /// Guards against a streamed answer that loses parts or its end marker.
 #[tokio::test]
@@ -17,7 +34,7 @@
         let answer = part(&id, 0, "a", false) + &part(&id, 1, "b", true) + END;
         async move { whole(answer) }.boxed()
     }));
-    let server = start_server(engine.await, limits(), end_failed()).await;
+    let server = TestSetup::new(engine.await).start().await;
     let answer = exchange(server.address, &completion(KEY, STREAMED)).await;
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
     assert!(answer.contains("text/event-stream"), "{answer}");
@@ -27,6 +44,21 @@
     assert!(answer.contains("data: [DONE]"), "{answer}");
 }
 
+/// Guards against a caller without streaming that gets an answer in pieces.
+#[tokio::test]
+async fn test_completion_collects_whole_answer() {
+    let engine = start_engine(Arc::new(|request| {
+        let id = request_id(&request);
+        let answer = part(&id, 0, "a", false) + &part(&id, 1, "b", true) + END;
+        async move { whole(answer) }.boxed()
+    }));
+    let server = TestSetup::new(engine.await).start().await;
+    let answer = exchange(server.address, &completion(KEY, COLLECTED)).await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert!(answer.contains("\"text\":\"ab\""), "{answer}");
+    assert!(answer.contains("\"token_count\":2"), "{answer}");
+}
+
 /// Guards against a caller that reads a part of an answer as the whole.
 #[tokio::test]
 async fn test_completion_reports_truncated_stream() {
@@ -34,20 +66,213 @@
         let id = request_id(&request);
         async move { whole(part(&id, 0, "a", false)) }.boxed()
     }));
-    let server = start_server(engine.await, limits(), end_failed()).await;
+    let server = TestSetup::new(engine.await).start().await;
     let answer = exchange(server.address, &completion(KEY, STREAMED)).await;
     assert!(answer.contains("\"text\":\"a\""), "{answer}");
     assert!(answer.contains("\"run_state\":\"ran\""), "{answer}");
     assert!(!answer.contains("[DONE]"), "{answer}");
-    let failed = server.progress.lock().unwrap().iter().any(|progress| {
-        matches!(
-            progress,
-            RequestProgress::Failed {
-                failure: StreamFailure::Cut,
-                ..
-            }
-        )
+    let answer = exchange(server.address, &completion(KEY, COLLECTED)).await;
+    assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
+    assert!(!answer.contains("\"text\""), "{answer}");
+    assert_eq!(failures(&server), [StreamFailure::Cut; 2]);
+    let name = "borageline_truncated_answers_total";
+    assert_eq!(metric(&server, name), 2.0);
+}
+
+/// Guards against a cut answer that is not taken up again, or that repeats
+/// or loses tokens at the cut.
+#[tokio::test]
+async fn test_completion_resumes_cut_stream() {
+    let engine = start_engine(Arc::new(|request| {
+        let id = request_id(&request);
+        let answer = match request.uri().query() {
+            None => part(&id, 0, "a", false) + &part(&id, 1, "b", false),
+            Some("from=2") => part(&id, 2, "c", true) + END,
+            Some(query) => panic!("resumed with {query}"),
+        };
+        async move { whole(answer) }.boxed()
+    }));
+    let address = engine.await;
+    let mut setup = TestSetup::new(address);
+    setup.on_failure = RequestDecision::Resume(assigned(address));
+    let server = setup.start().await;
+    let answer = exchange(server.address, &completion(KEY, COLLECTED)).await;
+    assert!(answer.contains("\"text\":\"abc\""), "{answer}");
+}
+
+/// Guards against a loop of resumes that bring nothing.
+#[tokio::test]
+async fn test_completion_resumes_once_without_progress() {
+    let engine = start_engine(Arc::new(|request| {
+        let id = request_id(&request);
+        async move { whole(part(&id, 0, "a", false)) }.boxed()
+    }));
+    let address = engine.await;
+    let mut setup = TestSetup::new(address);
+    setup.on_failure = RequestDecision::Resume(assigned(address));
+    let server = setup.start().await;
+    let answer = exchange(server.address, &completion(KEY, STREAMED)).await;
+    assert!(answer.contains("answer_truncated"), "{answer}");
+    assert!(!answer.contains("[DONE]"), "{answer}");
+    assert_eq!(failures(&server), [StreamFailure::Cut; 2]);
+}
+
+/// Guards against text of another request in an answer.
+#[tokio::test]
+async fn test_completion_drops_foreign_parts() {
+    let engine = start_engine(Arc::new(|request| {
+        let id = request_id(&request);
+        let answer = part("other", 0, "secret", false)
+            + &part(&id, 0, "a", false)
+            + &part(&id, 0, "a", false)
+            + &part("other", 1, "secret", true)
+            + &part(&id, 1, "b", true)
+            + END;
+        async move { whole(answer) }.boxed()
+    }));
+    let server = TestSetup::new(engine.await).start().await;
+    let answer = exchange(server.address, &completion(KEY, COLLECTED)).await;
+    assert!(answer.contains("\"text\":\"ab\""), "{answer}");
+    assert!(!answer.contains("secret"), "{answer}");
+    assert_eq!(metric(&server, "borageline_foreign_parts_total"), 2.0);
+    assert_eq!(metric(&server, "borageline_repeated_parts_total"), 1.0);
+}
+
+/// Guards against a refused connection that counts as a request that may
+/// have run.
+#[tokio::test]
+async fn test_completion_at_dead_engine_has_not_run() {
+    let server = TestSetup::new(dead_address().await).start().await;
+    let answer = exchange(server.address, &completion(KEY, STREAMED)).await;
+    assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
+    assert!(answer.contains("\"run_state\":\"not_run\""), "{answer}");
+    assert_eq!(failures(&server), [StreamFailure::ConnectFailed]);
+}
+
+/// Guards against a refusal that says `not_run` after an engine broke the
+/// connection without an answer.
+#[tokio::test]
+async fn test_completion_at_breaking_engine_may_have_run() {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let _ = stream.read(&mut [0; 1024]).await;
+        }
     });
-    assert!(failed, "the core was not told that the stream was cut");
-    server.instance.stop().await;
+    let server = TestSetup::new(address).start().await;
+    let answer = exchange(server.address, &completion(KEY, STREAMED)).await;
+    assert!(
+        answer.contains("\"run_state\":\"may_have_run\""),
+        "{answer}"
+    );
+    assert_eq!(failures(&server), [StreamFailure::Cut]);
+}
+
+/// Guards against a request that is sent on an expired assignment.
+#[tokio::test]
+async fn test_completion_is_not_sent_after_assignment() {
+    let engine = start_endless(1, 1).await;
+    let mut setup = TestSetup::new(engine.address);
+    setup.send_within = Duration::ZERO;
+    let server = setup.start().await;
+    let answer = exchange(server.address, &completion(KEY, STREAMED)).await;
+    assert!(answer.contains("\"run_state\":\"not_run\""), "{answer}");
+    assert_eq!(failures(&server), [StreamFailure::AssignmentExpired]);
+    assert!(engine.calls.lock().unwrap().is_empty());
+}
+
+/// Guards against a silent engine that keeps a request past its deadline.
+#[tokio::test]
+async fn test_completion_ends_at_deadline() {
+    let engine = start_engine(Arc::new(|_| futures::future::pending().boxed()));
+    let server = TestSetup::new(engine.await).start().await;
+    let body = STREAMED.replace("true}", "true,\"timeout_ms\":300}");
+    let started = std::time::Instant::now();
+    let answer = exchange(server.address, &completion(KEY, &body)).await;
+    assert!(answer.starts_with("HTTP/1.1 504"), "{answer}");
+    assert!(
+        answer.contains("\"run_state\":\"may_have_run\""),
+        "{answer}"
+    );
+    assert!(started.elapsed() < Duration::from_secs(3));
+}
+
+/// Guards against an engine that goes on for a caller that is gone.
+#[tokio::test]
+async fn test_completion_is_cancelled_when_caller_leaves() {
+    let engine = start_engine(Arc::new(|_| futures::future::pending().boxed()));
+    let server = TestSetup::new(engine.await).start().await;
+    let mut stream = TcpStream::connect(server.address).await.unwrap();
+    let request = completion(KEY, STREAMED);
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let sent = |progress: &RequestProgress| {
+        matches!(progress, RequestProgress::Sent(_))
+    };
+    let progress = server.progress.clone();
+    eventually("sending", || progress.lock().unwrap().iter().any(sent)).await;
+    drop(stream);
+    let gone = RequestProgress::CallerGone;
+    eventually("end", || progress.lock().unwrap().contains(&gone)).await;
+}
+
+/// Guards against a caller that closes its sending side and then holds its
+/// request and connection for good.
+#[tokio::test]
+async fn test_completion_ends_for_half_closed_caller() {
+    let engine = start_engine(Arc::new(|_| futures::future::pending().boxed()));
+    let server = TestSetup::new(engine.await).start().await;
+    let mut stream = TcpStream::connect(server.address).await.unwrap();
+    let request = completion(KEY, STREAMED);
+    stream.write_all(request.as_bytes()).await.unwrap();
+    stream.shutdown().await.unwrap();
+    assert_eq!(read_all(&mut stream).await, "");
+    let gone = RequestProgress::CallerGone;
+    let progress = server.progress.clone();
+    eventually("end", || progress.lock().unwrap().contains(&gone)).await;
+    let connections = || metric(&server, "borageline_connections") == 0.0;
+    eventually("closing", connections).await;
+}
+
+/// Guards against a slow reader that fills the memory or holds the engine's
+/// connection, and against an answer that loses parts over it.
+#[tokio::test]
+async fn test_completion_bounds_slow_reader() {
+    const PARTS: u64 = 8_000;
+    let engine = start_endless(2_000, PARTS - 1).await;
+    let server = TestSetup::new(engine.address).start().await;
+    let mut stream = TcpStream::connect(server.address).await.unwrap();
+    let request = completion(KEY, STREAMED);
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let detached =
+        || metric(&server, "borageline_detached_streams_total") >= 1.0;
+    eventually("detaching", detached).await;
+    let held = metric(&server, "borageline_held_bytes");
+    let limit = server.instance.context().settings.limits.stream_buffer;
+    assert!(held <= limit.get() as f64, "{held} bytes are held");
+    let answer = read_all(&mut stream).await;
+    let parts = answer.matches("\"index_from\"").count() as u64;
+    assert_eq!(parts, PARTS);
+    assert!(answer.contains("data: [DONE]"));
+    let calls = engine.calls.lock().unwrap();
+    assert!(calls.iter().any(|call| call.contains("from=")), "{calls:?}");
+    assert_eq!(metric(&server, "borageline_held_bytes"), 0.0);
+}
+
+/// Guards against a reader that never reads and so keeps its connection and
+/// its buffer after the deadline.
+#[tokio::test]
+async fn test_completion_closes_stuck_reader() {
+    let engine = start_endless(2_000, 100_000).await;
+    let server = TestSetup::new(engine.address).start().await;
+    let mut stream = TcpStream::connect(server.address).await.unwrap();
+    let body = STREAMED.replace("true}", "true,\"timeout_ms\":1000}");
+    let request = completion(KEY, &body);
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let held = || metric(&server, "borageline_held_bytes") > 0.0;
+    eventually("buffering", held).await;
+    let closed = || metric(&server, "borageline_connections") == 0.0;
+    eventually("closing", closed).await;
+    assert_eq!(metric(&server, "borageline_held_bytes"), 0.0);
 }
