--- a/cli/src/commands/serve.rs
+++ b/cli/src/commands/serve.rs
@@ -3,7 +3,6 @@
 use std::{
     io,
     path::PathBuf,
-    process::ExitCode,
     sync::Arc,
     time::{SystemTime, UNIX_EPOCH},
 };
@@ -11,7 +10,7 @@
 use borageline_lib::{
     core::{CoreSetup, ServingCore},
     log_event::LogEvent,
-    settings::{self, InstanceSettings},
+    settings::{InstanceSettings, SettingOverride},
     units::Incarnation,
 };
 use bpaf::Bpaf;
@@ -24,6 +23,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
+    commands::{ExitReason, load_settings, set_flags},
     context::{ServerContext, SharedContext},
     driver::{CoreDriver, CoreHandle, DriverClients, TickCore},
     engine_client::EngineClient,
@@ -34,30 +34,33 @@
     server::serve_callers,
 };
 
-/// Exit code for faulty settings.
-const SETTINGS_ERROR: u8 = 2;
-
-/// Runs one instance until it is told to stop.
+/// Run one instance until it is told to stop
+///
+/// Example: borageline serve --config instance.jsonc
 #[derive(Clone, Debug, Bpaf)]
+#[bpaf(command("serve"))]
 pub struct ServeOptions {
-    /// Settings file, JSON with comments.
+    /// Settings file, JSON with comments
     #[bpaf(argument("FILE"))]
     pub config: PathBuf,
+    /// Values in place of the file's.
+    #[bpaf(external(set_flags))]
+    pub flags: Vec<SettingOverride>,
 }
 
 /// Runs the command.
-pub fn run(options: &ServeOptions) -> ExitCode {
-    let settings = match settings::load(&options.config) {
+pub fn run(options: &ServeOptions) -> ExitReason {
+    let settings = match load_settings(&options.config, &options.flags) {
         Ok(settings) => settings,
         Err(faults) => {
             eprintln!("{faults}");
-            return ExitCode::from(SETTINGS_ERROR);
+            return ExitReason::Usage;
         }
     };
     let level = LevelFilter::MoreSevereEqual(logforth::record::Level::Info);
     if let Err(error) = logging::start(level) {
         eprintln!("log cannot be started: {error}");
-        return ExitCode::FAILURE;
+        return ExitReason::Failed;
     }
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
@@ -65,10 +68,10 @@
     let result = runtime
         .and_then(|runtime| runtime.block_on(async { serve(settings).await }));
     match result {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(()) => ExitReason::Done,
         Err(error) => {
             eprintln!("instance has stopped: {error}");
-            ExitCode::FAILURE
+            ExitReason::Failed
         }
     }
 }
