--- a/cli/src/service_route.rs
+++ b/cli/src/service_route.rs
@@ -1,7 +1,7 @@
 //! Routes of plain services: how a path is judged and which headers pass.
 
 use borageline_lib::{
-    api::{DEADLINE_HEADER, IDEMPOTENCY_KEY_HEADER, REQUEST_ID_HEADER},
+    api::{DEADLINE_HEADER, REQUEST_ID_HEADER},
     fleet::{RouteRule, ServiceRule},
     ids::ServiceName,
     refusal::{Refusal, RefusalCode},
@@ -38,7 +38,6 @@
     "x-method-override",
     REQUEST_ID_HEADER,
     DEADLINE_HEADER,
-    IDEMPOTENCY_KEY_HEADER,
 ];
 
 /// Service, path and query of a call.
