--- a/cli/src/commands.rs
+++ b/cli/src/commands.rs
@@ -47,9 +47,15 @@
     }
 }
 
+<<<<<<< HEAD
 /// A command of the binary.
 #[derive(Clone, Debug, Bpaf)]
 pub enum ToolCommand {
+=======
+/// One command of the binary.
+#[derive(Clone, Debug, Bpaf)]
+pub enum CliCommand {
+>>>>>>> edge
     /// `serve`.
     Serve(#[bpaf(external(serve_options))] ServeOptions),
     /// `check-config`.
@@ -62,15 +68,22 @@
     Order(#[bpaf(external(order_options))] OrderOptions),
 }
 
-impl ToolCommand {
+impl CliCommand {
     /// Runs the command.
-    pub fn run(&self) -> ExitReason {
+    pub fn run(&self) -> ExitCode {
         match self {
             Self::Serve(options) => serve::run(options),
+<<<<<<< HEAD
             Self::CheckConfig(options) => check_config::run(options),
             Self::Config(options) => config::run(options),
             Self::Query(options) => query::run(options),
             Self::Order(options) => order::run(options),
+=======
+            Self::CheckConfig(options) => check_config::run(options).into(),
+            Self::Config(options) => config::run(options).into(),
+            Self::Query(options) => query::run(options).into(),
+            Self::Order(options) => order::run(options).into(),
+>>>>>>> edge
         }
     }
 }
--- a/cli/src/commands/serve.rs
+++ b/cli/src/commands/serve.rs
@@ -13,7 +13,7 @@
     settings::{InstanceSettings, SettingOverride},
     units::Incarnation,
 };
-use bpaf::Bpaf;
+use bpaf::{Bpaf, ShellComp};
 use logforth::record::LevelFilter;
 use tokio::{
     net::TcpListener,
@@ -22,6 +22,7 @@
 };
 use tokio_util::sync::CancellationToken;
 
+use super::{load_settings, set_flags};
 use crate::{
     commands::{ExitReason, load_settings, set_flags},
     context::{ServerContext, SharedContext},
@@ -34,6 +35,7 @@
     server::serve_callers,
 };
 
+<<<<<<< HEAD
 /// Run one instance until it is told to stop
 ///
 /// Example: borageline serve --config instance.jsonc
@@ -51,6 +53,33 @@
 /// Runs the command.
 pub fn run(options: &ServeOptions) -> ExitReason {
     let settings = match load_settings(&options.config, &options.flags) {
+=======
+/// Exit code for faulty settings.
+const SETTINGS_ERROR: u8 = 2;
+
+/// Run one instance until it is told to stop.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(
+    command("serve"),
+    footer("Example: borageline serve --config entry-1.jsonc")
+)]
+pub struct ServeOptions {
+    /// Settings file, JSON with comments
+    #[bpaf(
+        long,
+        argument("FILE"),
+        complete_shell(ShellComp::File { mask: None })
+    )]
+    pub config: PathBuf,
+    /// Values that take precedence over the file's.
+    #[bpaf(external(set_flags))]
+    pub set: Vec<SettingOverride>,
+}
+
+/// Runs the command.
+pub fn run(options: &ServeOptions) -> ExitCode {
+    let settings = match load_settings(&options.config, &options.set) {
+>>>>>>> edge
         Ok(settings) => settings,
         Err(faults) => {
             eprintln!("{faults}");
