--- a/cli/src/commands.rs
+++ b/cli/src/commands.rs
@@ -47,15 +47,9 @@
     }
 }
 
-<<<<<<< HEAD
 /// A command of the binary.
 #[derive(Clone, Debug, Bpaf)]
 pub enum ToolCommand {
-=======
-/// One command of the binary.
-#[derive(Clone, Debug, Bpaf)]
-pub enum CliCommand {
->>>>>>> edge
     /// `serve`.
     Serve(#[bpaf(external(serve_options))] ServeOptions),
     /// `check-config`.
@@ -68,22 +62,15 @@
     Order(#[bpaf(external(order_options))] OrderOptions),
 }
 
-impl CliCommand {
+impl ToolCommand {
     /// Runs the command.
-    pub fn run(&self) -> ExitCode {
+    pub fn run(&self) -> ExitReason {
         match self {
             Self::Serve(options) => serve::run(options),
-<<<<<<< HEAD
             Self::CheckConfig(options) => check_config::run(options),
             Self::Config(options) => config::run(options),
             Self::Query(options) => query::run(options),
             Self::Order(options) => order::run(options),
-=======
-            Self::CheckConfig(options) => check_config::run(options).into(),
-            Self::Config(options) => config::run(options).into(),
-            Self::Query(options) => query::run(options).into(),
-            Self::Order(options) => order::run(options).into(),
->>>>>>> edge
         }
     }
 }
--- a/cli/src/commands/serve.rs
+++ b/cli/src/commands/serve.rs
@@ -13,7 +13,7 @@
     settings::{InstanceSettings, SettingOverride},
     units::Incarnation,
 };
-use bpaf::{Bpaf, ShellComp};
+use bpaf::Bpaf;
 use logforth::record::LevelFilter;
 use tokio::{
     net::TcpListener,
@@ -22,7 +22,6 @@
 };
 use tokio_util::sync::CancellationToken;
 
-use super::{load_settings, set_flags};
 use crate::{
     commands::{ExitReason, load_settings, set_flags},
     context::{ServerContext, SharedContext},
@@ -35,7 +34,6 @@
     server::serve_callers,
 };
 
-<<<<<<< HEAD
 /// Run one instance until it is told to stop
 ///
 /// Example: borageline serve --config instance.jsonc
@@ -53,33 +51,6 @@
 /// Runs the command.
 pub fn run(options: &ServeOptions) -> ExitReason {
     let settings = match load_settings(&options.config, &options.flags) {
-=======
-/// Exit code for faulty settings.
-const SETTINGS_ERROR: u8 = 2;
-
-/// Run one instance until it is told to stop.
-#[derive(Clone, Debug, Bpaf)]
-#[bpaf(
-    command("serve"),
-    footer("Example: borageline serve --config entry-1.jsonc")
-)]
-pub struct ServeOptions {
-    /// Settings file, JSON with comments
-    #[bpaf(
-        long,
-        argument("FILE"),
-        complete_shell(ShellComp::File { mask: None })
-    )]
-    pub config: PathBuf,
-    /// Values that take precedence over the file's.
-    #[bpaf(external(set_flags))]
-    pub set: Vec<SettingOverride>,
-}
-
-/// Runs the command.
-pub fn run(options: &ServeOptions) -> ExitCode {
-    let settings = match load_settings(&options.config, &options.set) {
->>>>>>> edge
         Ok(settings) => settings,
         Err(faults) => {
             eprintln!("{faults}");
@@ -196,7 +167,6 @@
     /// it still serves them, then running requests finish.
     pub async fn stop(self) {
         let limits = &self.context.settings.limits;
-        logging::event(LogEvent::StopBegun, "the planned stop has begun");
         self.context.begin_stop();
         self.context.handle.stop().await;
         tokio::time::sleep(limits.address_ttl).await;
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -2,23 +2,19 @@
 
 use std::process::ExitCode;
 
-<<<<<<< HEAD
 use borageline::commands::{ExitReason, tool_command};
-=======
-use borageline::commands::{ExitReason, cli_command};
->>>>>>> edge
 use bpaf::{Args, Parser};
 
 /// Width of help texts.
 const HELP_WIDTH: usize = 100;
 
 fn main() -> ExitCode {
-    let parser = cli_command()
+    let parser = tool_command()
         .to_options()
         .descr("Serving layer between callers and language-model engines")
         .version(env!("CARGO_PKG_VERSION"));
     match parser.run_inner(Args::current_args()) {
-        Ok(command) => command.run(),
+        Ok(command) => command.run().into(),
         Err(failure) => {
             failure.print_message(HELP_WIDTH);
             match failure.exit_code() {
--- a/cli/src/operators.rs
+++ b/cli/src/operators.rs
@@ -11,6 +11,7 @@
 };
 use gotham::helpers::http::Body;
 use http::{Response, StatusCode};
+use percent_encoding::percent_decode_str;
 
 use crate::{
     callers::{body_limits, malformed, not_ready},
@@ -105,6 +106,7 @@
     authenticate(&context, &call)?;
     let path = call.uri.path();
     let id = path.strip_prefix("/v1/orders/").unwrap_or_default();
+    let id = percent_decode_str(id).decode_utf8_lossy();
     let id: OrderId = id.parse().map_err(|error| {
         malformed(format!("the path names no order: {error}"))
     })?;
