--- a/cli/tests/test_serve/main.rs
+++ b/cli/tests/test_serve/main.rs
@@ -9,3 +9,4 @@
 mod test_bounds;
 mod test_completions;
 mod test_services;
+mod test_standins;
--- /dev/null
+++ b/cli/tests/test_serve/test_standins.rs
@@ -0,0 +1,232 @@
+//! An instance with its real core in front of the stand-ins.
+
+use std::{net::SocketAddr, time::Duration};
+
+use borageline::{commands::serve::RunningInstance, credentials::key_digest};
+use borageline_lib::{
+    api::PromptInput,
+    core::{InstanceReadiness, PolicyName},
+    ids::StreamName,
+    platform_api::{ListedInstance, ListedKind},
+    settings::{InstanceLimits, InstanceSettings},
+};
+use borageline_testutils::{
+    content, engine, engine_config::EngineConfig, http_server::Handle,
+    instance_list, log_service, plain_service,
+};
+use serde_json::json;
+use uuid::Uuid;
+
+use crate::fixture::{KEY, TestSetup, completion, exchange, metric};
+
+const ANY: &str = "127.0.0.1:0";
+
+/// What stays alive while a test runs.
+struct TestFleet {
+    instance: RunningInstance,
+    address: SocketAddr,
+    service: Handle<plain_service::PlainService>,
+    _engine: Handle<engine::Engine>,
+    _log: Handle<log_service::LogService>,
+    _list: Handle<instance_list::InstanceList>,
+}
+
+async fn start_engine(name: &str) -> Handle<engine::Engine> {
+    let name = name.parse().unwrap();
+    let mut config = EngineConfig::new(name, "m".parse().unwrap());
+    config.starts_cold = false;
+    config.time_scale = 20.0;
+    engine::spawn(ANY.parse().unwrap(), config).await.unwrap()
+}
+
+fn listed(id: &str, kind: ListedKind, address: SocketAddr) -> ListedInstance {
+    ListedInstance {
+        id: id.into(),
+        kind,
+        address,
+        failure_domain: "d".parse().unwrap(),
+        leaving: false,
+    }
+}
+
+/// The first order: a workspace, a service and an operator.
+fn first_order(id: &str) -> serde_json::Value {
+    let digest = key_digest(KEY.as_bytes());
+    json!({
+        "record": "order",
+        "order": id,
+        "expect_version": null,
+        "issued_by": "root",
+        "changes": [
+            {"kind": "set_workspace", "workspace": "w", "rule": {
+                "key_digests": [digest], "enabled": true,
+                "default_class": "interactive", "classes": ["interactive"],
+                "models": null, "domains": null, "limits": []}},
+            {"kind": "set_service", "service": "s", "rule": {
+                "timeout_ms": 5000, "routes": [{"method": "GET",
+                "path_prefix": "/", "idempotent": true}]}},
+            {"kind": "set_operator", "operator": "root", "rule": {
+                "key_digest": digest, "role": "admin"}},
+        ],
+    })
+}
+
+async fn start_fleet() -> TestFleet {
+    let any = ANY.parse().unwrap();
+    let log = log_service::spawn(any, log_service::LogConfig::default());
+    let log = log.await.unwrap();
+    let config: StreamName = "config".parse().unwrap();
+    // Version zero stands for an empty configuration, so that the order that
+    // later ones expect must not be at offset zero.
+    let orders = vec![first_order("first"), first_order("second")];
+    log.control.append(&config, orders);
+    let engine = start_engine("e1").await;
+    let service = plain_service::spawn(any, Duration::ZERO).await.unwrap();
+    let list = instance_list::ListConfig {
+        lag: Duration::ZERO,
+        ..instance_list::ListConfig::default()
+    };
+    let list = instance_list::spawn(any, list).await.unwrap();
+    list.control
+        .add(listed("e1", ListedKind::Engine, engine.address));
+    let kind = ListedKind::Service("s".parse().unwrap());
+    list.control.add(listed("s1", kind, service.address));
+    let settings = InstanceSettings {
+        instance: "i1".parse().unwrap(),
+        failure_domain: "d".parse().unwrap(),
+        caller_address: any,
+        peer_address: any,
+        seeds: Vec::new(),
+        fleet_secret: "secret".into(),
+        log_service: log.address,
+        instance_list: list.address,
+        weight_store: None,
+        limits: InstanceLimits::default(),
+        policy: PolicyName::Product,
+    };
+    let instance = RunningInstance::start(settings).await.unwrap();
+    let mut view = instance.handle().watch_view();
+    let ready = view.wait_for(|view| {
+        view.readiness == InstanceReadiness::Ready
+            && !view.models.is_empty()
+            && !view.services.is_empty()
+    });
+    let ready = tokio::time::timeout(Duration::from_secs(20), ready).await;
+    ready.expect("instance is ready within 20 s").unwrap();
+    let address = instance.context().settings.caller_address;
+    TestFleet {
+        instance,
+        address,
+        service,
+        _engine: engine,
+        _log: log,
+        _list: list,
+    }
+}
+
+/// Guards against a chain of log, list, core, engine client and listener
+/// that does not fit together.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn test_standins_completion() {
+    let fleet = start_fleet().await;
+    let body = r#"{"model":"m","prompt":[1,2,3],"max_tokens":20}"#;
+    let answer = exchange(fleet.address, &completion(KEY, body)).await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    let prompt = PromptInput::Tokens([1, 2, 3].into());
+    let digest = content::prompt_digest(&prompt);
+    let text = content::expected_text(digest, 20);
+    assert!(answer.contains(&text), "{answer}");
+    drop(fleet.instance);
+}
+
+/// Guards against a call that runs twice when its caller repeats it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn test_standins_single_call() {
+    let fleet = start_fleet().await;
+    let key = Uuid::now_v7();
+    let call = format!(
+        "POST /v1/services/s/issue HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\
+         authorization: Bearer {KEY}\r\nidempotency-key: {key}\r\n\
+         content-length: 2\r\n\r\nhi",
+    );
+    let answer = exchange(fleet.address, &call).await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert!(answer.contains("\"number\":1"), "{answer}");
+    // The outcome is appended after the answer; until it is read back, a
+    // repeat hears that the first use is under way.
+    let mut repeat = exchange(fleet.address, &call).await;
+    for _ in 0..100 {
+        if !repeat.contains("key_in_progress") {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        repeat = exchange(fleet.address, &call).await;
+    }
+    assert!(repeat.starts_with("HTTP/1.1 200"), "{repeat}");
+    assert!(repeat.contains("\"number\":1"), "{repeat}");
+    assert_eq!(fleet.service.control.counts().issued, 1);
+    let conflict = call.replace("\r\n\r\nhi", "\r\n\r\nho");
+    let answer = exchange(fleet.address, &conflict).await;
+    assert!(answer.starts_with("HTTP/1.1 409"), "{answer}");
+    assert!(answer.contains("key_conflict"), "{answer}");
+}
+
+/// Guards against an order that is accepted without being in the log, and
+/// against one that takes effect on a wrong version.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn test_standins_order() {
+    let fleet = start_fleet().await;
+    let post = |body: &str| {
+        format!(
+            "POST /v1/order HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\
+             authorization: Bearer {KEY}\r\ncontent-length: {}\r\n\r\n{body}",
+            body.len(),
+        )
+    };
+    let body = r#"{"order":"o1","expect_version":1,"changes":[
+        {"kind":"close_domain","domain":"d","mode":"finish"}]}"#;
+    let answer = exchange(fleet.address, &post(body)).await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert!(answer.contains("\"accepted\":true"), "{answer}");
+    let body = body.replace("o1", "o2");
+    let answer = exchange(fleet.address, &post(&body)).await;
+    assert!(answer.starts_with("HTTP/1.1 409"), "{answer}");
+    assert!(answer.contains("order_rejected"), "{answer}");
+    let ask = |id: &str| {
+        format!(
+            "GET /v1/orders/{id} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\
+             authorization: Bearer {KEY}\r\n\r\n",
+        )
+    };
+    let answer = exchange(fleet.address, &ask("o1")).await;
+    assert!(answer.contains("\"accepted\":true"), "{answer}");
+    // Outcomes are kept for a limited number of orders, so that an unknown
+    // one may have run.
+    let answer = exchange(fleet.address, &ask("nope")).await;
+    assert!(answer.starts_with("HTTP/1.1 202"), "{answer}");
+    assert!(
+        answer.contains("\"run_state\":\"may_have_run\""),
+        "{answer}"
+    );
+    let body = r#"{"model":"m","prompt":[1],"max_tokens":1}"#;
+    let answer = exchange(fleet.address, &completion(KEY, body)).await;
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+}
+
+/// Guards against segments that reach engines in a wrong order or without
+/// the state before them, and against memory that they keep.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn test_standins_segments() {
+    let (first, second) = (start_engine("e1").await, start_engine("e2").await);
+    let mut setup = TestSetup::new(first.address);
+    setup.engines = vec![first.address, second.address];
+    let server = setup.start().await;
+    let body = r#"{"model":"m","prompt":[1,2,3],"max_tokens":9}"#;
+    let answer = exchange(server.address, &completion(KEY, body)).await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    let prompt = PromptInput::Tokens([1, 2, 3].into());
+    let digest = content::prompt_digest(&prompt);
+    let text = content::expected_text(digest, 9);
+    assert!(answer.contains(&text), "{answer}");
+    assert_eq!(metric(&server, "borageline_truncated_answers_total"), 0.0);
+}
