--- a/cli/src/commands/serve.rs
+++ b/cli/src/commands/serve.rs
@@ -176,7 +176,6 @@
     /// it still serves them, then running requests finish.
     pub async fn stop(self) {
         let limits = &self.context.settings.limits;
-        logging::event(LogEvent::StopBegun, "the planned stop has begun");
         self.context.begin_stop();
         self.context.handle.stop().await;
         tokio::time::sleep(limits.address_ttl).await;
--- a/cli/src/request_task.rs
+++ b/cli/src/request_task.rs
@@ -127,6 +127,10 @@
         match end {
             RequestEnd::Finished => {
                 sender.finish(StreamItem::End);
+                // The engine that decoded is done; the others still hold the
+                // segments that it imported.
+                self.placed.pop();
+                self.cancel_placed();
                 let tokens = TokenCount::new(self.delivered);
                 ticket.report(RequestProgress::Finished(tokens)).await;
             }
--- a/cli/tests/test_serve/main.rs
+++ b/cli/tests/test_serve/main.rs
@@ -6,4 +6,7 @@
 )]
 
 mod fixture;
+mod test_bounds;
 mod test_completions;
+mod test_services;
+mod test_standins;
