--- a/lib/tests/test_call_log.rs
+++ b/lib/tests/test_call_log.rs
@@ -3,575 +3,24 @@
 
 #![expect(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
 
+mod call_world;
 mod common;
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
-
 use borageline_lib::{
     call_log::{
-        CALL_STREAMS, CallAction, CallAppend, CallAsker, CallEntryTable,
-        CallEvent, CallJudge, CallRecord, CallTable, EntryAction, EntryCall,
-        EntryEvent, KEY_LIFETIME, is_retention_enough, stream_of,
+        CALL_STREAMS, CallAction, CallAsker, CallEntryTable, CallEvent,
+        CallJudge, CallRecord, CallTable, EntryAction, EntryEvent,
+        KEY_LIFETIME, is_retention_enough, stream_of,
     },
-    core::{CallFailure, InboundNumber},
-    ids::{InstanceId, RequestId},
+    core::InboundNumber,
     peer_api::{
-        CallKey, CallOutcome, CallResult, ClaimAnswer, PeerMessage, PeerReply,
+        CallKey, CallResult, ClaimAnswer, ClaimAsk, PeerMessage, PeerReply,
     },
-    platform_api::{AppendAnswer, RecordPage},
-    refusal::RunState,
-    units::{Incarnation, LogOffset, Timestamp},
+    units::{LogOffset, Timestamp},
 };
-use common::{EventQueue, LogModel, log_time, millis};
+use call_world::{FAULT_TIME_MS, Fault, RETENTION, World, instance, key};
+use common::{LogModel, log_time, millis};
 use proptest::prelude::*;
-use rand::Rng;
-use uuid::Builder;
-
-const FAULT_TIME_MS: u64 = 20_000;
-const RETENTION: Duration = Duration::from_secs(7 * 24 * 3_600);
-
-#[derive(Clone, Debug)]
-enum Fault {
-    Crash(usize),
-    Pause(usize, u64),
-    LogDown(u64),
-    /// One instance believes that another one owns a stream.
-    View(usize, usize, usize),
-}
-
-#[derive(Clone, Debug)]
-enum Event {
-    Ask(usize, CallKey),
-    Fault(Fault),
-    Tick(usize, u64),
-    Peer(usize, usize, u64, EntryCall, PeerMessage),
-    Reply(usize, u64, EntryCall, Result<PeerReply, CallFailure>),
-    Land(usize, Vec<serde_json::Value>),
-    Appended(usize, u64, CallAppend, Result<AppendAnswer, CallFailure>),
-    Serve(usize, u64, usize, LogOffset),
-    Read(usize, u64, usize, Result<RecordPage, CallFailure>),
-    Send(usize, u64, RequestId),
-    Settled(usize, u64, RequestId, CallResult),
-}
-
-struct Node {
-    id: InstanceId,
-    life: u64,
-    paused_until: Timestamp,
-    table: CallTable,
-    entry: CallEntryTable,
-    owners: [Option<InstanceId>; CALL_STREAMS],
-    inbound: BTreeMap<InboundNumber, (usize, u64, EntryCall)>,
-    attempts: BTreeMap<InboundNumber, RequestId>,
-    /// Keys claimed in memory, for the naive mechanism.
-    memory: BTreeMap<CallKey, RequestId>,
-}
-
-struct Attempt {
-    key: CallKey,
-    deadline: Timestamp,
-    not_run: bool,
-    ran: bool,
-}
-
-struct World {
-    queue: EventQueue<Event>,
-    logs: Vec<LogModel>,
-    log_up_at: Timestamp,
-    nodes: Vec<Node>,
-    attempts: BTreeMap<RequestId, Attempt>,
-    next: u64,
-    calm: bool,
-    naive: bool,
-    violation: Option<String>,
-    won: usize,
-}
-
-fn failure(run_state: RunState) -> CallFailure {
-    let message = "failed".into();
-    CallFailure { run_state, message }
-}
-
-fn instance(index: usize) -> InstanceId {
-    format!("i{index}").parse().unwrap()
-}
-
-fn key(number: u8, now: Timestamp) -> CallKey {
-    let millis = log_time(now).get();
-    let uuid = Builder::from_unix_timestamp_millis(millis, &[number; 10]);
-    CallKey {
-        workspace: "w".parse().unwrap(),
-        service: "numbers".parse().unwrap(),
-        key: uuid.into_uuid(),
-    }
-}
-
-fn outcome(attempt: &RequestId) -> CallOutcome {
-    CallOutcome {
-        status: 200,
-        content_type: "text/plain".into(),
-        body: Some(attempt.as_str().into()),
-        body_digest: "".into(),
-    }
-}
-
-impl World {
-    fn new(seed: u64, count: usize, naive: bool) -> Self {
-        let queue = EventQueue::new(seed);
-        let nodes = (0..count).map(|index| Node {
-            id: instance(index),
-            life: 0,
-            paused_until: Timestamp::ZERO,
-            table: CallTable::new(instance(index)),
-            entry: CallEntryTable::new(),
-            owners: Default::default(),
-            inbound: BTreeMap::new(),
-            attempts: BTreeMap::new(),
-            memory: BTreeMap::new(),
-        });
-        let mut world = Self {
-            queue,
-            logs: vec![LogModel::new(RETENTION); CALL_STREAMS],
-            log_up_at: Timestamp::ZERO,
-            nodes: nodes.collect(),
-            attempts: BTreeMap::new(),
-            next: 0,
-            calm: false,
-            naive,
-            violation: None,
-            won: 0,
-        };
-        (0..count).for_each(|index| world.reset_view(index));
-        world
-    }
-
-    fn reset_view(&mut self, index: usize) {
-        let count = self.nodes.len();
-        let owner = |stream| Some(instance(stream % count));
-        self.nodes[index].owners = std::array::from_fn(owner);
-        self.set_view(index);
-    }
-
-    fn set_view(&mut self, index: usize) {
-        let live = (0..self.nodes.len()).map(instance).collect();
-        let node = &mut self.nodes[index];
-        let owners = node.owners.clone();
-        node.entry.set_owners(owners.clone());
-        let actions = node.table.set_owners(owners, live);
-        self.owner_actions(index, actions);
-        self.tick(index);
-    }
-
-    fn run(&mut self, time: Duration) {
-        let end = self.queue.now.after(time);
-        while let Some(event) = self.queue.pop_until(end) {
-            let target = match &event {
-                Event::Tick(to, _)
-                | Event::Peer(to, ..)
-                | Event::Reply(to, ..)
-                | Event::Appended(to, ..)
-                | Event::Read(to, ..)
-                | Event::Send(to, ..)
-                | Event::Settled(to, ..)
-                | Event::Ask(to, _) => Some(*to),
-                _ => None,
-            };
-            let paused = target.map(|to| self.nodes[to].paused_until);
-            if let Some(until) = paused.filter(|at| *at > self.queue.now) {
-                self.queue.push(until, event);
-            } else {
-                self.step(event);
-            }
-        }
-    }
-
-    fn step(&mut self, event: Event) {
-        let now = self.queue.now;
-        match event {
-            Event::Ask(to, key) => self.ask(to, key),
-            Event::Fault(fault) => self.fault(fault),
-            Event::Tick(to, life) if self.lives(to, life) => self.tick(to),
-            Event::Peer(to, from, life, call, message) => {
-                self.peer(to, from, life, call, message);
-            }
-            Event::Reply(to, life, call, result) if self.lives(to, life) => {
-                let event = EntryEvent::Answered { call, result };
-                self.entry_event(to, event);
-            }
-            Event::Land(stream, values) => {
-                self.logs[stream].append(now, values);
-            }
-            Event::Appended(to, life, append, result)
-                if self.lives(to, life) =>
-            {
-                let event = CallEvent::Appended { append, result };
-                self.owner_event(to, event);
-            }
-            Event::Serve(to, life, stream, from) => {
-                let page = self.logs[stream].read(now, from, 3);
-                let result = if now < self.log_up_at {
-                    Err(failure(RunState::NotRun))
-                } else {
-                    Ok(page)
-                };
-                let delay = self.delay();
-                let event = Event::Read(to, life, stream, result);
-                self.queue.push_in(delay, event);
-            }
-            Event::Read(to, life, stream, result) if self.lives(to, life) => {
-                self.owner_event(to, CallEvent::Read { stream, result });
-            }
-            Event::Send(to, life, attempt) if self.lives(to, life) => {
-                self.send(to, life, attempt);
-            }
-            Event::Settled(to, life, attempt, result)
-                if self.lives(to, life) =>
-            {
-                let key = self.attempts[&attempt].key.clone();
-                let event = EntryEvent::Settled {
-                    key,
-                    attempt,
-                    result,
-                };
-                self.entry_event(to, event);
-            }
-            _ => {}
-        }
-    }
-
-    fn lives(&self, node: usize, life: u64) -> bool {
-        self.nodes[node].life == life
-    }
-
-    fn delay(&mut self) -> Duration {
-        if !self.calm && self.queue.chance(5) {
-            return self.queue.delay(1_000, 8_000);
-        }
-        self.queue.delay(0, 20)
-    }
-
-    fn odds(&mut self, percent: u32) -> bool {
-        !self.calm && self.queue.chance(percent)
-    }
-
-    fn ask(&mut self, to: usize, key: CallKey) {
-        self.next += 1;
-        let deadline = self.queue.now.after(self.queue.delay(300, 6_000));
-        let node = &mut self.nodes[to];
-        let incarnation = Incarnation::new(node.life);
-        let attempt = RequestId::build(&node.id, incarnation, self.next);
-        let inbound = InboundNumber(self.next);
-        node.attempts.insert(inbound, attempt.clone());
-        let entry = Attempt {
-            key: key.clone(),
-            deadline,
-            not_run: false,
-            ran: false,
-        };
-        self.attempts.insert(attempt.clone(), entry);
-        let event = EntryEvent::Asked {
-            inbound,
-            key,
-            attempt,
-            digest: "digest".into(),
-            deadline,
-        };
-        self.entry_event(to, event);
-    }
-
-    fn fault(&mut self, fault: Fault) {
-        let count = self.nodes.len();
-        let now = self.queue.now;
-        match fault {
-            Fault::Crash(node) => {
-                let node = node % count;
-                let id = self.nodes[node].id.clone();
-                self.nodes[node] = Node {
-                    life: self.nodes[node].life + 1,
-                    paused_until: Timestamp::ZERO,
-                    table: CallTable::new(id.clone()),
-                    entry: CallEntryTable::new(),
-                    owners: Default::default(),
-                    inbound: BTreeMap::new(),
-                    attempts: BTreeMap::new(),
-                    memory: BTreeMap::new(),
-                    id,
-                };
-                self.reset_view(node);
-            }
-            Fault::Pause(node, time) => {
-                self.nodes[node % count].paused_until = now.after(millis(time));
-            }
-            Fault::LogDown(time) => self.log_up_at = now.after(millis(time)),
-            Fault::View(node, stream, owner) => {
-                let node = node % count;
-                let owner = Some(instance(owner % count));
-                self.nodes[node].owners[stream % CALL_STREAMS] = owner;
-                self.set_view(node);
-            }
-        }
-    }
-
-    fn tick(&mut self, index: usize) {
-        let now = self.queue.now;
-        let node = &mut self.nodes[index];
-        let owner = node.table.tick(now);
-        let entry = node.entry.tick(now);
-        self.owner_actions(index, owner);
-        self.entry_actions(index, entry);
-        self.schedule(index);
-    }
-
-    fn schedule(&mut self, index: usize) {
-        let node = &self.nodes[index];
-        let timers = [node.table.next_timer(), node.entry.next_timer()];
-        let life = node.life;
-        if let Some(at) = timers.into_iter().flatten().min() {
-            self.queue.push(at, Event::Tick(index, life));
-        }
-    }
-
-    fn owner_event(&mut self, index: usize, event: CallEvent) {
-        let now = self.queue.now;
-        let actions = self.nodes[index].table.handle(now, event);
-        self.owner_actions(index, actions);
-        self.schedule(index);
-    }
-
-    fn entry_event(&mut self, index: usize, event: EntryEvent) {
-        let now = self.queue.now;
-        let actions = self.nodes[index].entry.handle(now, event);
-        self.entry_actions(index, actions);
-        self.schedule(index);
-    }
-
-    fn owner_actions(&mut self, index: usize, actions: Vec<CallAction>) {
-        let life = self.nodes[index].life;
-        for action in actions {
-            match action {
-                CallAction::Answer(CallAsker::Peer(inbound), reply) => {
-                    let asker = self.nodes[index].inbound.remove(&inbound);
-                    let (to, life, call) = asker.unwrap();
-                    self.reply(to, life, call, reply);
-                }
-                CallAction::Answer(CallAsker::Local(call), reply) => {
-                    let event = Event::Reply(index, life, call, Ok(reply));
-                    self.queue.push_in(Duration::ZERO, event);
-                }
-                CallAction::Read { stream, from, wait } => {
-                    let idle = self.logs[stream].head() <= from;
-                    let wait = if idle { wait } else { Duration::ZERO };
-                    let event = Event::Serve(index, life, stream, from);
-                    let delay = self.delay();
-                    self.queue.push_in(wait + delay, event);
-                }
-                CallAction::Append {
-                    append,
-                    stream,
-                    records,
-                } => self.append(index, append, stream, records),
-            }
-        }
-    }
-
-    fn reply(&mut self, to: usize, life: u64, call: EntryCall, r: PeerReply) {
-        let copies = 1 + usize::from(self.odds(5)) - usize::from(self.odds(5));
-        for _ in 0..copies {
-            let delay = self.delay();
-            let event = Event::Reply(to, life, call, Ok(r.clone()));
-            self.queue.push_in(delay, event);
-        }
-    }
-
-    fn append(
-        &mut self,
-        index: usize,
-        append: CallAppend,
-        stream: usize,
-        records: Vec<serde_json::Value>,
-    ) {
-        let life = self.nodes[index].life;
-        let down = self.queue.now < self.log_up_at;
-        let refused = down && self.queue.chance(60);
-        let swallowed = down && self.queue.chance(50);
-        let lands = !refused && !swallowed;
-        let first_offset = self.logs[stream].head();
-        let count = records.len() as u64;
-        if lands {
-            let copies = 1 + usize::from(self.odds(3));
-            for _ in 0..copies {
-                let delay = self.delay();
-                let event = Event::Land(stream, records.clone());
-                self.queue.push_in(delay, event);
-            }
-        }
-        let result = if refused {
-            Err(failure(RunState::NotRun))
-        } else if down || self.odds(10) {
-            Err(failure(RunState::MayHaveRun))
-        } else {
-            Ok(AppendAnswer {
-                first_offset,
-                count,
-            })
-        };
-        let delay = self.delay();
-        let event = Event::Appended(index, life, append, result);
-        self.queue.push_in(delay, event);
-    }
-
-    fn entry_actions(&mut self, index: usize, actions: Vec<EntryAction>) {
-        for action in actions {
-            match action {
-                EntryAction::Call {
-                    call,
-                    to,
-                    message,
-                    timeout,
-                } => self.call(index, call, &to, message, timeout),
-                EntryAction::Answer(inbound, answer) => {
-                    self.answered(index, inbound, answer);
-                }
-                EntryAction::Log(..) => {}
-            }
-        }
-    }
-
-    fn call(
-        &mut self,
-        from: usize,
-        call: EntryCall,
-        to: &InstanceId,
-        message: PeerMessage,
-        timeout: Duration,
-    ) {
-        let life = self.nodes[from].life;
-        let to = self.nodes.iter().position(|n| n.id == *to).unwrap();
-        let copies = 1 + usize::from(self.odds(5)) - usize::from(self.odds(5));
-        for _ in 0..copies {
-            let delay = self.delay();
-            let message = message.clone();
-            let event = Event::Peer(to, from, life, call, message);
-            self.queue.push_in(delay, event);
-        }
-        let lost = Err(failure(RunState::MayHaveRun));
-        let event = Event::Reply(from, life, call, lost);
-        self.queue.push_in(timeout, event);
-    }
-
-    fn peer(
-        &mut self,
-        to: usize,
-        from: usize,
-        life: u64,
-        call: EntryCall,
-        message: PeerMessage,
-    ) {
-        self.next += 1;
-        let inbound = InboundNumber(self.next);
-        self.nodes[to].inbound.insert(inbound, (from, life, call));
-        let local = to == from && self.lives(to, life);
-        let asker = if local {
-            CallAsker::Local(call)
-        } else {
-            CallAsker::Peer(inbound)
-        };
-        let event = match message {
-            PeerMessage::ClaimCall(ask) if self.naive => {
-                let memory = &mut self.nodes[to].memory;
-                let holder =
-                    memory.entry(ask.key).or_insert(ask.attempt.clone());
-                let answer = if *holder == ask.attempt {
-                    ClaimAnswer::Won
-                } else {
-                    ClaimAnswer::InProgress
-                };
-                return self.reply(from, life, call, PeerReply::Claim(answer));
-            }
-            PeerMessage::ClaimCall(ask) => {
-                let entry = instance(from);
-                CallEvent::Claim { asker, entry, ask }
-            }
-            PeerMessage::SettleCall(notice) => {
-                CallEvent::Settle { asker, notice }
-            }
-            _ => unreachable!(),
-        };
-        self.owner_event(to, event);
-    }
-
-    fn answered(&mut self, index: usize, to: InboundNumber, a: ClaimAnswer) {
-        let id = self.nodes[index].attempts.remove(&to);
-        let id = id.expect("an attempt is answered once");
-        match a {
-            ClaimAnswer::Won => {
-                let delay = self.delay();
-                let life = self.nodes[index].life;
-                self.won += 1;
-                self.queue.push_in(delay, Event::Send(index, life, id));
-            }
-            ClaimAnswer::Undecided(refusal) => {
-                if refusal.run_state != RunState::NotRun {
-                    self.fail(format!("{id} is undecided and not not_run"));
-                }
-                self.not_run(&id);
-            }
-            ClaimAnswer::Recorded(outcome) => {
-                let ran = outcome.body.unwrap().parse().unwrap();
-                if !self.attempts.get(&ran).is_some_and(|a| a.ran) {
-                    self.fail(format!("{id} got an outcome of no call"));
-                }
-            }
-            _ => {}
-        }
-    }
-
-    /// The shell is about to write the call to the upstream.
-    fn send(&mut self, index: usize, life: u64, id: RequestId) {
-        let now = self.queue.now;
-        let attempt = self.attempts.get_mut(&id).unwrap();
-        let result = if now < attempt.deadline {
-            attempt.ran = true;
-            let key = attempt.key.clone();
-            let runs = self.attempts.values().filter(|a| a.key == key && a.ran);
-            if runs.count() > 1 {
-                self.fail(format!("key of {id} ran twice"));
-            }
-            CallResult::Ran(outcome(&id))
-        } else {
-            self.not_run(&id);
-            CallResult::Released
-        };
-        let delay = self.delay();
-        let event = Event::Settled(index, life, id, result);
-        self.queue.push_in(delay, event);
-    }
-
-    fn not_run(&mut self, id: &RequestId) {
-        let attempt = self.attempts.get_mut(id).unwrap();
-        attempt.not_run = true;
-        if attempt.ran {
-            self.fail(format!("{id} ran and was answered not_run"));
-        }
-    }
-
-    fn fail(&mut self, text: String) {
-        self.violation.get_or_insert(text);
-    }
-
-    fn load(&mut self, faults: Vec<(u64, Fault)>) {
-        let start = self.queue.now;
-        for (at, fault) in faults {
-            self.queue.push_in(millis(at), Event::Fault(fault));
-        }
-        for _ in 0..40 {
-            let node = self.queue.rng.random_range(0..self.nodes.len());
-            let key = key(self.queue.rng.random_range(0..6), start);
-            let delay = self.queue.delay(0, FAULT_TIME_MS);
-            self.queue.push_in(delay, Event::Ask(node, key));
-        }
-    }
-}
 
 fn any_fault() -> impl Strategy<Value = Fault> {
     prop_oneof![
@@ -670,41 +119,87 @@
     assert!(is_retention_enough(25 * 3_600 * 1_000));
 }
 
-/// Guards against decisions by an owner that has not read its whole stream.
+fn own_table() -> CallTable {
+    let mut table = CallTable::new(instance(0));
+    let owners = std::array::from_fn(|_| Some(instance(0)));
+    table.set_owners(owners, vec![instance(0)]);
+    table
+}
+
+fn ask_for(key: &CallKey) -> CallEvent {
+    CallEvent::Claim {
+        asker: CallAsker::Peer(InboundNumber(1)),
+        entry: instance(1),
+        ask: ClaimAsk {
+            key: key.clone(),
+            attempt: "a".parse().unwrap(),
+            digest: "digest".into(),
+            time_left: millis(1_000),
+        },
+    }
+}
+
+/// Guards against decisions by an owner that has not read its whole stream,
+/// and against a late page from before a change of owners that makes it pass
+/// over records.
 #[test]
 fn test_owner_is_undecided_before_head() {
     let now = Timestamp::new(3_600_000_000);
     let key = key(1, now);
-    let mut table = CallTable::new(instance(0));
-    let owners = std::array::from_fn(|_| Some(instance(0)));
-    table.set_owners(owners, vec![instance(0)]);
-    let digest: Arc<str> = "digest".into();
-    let ask = borageline_lib::peer_api::ClaimAsk {
-        key: key.clone(),
-        attempt: "a".parse().unwrap(),
-        digest,
-        time_left: millis(1_000),
-    };
-    let asker = CallAsker::Peer(InboundNumber(1));
-    let entry = instance(1);
-    let claim = CallEvent::Claim { asker, entry, ask };
+    let stream = stream_of(&key);
+    let mut table = own_table();
     let mut log = LogModel::new(RETENTION);
     log.append(now, vec![serde_json::Value::Null; 5]);
-    let page = log.read(now, LogOffset::ZERO, 3);
-    let stream = stream_of(&key);
-    let result = Ok(page);
-    table.handle(now, CallEvent::Read { stream, result });
-    let actions = table.handle(now, claim.clone());
     let undecided = |action: &CallAction| {
         let CallAction::Answer(_, PeerReply::Claim(answer)) = action else {
             return false;
         };
         matches!(answer, ClaimAnswer::Undecided(_))
     };
-    assert!(actions.iter().any(undecided));
+    for from in [0, 4] {
+        let result = Ok(log.read(now, LogOffset::new(from), 3));
+        table.handle(now, CallEvent::Read { stream, result });
+        let actions = table.handle(now, ask_for(&key));
+        assert!(actions.iter().any(undecided));
+    }
     let result = Ok(log.read(now, LogOffset::new(3), 3));
     table.handle(now, CallEvent::Read { stream, result });
-    let actions = table.handle(now, claim);
+    let actions = table.handle(now, ask_for(&key));
     let append = |action: &CallAction| matches!(action, CallAction::Append { stream: s, .. } if *s == stream);
     assert!(actions.iter().any(append));
 }
+
+/// Guards against acting on a claim that is won after the attempt's time, as
+/// when the instance was paused: it must be released.
+#[test]
+fn test_late_won_is_released() {
+    let now = Timestamp::new(3_600_000_000);
+    let mut entry = CallEntryTable::new();
+    entry.set_owners(std::array::from_fn(|_| Some(instance(0))));
+    let asked = EntryEvent::Asked {
+        inbound: InboundNumber(1),
+        key: key(1, now),
+        attempt: "a".parse().unwrap(),
+        digest: "digest".into(),
+        deadline: now.after(millis(500)),
+    };
+    let actions = entry.handle(now, asked);
+    let Some(EntryAction::Call { call, .. }) = actions.first() else {
+        panic!("no claim was asked for");
+    };
+    let result = Ok(PeerReply::Claim(ClaimAnswer::Won));
+    let answered = EntryEvent::Answered {
+        call: *call,
+        result,
+    };
+    let actions = entry.handle(now.after(millis(500)), answered);
+    let released = actions.iter().any(|action| {
+        let EntryAction::Call { message, .. } = action else {
+            return false;
+        };
+        matches!(message, PeerMessage::SettleCall(notice)
+            if notice.result == CallResult::Released)
+    });
+    let won = EntryAction::Answer(InboundNumber(1), ClaimAnswer::Won);
+    assert!(released && !actions.contains(&won));
+}
