--- a/lib/src/membership.rs
+++ b/lib/src/membership.rs
@@ -62,8 +62,8 @@
 const LISTING_FRESH: Duration = Duration::from_secs(10);
 /// Interval without a tick from which on this instance counts as paused.
 const PAUSE_MIN: Duration = Duration::from_millis(700);
-/// Time after the start in which more addresses are contacted and more
-/// updates are sent.
+/// Time after the start of an instance in which it sends and is sent as many
+/// updates as a message has room for.
 const JOIN_TIME: Duration = Duration::from_secs(10);
 
 /// Number of one message to a peer.
@@ -214,7 +214,8 @@
     facts: GossipFacts,
     engine_cursor: usize,
     round: Vec<InstanceId>,
-    contact_cursor: usize,
+    contacted: BTreeMap<SocketAddr, Timestamp>,
+    dead_contact_due: Timestamp,
     pending: BTreeMap<ProbeNumber, probe::PendingCall>,
     current: Option<probe::CurrentProbe>,
     next_number: u64,
@@ -251,7 +252,8 @@
             facts: GossipFacts::default(),
             engine_cursor: 0,
             round: Vec::new(),
-            contact_cursor: 0,
+            contacted: BTreeMap::new(),
+            dead_contact_due: Timestamp::ZERO,
             pending: BTreeMap::new(),
             current: None,
             next_number: 0,
--- a/lib/src/membership/probe.rs
+++ b/lib/src/membership/probe.rs
@@ -6,7 +6,7 @@
 use rand::seq::{IndexedRandom, SliceRandom};
 
 use super::{
-    DEAD_KEPT, EVIDENCE_REFRESH, INDIRECT_PROBES, INDIRECT_TIMEOUT, JOIN_TIME,
+    DEAD_KEPT, EVIDENCE_REFRESH, INDIRECT_PROBES, INDIRECT_TIMEOUT,
     MemberAction, MemberEntry, MemberTable, PERIOD_MIN, PROBE_TIMEOUT,
     ProbeNumber, SUSPICION_TIME,
 };
@@ -17,10 +17,13 @@
     units::Timestamp,
 };
 
-/// Addresses without a live member contacted at once while joining.
-const CONTACTS_JOINING: usize = 3;
-/// Interval between two contacts after joining.
-const CONTACT_INTERVAL: Duration = Duration::from_secs(2);
+/// Most addresses without a known member that are contacted at once. Gossip
+/// alone took over 60 s until 200 instances that start together knew all.
+const UNMET_CONTACTS: usize = 8;
+/// Interval between two contacts to the same such address.
+const UNMET_INTERVAL: Duration = Duration::from_secs(3);
+/// Interval between two contacts to addresses of dead members.
+const DEAD_INTERVAL: Duration = Duration::from_secs(2);
 
 /// What a message was sent for.
 #[derive(Clone, Debug, PartialEq)]
@@ -126,24 +129,28 @@
         if now < self.contact_due {
             return;
         }
-        let joining = self.started.is_some_and(|at| now.since(at) < JOIN_TIME);
-        let (count, interval) = if joining {
-            (CONTACTS_JOINING, PERIOD_MIN)
-        } else {
-            (1, CONTACT_INTERVAL)
-        };
-        self.contact_due = now.after(interval);
-        let addresses = self.unknown_addresses();
-        let count = count.min(addresses.len());
-        for step in 0..count {
-            let cursor = self.contact_cursor.wrapping_add(step);
-            let to = addresses[cursor % addresses.len()];
-            let dead = |entry: &&MemberEntry| entry.update.peer_address == to;
-            let target = self.members.values().find(dead);
+        self.contact_due = now.after(PERIOD_MIN);
+        let (dead, unmet) = self.unknown_addresses();
+        let again = |at: &Timestamp| now.since(*at) >= UNMET_INTERVAL;
+        self.contacted.retain(|to, _| unmet.contains(to));
+        let mut chosen: Vec<_> = unmet
+            .into_iter()
+            .filter(|to| self.contacted.get(to).is_none_or(again))
+            .collect();
+        chosen.shuffle(&mut self.rng);
+        chosen.truncate(UNMET_CONTACTS);
+        self.contacted.extend(chosen.iter().map(|to| (*to, now)));
+        if now >= self.dead_contact_due {
+            self.dead_contact_due = now.after(DEAD_INTERVAL);
+            let dead: Vec<_> = dead.into_iter().collect();
+            chosen.extend(dead.choose(&mut self.rng));
+        }
+        for to in chosen {
+            let at = |entry: &&MemberEntry| entry.update.peer_address == to;
+            let target = self.members.values().find(at);
             let target = target.map(|entry| entry.update.instance.clone());
             self.probe(now, CallPurpose::Contact, target, to, actions);
         }
-        self.contact_cursor = self.contact_cursor.wrapping_add(count);
     }
 
     /// Probes one more member while the evidence for ownership grows old.
@@ -380,16 +387,20 @@
         ids.filter(|id| Some(*id) != except).cloned().collect()
     }
 
-    fn unknown_addresses(&self) -> Vec<SocketAddr> {
-        let dead = self.members.values().filter(|e| !e.is_present());
-        let mut addresses: BTreeSet<_> =
-            dead.map(|entry| entry.update.peer_address).collect();
-        addresses.extend(&self.setup.seeds);
-        addresses.extend(self.listed.keys());
-        addresses.remove(&self.own.peer_address);
-        for entry in self.members.values().filter(|e| e.is_present()) {
-            addresses.remove(&entry.update.peer_address);
+    /// Addresses of dead members, and those of which no member is known.
+    fn unknown_addresses(
+        &self,
+    ) -> (BTreeSet<SocketAddr>, BTreeSet<SocketAddr>) {
+        let listed = self.listed.keys().chain(&self.setup.seeds);
+        let mut unmet: BTreeSet<_> = listed.copied().collect();
+        unmet.remove(&self.own.peer_address);
+        let mut dead = BTreeSet::new();
+        for entry in self.members.values() {
+            unmet.remove(&entry.update.peer_address);
+            if !entry.is_present() {
+                dead.insert(entry.update.peer_address);
+            }
         }
-        addresses.into_iter().collect()
+        (dead, unmet)
     }
 }
