--- a/cli/src/commands/serve.rs
+++ b/cli/src/commands/serve.rs
@@ -3,7 +3,6 @@
 use std::{
     io,
     path::PathBuf,
-    process::ExitCode,
     sync::Arc,
     time::{SystemTime, UNIX_EPOCH},
 };
@@ -23,21 +22,18 @@
 };
 use tokio_util::sync::CancellationToken;
 
-use super::{load_settings, set_flags};
 use crate::{
+    commands::{ExitReason, load_settings, set_flags},
     context::{ServerContext, SharedContext},
     driver::{CoreDriver, CoreHandle, DriverClients, TickCore},
     engine_client::EngineClient,
     logging,
     metrics::ServerMetrics,
-    peers::{PeerPool, PoolSetup, serve_peers},
+    peers::{PeerPool, PoolSetup, serve_peers_metered},
     platform::PlatformClient,
     server::serve_callers,
 };
 
-/// Exit code for faulty settings.
-const SETTINGS_ERROR: u8 = 2;
-
 /// Run one instance until it is told to stop.
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(
@@ -52,24 +48,24 @@
         complete_shell(ShellComp::File { mask: None })
     )]
     pub config: PathBuf,
-    /// Values that take precedence over the file's.
+    /// Values in place of the file's.
     #[bpaf(external(set_flags))]
-    pub set: Vec<SettingOverride>,
+    pub flags: Vec<SettingOverride>,
 }
 
 /// Runs the command.
-pub fn run(options: &ServeOptions) -> ExitCode {
-    let settings = match load_settings(&options.config, &options.set) {
+pub fn run(options: &ServeOptions) -> ExitReason {
+    let settings = match load_settings(&options.config, &options.flags) {
         Ok(settings) => settings,
         Err(faults) => {
             eprintln!("{faults}");
-            return ExitCode::from(SETTINGS_ERROR);
+            return ExitReason::Usage;
         }
     };
     let level = LevelFilter::MoreSevereEqual(logforth::record::Level::Info);
     if let Err(error) = logging::start(level) {
         eprintln!("log cannot be started: {error}");
-        return ExitCode::FAILURE;
+        return ExitReason::Failed;
     }
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
@@ -77,10 +73,10 @@
     let result = runtime
         .and_then(|runtime| runtime.block_on(async { serve(settings).await }));
     match result {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(()) => ExitReason::Done,
         Err(error) => {
             eprintln!("instance has stopped: {error}");
-            ExitCode::FAILURE
+            ExitReason::Failed
         }
     }
 }
@@ -127,9 +123,12 @@
         let incarnation = start_incarnation();
         let metrics = Arc::new(ServerMetrics::new());
         let engines = EngineClient::new();
+        let clients = driver_clients(&settings, incarnation, engines.clone());
+        let meter = clients.peers.meter();
+        metrics.watch_traffic(&meter);
         let (handle, driver) = CoreDriver::spawn(
             build(core_setup(&settings, incarnation)),
-            driver_clients(&settings, incarnation, engines.clone()),
+            clients,
             metrics.clone(),
         );
         let context = SharedContext::new(ServerContext::new(
@@ -147,7 +146,8 @@
             let handle = handle.clone();
             async move { handle.peer_called(from, incarnation, message).await }
         };
-        let peers = tokio::spawn(serve_peers(peers, secret, answer));
+        let peers =
+            tokio::spawn(serve_peers_metered(peers, secret, meter, answer));
         let text = format!(
             "{} serves callers at {}",
             settings.instance, settings.caller_address,
