--- a/cli/src/commands/serve.rs
+++ b/cli/src/commands/serve.rs
@@ -3,6 +3,7 @@
 use std::{
     io,
     path::PathBuf,
+    process::ExitCode,
     sync::Arc,
     time::{SystemTime, UNIX_EPOCH},
 };
@@ -22,8 +23,8 @@
 };
 use tokio_util::sync::CancellationToken;
 
+use super::{load_settings, set_flags};
 use crate::{
-    commands::{ExitReason, load_settings, set_flags},
     context::{ServerContext, SharedContext},
     driver::{CoreDriver, CoreHandle, DriverClients, TickCore},
     engine_client::EngineClient,
@@ -34,6 +35,9 @@
     server::serve_callers,
 };
 
+/// Exit code for faulty settings.
+const SETTINGS_ERROR: u8 = 2;
+
 /// Run one instance until it is told to stop.
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(
@@ -48,24 +52,24 @@
         complete_shell(ShellComp::File { mask: None })
     )]
     pub config: PathBuf,
-    /// Values in place of the file's.
+    /// Values that take precedence over the file's.
     #[bpaf(external(set_flags))]
-    pub flags: Vec<SettingOverride>,
+    pub set: Vec<SettingOverride>,
 }
 
 /// Runs the command.
-pub fn run(options: &ServeOptions) -> ExitReason {
-    let settings = match load_settings(&options.config, &options.flags) {
+pub fn run(options: &ServeOptions) -> ExitCode {
+    let settings = match load_settings(&options.config, &options.set) {
         Ok(settings) => settings,
         Err(faults) => {
             eprintln!("{faults}");
-            return ExitReason::Usage;
+            return ExitCode::from(SETTINGS_ERROR);
         }
     };
     let level = LevelFilter::MoreSevereEqual(logforth::record::Level::Info);
     if let Err(error) = logging::start(level) {
         eprintln!("log cannot be started: {error}");
-        return ExitReason::Failed;
+        return ExitCode::FAILURE;
     }
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
@@ -73,10 +77,10 @@
     let result = runtime
         .and_then(|runtime| runtime.block_on(async { serve(settings).await }));
     match result {
-        Ok(()) => ExitReason::Done,
+        Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("instance has stopped: {error}");
-            ExitReason::Failed
+            ExitCode::FAILURE
         }
     }
 }
