--- a/cli/tests/test_peers.rs
+++ b/cli/tests/test_peers.rs
@@ -15,7 +15,8 @@
 };
 
 use borageline::peers::{
-    FRAME_MAX_BYTES, IN_FLIGHT_MAX, PeerPool, PoolSetup, serve_peers,
+    FRAME_MAX_BYTES, IN_FLIGHT_MAX, PeerPool, PoolSetup, TrafficMeter,
+    serve_peers, serve_peers_metered,
 };
 use borageline_lib::{
     ids::InstanceId,
@@ -478,6 +479,25 @@
     }
 }
 
+/// Guards against control traffic that is counted on one side only.
+#[tokio::test]
+async fn test_server_traffic_counted() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let meter = TrafficMeter::new();
+    let handler = |_, _, message| answer(message);
+    let server =
+        serve_peers_metered(listener, SECRET.into(), meter.clone(), handler);
+    let server = tokio::spawn(server);
+    let pool = make_pool();
+    let reply = pool.call(address, query("a"), TIMEOUT).await;
+    assert_eq!(reply, Ok(rows("a")));
+    server.abort();
+    let (client, server) = (pool.traffic(), meter.count());
+    assert_eq!(server.received, client.sent);
+    assert_eq!(server.sent, client.received);
+}
+
 /// Guards against a lost route that blocks a peer until TCP gives up.
 #[tokio::test]
 async fn test_silent_connection_replaced() {
