--- a/cli/src/commands/serve.rs
+++ b/cli/src/commands/serve.rs
@@ -30,7 +30,7 @@
     engine_client::EngineClient,
     logging,
     metrics::ServerMetrics,
-    peers::{PeerPool, PoolSetup, serve_peers},
+    peers::{PeerPool, PoolSetup, serve_peers_metered},
     platform::PlatformClient,
     server::serve_callers,
 };
@@ -127,9 +127,12 @@
         let incarnation = start_incarnation();
         let metrics = Arc::new(ServerMetrics::new());
         let engines = EngineClient::new();
+        let clients = driver_clients(&settings, incarnation, engines.clone());
+        let meter = clients.peers.meter();
+        metrics.watch_traffic(&meter);
         let (handle, driver) = CoreDriver::spawn(
             build(core_setup(&settings, incarnation)),
-            driver_clients(&settings, incarnation, engines.clone()),
+            clients,
             metrics.clone(),
         );
         let context = SharedContext::new(ServerContext::new(
@@ -147,7 +150,8 @@
             let handle = handle.clone();
             async move { handle.peer_called(from, incarnation, message).await }
         };
-        let peers = tokio::spawn(serve_peers(peers, secret, answer));
+        let peers =
+            tokio::spawn(serve_peers_metered(peers, secret, meter, answer));
         let text = format!(
             "{} serves callers at {}",
             settings.instance, settings.caller_address,
--- a/cli/src/metrics.rs
+++ b/cli/src/metrics.rs
@@ -16,6 +16,8 @@
     Opts, Registry, TextEncoder, core::Collector,
 };
 
+use crate::peers::TrafficMeter;
+
 /// Bounds of the first-token histogram, in seconds.
 const FIRST_TOKEN_BOUNDS: &[f64] = &[
     0.01, 0.02, 0.05, 0.1, 0.2, 0.35, 0.55, 0.8, 1.2, 2.0, 5.0, 10.0, 30.0,
@@ -182,6 +184,12 @@
         histogram.observe(time.as_secs_f64());
     }
 
+    /// Adds the bytes exchanged with other instances.
+    pub fn watch_traffic(&self, meter: &TrafficMeter) {
+        self.register(meter.sent());
+        self.register(meter.received());
+    }
+
     /// All metrics in the text format.
     pub fn render(&self) -> Vec<u8> {
         let mut text = Vec::new();
--- a/cli/src/peers/pool.rs
+++ b/cli/src/peers/pool.rs
@@ -83,7 +83,7 @@
 #[derive(Debug)]
 struct PoolShared {
     setup: PoolSetup,
-    meter: Arc<TrafficMeter>,
+    meter: TrafficMeter,
     slots: Mutex<BTreeMap<SocketAddr, Arc<PeerSlot>>>,
     sweeping: AtomicBool,
 }
@@ -121,7 +121,7 @@
     pub fn new(setup: PoolSetup) -> Self {
         let shared = PoolShared {
             setup,
-            meter: Arc::default(),
+            meter: TrafficMeter::new(),
             slots: Mutex::default(),
             sweeping: AtomicBool::new(false),
         };
@@ -137,7 +137,7 @@
     }
 
     /// Counter to share with [`super::serve_peers_metered`].
-    pub fn meter(&self) -> Arc<TrafficMeter> {
+    pub fn meter(&self) -> TrafficMeter {
         self.shared.meter.clone()
     }
 
--- a/cli/src/peers/server.rs
+++ b/cli/src/peers/server.rs
@@ -65,14 +65,14 @@
         + 'static,
     F: Future<Output = PeerReply> + Send + 'static,
 {
-    serve_peers_metered(listener, secret, Arc::default(), handler).await
+    serve_peers_metered(listener, secret, TrafficMeter::new(), handler).await
 }
 
 /// Like [`serve_peers`], with the bytes added to `meter`.
 pub async fn serve_peers_metered<H, F>(
     listener: TcpListener,
     secret: Arc<str>,
-    meter: Arc<TrafficMeter>,
+    meter: TrafficMeter,
     handler: H,
 ) -> io::Result<()>
 where
@@ -121,7 +121,7 @@
 async fn serve_connection<H, F>(
     stream: TcpStream,
     connection: PeerConnection,
-    total: Arc<TrafficMeter>,
+    total: TrafficMeter,
     handler: H,
 ) where
     H: Fn(InstanceId, Incarnation, PeerMessage) -> F
