core: tell the entry side of this instance's own engines

Cause: summaries of engines reach the entry side by gossip only, so an instance assumed half the memory for the engines that it owns itself.

Change: own summaries are fed in every 200 ms. Groups may span failure domains where no single one has the room.

--- a/lib/src/core/serving_core.rs
+++ b/lib/src/core/serving_core.rs
@@ -13,7 +13,7 @@
     api::InstanceAddress,
     call_log::{CALL_STREAMS, CallEntryTable, CallTable},
     config_reader::ConfigReader,
-    entry::EntryTable,
+    entry::{EntryEvent, EntryTable},
     freshness::{Freshness, FreshnessTable},
     ids::InstanceId,
     log_event::LogEvent,
@@ -164,7 +164,7 @@
         self.route_members(now, actions, output);
         if now >= self.slow_due {
             self.slow_due = now.after(SLOW_INTERVAL);
-            self.update_slowly(now);
+            self.update_slowly(now, output);
         }
         self.update_owners(now, output);
         self.read_upstreams(now, output);
@@ -193,7 +193,13 @@
         self.members.set_facts(facts);
     }
 
-    fn update_slowly(&mut self, now: Timestamp) {
+    fn update_slowly(&mut self, now: Timestamp, output: &mut TickOutput) {
+        // The entry side hears of other engines by gossip, and of this
+        // instance's own only here.
+        for summary in self.owners.summaries(now) {
+            let event = EntryEvent::Summary(summary);
+            self.handle_entry(now, event, output);
+        }
         let known = self.members.alive_within(now, ALIVE_WINDOW);
         self.freshness.set_known_alive(known);
         let present = self.members.members().iter();
--- a/lib/src/entry/group.rs
+++ b/lib/src/entry/group.rs
@@ -1,7 +1,8 @@
 //! Groups of engines for prompts larger than one engine's memory.
 //!
-//! The engines of a group lie in one failure domain and are asked in ascending
-//! order of their ids, so that two groups cannot wait for each other. Any
+//! The engines of a group lie in one failure domain if any has the room, and
+//! are asked in ascending order of their ids, so that two groups cannot wait
+//! for each other. Any
 //! failure returns all grants of the group; it is tried again after a backoff.
 
 use std::collections::BTreeMap;
@@ -76,8 +77,8 @@
         self.send_ask(now, row, owner, ask, parts, actions);
     }
 
-    /// Splits a request over the fewest engines of one failure domain, or says
-    /// that no domain has the room.
+    /// Splits a request over the fewest engines of one failure domain, or of
+    /// several where no single one has the room.
     fn plan(
         &self,
         row: &EntryRow,
@@ -101,10 +102,12 @@
                 engines.push((room(id), id));
             }
         }
+        let all: Vec<_> = domains.values().flatten().copied().collect();
         domains
             .into_values()
             .filter_map(|engines| fewest(engines, need.tokens))
             .min_by_key(Vec::len)
+            .or_else(|| fewest(all, need.tokens))
             .and_then(|chosen| split(row, chosen))
     }
 }
