entry: wait at most 3 s for an engine to appear

Cause: test_standins_order failed: with its only failure domain closed, a request waited for its whole deadline (60 s) before it was refused.

Ruled out: refusing at once, which would fail requests during the takeover of engines whose owner was lost.

Change: a request that finds no usable engine is refused 3 s after its arrival.

--- a/lib/src/entry.rs
+++ b/lib/src/entry.rs
@@ -46,6 +46,10 @@
 const ROUND_ASKS: usize = 3;
 /// Most rounds of asks; with the longest backoff they last past a takeover.
 const ROUNDS_MAX: u32 = 40;
+/// Time from its arrival in which a request waits for an engine to appear.
+/// Covers the takeover of engines whose owner was lost; engines taken out by
+/// an order stay away for longer, so that waiting on would not help.
+const NO_UPSTREAM_WAIT: Duration = Duration::from_secs(3);
 /// Most times that a request is sent to engines.
 const DISPATCHES_MAX: u32 = 4;
 /// Most resumptions of one answer.
@@ -130,6 +134,7 @@
 #[derive(Clone, Debug)]
 struct EntryRow {
     spec: RequestSpec,
+    arrived: Timestamp,
     phase: Phase,
     due: Timestamp,
     legs: Vec<Leg>,
@@ -148,10 +153,11 @@
 }
 
 impl EntryRow {
-    fn new(spec: RequestSpec) -> Self {
+    fn new(now: Timestamp, spec: RequestSpec) -> Self {
         Self {
             due: spec.deadline,
             spec,
+            arrived: now,
             phase: Phase::Waiting,
             legs: Vec::new(),
             candidates: Vec::new(),
@@ -327,7 +333,7 @@
         if self.rows.contains_key(&spec.request) {
             return;
         }
-        let row = EntryRow::new(spec);
+        let row = EntryRow::new(now, spec);
         if now >= row.spec.deadline {
             self.end_late(row, actions);
         } else if !view.fresh {
@@ -418,7 +424,9 @@
         row.rounds += 1;
         let pause = backoff(row.rounds, &mut self.rng);
         let next = now.after(pause);
-        if next >= row.spec.deadline || row.rounds > ROUNDS_MAX {
+        let gone = refusal.code == RefusalCode::NoUpstream
+            && now.since(row.arrived) >= NO_UPSTREAM_WAIT;
+        if gone || next >= row.spec.deadline || row.rounds > ROUNDS_MAX {
             let refusal = refusal.with_retry_after(pause);
             return self.end(row, refusal, actions);
         }
