policy: share out workspace limits; keep what may still reach an engine

A limit is divided by the live instances; a short instance borrows what a peer does not use, for 5 s, so that the shares never exceed the limit.

An account kept the holds of a restarted engine only if they were unsent; a request that was written but had not arrived was dropped and then ran beside new grants. A hold is now dropped only on proof from a list that was asked for after the request must have arrived.

--- a/lib/src/entry.rs
+++ b/lib/src/entry.rs
@@ -24,6 +24,7 @@
 use crate::{
     core::{PolicyName, RequestDecision, RequestProgress, RequestSpec},
     ids::{InstanceId, RequestId, UpstreamId},
+    limits::{BookedLimits, BorrowAnswer, BorrowAsk, LimitShare},
     peer_api::{EngineSummary, GrantAnswer, GrantAsk, GrantEvent, GrantNotice},
     placement::CandidateTable,
     refusal::{Refusal, RefusalCode, RetryReason, RunState},
@@ -66,6 +67,20 @@
     AskAnswered(u64, Option<GrantAnswer>),
     /// A peer published the room on an engine.
     Summary(EngineSummary),
+    /// A peer asks for a part of a workspace's limit.
+    BorrowAsked {
+        /// Number for the answer.
+        reply: u64,
+        /// The ask.
+        ask: BorrowAsk,
+    },
+    /// A peer lent a part of a workspace's limit.
+    Lent {
+        /// When the ask was sent.
+        asked_at: Timestamp,
+        /// The answer.
+        answer: BorrowAnswer,
+    },
 }
 
 /// Output of the table.
@@ -88,6 +103,15 @@
     Notify(InstanceId, GrantNotice),
     /// Cancel a request at an engine.
     CancelHeld(UpstreamId, RequestId),
+    /// Ask any live peer for a part of a workspace's limit.
+    Borrow(BorrowAsk),
+    /// Answer an [`EntryEvent::BorrowAsked`].
+    AnswerBorrow {
+        /// Number of the ask.
+        reply: u64,
+        /// The answer.
+        answer: BorrowAnswer,
+    },
     /// Count a refusal.
     CountRefusal(RefusalCode),
     /// Count a retry.
@@ -128,6 +152,7 @@
 #[derive(Clone, Debug)]
 struct EntryRow {
     spec: RequestSpec,
+    limits: BookedLimits,
     phase: Phase,
     due: Timestamp,
     legs: Vec<Leg>,
@@ -150,6 +175,7 @@
         Self {
             due: spec.deadline,
             spec,
+            limits: BookedLimits::default(),
             phase: Phase::Waiting,
             legs: Vec::new(),
             candidates: Vec::new(),
@@ -198,6 +224,7 @@
     next_ask: u64,
     candidates: CandidateTable,
     budget: RetryBudget,
+    limits: LimitShare,
     policy: PolicyName,
     turn: u64,
     rng: ChaCha8Rng,
@@ -219,6 +246,7 @@
             next_ask: incarnation.get() << 20,
             candidates: CandidateTable::new(),
             budget: RetryBudget::new(),
+            limits: LimitShare::new(),
             policy,
             turn: 0,
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -247,6 +275,13 @@
             EntryEvent::Summary(summary) => {
                 self.candidates.take_summary(now, summary, view);
             }
+            EntryEvent::BorrowAsked { reply, ask } => {
+                let answer = self.limits.lend(now, ask, view);
+                actions.push(EntryAction::AnswerBorrow { reply, answer });
+            }
+            EntryEvent::Lent { asked_at, answer } => {
+                self.limits.borrowed(now, asked_at, &answer, view);
+            }
         }
         actions
     }
@@ -325,13 +360,21 @@
         if self.rows.contains_key(&spec.request) {
             return;
         }
-        let row = EntryRow::new(spec);
+        let mut row = EntryRow::new(spec);
         if now >= row.spec.deadline {
-            self.end_late(row, actions);
-        } else if !view.fresh {
-            self.end(row, stale(), actions);
-        } else {
-            self.place(now, row, view, actions);
+            return self.refuse(row, late(), actions);
+        }
+        if !view.fresh {
+            return self.refuse(row, stale(), actions);
+        }
+        let (admitted, asks) = self.limits.admit(now, &row.spec, view);
+        actions.extend(asks.into_iter().map(EntryAction::Borrow));
+        match admitted {
+            Ok(booked) => {
+                row.limits = booked;
+                self.place(now, row, view, actions);
+            }
+            Err(refusal) => self.refuse(row, refusal, actions),
         }
     }
 
@@ -365,12 +408,10 @@
 
     /// Ends a row whose deadline has passed.
     fn end_late(&mut self, row: EntryRow, actions: &mut Vec<EntryAction>) {
-        let message = "the request's deadline has passed";
-        let refusal = Refusal::new(RefusalCode::DeadlineExceeded, message);
-        self.end(row, refusal, actions);
+        self.end(row, late(), actions);
     }
 
-    /// Ends a row with a refusal and frees what it holds.
+    /// Ends an admitted row with a refusal and frees what it holds.
     fn end(
         &mut self,
         mut row: EntryRow,
@@ -378,6 +419,17 @@
         actions: &mut Vec<EntryAction>,
     ) {
         self.release(&mut row, actions);
+        self.limits.ended(&row.spec, &row.limits);
+        self.refuse(row, refusal, actions);
+    }
+
+    /// Ends a row that holds nothing with a refusal.
+    fn refuse(
+        &mut self,
+        row: EntryRow,
+        refusal: Refusal,
+        actions: &mut Vec<EntryAction>,
+    ) {
         let refusal = refusal.with_run_state(row.run_state);
         actions.push(EntryAction::CountRefusal(refusal.code));
         let decision = RequestDecision::End(refusal);
@@ -445,6 +497,11 @@
     EntryAction::Notify(leg.owner.clone(), notice)
 }
 
+fn late() -> Refusal {
+    let message = "the request's deadline has passed";
+    Refusal::new(RefusalCode::DeadlineExceeded, message)
+}
+
 fn stale() -> Refusal {
     let message = "the configuration may be out of date";
     Refusal::new(RefusalCode::ConfigurationStale, message)
--- a/lib/src/entry/running.rs
+++ b/lib/src/entry/running.rs
@@ -42,7 +42,10 @@
             RequestProgress::Finished(tokens) => {
                 self.finished(row, tokens, actions);
             }
-            RequestProgress::CallerGone => self.release(&mut row, actions),
+            RequestProgress::CallerGone => {
+                self.release(&mut row, actions);
+                self.limits.ended(&row.spec, &row.limits);
+            }
             RequestProgress::Failed {
                 engine,
                 failure,
@@ -66,6 +69,7 @@
             self.candidates.ended(&leg.engine);
         }
         self.release(&mut row, actions);
+        self.limits.ended(&row.spec, &row.limits);
     }
 
     fn failed(
--- a/lib/src/ledger.rs
+++ b/lib/src/ledger.rs
@@ -28,6 +28,8 @@
 pub const KEPT_COUNTED: Duration = Duration::from_secs(5);
 /// How long a started request may be missing from the engine's list.
 pub const LIST_GRACE: Duration = Duration::from_secs(1);
+/// How long a request may be on its way to the engine.
+pub const IN_FLIGHT: Duration = Duration::from_millis(250);
 /// How long an adopted request may stay detached without a notice.
 pub const UNKNOWN_BOUND: Duration = Duration::from_secs(30);
 /// How long after its deadline a request is left to its entry instance.
@@ -79,6 +81,9 @@
     /// Whether prefill is still to be done as far as is known.
     pub prefilling: bool,
     cancel_due: Option<Timestamp>,
+    /// A list that was asked for from then on proves that the engine does not
+    /// have the request, if it is missing there.
+    proved_from: Timestamp,
 }
 
 /// Changes that a report or notice brought about.
@@ -200,9 +205,13 @@
         pending.map(|hold| hold.prompt).sum()
     }
 
-    /// Takes an incarnation in. A new one drops what the engine has lost;
-    /// grants that were not sent yet stay, because they may still arrive.
-    pub fn set_incarnation(&mut self, incarnation: Incarnation) -> bool {
+    /// Takes an incarnation in. A new one drops what the engine has lost, but
+    /// not what may still arrive there.
+    pub fn set_incarnation(
+        &mut self,
+        now: Timestamp,
+        incarnation: Incarnation,
+    ) -> bool {
         if self.incarnation.is_some_and(|known| known >= incarnation) {
             return false;
         }
@@ -210,7 +219,9 @@
         self.incarnation = Some(incarnation);
         if restarted {
             self.holds.retain(|_, hold| {
-                matches!(hold.state, HoldState::Granted | HoldState::Kept)
+                let unsent =
+                    matches!(hold.state, HoldState::Granted | HoldState::Kept);
+                unsent || hold.proved_from > now
             });
             self.used = self.holds.values().map(|hold| hold.tokens).sum();
         }
@@ -237,6 +248,7 @@
             deadline: Some(now.after(ask.time_left)),
             prefilling: true,
             cancel_due: None,
+            proved_from: now.after(GRANT_COUNTED),
         };
         self.put(ask.request.clone(), hold);
     }
@@ -294,7 +306,7 @@
         if self.incarnation.is_some_and(|own| own > report.incarnation) {
             return LedgerChange::default();
         }
-        let restarted = self.set_incarnation(report.incarnation);
+        let restarted = self.set_incarnation(now, report.incarnation);
         let listed: BTreeMap<_, _> = report
             .requests
             .iter()
@@ -341,12 +353,14 @@
                 hold.state = HoldState::Ending;
                 hold.since = now;
                 hold.expires = None;
+                hold.proved_from = now;
             }
             if late && hold.cancel_due.is_none() {
                 hold.state = HoldState::Ending;
                 hold.since = now;
                 hold.expires = None;
                 hold.cancel_due = Some(now);
+                hold.proved_from = now.after(IN_FLIGHT);
             }
         }
         self.overdue(now)
@@ -406,6 +420,7 @@
             }
             if hold.state != state {
                 hold.since = now;
+                hold.proved_from = now.after(LIST_GRACE);
             }
             hold.state = state;
             hold.expires = expires;
@@ -423,6 +438,7 @@
             deadline: None,
             prefilling: false,
             cancel_due: None,
+            proved_from: now.after(LIST_GRACE),
         };
         self.put(notice.request.clone(), hold);
     }
@@ -434,6 +450,7 @@
             hold.expires = None;
             hold.prefilling = false;
             hold.cancel_due = cancel.then_some(now);
+            hold.proved_from = now.after(IN_FLIGHT);
         }
     }
 
@@ -457,6 +474,7 @@
                 deadline: None,
                 prefilling: false,
                 cancel_due: None,
+                proved_from: now,
             };
             self.put(request.clone(), hold);
             return;
@@ -496,6 +514,7 @@
                 hold.since = now;
                 hold.expires = None;
                 hold.cancel_due = Some(now);
+                hold.proved_from = now.after(IN_FLIGHT);
             }
         }
     }
@@ -516,9 +535,9 @@
 fn freed(hold: &Hold, asked_at: Timestamp) -> bool {
     match hold.state {
         HoldState::Granted | HoldState::Kept => false,
-        HoldState::Started => hold.since.after(LIST_GRACE) <= asked_at,
-        HoldState::Adopted => true,
-        HoldState::Ending => hold.since <= asked_at,
+        HoldState::Started | HoldState::Adopted | HoldState::Ending => {
+            hold.proved_from <= asked_at
+        }
     }
 }
 
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod fleet;
 pub mod ids;
 pub mod ledger;
+pub mod limits;
 pub mod log_event;
 pub mod long_share;
 pub mod owner;
--- /dev/null
+++ b/lib/src/limits.rs
@@ -0,0 +1,399 @@
+//! Limits of workspaces over the whole fleet.
+//!
+//! Each instance admits against its own share of every limit and asks nobody
+//! on the way. A share is the limit divided by the number of live instances,
+//! plus what was borrowed, minus what was lent. An instance that runs short
+//! asks a peer, at most once in [`BORROW_INTERVAL`] for each limit; the peer
+//! lends what it does not use, for [`LOAN_TIME`]. The lender counts a loan from
+//! its answer and the borrower from its question, so a loan is never in use at
+//! both, and a lost answer only leaves a part of the limit unused for a while.
+//!
+//! The bound: among instances that agree on the number of live instances, the
+//! shares never add up to more than the limit, whatever is lost or late. Rates
+//! may exceed it by a burst of [`BURST`] of the limit, and by one request and
+//! one request's tokens per instance, because a bucket that has any tokens
+//! admits one request however small its share is. A fleet that is partitioned
+//! into g groups that hold each other for dead divides the limit g times: the
+//! sum is at most g times the limit until the partition heals. Concurrency and
+//! held tokens that were admitted before stay until the requests end.
+//!
+//! Alternatives considered: shares that follow demand as peers report it (too
+//! many reports at 16,000 workspaces, and no bound while reports differ); one
+//! owner for each workspace (a round trip for each request, and the owner
+//! may die).
+
+use std::{collections::BTreeMap, time::Duration};
+
+use crate::{
+    core::RequestSpec,
+    fleet::{LimitRule, WorkspaceRule},
+    ids::WorkspaceId,
+    refusal::{Refusal, RefusalCode},
+    units::Timestamp,
+    value_type,
+    view::FleetView,
+};
+
+/// Time that a loan lasts.
+pub const LOAN_TIME: Duration = Duration::from_secs(5);
+/// Least interval between two questions on the same limit.
+pub const BORROW_INTERVAL: Duration = Duration::from_millis(200);
+/// Time for which a rate may be saved up.
+pub const BURST: Duration = Duration::from_secs(1);
+/// Share in use from which an instance asks for more.
+const BORROW_FROM: f64 = 0.8;
+/// Most limits that are counted at once. Idle ones make room.
+const LIMITS_MAX: usize = 4096;
+/// Most loans in either direction of one limit.
+const LOANS_MAX: usize = 64;
+
+value_type! {
+    /// Asks a peer for a part of a workspace's limit.
+    pub struct BorrowAsk {
+        /// Workspace.
+        pub workspace: WorkspaceId,
+        /// Position of the limit among the workspace's limits.
+        pub limit: u32,
+        /// Part of the whole limit that is wanted.
+        pub part: f64,
+    }
+}
+
+value_type! {
+    /// Answer to a [`BorrowAsk`].
+    pub struct BorrowAnswer {
+        /// The ask.
+        pub ask: BorrowAsk,
+        /// Part of the whole limit that is lent for [`LOAN_TIME`].
+        pub part: f64,
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+struct LimitUse {
+    requests: f64,
+    tokens: f64,
+    held: u64,
+    running: u32,
+    filled_at: Timestamp,
+    borrowed: Vec<(f64, Timestamp)>,
+    lent: Vec<(f64, Timestamp)>,
+    asked_at: Option<Timestamp>,
+}
+
+impl LimitUse {
+    fn new(now: Timestamp, rule: &LimitRule, part: f64) -> Self {
+        let (requests, tokens) = capacity(rule, part);
+        Self {
+            requests,
+            tokens,
+            filled_at: now,
+            ..Self::default()
+        }
+    }
+
+    /// Part of the limit that this instance may use now.
+    fn part(&mut self, now: Timestamp, view: &FleetView) -> f64 {
+        self.borrowed.retain(|(_, until)| *until > now);
+        self.lent.retain(|(_, until)| *until > now);
+        let borrowed: f64 = self.borrowed.iter().map(|(part, _)| part).sum();
+        let lent: f64 = self.lent.iter().map(|(part, _)| part).sum();
+        (equal_part(view) + borrowed - lent).max(0.0)
+    }
+
+    fn fill(&mut self, now: Timestamp, rule: &LimitRule, part: f64) {
+        let passed = now.since(self.filled_at).as_secs_f64();
+        self.filled_at = self.filled_at.max(now);
+        let (requests, tokens) = capacity(rule, part);
+        let rate = rule.requests_per_s.unwrap_or(0.0) * part;
+        self.requests = (self.requests + passed * rate).min(requests);
+        let rate = rule.tokens_per_s.map_or(0.0, |rate| rate.get() as f64);
+        self.tokens = (self.tokens + passed * rate * part).min(tokens);
+    }
+
+    /// Part of the whole limit that running requests and spent rates take.
+    fn used(&self, rule: &LimitRule, part: f64) -> f64 {
+        let mut used: f64 = 0.0;
+        let (requests, tokens) = capacity(rule, part);
+        if rule.requests_per_s.is_some() {
+            used = used.max((1.0 - self.requests / requests) * part);
+        }
+        if rule.tokens_per_s.is_some() {
+            used = used.max((1.0 - self.tokens / tokens) * part);
+        }
+        if let Some(limit) = rule.concurrency {
+            used = used.max(ratio(f64::from(self.running), f64::from(limit)));
+        }
+        if let Some(limit) = rule.held_tokens {
+            used = used.max(ratio(self.held as f64, limit.get() as f64));
+        }
+        used
+    }
+
+    fn admits(&self, rule: &LimitRule, part: f64, tokens: u64) -> bool {
+        let within = |used: f64, limit: f64| used <= limit * part + 1e-9;
+        let running = f64::from(self.running) + 1.0;
+        let held = (self.held + tokens) as f64;
+        rule.requests_per_s.is_none_or(|_| self.requests >= 1.0)
+            && rule.tokens_per_s.is_none_or(|_| self.tokens > 0.0)
+            && rule
+                .concurrency
+                .is_none_or(|limit| within(running, f64::from(limit)))
+            && rule
+                .held_tokens
+                .is_none_or(|limit| within(held, limit.get() as f64))
+    }
+
+    fn idle(&self) -> bool {
+        self.running == 0 && self.borrowed.is_empty() && self.lent.is_empty()
+    }
+}
+
+/// Positions of the limits that an admitted request counts against. They are
+/// kept with the request, because the limits may be replaced before it ends.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct BookedLimits(Vec<u32>);
+
+/// Shares of this instance in the limits of workspaces.
+#[derive(Clone, Debug, Default)]
+pub struct LimitShare {
+    uses: BTreeMap<(WorkspaceId, u32), LimitUse>,
+}
+
+impl LimitShare {
+    /// Shares that nothing was taken from.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Admits a request under all limits that match it, or under none. Names
+    /// what to borrow in either case.
+    pub fn admit(
+        &mut self,
+        now: Timestamp,
+        spec: &RequestSpec,
+        view: &FleetView,
+    ) -> (Result<BookedLimits, Refusal>, Vec<BorrowAsk>) {
+        let Some(rule) = view.fleet.workspaces.get(&spec.workspace) else {
+            return (Ok(BookedLimits::default()), Vec::new());
+        };
+        let tokens = tokens_of(spec);
+        let mut asks = Vec::new();
+        let mut booked = BookedLimits::default();
+        let mut refused = None;
+        for (at, limit) in matching(rule, spec) {
+            let Some(known) = self.limit(now, &spec.workspace, at, limit, view)
+            else {
+                refused = Some(too_many());
+                break;
+            };
+            booked.0.push(at);
+            let part = known.part(now, view);
+            known.fill(now, limit, part);
+            let admitted = known.admits(limit, part, tokens);
+            let short = known.used(limit, part) >= part * BORROW_FROM;
+            if (!admitted || short) && known.may_ask(now) {
+                asks.push(BorrowAsk {
+                    workspace: spec.workspace.clone(),
+                    limit: at,
+                    part: equal_part(view),
+                });
+            }
+            if !admitted {
+                refused = Some(over_limit(spec, at));
+            }
+        }
+        if let Some(refusal) = refused {
+            return (Err(refusal), asks);
+        }
+        self.book(spec, &booked);
+        (Ok(booked), asks)
+    }
+
+    /// Gives back what an admitted request held.
+    pub fn ended(&mut self, spec: &RequestSpec, booked: &BookedLimits) {
+        for at in &booked.0 {
+            let key = (spec.workspace.clone(), *at);
+            if let Some(known) = self.uses.get_mut(&key) {
+                known.running = known.running.saturating_sub(1);
+                known.held = known.held.saturating_sub(tokens_of(spec));
+            }
+        }
+    }
+
+    /// Lends a part that is not in use.
+    pub fn lend(
+        &mut self,
+        now: Timestamp,
+        ask: BorrowAsk,
+        view: &FleetView,
+    ) -> BorrowAnswer {
+        let part = self.lendable(now, &ask, view);
+        BorrowAnswer { ask, part }
+    }
+
+    /// Takes a loan in that was asked for at a time.
+    pub fn borrowed(
+        &mut self,
+        now: Timestamp,
+        asked_at: Timestamp,
+        answer: &BorrowAnswer,
+        view: &FleetView,
+    ) {
+        let until = asked_at.after(LOAN_TIME);
+        if answer.part <= 0.0 || !answer.part.is_finite() || until <= now {
+            return;
+        }
+        let ask = &answer.ask;
+        let rule = view.fleet.workspaces.get(&ask.workspace);
+        let Some(limit) = rule.and_then(|rule| limit_at(rule, ask.limit))
+        else {
+            return;
+        };
+        let known = self.limit(now, &ask.workspace, ask.limit, limit, view);
+        if let Some(known) = known
+            && known.borrowed.len() < LOANS_MAX
+        {
+            known.borrowed.push((answer.part.min(1.0), until));
+        }
+    }
+
+    /// Part of a limit that this instance may use now.
+    pub fn part(
+        &mut self,
+        now: Timestamp,
+        workspace: &WorkspaceId,
+        limit: u32,
+        view: &FleetView,
+    ) -> f64 {
+        let known = self.uses.get_mut(&(workspace.clone(), limit));
+        known.map_or(equal_part(view), |known| known.part(now, view))
+    }
+
+    fn lendable(
+        &mut self,
+        now: Timestamp,
+        ask: &BorrowAsk,
+        view: &FleetView,
+    ) -> f64 {
+        let rule = view.fleet.workspaces.get(&ask.workspace);
+        let Some(limit) = rule.and_then(|rule| limit_at(rule, ask.limit))
+        else {
+            return 0.0;
+        };
+        let known = self.limit(now, &ask.workspace, ask.limit, limit, view);
+        let Some(known) = known.filter(|known| known.lent.len() < LOANS_MAX)
+        else {
+            return 0.0;
+        };
+        let part = known.part(now, view);
+        known.fill(now, limit, part);
+        let own = equal_part(view).min(part);
+        let free = (own - known.used(limit, part)).max(0.0);
+        let lent = free.min(ask.part).max(0.0);
+        if lent > 0.0 {
+            known.lent.push((lent, now.after(LOAN_TIME)));
+            // What was saved up at the larger share goes with the loan.
+            known.fill(now, limit, part - lent);
+        }
+        lent
+    }
+
+    fn book(&mut self, spec: &RequestSpec, booked: &BookedLimits) {
+        let tokens = tokens_of(spec);
+        for at in &booked.0 {
+            let key = (spec.workspace.clone(), *at);
+            if let Some(known) = self.uses.get_mut(&key) {
+                known.requests -= 1.0;
+                known.tokens -= tokens as f64;
+                known.running += 1;
+                known.held += tokens;
+            }
+        }
+    }
+
+    fn limit(
+        &mut self,
+        now: Timestamp,
+        workspace: &WorkspaceId,
+        at: u32,
+        rule: &LimitRule,
+        view: &FleetView,
+    ) -> Option<&mut LimitUse> {
+        let key = (workspace.clone(), at);
+        if !self.uses.contains_key(&key) {
+            if self.uses.len() >= LIMITS_MAX {
+                self.uses.retain(|_, known| {
+                    !known.idle() || now.since(known.filled_at) < BURST * 2
+                });
+            }
+            if self.uses.len() >= LIMITS_MAX {
+                return None;
+            }
+            let known = LimitUse::new(now, rule, equal_part(view));
+            self.uses.insert(key.clone(), known);
+        }
+        self.uses.get_mut(&key)
+    }
+}
+
+impl LimitUse {
+    fn may_ask(&mut self, now: Timestamp) -> bool {
+        let due = self
+            .asked_at
+            .is_none_or(|at| now.since(at) >= BORROW_INTERVAL);
+        if due {
+            self.asked_at = Some(now);
+        }
+        due && self.borrowed.len() < LOANS_MAX
+    }
+}
+
+fn equal_part(view: &FleetView) -> f64 {
+    1.0 / view.live_instances.max(1) as f64
+}
+
+/// Most requests and tokens that a share saves up.
+fn capacity(rule: &LimitRule, part: f64) -> (f64, f64) {
+    let burst = BURST.as_secs_f64() * part;
+    let requests = rule.requests_per_s.unwrap_or(0.0) * burst;
+    let tokens = rule.tokens_per_s.map_or(0.0, |rate| rate.get() as f64);
+    (requests.max(1.0), (tokens * burst).max(1.0))
+}
+
+fn ratio(used: f64, limit: f64) -> f64 {
+    if limit > 0.0 { used / limit } else { 1.0 }
+}
+
+fn tokens_of(spec: &RequestSpec) -> u64 {
+    spec.prompt.saturating_add(spec.output).get()
+}
+
+fn limit_at(rule: &WorkspaceRule, at: u32) -> Option<&LimitRule> {
+    rule.limits.get(usize::try_from(at).ok()?)
+}
+
+fn matching<'a>(
+    rule: &'a WorkspaceRule,
+    spec: &'a RequestSpec,
+) -> impl Iterator<Item = (u32, &'a LimitRule)> {
+    let numbered = (0_u32..).zip(&rule.limits);
+    numbered.filter(|(_, limit)| {
+        limit
+            .model
+            .as_ref()
+            .is_none_or(|model| *model == spec.model)
+            && limit.class.is_none_or(|class| class == spec.class)
+    })
+}
+
+fn over_limit(spec: &RequestSpec, at: u32) -> Refusal {
+    let workspace = &spec.workspace;
+    let message = format!("limit {at} of workspace {workspace} is used up");
+    Refusal::new(RefusalCode::WorkspaceLimit, message).with_retry_after(BURST)
+}
+
+fn too_many() -> Refusal {
+    let message = "too many workspaces are active at this instance";
+    Refusal::new(RefusalCode::Overloaded, message).with_retry_after(BURST)
+}
--- a/lib/src/owner.rs
+++ b/lib/src/owner.rs
@@ -291,7 +291,7 @@
         let entry = view.upstreams.get(engine);
         if let Some(report) = entry.and_then(|entry| entry.capability.as_ref())
         {
-            row.take_capability(report);
+            row.take_capability(now, report);
         }
         let accepted = view.accepts_work(engine);
         if accepted && !row.accepted {
@@ -383,7 +383,7 @@
         if known.is_some_and(|known| known > report.incarnation) {
             return;
         }
-        if row.ledger.set_incarnation(report.incarnation) {
+        if row.ledger.set_incarnation(now, report.incarnation) {
             row.restarted();
         }
         if let Some(cost) = &mut row.cost {
--- a/lib/src/owner/row.rs
+++ b/lib/src/owner/row.rs
@@ -64,9 +64,13 @@
         }
     }
 
-    pub(super) fn take_capability(&mut self, report: &CapabilityReport) {
+    pub(super) fn take_capability(
+        &mut self,
+        now: Timestamp,
+        report: &CapabilityReport,
+    ) {
         self.ledger.set_size(report.memory, report.slots);
-        if self.ledger.set_incarnation(report.incarnation) {
+        if self.ledger.set_incarnation(now, report.incarnation) {
             self.restarted();
         }
         if self.cost.is_none() {
--- a/lib/src/peer_api.rs
+++ b/lib/src/peer_api.rs
@@ -12,6 +12,7 @@
         DomainId, InstanceId, ModelName, OrderId, RequestId, ServiceName,
         UpstreamId, WorkspaceId,
     },
+    limits::{BorrowAnswer, BorrowAsk},
     refusal::{Refusal, RunState},
     units::{Incarnation, LogOffset, TokenCount},
     value_type,
@@ -53,6 +54,8 @@
         ClaimCall(ClaimAsk),
         /// Tell a call stream's owner what became of an attempt.
         SettleCall(SettleNotice),
+        /// Ask for a part of a workspace's limit.
+        Borrow(BorrowAsk),
         /// Ask for the rows of a query.
         Query(Arc<str>),
     }
@@ -71,6 +74,8 @@
         Grant(GrantAnswer),
         /// Answer to a claim.
         Claim(ClaimAnswer),
+        /// Answer to a question for a part of a limit.
+        Lent(BorrowAnswer),
         /// The notice was taken.
         Done,
         /// Rows of a query as JSON text.
