--- a/lib/src/core/routing.rs
+++ b/lib/src/core/routing.rs
@@ -48,6 +48,8 @@
     Grant(u64),
     /// A notice about a grant.
     Notice,
+    /// A question for a part of a limit.
+    Borrow,
 }
 
 /// Actions of one tick.
@@ -228,6 +230,9 @@
                 let event = OwnerEvent::Noticed(from, notice);
                 self.handle_owner(now, event, output);
             }
+            PeerMessage::Borrow(ask) => {
+                self.borrow_asked(now, inbound, ask, output);
+            }
             PeerMessage::Query(_) => {
                 let reply = PeerReply::Rejected("not supported".into());
                 Self::answer_peer(inbound, reply, output);
@@ -277,6 +282,15 @@
                 };
                 self.ask_answered(now, ask, answer, output);
             }
+            CallPurpose::Borrow => {
+                if let Ok(PeerReply::Lent(answer)) = result {
+                    let event = EntryEvent::Lent {
+                        asked_at: sent_at,
+                        answer,
+                    };
+                    self.handle_entry(now, event, output);
+                }
+            }
             CallPurpose::Notice
             | CallPurpose::Snapshot
             | CallPurpose::Order(_)
