--- a/lib/tests/common/mod.rs
+++ b/lib/tests/common/mod.rs
@@ -11,8 +11,6 @@
 //!
 //! A number instead of `random` repeats a run; a failure prints its input.
 
-#![expect(dead_code, reason = "each test binary uses a part")]
-
 use std::{collections::BTreeMap, env, time::Duration};
 
 use borageline_lib::{
--- a/lib/tests/test_call_log.rs
+++ b/lib/tests/test_call_log.rs
@@ -4,6 +4,7 @@
 #![expect(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
 
 mod call_world;
+#[expect(dead_code, reason = "this test uses a part")]
 mod common;
 
 use borageline_lib::{
--- a/lib/tests/test_fleet.rs
+++ b/lib/tests/test_fleet.rs
@@ -2,6 +2,7 @@
 
 #![expect(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
 
+#[expect(dead_code, reason = "this test uses a part")]
 mod common;
 
 use std::{collections::BTreeSet, time::Duration};
