--- a/lib/tests/test_config_reader.rs
+++ b/lib/tests/test_config_reader.rs
@@ -14,7 +14,7 @@
     freshness::{Freshness, FreshnessTable},
     ids::InstanceId,
     peer_api::{Gossip, StateAnswer},
-    platform_api::RecordPage,
+    platform_api::{LogRecord, RecordPage},
     refusal::RunState,
     units::{LogOffset, Timestamp},
 };
@@ -315,6 +315,10 @@
         world.snapshots = false;
         world.run(millis(1_000))?;
         prop_assert_eq!(world.behind(), 0);
+        let is_snapshot = |r: &&LogRecord| r.value["record"] == "snapshot";
+        let snapshots = world.log.records.iter().filter(is_snapshot).count();
+        // One each 3 s of the 60 s, or one by each instance at most.
+        prop_assert!(snapshots <= 20 * count, "{} snapshots", snapshots);
     }
 }
 
--- /dev/null
+++ b/lib/tests/test_order_desk.rs
@@ -0,0 +1,400 @@
+//! Operator orders: what the desk answers is true when it answers.
+
+#![expect(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+#[expect(dead_code, reason = "this test uses a part")]
+mod common;
+
+use std::collections::BTreeMap;
+
+use borageline_lib::{
+    core::{CallFailure, InboundNumber},
+    fleet::{DrainMode, FleetChange, FleetOrder, FleetState},
+    ids::{InstanceId, OrderId},
+    membership::{GossipFacts, MemberEvent, MemberSetup, MemberTable},
+    order_desk::{DeskAction, DeskEvent, DeskView, OrderAppend, OrderDesk},
+    peer_api::{Gossip, MemberState, MemberUpdate, OrderReport},
+    platform_api::AppendAnswer,
+    refusal::RunState,
+    units::{Incarnation, LogOffset, Timestamp},
+};
+use common::{EventQueue, LogModel, millis};
+use proptest::prelude::*;
+use rand::Rng;
+
+const COUNT: usize = 3;
+
+#[derive(Clone, Debug)]
+enum Event {
+    Give(usize, FleetOrder),
+    Land(Vec<serde_json::Value>),
+    Appended(usize, OrderAppend, Result<AppendAnswer, CallFailure>),
+    /// An instance reads what the log holds.
+    Read(usize),
+    /// An instance hears what another has applied.
+    Hear(usize, usize),
+    Tick(usize),
+}
+
+struct Node {
+    fleet: FleetState,
+    members: MemberTable,
+    desk: OrderDesk,
+}
+
+struct World {
+    queue: EventQueue<Event>,
+    log: LogModel,
+    log_up_at: Timestamp,
+    nodes: Vec<Node>,
+    asked: BTreeMap<InboundNumber, OrderId>,
+    reports: Vec<OrderReport>,
+    violation: Option<String>,
+}
+
+fn instance(index: usize) -> InstanceId {
+    format!("i{index}").parse().unwrap()
+}
+
+fn update(index: usize, applied: Option<LogOffset>) -> MemberUpdate {
+    MemberUpdate {
+        instance: instance(index),
+        incarnation: Incarnation::new(1),
+        state: MemberState::Alive,
+        peer_address: ([10, 0, 0, index as u8], 7_000).into(),
+        caller_address: ([10, 0, 0, index as u8], 8_000).into(),
+        domain: "d0".parse().unwrap(),
+        applied,
+    }
+}
+
+fn members(index: usize) -> MemberTable {
+    let own = update(index, None);
+    MemberTable::new(MemberSetup {
+        instance: own.instance,
+        incarnation: own.incarnation,
+        domain: own.domain,
+        peer_address: own.peer_address,
+        caller_address: own.caller_address,
+        seeds: Vec::new(),
+        seed: 0,
+    })
+}
+
+fn order(id: &str, expect: Option<LogOffset>) -> FleetOrder {
+    FleetOrder {
+        order: id.parse().unwrap(),
+        expect_version: expect,
+        issued_by: "op".parse().unwrap(),
+        changes: vec![FleetChange::CloseDomain {
+            domain: format!("d-{id}").parse().unwrap(),
+            mode: DrainMode::Finish,
+        }],
+    }
+}
+
+fn failure(run_state: RunState) -> CallFailure {
+    let message = "log is down".into();
+    CallFailure { run_state, message }
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        let node = |index| Node {
+            fleet: FleetState::default(),
+            members: members(index),
+            desk: OrderDesk::new(),
+        };
+        let mut world = Self {
+            queue: EventQueue::new(seed),
+            log: LogModel::new(millis(3_600_000)),
+            log_up_at: Timestamp::ZERO,
+            nodes: (0..COUNT).map(node).collect(),
+            asked: BTreeMap::new(),
+            reports: Vec::new(),
+            violation: None,
+        };
+        world.log.append(Timestamp::ZERO, vec![0.into(), 0.into()]);
+        for index in 0..COUNT {
+            world.read(index);
+        }
+        for (to, from) in [(0, 1), (0, 2), (1, 0), (1, 2), (2, 0), (2, 1)] {
+            world.hear(to, from);
+            for step in 0..100 {
+                let delay = world.queue.delay(step * 100, step * 100 + 400);
+                world.queue.push_in(delay, Event::Hear(to, from));
+                world.queue.push_in(delay, Event::Read(to));
+            }
+        }
+        world
+    }
+
+    fn run(&mut self, time_ms: u64) {
+        let end = self.queue.now.after(millis(time_ms));
+        while let Some(event) = self.queue.pop_until(end) {
+            match event {
+                Event::Give(to, order) => {
+                    let inbound = InboundNumber(self.asked.len() as u64);
+                    self.asked.insert(inbound, order.order.clone());
+                    self.desk_event(to, DeskEvent::Given(inbound, order));
+                }
+                Event::Land(values) => {
+                    self.log.append(self.queue.now, values);
+                }
+                Event::Appended(to, append, result) => {
+                    self.desk_event(to, DeskEvent::Appended(append, result));
+                }
+                Event::Read(index) => self.read(index),
+                Event::Hear(to, from) => self.hear(to, from),
+                Event::Tick(index) => self.tick(index),
+            }
+        }
+    }
+
+    fn read(&mut self, index: usize) {
+        let now = self.queue.now;
+        let node = &mut self.nodes[index];
+        let page = self.log.read(now, node.fleet.next_offset(), 100);
+        for record in &page.records {
+            node.fleet.apply(record);
+        }
+        node.members.set_facts(GossipFacts {
+            applied: node.fleet.applied,
+            ..GossipFacts::default()
+        });
+        self.tick(index);
+    }
+
+    fn hear(&mut self, to: usize, from: usize) {
+        let now = self.queue.now;
+        let applied = self.nodes[from].fleet.applied;
+        let gossip = Gossip {
+            applied,
+            confirmed_age: None,
+            log_reached: true,
+            updates: vec![update(from, applied)],
+            engines: Vec::new(),
+        };
+        let event = MemberEvent::Probed {
+            inbound: InboundNumber(0),
+            from: instance(from),
+            gossip,
+        };
+        self.nodes[to].members.handle(now, event);
+        self.tick(to);
+    }
+
+    fn tick(&mut self, index: usize) {
+        let now = self.queue.now;
+        let node = &mut self.nodes[index];
+        let view = DeskView {
+            fleet: &node.fleet,
+            members: &node.members,
+            ready: true,
+        };
+        let actions = node.desk.tick(now, view);
+        let due = node.desk.next_timer();
+        self.act(index, actions);
+        if let Some(due) = due {
+            let due = due.max(now.after(millis(1)));
+            self.queue.push(due, Event::Tick(index));
+        }
+    }
+
+    fn desk_event(&mut self, index: usize, event: DeskEvent) {
+        let now = self.queue.now;
+        let node = &mut self.nodes[index];
+        let view = DeskView {
+            fleet: &node.fleet,
+            members: &node.members,
+            ready: true,
+        };
+        let actions = node.desk.handle(now, event, view);
+        self.act(index, actions);
+        self.tick(index);
+    }
+
+    fn act(&mut self, index: usize, actions: Vec<DeskAction>) {
+        for action in actions {
+            match action {
+                DeskAction::Append(append, records) => {
+                    self.append(index, append, records);
+                }
+                DeskAction::Answer(inbound, report) => {
+                    let order = self.asked[&inbound].clone();
+                    assert_eq!(report.order, order);
+                    self.check(&report);
+                    self.reports.push(report);
+                }
+                DeskAction::AskMembers(_) => {}
+            }
+        }
+    }
+
+    fn append(
+        &mut self,
+        index: usize,
+        append: OrderAppend,
+        records: Vec<serde_json::Value>,
+    ) {
+        let down = self.queue.now < self.log_up_at;
+        let fate = self.queue.rng.random_range(0..10);
+        let result = match fate {
+            _ if down => Err(failure(RunState::NotRun)),
+            0 => Err(failure(RunState::NotRun)),
+            1 | 2 => Err(failure(RunState::MayHaveRun)),
+            _ => Ok(AppendAnswer {
+                first_offset: self.log.head(),
+                count: records.len() as u64,
+            }),
+        };
+        let refused =
+            matches!(&result, Err(f) if f.run_state == RunState::NotRun);
+        let late = if fate == 3 { 5_000 } else { 50 };
+        if !refused && fate != 2 {
+            let delay = self.queue.delay(0, late);
+            self.queue.push_in(delay, Event::Land(records));
+        }
+        let delay = self.queue.delay(0, late);
+        self.queue
+            .push_in(delay, Event::Appended(index, append, result));
+    }
+
+    /// Checks what can be checked as the answer is given.
+    fn check(&mut self, report: &OrderReport) {
+        let applied = |offset| {
+            let nodes = self.nodes.iter();
+            nodes
+                .filter(move |node| node.fleet.applied >= offset)
+                .count()
+        };
+        if report.in_force && applied(report.offset) < COUNT {
+            let text = format!("{} is not in force", report.order);
+            self.violation.get_or_insert(text);
+        }
+        let truthful = match report.accepted {
+            Some(true) => report.run_state == RunState::Ran,
+            Some(false) => report.run_state == RunState::NotRun,
+            None => report.run_state == RunState::MayHaveRun,
+        };
+        if !truthful {
+            let text = format!("{report:?} contradicts itself");
+            self.violation.get_or_insert(text);
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(common::config(96))]
+
+    /// Guards against answers that are not true: accepted, rejected or not run
+    /// where the log in the end says otherwise, in force where an instance
+    /// has not applied the order, or no answer at all.
+    #[test]
+    fn test_property_reports_are_true(
+        seed in any::<u64>(),
+        gives in prop::collection::vec(
+            (0..6_000u64, 0..COUNT, 0..6u8, any::<bool>()),
+            1..12,
+        ),
+        down_ms in 0..2_000u64,
+    ) {
+        let mut world = World::new(seed);
+        world.log_up_at = world.queue.now.after(millis(down_ms));
+        let given = gives.len();
+        for (at, to, id, versioned) in gives {
+            // All that name a version race for the same one.
+            let expect = versioned.then_some(LogOffset::ZERO);
+            let order = order(&format!("o{id}"), expect);
+            world.queue.push_in(millis(at), Event::Give(to, order));
+        }
+        world.run(30_000);
+        prop_assert_eq!(world.violation, None);
+        prop_assert_eq!(world.reports.len(), given);
+        let fleet = &world.nodes[0].fleet;
+        let accepted = |id: &OrderId| {
+            fleet.outcomes.get(id).is_some_and(|outcome| outcome.accepted)
+        };
+        // A refusal holds for the order as given to that instance; the same
+        // order may have been given elsewhere too.
+        let alone = |id: &OrderId| {
+            world.asked.values().filter(|asked| *asked == id).count() == 1
+        };
+        for report in &world.reports {
+            match report.accepted {
+                Some(true) => prop_assert!(accepted(&report.order)),
+                Some(false) if alone(&report.order) => {
+                    prop_assert!(!accepted(&report.order));
+                }
+                _ => {}
+            }
+        }
+    }
+}
+
+/// Guards against a lagging instance that is not named, and against an answer
+/// that waits for it for ever.
+#[test]
+fn test_report_names_lagging_instance() {
+    let mut world = World::new(1);
+    let now = world.queue.now;
+    let node = &mut world.nodes[0];
+    let record = borageline_lib::fleet::FleetRecord::Order(order("o1", None));
+    let value = serde_json::to_value(record).unwrap();
+    world.log.append(now, vec![value]);
+    node.fleet.apply(&world.log.records[2]);
+    let view = DeskView {
+        fleet: &node.fleet,
+        members: &node.members,
+        ready: true,
+    };
+    let given = DeskEvent::Given(InboundNumber(1), order("o1", None));
+    let actions = node.desk.handle(now, given, view);
+    let asks = DeskAction::AskMembers(vec![instance(1), instance(2)]);
+    assert_eq!(actions, [asks], "a judged order is not appended again");
+    let later = now.after(millis(10_000));
+    let actions = node.desk.tick(later, view);
+    let report = actions.iter().find_map(|action| match action {
+        DeskAction::Answer(_, report) => Some(report),
+        _ => None,
+    });
+    let report = report.unwrap();
+    assert_eq!((report.accepted, report.in_force), (Some(true), false));
+    assert_eq!(report.waiting_for, [instance(1), instance(2)]);
+    let unknown = node.desk.report(&"absent".parse().unwrap(), view);
+    assert_eq!(unknown.run_state, RunState::MayHaveRun);
+}
+
+/// Guards against an untrue `not_run` for a repeated order, the first append
+/// of which may still be found in the log.
+#[test]
+fn test_refused_repeat_stays_unknown() {
+    let now = Timestamp::new(3_600_000_000);
+    let fleet = FleetState::default();
+    let members = members(0);
+    let view = DeskView {
+        fleet: &fleet,
+        members: &members,
+        ready: true,
+    };
+    let mut desk = OrderDesk::new();
+    let states = [
+        (RunState::MayHaveRun, 0, RunState::MayHaveRun),
+        (RunState::NotRun, 10_000, RunState::MayHaveRun),
+    ];
+    for (failed, at, expected) in states {
+        let now = now.after(millis(at));
+        let given = DeskEvent::Given(InboundNumber(1), order("o1", None));
+        let actions = desk.handle(now, given, view);
+        let Some(DeskAction::Append(append, _)) = actions.first() else {
+            panic!("no append");
+        };
+        let appended = DeskEvent::Appended(*append, Err(failure(failed)));
+        let mut actions = desk.handle(now, appended, view);
+        actions.extend(desk.tick(now.after(millis(5_000)), view));
+        let Some(DeskAction::Answer(_, report)) = actions.first() else {
+            panic!("no answer");
+        };
+        assert_eq!(report.run_state, expected);
+    }
+}
