--- a/cli/src/buffer.rs
+++ b/cli/src/buffer.rs
@@ -149,6 +149,17 @@
     }
 }
 
+/// How an answer begins.
+#[derive(Clone, Debug, PartialEq)]
+pub enum AnswerStart {
+    /// With a part, or as an empty answer.
+    Streaming,
+    /// With a failure; nothing was delivered.
+    Failed(Refusal),
+    /// Not at all; the request's task is gone.
+    Lost,
+}
+
 #[derive(Debug)]
 struct PartQueue {
     items: VecDeque<StreamItem>,
@@ -158,6 +169,14 @@
     waker: Option<Waker>,
 }
 
+impl PartQueue {
+    fn clear(&mut self) -> (VecDeque<StreamItem>, Option<Waker>) {
+        let bytes = self.held.bytes;
+        self.held.shrink(bytes);
+        (std::mem::take(&mut self.items), self.waker.take())
+    }
+}
+
 #[derive(Debug)]
 struct SharedQueue {
     queue: Mutex<PartQueue>,
@@ -219,6 +238,18 @@
             notified.await;
         }
     }
+
+    /// Drops what is buffered; the caller's stream breaks off.
+    pub fn abort(&self) {
+        let mut queue = self.shared.lock();
+        queue.sender_gone = true;
+        let (items, waker) = queue.clear();
+        drop(queue);
+        drop(items);
+        if let Some(waker) = waker {
+            waker.wake();
+        }
+    }
 }
 
 impl PartSender {
@@ -312,17 +343,24 @@
         poll_fn(|context| self.poll_item(context)).await
     }
 
-    /// Puts an item back that was taken last.
-    pub fn put_back(&mut self, item: StreamItem) {
-        self.ended = false;
-        let size = item.size();
-        let mut queue = self.shared.lock();
-        // The bytes were given back a moment ago; a budget that was used up
-        // since is exceeded by this one part.
-        queue.held.budget.used.fetch_add(size, Ordering::Relaxed);
-        queue.held.budget.gauge.add(size as i64);
-        queue.held.bytes += size;
-        queue.items.push_front(item);
+    /// Waits for the first item and tells how the answer begins, without
+    /// taking the item.
+    pub async fn begin(&mut self) -> AnswerStart {
+        poll_fn(|context| {
+            let mut queue = self.shared.lock();
+            match queue.items.front() {
+                Some(StreamItem::Failure(refusal)) => {
+                    Poll::Ready(AnswerStart::Failed(refusal.clone()))
+                }
+                Some(_) => Poll::Ready(AnswerStart::Streaming),
+                None if queue.sender_gone => Poll::Ready(AnswerStart::Lost),
+                None => {
+                    queue.waker = Some(context.waker().clone());
+                    Poll::Pending
+                }
+            }
+        })
+        .await
     }
 
     fn poll_item(
@@ -352,9 +390,7 @@
     fn drop(&mut self) {
         let mut queue = self.shared.lock();
         queue.reader_gone = true;
-        let items = std::mem::take(&mut queue.items);
-        let bytes = queue.held.bytes;
-        queue.held.shrink(bytes);
+        let (items, _) = queue.clear();
         drop(queue);
         drop(items);
         self.shared.gone.notify_waiters();
--- a/cli/src/callers.rs
+++ b/cli/src/callers.rs
@@ -24,14 +24,14 @@
 use http::{Method, Response, StatusCode};
 
 use crate::{
-    buffer::{HeldBytes, PartReader, StreamItem, part_channel},
+    buffer::{AnswerStart, HeldBytes, PartReader, StreamItem, part_channel},
     context::SharedContext,
     operators, prompt,
     reply::{
         BodyLimits, CallerRequest, bytes_answer, json_answer, parse_json,
         read_body, refusal_answer, stream_answer,
     },
-    request_task::RequestTask,
+    request_task::{HeldPrompt, RequestTask},
     services,
 };
 
@@ -255,27 +255,26 @@
     );
     let deadline = spec.deadline;
     let tools = context.task_tools();
-    let task = RequestTask::new(tools, spec, asked.prompt, call.arrived);
-    let held = body.held;
+    let prompt = HeldPrompt {
+        prompt: asked.prompt,
+        held: body.held,
+    };
     drop(body.bytes);
-    tokio::spawn(async move {
-        task.run(sender).await;
-        drop(held);
-    });
+    let task = RequestTask::new(tools, spec, prompt, call.arrived);
+    tokio::spawn(task.run(sender));
     if !asked.stream {
         return collect_answer(&context, &call, reader).await;
     }
-    match reader.next().await {
-        Some(StreamItem::Failure(refusal)) => Err(refusal),
-        Some(item) => {
-            reader.put_back(item);
+    match reader.begin().await {
+        AnswerStart::Failed(refusal) => Err(refusal),
+        AnswerStart::Streaming => {
             close_after(&context, &call, &reader, deadline);
             let body = Body::new(reader);
             let content_type = "text/event-stream";
             let status = StatusCode::OK;
             Ok(stream_answer(status, content_type, &call.request, body))
         }
-        None => Err(internal()),
+        AnswerStart::Lost => Err(internal()),
     }
 }
 
@@ -371,15 +370,16 @@
     reader: &PartReader,
     deadline: Timestamp,
 ) {
-    let Some(closer) = call.closer.clone() else {
-        return;
-    };
+    let closer = call.closer.clone();
     let watch = reader.watch();
     let until = context.handle.clock().instant(deadline) + LINGER;
     tokio::spawn(async move {
         let gone = tokio::time::timeout_at(until, watch.gone()).await;
         if gone.is_err() {
-            closer.0.cancel();
+            watch.abort();
+            if let Some(closer) = closer {
+                closer.0.cancel();
+            }
         }
     });
 }
--- a/cli/src/lib.rs
+++ b/cli/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod callers;
 pub mod commands;
 pub mod context;
+pub mod core_handle;
 pub mod credentials;
 pub mod driver;
 pub mod engine_client;
--- a/cli/src/request_task.rs
+++ b/cli/src/request_task.rs
@@ -25,7 +25,7 @@
 use hyper::body::Incoming;
 
 use crate::{
-    buffer::{PartSender, StreamItem},
+    buffer::{HeldBytes, PartSender, StreamItem},
     driver::{CoreHandle, RequestTicket},
     engine_client::{EngineClient, RequestTag, stream_failure},
     http_client::HttpFault,
@@ -34,8 +34,11 @@
     prompt::split_prompt,
 };
 
-/// Longest time between two parts of an answer.
-const PART_SILENCE: Duration = Duration::from_secs(10);
+/// Longest time between two parts of an answer. Engines may hold back the
+/// decoding of a request for others of higher priority.
+const PART_SILENCE: Duration = Duration::from_secs(30);
+/// Time for the first part of an answer to the shortest prompt.
+const FIRST_SILENCE: Duration = Duration::from_secs(10);
 /// Time for the first part that each prompt token adds. An engine that
 /// prefills less than 1,000 tokens per second counts as frozen.
 const PREFILL_SILENCE: Duration = Duration::from_millis(1);
@@ -77,12 +80,23 @@
     Failed(StreamFailure),
 }
 
+/// A prompt, counted as the body that it came in.
+#[derive(Debug)]
+pub struct HeldPrompt {
+    /// The prompt.
+    pub prompt: PromptInput,
+    /// Its share of the budget of request bodies.
+    pub held: HeldBytes,
+}
+
 /// One request in progress.
 #[derive(Debug)]
 pub struct RequestTask {
     tools: TaskTools,
     spec: RequestSpec,
-    prompt: PromptInput,
+    // Kept until the first part is delivered, after which no other engine can
+    // take the request over.
+    prompt: Option<HeldPrompt>,
     arrived: Timestamp,
     placed: Vec<AssignedEngine>,
     delivered: u64,
@@ -95,13 +109,13 @@
     pub fn new(
         tools: TaskTools,
         spec: RequestSpec,
-        prompt: PromptInput,
+        prompt: HeldPrompt,
         arrived: Timestamp,
     ) -> Self {
         Self {
             tools,
             spec,
-            prompt,
+            prompt: Some(prompt),
             arrived,
             placed: Vec::new(),
             delivered: 0,
@@ -217,7 +231,8 @@
             unreachable!("{text}");
         };
         let lengths: Vec<_> = engines.iter().map(|e| e.prompt).collect();
-        let mut segments = split_prompt(&self.prompt, &lengths).into_iter();
+        let prompt = self.prompt.as_ref().expect("no part was delivered");
+        let mut segments = split_prompt(&prompt.prompt, &lengths).into_iter();
         if self.tools.handle.clock().now() >= send_before {
             let engine = engines[0].clone();
             let failure = StreamFailure::AssignmentExpired;
@@ -386,6 +401,7 @@
         }
         self.run_state = RunState::Ran;
         if first {
+            self.prompt = None;
             let now = self.tools.handle.clock().now();
             let time = now.since(self.arrived);
             let metrics = &self.tools.metrics;
@@ -506,5 +522,5 @@
 
 fn first_silence(prompt: TokenCount) -> Duration {
     let tokens = u32::try_from(prompt.get()).unwrap_or(u32::MAX);
-    PART_SILENCE + PREFILL_SILENCE * tokens
+    FIRST_SILENCE + PREFILL_SILENCE * tokens
 }
--- a/cli/tests/test_serve/test_completions.rs
+++ b/cli/tests/test_serve/test_completions.rs
@@ -276,3 +276,36 @@
     eventually("closing", closed).await;
     assert_eq!(metric(&server, "borageline_held_bytes"), 0.0);
 }
+
+/// Guards against HTTP/2 callers that get no answer, and against one slow
+/// stream that stops the others on its connection.
+#[tokio::test]
+async fn test_completion_over_http2() {
+    use http_body_util::{BodyExt, Full};
+    use hyper_util::rt::{TokioExecutor, TokioIo};
+
+    let engine = start_endless(2_000, 1_000).await;
+    let server = TestSetup::new(engine.address).start().await;
+    let stream = TcpStream::connect(server.address).await.unwrap();
+    let executor = TokioExecutor::new();
+    let io = TokioIo::new(stream);
+    let (mut sender, connection) =
+        hyper::client::conn::http2::handshake(executor, io)
+            .await
+            .unwrap();
+    tokio::spawn(connection);
+    let mut send = |body: &'static str| {
+        let request = http::Request::post("http://x/v1/completions")
+            .header("authorization", format!("Bearer {KEY}"))
+            .body(Full::new(bytes::Bytes::from(body)))
+            .unwrap();
+        sender.send_request(request)
+    };
+    let slow = send(STREAMED).await.unwrap();
+    assert_eq!(slow.status(), 200);
+    let fast = send(COLLECTED).await.unwrap();
+    let fast = fast.into_body().collect().await.unwrap().to_bytes();
+    assert!(fast.len() > 1_000 * 2_000);
+    let slow = slow.into_body().collect().await.unwrap().to_bytes();
+    assert!(slow.ends_with(b"data: [DONE]\n\n"));
+}
--- a/cli/tests/test_serve/test_standins.rs
+++ b/cli/tests/test_serve/test_standins.rs
@@ -124,6 +124,23 @@
     }
 }
 
+/// Repeats a call for at most two seconds while it is answered with a code.
+async fn exchange_unless(
+    address: SocketAddr,
+    call: &str,
+    code: &str,
+) -> String {
+    let mut answer = exchange(address, call).await;
+    for _ in 0..100 {
+        if !answer.contains(code) {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        answer = exchange(address, call).await;
+    }
+    answer
+}
+
 /// Guards against a chain of log, list, core, engine client and listener
 /// that does not fit together.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -149,21 +166,16 @@
          authorization: Bearer {KEY}\r\nidempotency-key: {key}\r\n\
          content-length: 2\r\n\r\nhi",
     );
-    let answer = exchange(fleet.address, &call).await;
+    // An instance is ready before it has read the call streams.
+    let answer = exchange_unless(fleet.address, &call, "not_ready").await;
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
     assert!(answer.contains("\"number\":1"), "{answer}");
     // The outcome is appended after the answer; until it is read back, a
     // repeat hears that the first use is under way.
-    let mut repeat = exchange(fleet.address, &call).await;
-    for _ in 0..100 {
-        if !repeat.contains("key_in_progress") {
-            break;
-        }
-        tokio::time::sleep(Duration::from_millis(20)).await;
-        repeat = exchange(fleet.address, &call).await;
-    }
-    assert!(repeat.starts_with("HTTP/1.1 200"), "{repeat}");
-    assert!(repeat.contains("\"number\":1"), "{repeat}");
+    let under_way = "key_in_progress";
+    let answer = exchange_unless(fleet.address, &call, under_way).await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert!(answer.contains("\"number\":1"), "{answer}");
     assert_eq!(fleet.service.control.counts().issued, 1);
     let conflict = call.replace("\r\n\r\nhi", "\r\n\r\nho");
     let answer = exchange(fleet.address, &conflict).await;
