--- a/cli/src/traffic.rs
+++ b/cli/src/traffic.rs
@@ -12,6 +12,7 @@
 };
 
 use borageline_lib::units::ByteSize;
+use prometheus::IntCounter;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
@@ -27,20 +28,52 @@
 }
 
 /// Adds up the bytes of any number of connections.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct TrafficMeter {
-    sent: AtomicU64,
-    received: AtomicU64,
+    sent: IntCounter,
+    received: IntCounter,
 }
 
 impl TrafficMeter {
+    /// A meter at zero.
+    pub fn new() -> Self {
+        let counter =
+            |name, help| IntCounter::new(name, help).expect("name is valid");
+        Self {
+            sent: counter(
+                "borageline_peer_bytes_sent_total",
+                "bytes sent to other instances",
+            ),
+            received: counter(
+                "borageline_peer_bytes_received_total",
+                "bytes received from other instances",
+            ),
+        }
+    }
+
     /// Bytes counted so far.
     pub fn count(&self) -> TrafficCount {
         TrafficCount {
-            sent: ByteSize::new(self.sent.load(Ordering::Relaxed)),
-            received: ByteSize::new(self.received.load(Ordering::Relaxed)),
+            sent: ByteSize::new(self.sent.get()),
+            received: ByteSize::new(self.received.get()),
         }
     }
+
+    /// Counter of the bytes sent.
+    pub fn sent(&self) -> &IntCounter {
+        &self.sent
+    }
+
+    /// Counter of the bytes received.
+    pub fn received(&self) -> &IntCounter {
+        &self.received
+    }
+}
+
+impl Default for TrafficMeter {
+    fn default() -> Self {
+        Self::new()
+    }
 }
 
 /// What was read from one connection, and when last.
@@ -83,13 +116,13 @@
 #[derive(Debug)]
 pub(crate) struct CountedStream {
     stream: TcpStream,
-    total: Arc<TrafficMeter>,
+    total: TrafficMeter,
     own: Arc<ReadMeter>,
 }
 
 impl CountedStream {
     /// Wraps a connection.
-    pub(crate) fn new(stream: TcpStream, total: Arc<TrafficMeter>) -> Self {
+    pub(crate) fn new(stream: TcpStream, total: TrafficMeter) -> Self {
         let own = Arc::new(ReadMeter::new());
         Self { stream, total, own }
     }
@@ -109,7 +142,7 @@
         let before = buffer.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
         let bytes = (buffer.filled().len() - before) as u64;
-        self.total.received.fetch_add(bytes, Ordering::Relaxed);
+        self.total.received.inc_by(bytes);
         self.own.add(bytes);
         Poll::Ready(Ok(()))
     }
@@ -123,7 +156,7 @@
     ) -> Poll<io::Result<usize>> {
         let written =
             ready!(Pin::new(&mut self.stream).poll_write(context, buffer))?;
-        self.total.sent.fetch_add(written as u64, Ordering::Relaxed);
+        self.total.sent.inc_by(written as u64);
         Poll::Ready(Ok(written))
     }
 
--- a/cli/tests/test_commands.rs
+++ b/cli/tests/test_commands.rs
@@ -208,6 +208,7 @@
 #[case::no_command(&[])]
 #[case::unknown_command(&["frobnicate"])]
 #[case::no_file(&["check-config"])]
+#[case::missing_settings(&["serve", "--config", "/nonexistent.jsonc"])]
 #[case::missing_file(&["check-config", "/nonexistent.jsonc"])]
 #[case::no_address(&["query", "engines"])]
 #[case::bad_address(&["query", "--address", "here", "engines"])]
@@ -238,6 +239,7 @@
 
 /// Guards against help without an example.
 #[rstest]
+#[case(&["serve", "--help"])]
 #[case(&["check-config", "--help"])]
 #[case(&["config", "--help"])]
 #[case(&["config", "schema", "--help"])]
--- /dev/null
+++ b/lib/src/core/request_routing.rs
@@ -0,0 +1,271 @@
+//! Routing between the entry side of requests and the owners of engines.
+//!
+//! A grant asked of this instance's own engines does not leave the core; all
+//! others go to the peer that owns the engine.
+
+use super::{
+    CoreAction, InboundNumber, RequestProgress, RequestSpec, ServingCore,
+    routing::{CallPurpose, TickOutput},
+};
+use crate::{
+    entry::{EntryAction, EntryEvent},
+    ids::{InstanceId, RequestId, UpstreamId},
+    owner::{OwnerAction, OwnerEvent},
+    peer_api::{GrantAnswer, GrantAsk, GrantNotice, PeerMessage, PeerReply},
+    units::Timestamp,
+    view::FleetView,
+};
+
+/// Time for a notice about a grant to be acknowledged. A lost notice is made
+/// up for by the engine's own list.
+const NOTICE_TIMEOUT: std::time::Duration =
+    std::time::Duration::from_millis(1_000);
+
+/// Who gets the answer to an ask.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum AskRoute {
+    /// A peer.
+    Peer(InboundNumber),
+    /// The entry side of this instance, by the number of its ask.
+    Local(u64),
+}
+
+/// Lends out what placement and accounting may read; a macro, since a method
+/// would borrow the tables that are about to change as well.
+macro_rules! fleet_view {
+    ($core:expr, $now:expr) => {
+        FleetView {
+            own: &$core.setup.instance,
+            own_domain: &$core.setup.domain,
+            fleet: $core.reader.state(),
+            upstreams: $core.upstreams.table(),
+            owners: $core.ownership.owners(),
+            live_instances: $core.members.live_count(),
+            fresh: $core.reader.is_ready() && $core.freshness.is_fresh($now),
+            may_own: $core.members.may_own($now),
+        }
+    };
+}
+
+impl ServingCore {
+    /// Takes in a request of a caller.
+    pub(super) fn arrived(
+        &mut self,
+        now: Timestamp,
+        spec: RequestSpec,
+        output: &mut TickOutput,
+    ) {
+        self.handle_entry(now, EntryEvent::Arrived(spec), output);
+    }
+
+    /// Takes in the progress of a request.
+    pub(super) fn progressed(
+        &mut self,
+        now: Timestamp,
+        request: RequestId,
+        progress: RequestProgress,
+        output: &mut TickOutput,
+    ) {
+        let event = EntryEvent::Progress(request, progress);
+        self.handle_entry(now, event, output);
+    }
+
+    /// Runs what is due on both sides.
+    pub(super) fn tick_requests(
+        &mut self,
+        now: Timestamp,
+        output: &mut TickOutput,
+    ) {
+        let view = fleet_view!(self, now);
+        let actions = self.owners.tick(now, &view);
+        self.route_owner(now, actions, output);
+        let view = fleet_view!(self, now);
+        let actions = self.entries.tick(now, &view);
+        self.route_entry(now, actions, output);
+    }
+
+    pub(super) fn handle_entry(
+        &mut self,
+        now: Timestamp,
+        event: EntryEvent,
+        output: &mut TickOutput,
+    ) {
+        let view = fleet_view!(self, now);
+        let actions = self.entries.handle(now, event, &view);
+        self.route_entry(now, actions, output);
+    }
+
+    pub(super) fn handle_owner(
+        &mut self,
+        now: Timestamp,
+        event: OwnerEvent,
+        output: &mut TickOutput,
+    ) {
+        let view = fleet_view!(self, now);
+        let actions = self.owners.handle(now, event, &view);
+        self.route_owner(now, actions, output);
+    }
+
+    /// Takes in an ask, of a peer or of this instance.
+    pub(super) fn grant_asked(
+        &mut self,
+        now: Timestamp,
+        from: InstanceId,
+        route: AskRoute,
+        ask: GrantAsk,
+        output: &mut TickOutput,
+    ) {
+        self.next_reply += 1;
+        let reply = self.next_reply;
+        self.replies.insert(reply, route);
+        let event = OwnerEvent::GrantAsked { from, reply, ask };
+        self.handle_owner(now, event, output);
+    }
+
+    fn route_owner(
+        &mut self,
+        now: Timestamp,
+        actions: Vec<OwnerAction>,
+        output: &mut TickOutput,
+    ) {
+        for action in actions {
+            match action {
+                OwnerAction::Answer { reply, answer, .. } => {
+                    self.answer_ask(now, reply, answer, output);
+                }
+                OwnerAction::ReadLoad(id) => {
+                    self.read_engine(id, CoreAction::ReadLoad, output);
+                }
+                OwnerAction::ReadHeld(id) => {
+                    self.read_engine(id, CoreAction::ReadHeld, output);
+                }
+                OwnerAction::CancelHeld(id, request) => {
+                    self.cancel_held(id, request, output);
+                }
+            }
+        }
+    }
+
+    fn route_entry(
+        &mut self,
+        now: Timestamp,
+        actions: Vec<EntryAction>,
+        output: &mut TickOutput,
+    ) {
+        for action in actions {
+            match action {
+                EntryAction::Decide(request, decision) => {
+                    output.decide(request, decision);
+                }
+                EntryAction::Ask {
+                    owner,
+                    ask_number,
+                    ask,
+                    timeout,
+                } => {
+                    if owner == self.setup.instance {
+                        let route = AskRoute::Local(ask_number);
+                        self.grant_asked(now, owner, route, ask, output);
+                        continue;
+                    }
+                    let purpose = CallPurpose::Grant(ask_number);
+                    let message = PeerMessage::Grant(ask);
+                    if !self.call_instance(
+                        &owner, purpose, message, timeout, output,
+                    ) {
+                        self.ask_answered(now, ask_number, None, output);
+                    }
+                }
+                EntryAction::Notify(owner, notice) => {
+                    self.notify_owner(now, owner, notice, output);
+                }
+                EntryAction::CancelHeld(id, request) => {
+                    self.cancel_held(id, request, output);
+                }
+                EntryAction::CountRefusal(code) => {
+                    output.actions.push(CoreAction::CountRefusal(code));
+                }
+                EntryAction::CountRetry(reason) => {
+                    output.actions.push(CoreAction::CountRetry(reason));
+                }
+            }
+        }
+    }
+
+    fn answer_ask(
+        &mut self,
+        now: Timestamp,
+        reply: u64,
+        answer: GrantAnswer,
+        output: &mut TickOutput,
+    ) {
+        match self.replies.remove(&reply) {
+            Some(AskRoute::Peer(inbound)) => {
+                let reply = PeerReply::Grant(answer);
+                Self::answer_peer(inbound, reply, output);
+            }
+            Some(AskRoute::Local(ask)) => {
+                self.ask_answered(now, ask, Some(answer), output);
+            }
+            None => {}
+        }
+    }
+
+    /// Takes in the answer to an ask of this instance.
+    pub(super) fn ask_answered(
+        &mut self,
+        now: Timestamp,
+        ask: u64,
+        answer: Option<GrantAnswer>,
+        output: &mut TickOutput,
+    ) {
+        let event = EntryEvent::AskAnswered(ask, answer);
+        self.handle_entry(now, event, output);
+    }
+
+    fn notify_owner(
+        &mut self,
+        now: Timestamp,
+        owner: InstanceId,
+        notice: GrantNotice,
+        output: &mut TickOutput,
+    ) {
+        if owner == self.setup.instance {
+            let event = OwnerEvent::Noticed(owner, notice);
+            self.handle_owner(now, event, output);
+            return;
+        }
+        let message = PeerMessage::Notice(notice);
+        self.call_instance(
+            &owner,
+            CallPurpose::Notice,
+            message,
+            NOTICE_TIMEOUT,
+            output,
+        );
+    }
+
+    fn read_engine(
+        &self,
+        id: UpstreamId,
+        build: impl Fn(UpstreamId, std::net::SocketAddr) -> CoreAction,
+        output: &mut TickOutput,
+    ) {
+        if let Some(entry) = self.upstreams.table().get(&id) {
+            output.actions.push(build(id, entry.address));
+        }
+    }
+
+    fn cancel_held(
+        &self,
+        id: UpstreamId,
+        request: RequestId,
+        output: &mut TickOutput,
+    ) {
+        if let Some(entry) = self.upstreams.table().get(&id) {
+            let address = entry.address;
+            let cancel = CoreAction::CancelHeld(id, address, request);
+            output.actions.push(cancel);
+        }
+    }
+}
--- a/lib/src/core/routing.rs
+++ b/lib/src/core/routing.rs
@@ -3,26 +3,29 @@
 use std::{sync::Arc, time::Duration};
 
 use super::{
-    AssignedEngine, Assignment, CallFailure, CallNumber, CoreAction, CoreEvent,
-    InboundNumber, RequestDecision, RequestSpec, ServingCore,
+    CallFailure, CallNumber, CoreAction, CoreEvent, InboundNumber,
+    RequestDecision, ServingCore, request_routing::AskRoute,
 };
 use crate::{
     call_log::{
-        CallAction, CallAppend, CallAsker, CallEvent, EntryAction, EntryCall,
-        EntryEvent, stream_name,
+        CallAction, CallAppend, CallAsker, CallEvent,
+        EntryAction as CallEntryAction, EntryCall,
+        EntryEvent as CallEntryEvent, stream_name,
     },
     config_reader::{ReaderAction, ReaderEvent},
+    entry::EntryEvent,
     fleet::{ApplyOutcome, CONFIG_STREAM},
-    ids::{InstanceId, RequestId, StreamName, UpstreamId},
+    ids::{InstanceId, RequestId, StreamName},
     log_event::LogEvent,
     membership::{MemberAction, MemberEvent, ProbeNumber},
     order_desk::{DeskAction, DeskEvent, DeskView, OrderAppend},
+    owner::OwnerEvent,
     peer_api::{
         ClaimAsk, MemberState, PeerMessage, PeerReply, SettleNotice,
         StateAnswer,
     },
     platform_api::{AppendAnswer, InstanceListing, RecordPage},
-    refusal::{Refusal, RefusalCode, RunState},
+    refusal::RunState,
     units::Timestamp,
 };
 
@@ -41,6 +44,10 @@
     Order(OrderAppend),
     /// An append to a call stream.
     Call(CallAppend),
+    /// An ask for a grant.
+    Grant(u64),
+    /// A notice about a grant.
+    Notice,
 }
 
 /// Actions of one tick.
@@ -61,13 +68,6 @@
     ) {
         self.actions.push(CoreAction::Decide(request, decision));
     }
-
-    pub(super) fn end_failed(&mut self, request: RequestId) {
-        let refusal =
-            Refusal::new(RefusalCode::UpstreamFailed, "engine failed")
-                .with_run_state(RunState::MayHaveRun);
-        self.decide(request, RequestDecision::End(refusal));
-    }
 }
 
 fn config_stream() -> StreamName {
@@ -113,12 +113,20 @@
                     self.upstreams.take_fact(&id, fact);
                 }
             }
-            CoreEvent::LoadRead(id, Ok(report)) => {
-                let incarnation = report.incarnation;
-                self.upstreams.check_incarnation(now, &id, incarnation);
-                if report.leaving {
-                    self.upstreams.note_leaving(&id, incarnation);
+            CoreEvent::LoadRead(id, result) => {
+                if let Ok(report) = &result {
+                    let incarnation = report.incarnation;
+                    self.upstreams.check_incarnation(now, &id, incarnation);
+                    if report.leaving {
+                        self.upstreams.note_leaving(&id, incarnation);
+                    }
                 }
+                let event = OwnerEvent::LoadRead(id, result.ok());
+                self.handle_owner(now, event, output);
+            }
+            CoreEvent::HeldRead(id, result) => {
+                let event = OwnerEvent::HeldRead(id, result.ok());
+                self.handle_owner(now, event, output);
             }
             CoreEvent::OrderGiven(inbound, order) => {
                 let event = DeskEvent::Given(inbound, order);
@@ -135,7 +143,7 @@
                 digest,
                 deadline,
             } => {
-                let event = EntryEvent::Asked {
+                let event = CallEntryEvent::Asked {
                     inbound,
                     key,
                     attempt,
@@ -150,7 +158,7 @@
                 attempt,
                 result,
             } => {
-                let event = EntryEvent::Settled {
+                let event = CallEntryEvent::Settled {
                     key,
                     attempt,
                     result,
@@ -211,9 +219,16 @@
                 let asker = CallAsker::Peer(inbound);
                 self.settle_call(now, asker, notice, output);
             }
-            PeerMessage::Grant(_)
-            | PeerMessage::Notice(_)
-            | PeerMessage::Query(_) => {
+            PeerMessage::Grant(ask) => {
+                let route = AskRoute::Peer(inbound);
+                self.grant_asked(now, from, route, ask, output);
+            }
+            PeerMessage::Notice(notice) => {
+                Self::answer_peer(inbound, PeerReply::Done, output);
+                let event = OwnerEvent::Noticed(from, notice);
+                self.handle_owner(now, event, output);
+            }
+            PeerMessage::Query(_) => {
                 let reply = PeerReply::Rejected("not supported".into());
                 Self::answer_peer(inbound, reply, output);
             }
@@ -251,11 +266,19 @@
                 self.take_peer_state(now, peer, result, output);
             }
             CallPurpose::CallEntry(call) => {
-                let event = EntryEvent::Answered { call, result };
+                let event = CallEntryEvent::Answered { call, result };
                 let actions = self.call_entries.handle(now, event);
                 self.route_call_entries(now, actions, output);
             }
-            CallPurpose::Snapshot
+            CallPurpose::Grant(ask) => {
+                let answer = match result {
+                    Ok(PeerReply::Grant(answer)) => Some(answer),
+                    _ => None,
+                };
+                self.ask_answered(now, ask, answer, output);
+            }
+            CallPurpose::Notice
+            | CallPurpose::Snapshot
             | CallPurpose::Order(_)
             | CallPurpose::Call(_) => {}
         }
@@ -404,6 +427,10 @@
                     for fact in gossip.facts.clone() {
                         self.take_fact(fact);
                     }
+                    for summary in gossip.engines.clone() {
+                        let event = EntryEvent::Summary(summary);
+                        self.handle_entry(now, event, output);
+                    }
                     self.freshness.peer_heard(
                         now,
                         peer.clone(),
@@ -422,6 +449,17 @@
                         let text = format!("{instance} is {state:?}");
                         output.log(LogEvent::MemberChanged, &text);
                     }
+                    match state {
+                        MemberState::Dead => {
+                            let event = OwnerEvent::MemberDead(instance);
+                            self.handle_owner(now, event, output);
+                        }
+                        MemberState::Alive => {
+                            let event = OwnerEvent::MemberBack(instance);
+                            self.handle_owner(now, event, output);
+                        }
+                        MemberState::Suspect | MemberState::Leaving => {}
+                    }
                 }
             }
         }
@@ -535,7 +573,7 @@
                 }
                 CallAction::Answer(CallAsker::Local(call), reply) => {
                     let result = Ok(reply);
-                    let event = EntryEvent::Answered { call, result };
+                    let event = CallEntryEvent::Answered { call, result };
                     let actions = self.call_entries.handle(now, event);
                     self.route_call_entries(now, actions, output);
                 }
@@ -563,12 +601,12 @@
     pub(super) fn route_call_entries(
         &mut self,
         now: Timestamp,
-        actions: Vec<EntryAction>,
+        actions: Vec<CallEntryAction>,
         output: &mut TickOutput,
     ) {
         for action in actions {
             match action {
-                EntryAction::Call {
+                CallEntryAction::Call {
                     call,
                     to,
                     message,
@@ -576,11 +614,11 @@
                 } => {
                     self.send_call(now, call, &to, message, timeout, output);
                 }
-                EntryAction::Answer(inbound, answer) => {
+                CallEntryAction::Answer(inbound, answer) => {
                     let answer = CoreAction::AnswerClaim(inbound, answer);
                     output.actions.push(answer);
                 }
-                EntryAction::Log(event, text) => output.log(event, &text),
+                CallEntryAction::Log(event, text) => output.log(event, &text),
             }
         }
     }
@@ -616,7 +654,7 @@
                 run_state: RunState::NotRun,
                 message: format!("address of {to} is not known").into(),
             });
-            let event = EntryEvent::Answered { call, result };
+            let event = CallEntryEvent::Answered { call, result };
             let actions = self.call_entries.handle(now, event);
             self.route_call_entries(now, actions, output);
         }
@@ -680,49 +718,6 @@
             }
         }
     }
-
-    /// Places a request on the engine with the fewest requests.
-    pub(super) fn place(
-        &mut self,
-        now: Timestamp,
-        spec: RequestSpec,
-        output: &mut TickOutput,
-    ) {
-        let view = self.view(now);
-        let load = |id: &UpstreamId| {
-            self.running.values().filter(|e| *e == id).count()
-        };
-        let engines = view.upstreams.serving(&spec.model).iter();
-        let engines = engines.filter(|id| view.accepts_work(id));
-        let chosen = engines.min_by_key(|id| load(id)).cloned();
-        let decision = match (view.fresh, chosen) {
-            (false, _) => RequestDecision::End(Refusal::new(
-                RefusalCode::ConfigurationStale,
-                "the configuration may be out of date",
-            )),
-            (true, None) => RequestDecision::End(Refusal::new(
-                RefusalCode::NoUpstream,
-                format!("no engine serves model {}", spec.model),
-            )),
-            (true, Some(engine)) => {
-                let entry = view.upstreams.get(&engine);
-                let address = entry.map(|entry| entry.address);
-                let assigned = AssignedEngine {
-                    engine: engine.clone(),
-                    address: address.expect("index names known engines"),
-                    prompt: spec.prompt,
-                    incarnation: None,
-                };
-                self.running.insert(spec.request.clone(), engine);
-                RequestDecision::Dispatch(Assignment {
-                    engines: vec![assigned],
-                    send_before: now.after(Duration::from_millis(500)),
-                    priority: 0,
-                })
-            }
-        };
-        output.decide(spec.request, decision);
-    }
 }
 
 fn log_judged(
--- a/lib/src/core/serving_core.rs
+++ b/lib/src/core/serving_core.rs
@@ -4,7 +4,8 @@
 
 use super::{
     CallNumber, CoreAction, CoreEvent, CoreSetup, InboundNumber,
-    InstanceReadiness, PublishedView, RequestProgress,
+    InstanceReadiness, PublishedView,
+    request_routing::AskRoute,
     routing::{CallPurpose, TickOutput},
     upstream_reader::UpstreamReader,
 };
@@ -12,11 +13,13 @@
     api::InstanceAddress,
     call_log::{CALL_STREAMS, CallEntryTable, CallTable},
     config_reader::ConfigReader,
+    entry::EntryTable,
     freshness::{Freshness, FreshnessTable},
-    ids::{InstanceId, RequestId, UpstreamId},
+    ids::InstanceId,
     log_event::LogEvent,
     membership::{GossipFacts, MemberSetup, MemberTable},
     order_desk::OrderDesk,
+    owner::OwnerTable,
     ownership::{OwnershipTable, stream_owner},
     units::Timestamp,
     view::FleetView,
@@ -42,7 +45,10 @@
     pub(super) calls: CallTable,
     pub(super) call_entries: CallEntryTable,
     pub(super) desk: OrderDesk,
-    pub(super) running: BTreeMap<RequestId, UpstreamId>,
+    pub(super) entries: EntryTable,
+    pub(super) owners: OwnerTable,
+    pub(super) replies: BTreeMap<u64, AskRoute>,
+    pub(super) next_reply: u64,
     pub(super) pending: BTreeMap<CallNumber, CallPurpose>,
     pub(super) next_call: u64,
     stopping: bool,
@@ -75,7 +81,14 @@
             calls: CallTable::new(setup.instance.clone()),
             call_entries: CallEntryTable::new(),
             desk: OrderDesk::new(),
-            running: BTreeMap::new(),
+            entries: EntryTable::new(
+                setup.policy,
+                setup.incarnation,
+                setup.seed.wrapping_add(2),
+            ),
+            owners: OwnerTable::new(),
+            replies: BTreeMap::new(),
+            next_reply: 0,
             pending: BTreeMap::new(),
             next_call: 0,
             stopping: false,
@@ -114,6 +127,8 @@
             self.calls.next_timer(),
             self.call_entries.next_timer(),
             self.desk.next_timer(),
+            self.entries.next_timer(),
+            self.owners.next_timer(),
             Some(self.slow_due),
         ];
         timers.into_iter().flatten().min()
@@ -153,13 +168,14 @@
         }
         self.update_owners(now, output);
         self.read_upstreams(now, output);
+        self.tick_requests(now, output);
         let actions = self.calls.tick(now);
         self.route_calls(now, actions, output);
         let actions = self.call_entries.tick(now);
         self.route_call_entries(now, actions, output);
         self.tick_desk(now, output);
         self.report_freshness(now, output);
-        let idle = self.running.is_empty() && self.call_entries.is_empty();
+        let idle = self.entries.is_empty() && self.call_entries.is_empty();
         if self.stopping && idle && !self.stop_done {
             self.stop_done = true;
             output.actions.push(CoreAction::StopDone);
@@ -172,7 +188,7 @@
             applied: self.reader.state().applied,
             confirmed_at: self.freshness.confirmed_at(),
             log_reached: self.freshness.log_reached(now),
-            engines: Vec::new(),
+            engines: self.owners.summaries(now),
         };
         self.members.set_facts(facts);
     }
@@ -339,33 +355,15 @@
         output: &mut TickOutput,
     ) {
         match event {
-            CoreEvent::Arrived(spec) => self.place(now, spec, output),
+            CoreEvent::Arrived(spec) => self.arrived(now, spec, output),
             CoreEvent::Progress(request, progress) => {
-                self.take_progress(request, progress, output);
+                self.progressed(now, request, progress, output);
             }
             CoreEvent::StopAsked => self.begin_stop(now, output),
             other => self.route_event(now, other, output),
         }
     }
 
-    fn take_progress(
-        &mut self,
-        request: RequestId,
-        progress: RequestProgress,
-        output: &mut TickOutput,
-    ) {
-        match progress {
-            RequestProgress::Sent(_) | RequestProgress::FirstPart => {}
-            RequestProgress::Finished(_) | RequestProgress::CallerGone => {
-                self.running.remove(&request);
-            }
-            RequestProgress::Failed { .. } => {
-                self.running.remove(&request);
-                output.end_failed(request);
-            }
-        }
-    }
-
     /// Gives a call to another process a number.
     pub(super) fn number_call(&mut self, purpose: CallPurpose) -> CallNumber {
         self.next_call += 1;
