--- a/lib/src/core.rs
+++ b/lib/src/core.rs
@@ -4,6 +4,7 @@
 //! carries out the [`CoreAction`]s that come back. The core holds no socket,
 //! clock or task, so that a run can be repeated from its events.
 
+mod log_routing;
 mod request_routing;
 mod routing;
 mod serving_core;
--- a/lib/src/core/routing.rs
+++ b/lib/src/core/routing.rs
@@ -8,9 +8,8 @@
 };
 use crate::{
     call_log::{
-        CallAction, CallAppend, CallAsker, CallEvent,
-        EntryAction as CallEntryAction, EntryCall,
-        EntryEvent as CallEntryEvent, stream_name,
+        CallAppend, CallAsker, CallEvent, EntryCall,
+        EntryEvent as CallEntryEvent,
     },
     config_reader::{ReaderAction, ReaderEvent},
     entry::EntryEvent,
@@ -18,14 +17,10 @@
     ids::{InstanceId, RequestId, StreamName},
     log_event::LogEvent,
     membership::{MemberAction, MemberEvent, ProbeNumber},
-    order_desk::{DeskAction, DeskEvent, DeskView, OrderAppend},
+    order_desk::{DeskEvent, OrderAppend},
     owner::OwnerEvent,
-    peer_api::{
-        ClaimAsk, MemberState, PeerMessage, PeerReply, SettleNotice,
-        StateAnswer,
-    },
+    peer_api::{MemberState, PeerMessage, PeerReply, StateAnswer},
     platform_api::{AppendAnswer, InstanceListing, RecordPage},
-    refusal::RunState,
     units::Timestamp,
 };
 
@@ -72,7 +67,7 @@
     }
 }
 
-fn config_stream() -> StreamName {
+pub(super) fn config_stream() -> StreamName {
     CONFIG_STREAM.parse().expect("constant is an id")
 }
 
@@ -548,190 +543,6 @@
         });
         true
     }
-
-    fn claim_call(
-        &mut self,
-        now: Timestamp,
-        asker: CallAsker,
-        entry: InstanceId,
-        ask: ClaimAsk,
-        output: &mut TickOutput,
-    ) {
-        let event = CallEvent::Claim { asker, entry, ask };
-        let actions = self.calls.handle(now, event);
-        self.route_calls(now, actions, output);
-    }
-
-    fn settle_call(
-        &mut self,
-        now: Timestamp,
-        asker: CallAsker,
-        notice: SettleNotice,
-        output: &mut TickOutput,
-    ) {
-        let event = CallEvent::Settle { asker, notice };
-        let actions = self.calls.handle(now, event);
-        self.route_calls(now, actions, output);
-    }
-
-    pub(super) fn route_calls(
-        &mut self,
-        now: Timestamp,
-        actions: Vec<CallAction>,
-        output: &mut TickOutput,
-    ) {
-        for action in actions {
-            match action {
-                CallAction::Answer(CallAsker::Peer(inbound), reply) => {
-                    Self::answer_peer(inbound, reply, output);
-                }
-                CallAction::Answer(CallAsker::Local(call), reply) => {
-                    let result = Ok(reply);
-                    let event = CallEntryEvent::Answered { call, result };
-                    let actions = self.call_entries.handle(now, event);
-                    self.route_call_entries(now, actions, output);
-                }
-                CallAction::Read { stream, from, wait } => {
-                    let stream = stream_name(stream);
-                    let read = CoreAction::ReadLog { stream, from, wait };
-                    output.actions.push(read);
-                }
-                CallAction::Append {
-                    append,
-                    stream,
-                    records,
-                } => {
-                    let call = self.number_call(CallPurpose::Call(append));
-                    output.actions.push(CoreAction::AppendLog {
-                        call,
-                        stream: stream_name(stream),
-                        records,
-                    });
-                }
-            }
-        }
-    }
-
-    pub(super) fn route_call_entries(
-        &mut self,
-        now: Timestamp,
-        actions: Vec<CallEntryAction>,
-        output: &mut TickOutput,
-    ) {
-        for action in actions {
-            match action {
-                CallEntryAction::Call {
-                    call,
-                    to,
-                    message,
-                    timeout,
-                } => {
-                    self.send_call(now, call, &to, message, timeout, output);
-                }
-                CallEntryAction::Answer(inbound, answer) => {
-                    let answer = CoreAction::AnswerClaim(inbound, answer);
-                    output.actions.push(answer);
-                }
-                CallEntryAction::Log(event, text) => output.log(event, &text),
-            }
-        }
-    }
-
-    /// Sends a claim or notice to the owner of its stream, which can be this
-    /// instance.
-    fn send_call(
-        &mut self,
-        now: Timestamp,
-        call: EntryCall,
-        to: &InstanceId,
-        message: PeerMessage,
-        timeout: Duration,
-        output: &mut TickOutput,
-    ) {
-        if *to == self.setup.instance {
-            let asker = CallAsker::Local(call);
-            let entry = to.clone();
-            match message {
-                PeerMessage::ClaimCall(ask) => {
-                    self.claim_call(now, asker, entry, ask, output);
-                }
-                PeerMessage::SettleCall(notice) => {
-                    self.settle_call(now, asker, notice, output);
-                }
-                _ => {}
-            }
-            return;
-        }
-        let purpose = CallPurpose::CallEntry(call);
-        if !self.call_instance(to, purpose, message, timeout, output) {
-            let result = Err(CallFailure {
-                run_state: RunState::NotRun,
-                message: format!("address of {to} is not known").into(),
-            });
-            let event = CallEntryEvent::Answered { call, result };
-            let actions = self.call_entries.handle(now, event);
-            self.route_call_entries(now, actions, output);
-        }
-    }
-
-    pub(super) fn tick_desk(
-        &mut self,
-        now: Timestamp,
-        output: &mut TickOutput,
-    ) {
-        let fleet = self.reader.state().clone();
-        let view = DeskView {
-            fleet: &fleet,
-            members: &self.members,
-            ready: self.reader.is_ready(),
-        };
-        let actions = self.desk.tick(now, view);
-        self.route_desk(now, actions, output);
-    }
-
-    fn handle_desk(
-        &mut self,
-        now: Timestamp,
-        event: DeskEvent,
-        output: &mut TickOutput,
-    ) {
-        let fleet = self.reader.state().clone();
-        let view = DeskView {
-            fleet: &fleet,
-            members: &self.members,
-            ready: self.reader.is_ready(),
-        };
-        let actions = self.desk.handle(now, event, view);
-        self.route_desk(now, actions, output);
-    }
-
-    fn route_desk(
-        &mut self,
-        now: Timestamp,
-        actions: Vec<DeskAction>,
-        output: &mut TickOutput,
-    ) {
-        for action in actions {
-            match action {
-                DeskAction::Append(append, records) => {
-                    let call = self.number_call(CallPurpose::Order(append));
-                    output.actions.push(CoreAction::AppendLog {
-                        call,
-                        stream: config_stream(),
-                        records,
-                    });
-                }
-                DeskAction::Answer(inbound, report) => {
-                    let answer = CoreAction::AnswerOrder(inbound, report);
-                    output.actions.push(answer);
-                }
-                DeskAction::AskMembers(peers) => {
-                    let actions = self.members.ask(now, &peers);
-                    self.route_members(now, actions, output);
-                }
-            }
-        }
-    }
 }
 
 fn log_judged(
