peers: keep reading cancellations when many answers run

With 128 answers running, the server stopped polling the connection, so that cancellations and expired deadlines were not seen.

--- a/cli/src/peers/pool.rs
+++ b/cli/src/peers/pool.rs
@@ -184,7 +184,9 @@
             link.broken.store(true, Ordering::Relaxed);
         }
         let run_state = match error {
-            RpcError::Send(_) => RunState::NotRun,
+            // The peer refuses a request with an error of the server only
+            // before it hands it on, when too many run.
+            RpcError::Send(_) | RpcError::Server(_) => RunState::NotRun,
             _ => RunState::MayHaveRun,
         };
         Err(failure(
--- a/cli/src/peers/server.rs
+++ b/cli/src/peers/server.rs
@@ -48,6 +48,9 @@
 /// Pause after a failed accept, which usually means that no file descriptor is
 /// free.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+/// Most requests that run at once for one connection; more are refused. Twice
+/// what a caller has in flight, as new calls can overtake cancellations.
+const REQUESTS_MAX: usize = 2 * IN_FLIGHT_MAX;
 /// Room in a frame for what tarpc adds to a reply.
 const FRAME_OVERHEAD_BYTES: u64 = 1_024;
 
@@ -144,9 +147,12 @@
     let config = Config {
         pending_response_buffer: IN_FLIGHT_MAX,
     };
+    // A bound on the answers that run at once would stop the reading of
+    // cancellations and of expired deadlines while it is reached.
     let requests = BaseChannel::new(config, make_transport(stream))
+        .max_concurrent_requests(REQUESTS_MAX)
         .execute(service.serve())
-        .for_each_concurrent(IN_FLIGHT_MAX, |answer| answer);
+        .for_each_concurrent(None, |answer| answer);
     tokio::select! {
         () = requests => {}
         () = watch_connection(&connection, &meter) => {}
--- a/cli/tests/test_peers.rs
+++ b/cli/tests/test_peers.rs
@@ -360,17 +360,31 @@
 async fn test_in_flight_bounded() {
     let server = start_server("127.0.0.1:0").await;
     let pool = make_pool();
-    let limit = Duration::from_millis(500);
-    let calls = (0..IN_FLIGHT_MAX + 10)
-        .map(|_| pool.call(server.address, query("slow"), limit));
-    let results = join_all(calls).await;
-    let not_run = results
-        .iter()
-        .map(|result| result.as_ref().unwrap_err())
-        .filter(|failure| failure.run_state == RunState::NotRun)
-        .count();
-    assert_eq!(not_run, 10);
-    assert_eq!(server.calls.load(Ordering::Relaxed), IN_FLIGHT_MAX as u32,);
+    let mut slow = tokio::task::JoinSet::new();
+    for _ in 0..IN_FLIGHT_MAX {
+        let pool = pool.clone();
+        let to = server.address;
+        slow.spawn(async move {
+            pool.call(to, query("slow"), Duration::from_secs(60)).await
+        });
+    }
+    let running = async {
+        while server.calls.load(Ordering::Relaxed) < IN_FLIGHT_MAX as u32 {
+            sleep(Duration::from_millis(5)).await;
+        }
+    };
+    timeout(TIMEOUT, running).await.unwrap();
+    let limit = Duration::from_millis(200);
+    let calls = (0..10).map(|_| pool.call(server.address, query("a"), limit));
+    for result in join_all(calls).await {
+        let failure = result.unwrap_err();
+        assert_eq!(failure.run_state, RunState::NotRun, "{failure:?}");
+    }
+    assert_eq!(server.calls.load(Ordering::Relaxed), IN_FLIGHT_MAX as u32);
+    // A call that is given up makes room again.
+    slow.shutdown().await;
+    let reply = pool.call(server.address, query("a"), TIMEOUT).await;
+    assert_eq!(reply, Ok(rows("a")));
 }
 
 /// Guards against connections to peers that are no longer called.
