buffer: set a share of the buffer aside for each stream

Slow readers that arrived one after the other each kept a part of the room that was left, until a fast reader got none: with 100 slow readers and a buffer of 1 MiB it did not read 4 MiB within its 60 s. One half of the buffer is now split into equal shares, and a stream without a share is refused before it is placed. The system's send buffer is bounded too, and a connection without a first request is closed before HTTP's version is known.

--- a/cli/src/buffer.rs
+++ b/cli/src/buffer.rs
@@ -30,12 +30,13 @@
 
 /// Bytes that a part takes besides its text.
 const PART_OVERHEAD: u64 = 256;
-/// A stream may buffer this much even when the instance's buffer is short.
-const STREAM_FLOOR: u64 = 4 << 10;
-/// A stream may take at most this fraction of the room that is left, so that
-/// thousands of slow readers together never use up the room of fast ones.
+/// Bytes of the instance's buffer that are set aside for each stream, so that
+/// slow readers never use up the room of fast ones.
+const STREAM_SHARE: u64 = 4 << 10;
+/// A stream may take at most this fraction of the unreserved room left.
 const ROOM_DIVISOR: u64 = 4;
-/// How often a stream without a buffered part looks for room again.
+/// How often a stream whose buffer is empty looks for room again. That is so
+/// only for a part larger than the stream's share.
 const ROOM_POLL: Duration = Duration::from_millis(50);
 
 /// Bytes that may be held at once, over all holders.
@@ -113,6 +114,30 @@
     }
 }
 
+/// Room for all streamed answers: one half is set aside in equal shares for
+/// the streams, the other half is for whoever needs more.
+#[derive(Debug)]
+pub struct StreamBudget {
+    shares: Arc<ByteBudget>,
+    common: Arc<ByteBudget>,
+    held: IntGauge,
+}
+
+impl StreamBudget {
+    /// A budget with nothing held, shown by a gauge.
+    pub fn new(limit: ByteSize, held: IntGauge) -> Self {
+        let half = ByteSize::new(limit.get() / 2);
+        let hidden = || {
+            IntGauge::new("hidden", "not registered").expect("name is valid")
+        };
+        Self {
+            shares: Arc::new(ByteBudget::new(half, hidden())),
+            common: Arc::new(ByteBudget::new(half, hidden())),
+            held,
+        }
+    }
+}
+
 /// One item of an answer on its way to the caller.
 #[derive(Clone, Debug, PartialEq)]
 pub enum StreamItem {
@@ -163,16 +188,48 @@
 #[derive(Debug)]
 struct PartQueue {
     items: VecDeque<StreamItem>,
-    held: HeldBytes,
+    bytes: u64,
+    gauge: IntGauge,
+    // What the items take beyond the stream's share.
+    common: HeldBytes,
+    _share: HeldBytes,
     reader_gone: bool,
     sender_gone: bool,
     waker: Option<Waker>,
 }
 
 impl PartQueue {
+    /// Takes room for more bytes; false if there is none.
+    fn grow(&mut self, size: u64, limit: u64) -> bool {
+        let after = self.bytes + size;
+        // A part that is larger than the limit passes alone.
+        if !self.items.is_empty() && after > limit {
+            return false;
+        }
+        let beyond = after.saturating_sub(STREAM_SHARE);
+        let more = beyond.saturating_sub(self.common.bytes);
+        if more > 0 {
+            let room = self.common.budget.room().get();
+            let fair = self.items.is_empty() || beyond <= room / ROOM_DIVISOR;
+            if !fair || !self.common.grow(more) {
+                return false;
+            }
+        }
+        self.bytes = after;
+        self.gauge.add(i64::try_from(size).unwrap_or(i64::MAX));
+        true
+    }
+
+    fn shrink(&mut self, size: u64) {
+        self.bytes -= size;
+        self.gauge.sub(i64::try_from(size).unwrap_or(i64::MAX));
+        let beyond = self.bytes.saturating_sub(STREAM_SHARE);
+        let less = self.common.bytes.saturating_sub(beyond);
+        self.common.shrink(less);
+    }
+
     fn clear(&mut self) -> (VecDeque<StreamItem>, Option<Waker>) {
-        let bytes = self.held.bytes;
-        self.held.shrink(bytes);
+        self.shrink(self.bytes);
         (std::mem::take(&mut self.items), self.waker.take())
     }
 }
@@ -191,15 +248,22 @@
     }
 }
 
-/// Builds the buffer of one stream.
+/// Builds the buffer of one stream; `None` if there are too many streams.
 pub fn part_channel(
     request: RequestId,
     limit: ByteSize,
-    budget: Arc<ByteBudget>,
-) -> (PartSender, PartReader) {
+    budget: &StreamBudget,
+) -> Option<(PartSender, PartReader)> {
+    let mut share = HeldBytes::new(budget.shares.clone());
+    if !share.grow(STREAM_SHARE) {
+        return None;
+    }
     let queue = PartQueue {
         items: VecDeque::new(),
-        held: HeldBytes::new(budget),
+        bytes: 0,
+        gauge: budget.held.clone(),
+        common: HeldBytes::new(budget.common.clone()),
+        _share: share,
         reader_gone: false,
         sender_gone: false,
         waker: None,
@@ -215,7 +279,7 @@
         request,
         ended: false,
     };
-    (PartSender { shared }, reader)
+    Some((PartSender { shared }, reader))
 }
 
 /// Where a request's task puts the parts of its answer.
@@ -264,12 +328,7 @@
         let item = StreamItem::Part(part);
         let size = item.size();
         let mut queue = self.shared.lock();
-        let room = queue.held.budget.room().get();
-        let limit = self.shared.limit.min(room / ROOM_DIVISOR);
-        let after = queue.held.bytes + size;
-        // A part that is larger than the limit passes alone.
-        let fits = queue.items.is_empty() || after <= limit.max(STREAM_FLOOR);
-        if !fits || !queue.held.grow(size) {
+        if !queue.grow(size, self.shared.limit) {
             let StreamItem::Part(part) = item else {
                 unreachable!("item was built as a part");
             };
@@ -291,19 +350,16 @@
 
     /// Waits until half of what is buffered now has drained.
     pub async fn room(&self) {
-        let goal = self.shared.lock().held.bytes / 2;
+        let goal = self.shared.lock().bytes / 2;
+        if goal == 0 {
+            tokio::time::sleep(ROOM_POLL).await;
+        }
         loop {
             let changed = self.shared.changed.notified();
-            {
-                let queue = self.shared.lock();
-                let held = queue.held.bytes;
-                let room = queue.held.budget.room().get();
-                if held <= goal && (held > 0 || room >= STREAM_FLOOR) {
-                    return;
-                }
+            if self.shared.lock().bytes <= goal {
+                return;
             }
-            // Room of other streams is not announced.
-            let _ = tokio::time::timeout(ROOM_POLL, changed).await;
+            changed.await;
         }
     }
 }
@@ -378,7 +434,7 @@
             queue.waker = Some(context.waker().clone());
             return Poll::Pending;
         };
-        queue.held.shrink(item.size());
+        queue.shrink(item.size());
         drop(queue);
         self.shared.changed.notify_waiters();
         self.ended = !matches!(item, StreamItem::Part(_));
--- a/cli/src/callers.rs
+++ b/cli/src/callers.rs
@@ -248,11 +248,16 @@
     let spec = check_request(&context, &view, &call, workspace, rule, &asked)?;
     context.metrics.count_request(spec.class);
 
-    let (sender, mut reader) = part_channel(
+    let channel = part_channel(
         call.request.clone(),
         context.settings.limits.stream_buffer,
-        context.stream_budget.clone(),
+        &context.stream_budget,
     );
+    let (sender, mut reader) = channel.ok_or_else(|| {
+        let text = "the instance serves too many answers at once";
+        Refusal::new(RefusalCode::Overloaded, text)
+            .with_retry_after(std::time::Duration::from_secs(1))
+    })?;
     let deadline = spec.deadline;
     let tools = context.task_tools();
     let prompt = HeldPrompt {
@@ -390,7 +395,7 @@
     call: &CallerRequest,
     mut reader: PartReader,
 ) -> Result<Response<Body>, Refusal> {
-    let mut held = HeldBytes::new(context.stream_budget.clone());
+    let mut held = HeldBytes::new(context.body_budget.clone());
     let mut whole: Option<borageline_lib::api::CompletionPart> = None;
     while let Some(item) = reader.next().await {
         match item {
--- a/cli/src/commands/serve.rs
+++ b/cli/src/commands/serve.rs
@@ -32,7 +32,7 @@
     metrics::ServerMetrics,
     peers::{PeerPool, PoolSetup, serve_peers_metered},
     platform::PlatformClient,
-    server::serve_callers,
+    server::{bind_callers, serve_callers},
 };
 
 /// Exit code for faulty settings.
@@ -119,7 +119,7 @@
         mut settings: InstanceSettings,
         build: impl FnOnce(CoreSetup) -> C,
     ) -> io::Result<Self> {
-        let callers = TcpListener::bind(settings.caller_address).await?;
+        let callers = bind_callers(settings.caller_address)?;
         let peers = TcpListener::bind(settings.peer_address).await?;
         settings.caller_address = callers.local_addr()?;
         settings.peer_address = peers.local_addr()?;
--- a/cli/src/context.rs
+++ b/cli/src/context.rs
@@ -13,9 +13,13 @@
 };
 
 use crate::{
-    buffer::ByteBudget, credentials::CredentialCache, driver::CoreHandle,
-    engine_client::EngineClient, http_client::HttpClient,
-    metrics::ServerMetrics, request_task::TaskTools,
+    buffer::{ByteBudget, StreamBudget},
+    credentials::CredentialCache,
+    driver::CoreHandle,
+    engine_client::EngineClient,
+    http_client::HttpClient,
+    metrics::ServerMetrics,
+    request_task::TaskTools,
 };
 
 /// What the handlers of one instance share.
@@ -36,7 +40,7 @@
     /// Metrics.
     pub metrics: Arc<ServerMetrics>,
     /// Bytes buffered for streamed answers.
-    pub stream_budget: Arc<ByteBudget>,
+    pub stream_budget: StreamBudget,
     /// Bytes held for request bodies.
     pub body_budget: Arc<ByteBudget>,
     /// Credentials by digest.
@@ -55,7 +59,7 @@
         metrics: Arc<ServerMetrics>,
     ) -> Self {
         let limits = &settings.limits;
-        let stream_budget = ByteBudget::new(
+        let stream_budget = StreamBudget::new(
             limits.stream_buffer_total,
             metrics.held_bytes.clone(),
         );
@@ -71,7 +75,7 @@
             services: HttpClient::new(),
             single_calls: HttpClient::without_reuse(),
             metrics,
-            stream_budget: Arc::new(stream_budget),
+            stream_budget,
             body_budget: Arc::new(body_budget),
             credentials: CredentialCache::default(),
             sequence: AtomicU64::new(0),
--- a/cli/src/server.rs
+++ b/cli/src/server.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::BTreeMap,
     convert::Infallible,
+    io,
     net::{IpAddr, SocketAddr},
     panic::AssertUnwindSafe,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -26,7 +27,7 @@
 };
 use tokio::{
     io::AsyncWriteExt,
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpSocket, TcpStream},
 };
 use tokio_util::sync::CancellationToken;
 
@@ -45,6 +46,11 @@
 const WRITE_BUFFER_BYTES: usize = 64 << 10;
 /// Requests at once on one HTTP/2 connection.
 const STREAMS_PER_CONNECTION: u32 = 256;
+/// Bytes that the system buffers for writing on one connection. Its default
+/// grows to several megabytes, which 2,000 slow readers would fill.
+const SEND_BUFFER_BYTES: u32 = 128 << 10;
+/// Connections that may wait to be accepted.
+const ACCEPT_QUEUE: u32 = 1_024;
 /// Time to tell a caller that it has too many connections.
 const REJECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -111,6 +117,19 @@
     }
 }
 
+/// Opens the listener for callers.
+pub fn bind_callers(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    // Accepted connections inherit it.
+    socket.set_send_buffer_size(SEND_BUFFER_BYTES)?;
+    socket.bind(address)?;
+    socket.listen(ACCEPT_QUEUE)
+}
+
 /// Serves the listener until `stop` is cancelled, then closes it, lets
 /// running requests finish for a time, and closes what is left.
 ///
@@ -202,7 +221,9 @@
         // A failure only means that small answers may be delayed.
         let _ = stream.set_nodelay(true);
         let closer = ConnectionCloser(kill.clone());
+        let begun = CancellationToken::new();
         let service = service_fn(|request| {
+            begun.cancel();
             let closer = closer.clone();
             let server = self.clone();
             async move { server.answer(request, address, closer).await }
@@ -214,6 +235,16 @@
             // Callers break connections at will; requests on them notice.
             _ = connection => {}
             () = kill.cancelled() => {}
+            () = self.first_overdue(&begun) => {}
+        }
+    }
+
+    /// Returns if no request begins in time. Until the version of HTTP is
+    /// known, hyper's own timeout does not run.
+    async fn first_overdue(&self, begun: &CancellationToken) {
+        let wait = self.context.settings.limits.header_timeout;
+        if tokio::time::timeout(wait, begun.cancelled()).await.is_ok() {
+            std::future::pending::<()>().await;
         }
     }
 
--- a/cli/tests/test_serve/test_bounds.rs
+++ b/cli/tests/test_serve/test_bounds.rs
@@ -5,12 +5,12 @@
 use rstest::rstest;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpStream,
+    net::{TcpSocket, TcpStream},
 };
 
 use crate::fixture::{
-    KEY, STREAMED, TestServer, TestSetup, completion, exchange, metric,
-    read_all, start_endless,
+    KEY, STREAMED, TestServer, TestSetup, completion, eventually, exchange,
+    metric, read_all, start_endless,
 };
 
 async fn start() -> TestServer {
@@ -116,13 +116,18 @@
     assert_eq!(metric(&server, "borageline_body_bytes"), 0.0);
 }
 
-/// Guards against a caller that holds a connection by sending its headers
-/// slowly.
+/// Guards against a caller that holds a connection without sending a whole
+/// head, also before the version of HTTP can be told.
+#[rstest]
+#[case::nothing("")]
+#[case::version_open("P")]
+#[case::headers_open("POST /v1/completions HTTP/1.1\r\nhost:")]
 #[tokio::test]
-async fn test_close_of_slow_headers() {
+async fn test_close_of_slow_headers(#[case] head: &str) {
     let server = start().await;
     let started = std::time::Instant::now();
-    exchange(server.address, "POST /v1/completions HTTP/1.1\r\nhost:").await;
+    let answer = exchange(server.address, head).await;
+    assert_eq!(answer, "");
     assert!(started.elapsed() < Duration::from_secs(3));
 }
 
@@ -203,3 +208,42 @@
     assert!(answer.contains("data: [DONE]"));
     stop.await.unwrap();
 }
+
+/// Guards against slow readers that together take the whole buffer and so
+/// stop fast ones, or take more than the buffer.
+#[tokio::test]
+async fn test_slow_readers_leave_room() {
+    const READERS: usize = 100;
+    let cap = 1 << 20;
+    let engine = start_endless(1_000, 100_000).await;
+    let mut setup = TestSetup::new(engine.address);
+    setup.limits.stream_buffer_total =
+        borageline_lib::units::ByteSize::new(cap);
+    let server = setup.start().await;
+    let mut readers = Vec::new();
+    for _ in 0..READERS {
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.set_recv_buffer_size(4_096).unwrap();
+        let mut reader = socket.connect(server.address).await.unwrap();
+        let request = completion(KEY, STREAMED);
+        reader.write_all(request.as_bytes()).await.unwrap();
+        readers.push(reader);
+    }
+    let detached = || {
+        let name = "borageline_detached_streams_total";
+        metric(&server, name) >= READERS as f64
+    };
+    eventually("detaching", detached).await;
+    let held = metric(&server, "borageline_held_bytes");
+    assert!(held <= cap as f64, "{held} bytes are held");
+    let started = std::time::Instant::now();
+    let mut fast = TcpStream::connect(server.address).await.unwrap();
+    let request = completion(KEY, STREAMED);
+    fast.write_all(request.as_bytes()).await.unwrap();
+    let mut bytes = vec![0; 4 << 20];
+    fast.read_exact(&mut bytes).await.unwrap();
+    assert!(started.elapsed() < Duration::from_secs(5));
+    drop((readers, fast));
+    let freed = || metric(&server, "borageline_held_bytes") == 0.0;
+    eventually("freeing", freed).await;
+}
--- a/cli/tests/test_serve/test_standins.rs
+++ b/cli/tests/test_serve/test_standins.rs
@@ -220,7 +220,7 @@
         answer.contains("\"run_state\":\"may_have_run\""),
         "{answer}"
     );
-    let body = r#"{"model":"m","prompt":[1],"max_tokens":1}"#;
+    let body = r#"{"model":"m","prompt":[1],"max_tokens":1,"timeout_ms":2000}"#;
     let answer = exchange(fleet.address, &completion(KEY, body)).await;
     assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
 }
