--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -4,6 +4,7 @@
 //! seeded random source as input and returns actions. Sockets, clocks and
 //! tasks live in the `borageline` binary, which carries the actions out.
 
+pub mod admission;
 pub mod answer;
 pub mod api;
 pub mod call_log;
@@ -19,7 +20,9 @@
 pub mod freshness;
 pub mod ids;
 pub mod ledger;
+pub mod limits;
 pub mod log_event;
+pub mod long_share;
 pub mod membership;
 pub mod order_desk;
 pub mod owner;
