--- a/lib/src/entry.rs
+++ b/lib/src/entry.rs
@@ -38,8 +38,9 @@
 /// Wait for the answer to an ask that may be queued. It exceeds the time that
 /// an owner queues it.
 pub const QUEUED_ASK_TIMEOUT: Duration = Duration::from_millis(5500);
-/// Interval between two renewals of holds that are not yet sent.
-const KEPT_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval between two renewals of holds that are not yet sent. A new owner
+/// hears of them several times before it grants from the whole account.
+const KEPT_INTERVAL: Duration = Duration::from_millis(250);
 /// Interval between two notices on a running request, so that a new owner
 /// learns whose it is.
 const STARTED_INTERVAL: Duration = Duration::from_secs(5);
@@ -305,6 +306,7 @@
         }
         if now >= self.drain_due {
             self.drain_due = now.after(DRAIN_INTERVAL);
+            self.tell_new_owners(now, view, &mut actions);
             self.look_for_drains(now, view, &mut actions);
             self.forget_asks(now);
         }
--- a/lib/src/entry/running.rs
+++ b/lib/src/entry/running.rs
@@ -28,6 +28,7 @@
         let Some(mut row) = self.take(request) else {
             return;
         };
+        follow_owners(&mut row, view);
         match progress {
             RequestProgress::Sent(engine) => {
                 sent(now, &mut row, &engine, actions);
@@ -231,6 +232,30 @@
         }
     }
 
+    /// Tells new owners at once of what they have not granted; they wait for
+    /// the hold-down before they grant from the whole account.
+    pub(super) fn tell_new_owners(
+        &mut self,
+        now: Timestamp,
+        view: &FleetView,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        let moved: Vec<RequestId> = self
+            .rows
+            .values()
+            .filter(|row| matches!(row.phase, Phase::Placed))
+            .filter(|row| row.legs.iter().any(|leg| has_moved(leg, view)))
+            .map(|row| row.spec.request.clone())
+            .collect();
+        for request in moved {
+            let mut row = self.take(&request).expect("rows were just listed");
+            follow_owners(&mut row, view);
+            self.renew(now, &mut row, actions);
+            let due = row.renew_due;
+            self.keep(row, due);
+        }
+    }
+
     /// Ends or moves requests at engines that take no more work.
     pub(super) fn look_for_drains(
         &mut self,
@@ -291,6 +316,22 @@
     }
 }
 
+fn has_moved(leg: &super::Leg, view: &FleetView) -> bool {
+    let owner = view.owners.get(&leg.engine);
+    owner.is_some_and(|owner| *owner != leg.owner)
+}
+
+/// Directs further notices to the present owners.
+pub(super) fn follow_owners(row: &mut EntryRow, view: &FleetView) {
+    for leg in &mut row.legs {
+        if let Some(owner) = view.owners.get(&leg.engine)
+            && *owner != leg.owner
+        {
+            leg.owner = owner.clone();
+        }
+    }
+}
+
 fn sent(
     now: Timestamp,
     row: &mut EntryRow,
--- a/lib/tests/sim/mod.rs
+++ b/lib/tests/sim/mod.rs
@@ -390,6 +390,14 @@
         engine: &UpstreamId,
         failure: StreamFailure,
     ) {
+        // A failed stream writes nothing more; a replaced one is not reported.
+        let current = self.placed.get(request).is_some_and(|(_, placed)| {
+            placed.engines.iter().any(|at| at.engine == *engine)
+        });
+        if !current {
+            return;
+        }
+        self.placed.remove(request);
         let progress = RequestProgress::Failed {
             engine: engine.clone(),
             failure,
@@ -485,10 +493,14 @@
                 }
                 OwnerAction::ReadHeld(engine) => {
                     let state = &self.engines[&engine];
+                    let held = state.held.values().map(|held| HeldRequest {
+                        attached: self.placed.contains_key(&held.request),
+                        ..held.clone()
+                    });
                     let report = HeldReport {
                         engine: engine.clone(),
                         incarnation: Incarnation::new(state.incarnation),
-                        requests: state.held.values().cloned().collect(),
+                        requests: held.collect(),
                     };
                     let event = OwnerEvent::HeldRead(engine, Some(report));
                     self.read(at, event);
