--- a/lib/src/ledger.rs
+++ b/lib/src/ledger.rs
@@ -199,6 +199,13 @@
             && tokens <= self.headroom()
     }
 
+    /// Whether the holds are within what may be granted. Adopted requests can
+    /// take the account beyond that.
+    pub fn is_within(&self) -> bool {
+        self.used <= self.allowed()
+            && self.holds.len() <= self.allowed_slots() as usize
+    }
+
     /// Prompt tokens of holds whose prefill is not known to be done.
     pub fn prefill_backlog(&self) -> TokenCount {
         let pending = self.holds.values().filter(|hold| hold.prefilling);
--- a/lib/src/owner/row.rs
+++ b/lib/src/owner/row.rs
@@ -216,7 +216,9 @@
     let cost = check_engine(now, row, ask).map_err(Obstacle::Never)?;
     if let Some(hold) = row.ledger.hold(&ask.request) {
         let booked = hold.state == HoldState::Granted && tokens <= hold.tokens;
-        return if booked && hold.ask <= ask.ask {
+        let again = hold.ask == ask.ask;
+        let newer = hold.ask < ask.ask && row.ledger.is_within();
+        return if booked && (again || newer) {
             Ok(())
         } else {
             let message = "engine may still hold an earlier attempt";
