--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -4,6 +4,7 @@
 //! and prints figures beside those of the baselines.
 
 pub mod caller;
+pub mod capacity;
 pub mod fleet;
 pub mod quickstart;
 pub mod report;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -2,7 +2,7 @@
 
 use std::process::ExitCode;
 
-use borageline_bench::quickstart;
+use borageline_bench::{capacity, quickstart};
 use bpaf::Bpaf;
 
 /// Load and experiment tool of borageline
@@ -12,12 +12,25 @@
     /// Start a small fleet, try each kind of request and check the answers
     #[bpaf(command)]
     Quickstart,
+    /// Memory and processor time of the core's state, in one process
+    #[bpaf(command)]
+    Capacity {
+        /// Seed of the random source
+        #[bpaf(argument("N"), fallback(1))]
+        seed: u64,
+        /// Print one JSON object on the last line
+        json: bool,
+    },
 }
 
 #[tokio::main]
 async fn main() -> ExitCode {
     let result = match bench_command().run() {
         BenchCommand::Quickstart => quickstart::run().await,
+        BenchCommand::Capacity { seed, json } => {
+            capacity::run(seed).print(json);
+            Ok(())
+        }
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
