--- a/cli/tests/test_serve/test_standins.rs
+++ b/cli/tests/test_serve/test_standins.rs
@@ -11,7 +11,10 @@
     settings::{InstanceLimits, InstanceSettings},
 };
 use borageline_testutils::{
-    content, engine, engine_config::EngineConfig, http_server::Handle,
+    content, engine,
+    engine_config::EngineConfig,
+    fault::Fault,
+    http_server::{Handle, Standin},
     instance_list, log_service, plain_service,
 };
 use serde_json::json;
@@ -26,7 +29,7 @@
     instance: RunningInstance,
     address: SocketAddr,
     service: Handle<plain_service::PlainService>,
-    _engine: Handle<engine::Engine>,
+    engine: Handle<engine::Engine>,
     _log: Handle<log_service::LogService>,
     _list: Handle<instance_list::InstanceList>,
 }
@@ -101,7 +104,10 @@
         log_service: log.address,
         instance_list: list.address,
         weight_store: None,
-        limits: InstanceLimits::default(),
+        limits: InstanceLimits {
+            address_ttl: Duration::from_secs(1),
+            ..InstanceLimits::default()
+        },
         policy: PolicyName::Product,
     };
     let instance = RunningInstance::start(settings).await.unwrap();
@@ -118,7 +124,7 @@
         instance,
         address,
         service,
-        _engine: engine,
+        engine,
         _log: log,
         _list: list,
     }
@@ -156,6 +162,47 @@
     drop(fleet.instance);
 }
 
+/// Guards against an answer that is spoilt by a cut, a foreign part or a
+/// repeated part from the engine.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn test_standins_faulty_stream() {
+    let fleet = start_fleet().await;
+    let faults = [
+        Fault::TruncateStreams {
+            after_parts: 2,
+            count: 1,
+        },
+        Fault::ForeignId { count: 2 },
+        Fault::DuplicateParts { count: 2 },
+    ];
+    for fault in faults {
+        fleet.engine.control.control(fault).unwrap();
+    }
+    let body = r#"{"model":"m","prompt":[1,2,3],"max_tokens":100}"#;
+    let answer = exchange(fleet.address, &completion(KEY, body)).await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    let prompt = PromptInput::Tokens([1, 2, 3].into());
+    let digest = content::prompt_digest(&prompt);
+    let text = content::expected_text(digest, 100);
+    assert!(answer.contains(&text), "{answer}");
+}
+
+/// Guards against a planned stop that refuses callers who still know the
+/// address.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn test_standins_stop() {
+    let fleet = start_fleet().await;
+    let address = fleet.address;
+    let stop = tokio::spawn(fleet.instance.stop());
+    for _ in 0..5 {
+        tokio::time::sleep(Duration::from_millis(150)).await;
+        let body = r#"{"model":"m","prompt":[1,2,3],"max_tokens":2}"#;
+        let answer = exchange(address, &completion(KEY, body)).await;
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    }
+    stop.await.unwrap();
+}
+
 /// Guards against a call that runs twice when its caller repeats it.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn test_standins_single_call() {
