--- a/cli/tests/test_serve/test_standins.rs
+++ b/cli/tests/test_serve/test_standins.rs
@@ -30,8 +30,8 @@
     address: SocketAddr,
     service: Handle<plain_service::PlainService>,
     engine: Handle<engine::Engine>,
-    _log: Handle<log_service::LogService>,
-    _list: Handle<instance_list::InstanceList>,
+    log: Handle<log_service::LogService>,
+    list: Handle<instance_list::InstanceList>,
 }
 
 async fn start_engine(name: &str) -> Handle<engine::Engine> {
@@ -74,38 +74,26 @@
     })
 }
 
-async fn start_fleet() -> TestFleet {
-    let any = ANY.parse().unwrap();
-    let log = log_service::spawn(any, log_service::LogConfig::default());
-    let log = log.await.unwrap();
-    let config: StreamName = "config".parse().unwrap();
-    // Version zero stands for an empty configuration, so that the order that
-    // later ones expect must not be at offset zero.
-    let orders = vec![first_order("first"), first_order("second")];
-    log.control.append(&config, orders);
-    let engine = start_engine("e1").await;
-    let service = plain_service::spawn(any, Duration::ZERO).await.unwrap();
-    let list = instance_list::ListConfig {
-        lag: Duration::ZERO,
-        ..instance_list::ListConfig::default()
-    };
-    let list = instance_list::spawn(any, list).await.unwrap();
-    list.control
-        .add(listed("e1", ListedKind::Engine, engine.address));
-    let kind = ListedKind::Service("s".parse().unwrap());
-    list.control.add(listed("s1", kind, service.address));
+/// Starts an instance and waits until it is ready and knows the upstreams.
+async fn start_instance(
+    name: &str,
+    seed: Option<SocketAddr>,
+    log_service: SocketAddr,
+    instance_list: SocketAddr,
+) -> RunningInstance {
+    let any: SocketAddr = ANY.parse().unwrap();
     let settings = InstanceSettings {
-        instance: "i1".parse().unwrap(),
+        instance: name.parse().unwrap(),
         failure_domain: "d".parse().unwrap(),
         caller_address: any,
         peer_address: any,
-        seeds: Vec::new(),
+        seeds: seed.into_iter().collect(),
         fleet_secret: "secret".into(),
-        log_service: log.address,
-        instance_list: list.address,
+        log_service,
+        instance_list,
         weight_store: None,
         limits: InstanceLimits {
-            address_ttl: Duration::from_secs(1),
+            address_ttl: Duration::from_secs(3),
             ..InstanceLimits::default()
         },
         policy: PolicyName::Product,
@@ -119,14 +107,39 @@
     });
     let ready = tokio::time::timeout(Duration::from_secs(20), ready).await;
     ready.expect("instance is ready within 20 s").unwrap();
+    instance
+}
+
+async fn start_fleet() -> TestFleet {
+    let any = ANY.parse().unwrap();
+    let log = log_service::spawn(any, log_service::LogConfig::default());
+    let log = log.await.unwrap();
+    let config: StreamName = "config".parse().unwrap();
+    // Version zero stands for an empty configuration, so that the order that
+    // later ones expect must not be at offset zero.
+    let orders = vec![first_order("first"), first_order("second")];
+    log.control.append(&config, orders);
+    let engine = start_engine("e1").await;
+    let service = plain_service::spawn(any, Duration::ZERO).await.unwrap();
+    let list = instance_list::ListConfig {
+        lag: Duration::ZERO,
+        ..instance_list::ListConfig::default()
+    };
+    let list = instance_list::spawn(any, list).await.unwrap();
+    list.control
+        .add(listed("e1", ListedKind::Engine, engine.address));
+    let kind = ListedKind::Service("s".parse().unwrap());
+    list.control.add(listed("s1", kind, service.address));
+    let (log_address, list_address) = (log.address, list.address);
+    let instance = start_instance("i1", None, log_address, list_address).await;
     let address = instance.context().settings.caller_address;
     TestFleet {
         instance,
         address,
         service,
         engine,
-        _log: log,
-        _list: list,
+        log,
+        list,
     }
 }
 
@@ -193,14 +206,25 @@
 async fn test_standins_stop() {
     let fleet = start_fleet().await;
     let address = fleet.address;
+    let seed = fleet.instance.context().settings.peer_address;
+    let (log, list) = (fleet.log.address, fleet.list.address);
+    let other = start_instance("i2", Some(seed), log, list).await;
+    // The instances must know each other before one of them leaves, as
+    // the only instance would leave the engine without an owner.
+    tokio::time::sleep(Duration::from_secs(2)).await;
     let stop = tokio::spawn(fleet.instance.stop());
-    for _ in 0..5 {
-        tokio::time::sleep(Duration::from_millis(150)).await;
+    // A completion that meets the change of the engine's owner can take
+    // seconds; it must still be answered. None begins after the listener has
+    // closed.
+    let begun = std::time::Instant::now();
+    while begun.elapsed() < Duration::from_secs(1) {
+        tokio::time::sleep(Duration::from_millis(100)).await;
         let body = r#"{"model":"m","prompt":[1,2,3],"max_tokens":2}"#;
         let answer = exchange(address, &completion(KEY, body)).await;
         assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
     }
     stop.await.unwrap();
+    drop(other);
 }
 
 /// Guards against a call that runs twice when its caller repeats it.
