policy: test the parts of the serving policy; bind loans to deadlines

The test of the limits found two ways past the limit: requests that outlive the loan they were admitted under, and an instance that lends from its own share while it runs requests on a borrowed one. A request now counts against a loan of concurrency only if it ends before the loan does, and only what is free of the own share is lent.

--- a/lib/src/limits.rs
+++ b/lib/src/limits.rs
@@ -4,9 +4,12 @@
 //! on the way. A share is the limit divided by the number of live instances,
 //! plus what was borrowed, minus what was lent. An instance that runs short
 //! asks a peer, at most once in [`BORROW_INTERVAL`] for each limit; the peer
-//! lends what it does not use, for [`LOAN_TIME`]. The lender counts a loan from
+//! lends what it does not use, for a fixed time. The lender counts a loan from
 //! its answer and the borrower from its question, so a loan is never in use at
 //! both, and a lost answer only leaves a part of the limit unused for a while.
+//! A request may count against a loan of concurrency or held tokens only if
+//! its deadline is before the end of the loan, because it cannot be stopped
+//! when the loan ends.
 //!
 //! The bound: among instances that agree on the number of live instances, the
 //! shares never add up to more than the limit, whatever is lost or late. Rates
@@ -14,8 +17,8 @@
 //! one request's tokens per instance, because a bucket that has any tokens
 //! admits one request however small its share is. A fleet that is partitioned
 //! into g groups that hold each other for dead divides the limit g times: the
-//! sum is at most g times the limit until the partition heals. Concurrency and
-//! held tokens that were admitted before stay until the requests end.
+//! sum is at most g times the limit until the partition heals and the requests
+//! that were admitted meanwhile have ended.
 //!
 //! Alternatives considered: shares that follow demand as peers report it (too
 //! many reports at 16,000 workspaces, and no bound while reports differ); one
@@ -34,8 +37,11 @@
     view::FleetView,
 };
 
-/// Time that a loan lasts.
-pub const LOAN_TIME: Duration = Duration::from_secs(5);
+/// Time that a loan of a rate lasts.
+pub const RATE_LOAN: Duration = Duration::from_secs(5);
+/// Time that a loan of concurrency or held tokens lasts. Requests with later
+/// deadlines cannot use it.
+pub const HELD_LOAN: Duration = Duration::from_secs(60);
 /// Least interval between two questions on the same limit.
 pub const BORROW_INTERVAL: Duration = Duration::from_millis(200);
 /// Time for which a rate may be saved up.
@@ -64,8 +70,10 @@
     pub struct BorrowAnswer {
         /// The ask.
         pub ask: BorrowAsk,
-        /// Part of the whole limit that is lent for [`LOAN_TIME`].
+        /// Part of the whole limit that is lent.
         pub part: f64,
+        /// How long it is lent, from when the ask was sent.
+        pub lasts: Duration,
     }
 }
 
@@ -96,7 +104,13 @@
     fn part(&mut self, now: Timestamp, view: &FleetView) -> f64 {
         self.borrowed.retain(|(_, until)| *until > now);
         self.lent.retain(|(_, until)| *until > now);
-        let borrowed: f64 = self.borrowed.iter().map(|(part, _)| part).sum();
+        self.part_until(now, view)
+    }
+
+    /// Part of the limit that a request with this deadline may use.
+    fn part_until(&self, deadline: Timestamp, view: &FleetView) -> f64 {
+        let lasting = self.borrowed.iter().filter(|(_, at)| *at >= deadline);
+        let borrowed: f64 = lasting.map(|(part, _)| part).sum();
         let lent: f64 = self.lent.iter().map(|(part, _)| part).sum();
         (equal_part(view) + borrowed - lent).max(0.0)
     }
@@ -130,8 +144,15 @@
         used
     }
 
-    fn admits(&self, rule: &LimitRule, part: f64, tokens: u64) -> bool {
+    fn admits(
+        &self,
+        rule: &LimitRule,
+        spec: &RequestSpec,
+        view: &FleetView,
+    ) -> bool {
+        let part = self.part_until(spec.deadline, view);
         let within = |used: f64, limit: f64| used <= limit * part + 1e-9;
+        let tokens = tokens_of(spec);
         let running = f64::from(self.running) + 1.0;
         let held = (self.held + tokens) as f64;
         rule.requests_per_s.is_none_or(|_| self.requests >= 1.0)
@@ -177,7 +198,6 @@
         let Some(rule) = view.fleet.workspaces.get(&spec.workspace) else {
             return (Ok(BookedLimits::default()), Vec::new());
         };
-        let tokens = tokens_of(spec);
         let mut asks = Vec::new();
         let mut booked = BookedLimits::default();
         let mut refused = None;
@@ -190,7 +210,7 @@
             booked.0.push(at);
             let part = known.part(now, view);
             known.fill(now, limit, part);
-            let admitted = known.admits(limit, part, tokens);
+            let admitted = known.admits(limit, spec, view);
             let short = known.used(limit, part) >= part * BORROW_FROM;
             if (!admitted || short) && known.may_ask(now) {
                 asks.push(BorrowAsk {
@@ -228,8 +248,12 @@
         ask: BorrowAsk,
         view: &FleetView,
     ) -> BorrowAnswer {
-        let part = self.lendable(now, &ask, view);
-        BorrowAnswer { ask, part }
+        let rule = view.fleet.workspaces.get(&ask.workspace);
+        let limit = rule.and_then(|rule| limit_at(rule, ask.limit));
+        let lasts = limit.map_or(Duration::ZERO, loan_time);
+        let part =
+            limit.map_or(0.0, |limit| self.lendable(now, &ask, limit, view));
+        BorrowAnswer { ask, part, lasts }
     }
 
     /// Takes a loan in that was asked for at a time.
@@ -240,7 +264,7 @@
         answer: &BorrowAnswer,
         view: &FleetView,
     ) {
-        let until = asked_at.after(LOAN_TIME);
+        let until = asked_at.after(answer.lasts);
         if answer.part <= 0.0 || !answer.part.is_finite() || until <= now {
             return;
         }
@@ -274,13 +298,9 @@
         &mut self,
         now: Timestamp,
         ask: &BorrowAsk,
+        limit: &LimitRule,
         view: &FleetView,
     ) -> f64 {
-        let rule = view.fleet.workspaces.get(&ask.workspace);
-        let Some(limit) = rule.and_then(|rule| limit_at(rule, ask.limit))
-        else {
-            return 0.0;
-        };
         let known = self.limit(now, &ask.workspace, ask.limit, limit, view);
         let Some(known) = known.filter(|known| known.lent.len() < LOANS_MAX)
         else {
@@ -288,11 +308,12 @@
         };
         let part = known.part(now, view);
         known.fill(now, limit, part);
-        let own = equal_part(view).min(part);
+        // What was borrowed may end before the new loan does.
+        let own = known.part_until(Timestamp::new(u64::MAX), view);
         let free = (own - known.used(limit, part)).max(0.0);
         let lent = free.min(ask.part).max(0.0);
         if lent > 0.0 {
-            known.lent.push((lent, now.after(LOAN_TIME)));
+            known.lent.push((lent, now.after(loan_time(limit))));
             // What was saved up at the larger share goes with the loan.
             known.fill(now, limit, part - lent);
         }
@@ -349,6 +370,14 @@
     }
 }
 
+fn loan_time(rule: &LimitRule) -> Duration {
+    if rule.concurrency.is_some() || rule.held_tokens.is_some() {
+        HELD_LOAN
+    } else {
+        RATE_LOAN
+    }
+}
+
 fn equal_part(view: &FleetView) -> f64 {
     1.0 / view.live_instances.max(1) as f64
 }
--- /dev/null
+++ b/lib/tests/test_serving_parts.rs
@@ -0,0 +1,556 @@
+//! Tests of the parts of the serving policy that stand alone.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use borageline_lib::{
+    admission::{AdmissionQueue, CLASS_MAX, QUEUE_WAIT, QueuedAsk},
+    api::PriorityClass,
+    cold_start::ColdLimit,
+    core::{RequestSpec, StreamFailure},
+    cost::{CostModel, LengthEstimator},
+    engine_api::{CapabilityReport, LoadReport},
+    fleet::{FleetState, LimitRule, WorkspaceRule},
+    ids::{DomainId, InstanceId, UpstreamId, WorkspaceId},
+    limits::{BorrowAsk, LimitShare},
+    long_share::{LongRanking, LongShare},
+    peer_api::{EngineSummary, GrantAsk},
+    placement::{CandidateTable, PlacementNeed},
+    refusal::{RefusalCode, RetryReason},
+    retry::{RetryBudget, RetryRule, backoff, retry_rule},
+    units::{ByteSize, Incarnation, Timestamp, TokenCount, TokenRate},
+    view::{FleetView, UpstreamEntry, UpstreamTable},
+};
+use rand::Rng;
+use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng};
+use rstest::rstest;
+
+const START: Timestamp = Timestamp::new(1_000_000);
+
+fn id<T: std::str::FromStr>(text: &str) -> T
+where
+    T::Err: std::fmt::Debug,
+{
+    text.parse().expect("test ids are valid")
+}
+
+fn at(millis: u64) -> Timestamp {
+    START.after(Duration::from_millis(millis))
+}
+
+fn capability(engine: &str) -> CapabilityReport {
+    CapabilityReport {
+        engine: id(engine),
+        incarnation: Incarnation::new(1),
+        models: vec![id("m")],
+        memory: TokenCount::new(100_000),
+        slots: 8,
+        prefill_rate: TokenRate::new(1000),
+        decode_rate: TokenRate::new(100),
+        segments: true,
+        checks_fencing: true,
+    }
+}
+
+fn load(prefill_rate: u64, age_ms: u64) -> LoadReport {
+    LoadReport {
+        engine: id("e"),
+        incarnation: Incarnation::new(1),
+        age_ms,
+        held: TokenCount::ZERO,
+        running: 0,
+        queued: 0,
+        prefill_backlog: TokenCount::new(u64::MAX),
+        prefill_rate: TokenRate::new(prefill_rate),
+        decode_rate: TokenRate::new(prefill_rate),
+        leaving: false,
+    }
+}
+
+/// Guards against predictions that nonsense in reports makes absurd.
+#[rstest]
+#[case::zero(0)]
+#[case::tiny(1)]
+#[case::huge(u64::MAX)]
+fn test_cost_stays_bounded_under_nonsense(#[case] rate: u64) {
+    let mut cost = CostModel::new(&capability("e"));
+    for _ in 0..1000 {
+        cost.take_load(START, &load(rate, 100));
+        cost.observe_first_part(Duration::ZERO, Duration::MAX);
+        cost.observe_finish(TokenCount::new(1), Duration::MAX);
+    }
+    let (prefill, decode) = cost.factors();
+    assert!((0.25..=8.0).contains(&prefill));
+    assert!((0.25..=8.0).contains(&decode));
+    let time = cost.prefill_time(TokenCount::new(1000));
+    assert!(time <= Duration::from_secs(8));
+}
+
+/// Guards against a late report that overrides the owner's own account.
+#[test]
+fn test_cost_ignores_late_reports() {
+    let mut cost = CostModel::new(&capability("e"));
+    cost.take_load(START, &load(1, 60_000));
+    assert_eq!(cost.factors(), (1.0, 1.0));
+    let own = TokenCount::new(5);
+    assert_eq!(cost.backlog(START, own), own);
+    cost.take_load(START, &load(1000, 0));
+    assert_eq!(cost.backlog(at(5000), own), own, "it has aged since");
+}
+
+/// Guards against estimates below the real length, and unbounded memory.
+#[test]
+fn test_length_estimate_is_on_the_safe_side() {
+    let mut estimator = LengthEstimator::new();
+    let workspace: WorkspaceId = id("w");
+    let bytes = ByteSize::new(10_000);
+    let unknown = estimator.estimate(&workspace, bytes);
+    for _ in 0..50 {
+        estimator.observe(&workspace, bytes, TokenCount::new(2500));
+    }
+    let known = estimator.estimate(&workspace, bytes);
+    assert!(known < unknown && known.get() >= 2500);
+    estimator.observe(&workspace, bytes, TokenCount::new(5000));
+    assert!(estimator.estimate(&workspace, bytes).get() >= 5000);
+    for number in 0..5000 {
+        let workspace = id(&format!("w{number}"));
+        estimator.observe(&workspace, bytes, TokenCount::new(2500));
+    }
+    assert!(estimator.known() <= 1024);
+}
+
+/// Guards against a limit that rises without work or stays up when the engine
+/// goes cold.
+#[test]
+fn test_cold_limit_rises_with_evidence_and_falls_at_once() {
+    let mut cold = ColdLimit::new();
+    let memory = TokenCount::new(100_000);
+    for _ in 0..100 {
+        cold.finished();
+    }
+    assert_eq!(cold.requests(), 1, "nothing has run for long enough");
+    cold.set_busy(START, true);
+    cold.set_busy(at(2000), true);
+    cold.finished();
+    assert_eq!(cold.requests(), 2);
+    assert!(!cold.allows(memory, 2, TokenCount::ZERO, TokenCount::new(1)));
+    cold.first_part(Duration::from_secs(1), Duration::from_secs(5));
+    cold.first_part(Duration::from_secs(1), Duration::from_secs(5));
+    assert_eq!(cold.requests(), 1);
+}
+
+fn queued(class: PriorityClass, number: u64, deadline: u64) -> QueuedAsk {
+    let ask = GrantAsk {
+        ask: number,
+        request: id(&format!("r{number}")),
+        engine: id("e"),
+        workspace: id("w"),
+        model: id("m"),
+        class,
+        prompt: TokenCount::new(1000),
+        output: TokenCount::ZERO,
+        prefix: 0,
+        time_left: Duration::from_secs(60),
+        may_queue: true,
+        grouped: false,
+    };
+    QueuedAsk {
+        from: id("a"),
+        reply: number,
+        ask,
+        queued_at: START,
+        deadline: at(deadline),
+        latest_start: at(deadline),
+    }
+}
+
+/// Guards against a class that starves, and shares that differ from the
+/// guaranteed ones.
+#[test]
+fn test_admission_shares_by_weight() {
+    let mut queue = AdmissionQueue::new();
+    let mut number = 0;
+    let mut taken = BTreeMap::new();
+    for _ in 0..1000 {
+        for class in PriorityClass::ALL {
+            number += 1;
+            queue.push(queued(*class, number, 1_000_000)).ok();
+        }
+        let next = queue.pop().expect("it was just filled");
+        *taken.entry(next.ask.class).or_insert(0) += 1;
+    }
+    assert_eq!(taken[&PriorityClass::Interactive], 500);
+    assert_eq!(taken[&PriorityClass::Standard], 300);
+    assert_eq!(taken[&PriorityClass::Batch], 200);
+}
+
+/// Guards against a queue without bounds, in size or time, and against an
+/// order other than by deadline.
+#[test]
+fn test_admission_is_bounded_and_ordered_by_deadline() {
+    let mut queue = AdmissionQueue::new();
+    for number in 0..CLASS_MAX as u64 {
+        let ask = queued(PriorityClass::Batch, number, 60_000 - number);
+        queue.push(ask).expect("there is room");
+    }
+    let full = queue.push(queued(PriorityClass::Batch, 999, 1));
+    let refusal = full.expect_err("the class is full");
+    assert_eq!(refusal.code, RefusalCode::QueueFull);
+    queue
+        .push(queued(PriorityClass::Interactive, 1000, 10))
+        .ok();
+    assert_eq!(queue.expire(at(9)).len(), 0);
+    let expired = queue.expire(at(10));
+    assert_eq!(expired.len(), 1, "it can no longer end in time");
+    let first = queue.pop().expect("asks are left");
+    assert_eq!(first.reply, CLASS_MAX as u64 - 1);
+    let expired = queue.expire(START.after(QUEUE_WAIT));
+    assert_eq!(expired.len(), CLASS_MAX - 1);
+    assert!(
+        expired.iter().all(|(_, refusal)| {
+            refusal.retry_after == Some(Duration::ZERO)
+        })
+    );
+}
+
+/// Guards against retries beyond their share of the fresh requests.
+#[test]
+fn test_retry_budget_is_a_share_of_fresh_requests() {
+    let mut budget = RetryBudget::new();
+    let engine: UpstreamId = id("e");
+    let mut retries = 0;
+    for _ in 0..1000 {
+        budget.fresh(&engine);
+        retries += u32::from(budget.spend(&engine));
+    }
+    assert!((200..=210).contains(&retries), "{retries}");
+}
+
+/// Guards against running a request again after parts were delivered.
+#[rstest]
+#[case(StreamFailure::Cut, true, RetryRule::Resume)]
+#[case(
+    StreamFailure::Cut,
+    false,
+    RetryRule::Budgeted(RetryReason::FailedBeforeFirstPart)
+)]
+#[case(
+    StreamFailure::ConnectFailed,
+    false,
+    RetryRule::Free(RetryReason::ConnectFailed)
+)]
+fn test_retry_rule(
+    #[case] failure: StreamFailure,
+    #[case] delivered: bool,
+    #[case] rule: RetryRule,
+) {
+    assert_eq!(retry_rule(failure, delivered), rule);
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    assert!(backoff(99, &mut rng) <= Duration::from_secs(2));
+}
+
+struct Fleet {
+    own: InstanceId,
+    domain: DomainId,
+    state: FleetState,
+    upstreams: UpstreamTable,
+    owners: BTreeMap<UpstreamId, InstanceId>,
+}
+
+impl Fleet {
+    fn new(engines: usize) -> Self {
+        let mut upstreams = UpstreamTable::new();
+        for number in 0..engines {
+            let name = format!("e{number:05}");
+            let entry = UpstreamEntry {
+                address: "127.0.0.1:1".parse().expect("constant is valid"),
+                domain: id(&format!("d{}", number % 3)),
+                service: None,
+                leaving: number % 7 == 3,
+                capability: Some(Arc::new(capability(&name))),
+            };
+            upstreams.insert(id(&name), entry);
+        }
+        Self {
+            own: id("a"),
+            domain: id("d0"),
+            state: FleetState::default(),
+            upstreams,
+            owners: BTreeMap::new(),
+        }
+    }
+
+    fn with_limit(limit: LimitRule) -> Self {
+        let mut fleet = Self::new(0);
+        let rule = WorkspaceRule {
+            key_digests: BTreeSet::new(),
+            enabled: true,
+            default_class: PriorityClass::Standard,
+            classes: BTreeSet::new(),
+            models: None,
+            domains: None,
+            limits: vec![limit],
+        };
+        fleet.state.workspaces.insert(id("w"), rule);
+        fleet
+    }
+
+    fn view(&self, live_instances: usize) -> FleetView<'_> {
+        FleetView {
+            own: &self.own,
+            own_domain: &self.domain,
+            fleet: &self.state,
+            upstreams: &self.upstreams,
+            owners: &self.owners,
+            live_instances,
+            fresh: true,
+            may_own: true,
+        }
+    }
+}
+
+fn summary(engine: &UpstreamId, headroom: u64, long: bool) -> EngineSummary {
+    EngineSummary {
+        engine: engine.clone(),
+        headroom: TokenCount::new(headroom),
+        free_slots: 4,
+        wait: Duration::ZERO,
+        takes_long: long,
+    }
+}
+
+/// Guards against candidates that a brute-force filter would not admit, and
+/// against missing them where there are any.
+#[test]
+fn test_placement_agrees_with_brute_force() {
+    let mut rng = ChaCha8Rng::seed_from_u64(5);
+    for engines in [1, 3, 10, 16, 17, 60, 300] {
+        let fleet = Fleet::new(engines);
+        let view = fleet.view(3);
+        let mut table = CandidateTable::new();
+        for (engine, _) in fleet.upstreams.iter() {
+            let long = rng.random_range(0..4) == 0;
+            let room = rng.random_range(0..90_000);
+            table.take_summary(START, summary(engine, room, long), &view);
+        }
+        let domains = BTreeSet::from([id("d0"), id("d1")]);
+        let model = id("m");
+        for prompt in [100, 50_000] {
+            let need = PlacementNeed {
+                model: &model,
+                prompt: TokenCount::new(prompt),
+                tokens: TokenCount::new(prompt),
+                prefix: 0,
+                domains: Some(&domains),
+                tried: &[],
+            };
+            let usable: Vec<&UpstreamId> = fleet
+                .upstreams
+                .iter()
+                .filter(|(_, entry)| {
+                    !entry.leaving && domains.contains(&entry.domain)
+                })
+                .map(|(engine, _)| engine)
+                .collect();
+            let right =
+                |id: &&&UpstreamId| table.takes_long(id) == (prompt > 16_384);
+            let in_share = usable.iter().filter(right).count();
+            for _ in 0..50 {
+                let chosen = table.choose(START, &need, &view, &mut rng);
+                assert!(chosen.iter().all(|id| usable.contains(&id)));
+                assert_eq!(chosen.is_empty(), usable.is_empty());
+                let wanted = chosen.iter().all(|id| right(&&id));
+                assert!(wanted || in_share == 0, "{engines} {chosen:?}");
+            }
+        }
+    }
+}
+
+/// Guards against a decision whose cost grows with the number of engines:
+/// the engines drawn are bounded, so the same draws are made from ten times
+/// as many engines.
+#[test]
+fn test_placement_looks_at_a_bounded_number_of_engines() {
+    let draws = |engines: usize| {
+        let fleet = Fleet::new(engines);
+        let view = fleet.view(3);
+        let table = CandidateTable::new();
+        let model = id("m");
+        let need = PlacementNeed {
+            model: &model,
+            prompt: TokenCount::new(100),
+            tokens: TokenCount::new(100),
+            prefix: 0,
+            domains: None,
+            tried: &[],
+        };
+        let mut rng = ChaCha8Rng::seed_from_u64(7);
+        for _ in 0..100 {
+            table.choose(START, &need, &view, &mut rng);
+        }
+        rng.get_word_pos() / 100
+    };
+    assert!(draws(20_000) <= 100, "{}", draws(20_000));
+}
+
+/// Guards against a long share that is empty, covers every engine, or does
+/// not follow the demand.
+#[test]
+fn test_long_share_follows_demand() {
+    let fleet = Fleet::new(30);
+    let view = fleet.view(3);
+    let model = id("m");
+    let mut share = LongShare::new();
+    let count = |share: &LongShare| {
+        let ranking = LongRanking::new([&model].into_iter(), &view);
+        let long = fleet.upstreams.iter().filter(|(engine, entry)| {
+            let domain = &entry.domain;
+            ranking.takes_long(share, &model, domain, engine, false)
+        });
+        long.count()
+    };
+    share.observe(START, &model, TokenCount::new(1000));
+    let few = count(&share);
+    assert!((3..=6).contains(&few), "{few}");
+    share.observe(START, &model, TokenCount::new(900_000));
+    let many = count(&share);
+    assert!(many > few && many < 28, "{many}");
+}
+
+fn spec(number: u64) -> RequestSpec {
+    RequestSpec {
+        request: id(&format!("r{number}")),
+        workspace: id("w"),
+        model: id("m"),
+        class: PriorityClass::Standard,
+        prompt: TokenCount::new(100),
+        output: TokenCount::ZERO,
+        prefix: 0,
+        deadline: at(60_000),
+    }
+}
+
+fn limit() -> LimitRule {
+    LimitRule {
+        model: None,
+        class: None,
+        requests_per_s: None,
+        tokens_per_s: None,
+        held_tokens: None,
+        concurrency: None,
+    }
+}
+
+/// Admits at random instances, with loans of which some are lost, and returns
+/// the most requests that ran at once. The busiest instance changes every 30 s,
+/// while requests that were admitted by others still run.
+fn most_running(groups: usize, seed: u64) -> usize {
+    let rule = LimitRule {
+        concurrency: Some(100),
+        ..limit()
+    };
+    let fleet = Fleet::with_limit(rule);
+    let instances = 6;
+    let view = fleet.view(instances / groups);
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut shares = vec![LimitShare::new(); instances];
+    let mut running = Vec::new();
+    let mut most = 0;
+    for number in 0..20_000 {
+        let now = at(number * 10);
+        running.retain(|(deadline, own, spec, booked)| {
+            let ended: bool = *deadline <= now;
+            if ended {
+                let share: &mut LimitShare = &mut shares[*own];
+                share.ended(spec, booked);
+            }
+            !ended
+        });
+        let busiest = (number / 3000) as usize % instances;
+        let own = if rng.random_range(0..4) > 0 {
+            busiest
+        } else {
+            rng.random_range(0..instances)
+        };
+        let life = Duration::from_millis(rng.random_range(100..50_000));
+        let spec = RequestSpec {
+            deadline: now.after(life),
+            ..spec(number)
+        };
+        let (result, asks) = shares[own].admit(now, &spec, &view);
+        if let Ok(booked) = result {
+            running.push((spec.deadline, own, spec, booked));
+        }
+        most = running.len().max(most);
+        for ask in asks {
+            let members = instances / groups;
+            let peer = own % groups + groups * rng.random_range(0..members);
+            let answer = shares[peer].lend(now, ask, &view);
+            if peer != own && rng.random_range(0..4) > 0 {
+                shares[own].borrowed(now, now, &answer, &view);
+            }
+        }
+    }
+    most
+}
+
+/// Guards against shares that add up to more than the limit, and against a
+/// busy instance that cannot use what others leave.
+#[test]
+fn test_limits_overshoot_is_bounded() {
+    for seed in 0..5 {
+        let whole = most_running(1, seed);
+        assert!((60..=100).contains(&whole), "{whole}");
+        let split = most_running(2, seed);
+        assert!(split > 100 && split <= 200, "{split}");
+    }
+}
+
+/// Guards against a rate above the limit for longer than a burst.
+#[test]
+fn test_limits_rate_is_kept_over_instances() {
+    let rule = LimitRule {
+        requests_per_s: Some(70.0),
+        ..limit()
+    };
+    let fleet = Fleet::with_limit(rule);
+    let view = fleet.view(7);
+    let mut shares = vec![LimitShare::new(); 7];
+    let mut admitted = 0;
+    for number in 0..70_000_u64 {
+        let now = at(number / 7);
+        let share = &mut shares[number as usize % 7];
+        let (result, _) = share.admit(now, &spec(number), &view);
+        admitted += u32::from(result.is_ok());
+    }
+    assert!((700..=777).contains(&admitted), "{admitted} in 10 s");
+}
+
+/// Guards against lending what is in use.
+#[test]
+fn test_limits_lend_only_what_is_free() {
+    let rule = LimitRule {
+        concurrency: Some(20),
+        ..limit()
+    };
+    let fleet = Fleet::with_limit(rule);
+    let view = fleet.view(2);
+    let mut share = LimitShare::new();
+    for number in 0..8 {
+        let (result, _) = share.admit(START, &spec(number), &view);
+        result.expect("half of the limit is ten");
+    }
+    let ask = BorrowAsk {
+        workspace: id("w"),
+        limit: 0,
+        part: 0.5,
+    };
+    let lent = share.lend(START, ask, &view).part;
+    assert!((lent - 0.1).abs() < 1e-9, "{lent}");
+    let (result, _) = share.admit(START, &spec(9), &view);
+    let refusal = result.expect_err("two of ten were lent");
+    assert_eq!(refusal.code, RefusalCode::WorkspaceLimit);
+}
