--- a/lib/src/entry.rs
+++ b/lib/src/entry.rs
@@ -26,7 +26,7 @@
     ids::{InstanceId, RequestId, UpstreamId},
     limits::{BookedLimits, BorrowAnswer, BorrowAsk, LimitShare},
     peer_api::{EngineSummary, GrantAnswer, GrantAsk, GrantEvent, GrantNotice},
-    placement::CandidateTable,
+    placement::{CandidateTable, RoundRobin},
     refusal::{Refusal, RefusalCode, RetryReason, RunState},
     retry::{RetryBudget, backoff},
     units::{Incarnation, Timestamp, TokenCount},
@@ -52,6 +52,8 @@
 const RESUMES_MAX: u32 = 3;
 /// Interval between two looks for engines that leave.
 const DRAIN_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval between two removals of what is known of engines that are gone.
+const FORGET_INTERVAL: Duration = Duration::from_secs(30);
 /// How long an unanswered ask is remembered.
 const ASK_FORGOTTEN: Duration = Duration::from_secs(60);
 /// Prompts up to this length run before longer ones at an engine.
@@ -227,9 +229,10 @@
     budget: RetryBudget,
     limits: LimitShare,
     policy: PolicyName,
-    turn: u64,
+    round_robin: RoundRobin,
     rng: ChaCha8Rng,
     drain_due: Timestamp,
+    forget_due: Timestamp,
 }
 
 impl EntryTable {
@@ -249,9 +252,10 @@
             budget: RetryBudget::new(),
             limits: LimitShare::new(),
             policy,
-            turn: 0,
+            round_robin: RoundRobin::default(),
             rng: ChaCha8Rng::seed_from_u64(seed),
             drain_due: Timestamp::ZERO,
+            forget_due: Timestamp::ZERO,
         }
     }
 
@@ -310,6 +314,10 @@
             self.look_for_drains(now, view, &mut actions);
             self.forget_asks(now);
         }
+        if now >= self.forget_due {
+            self.forget_due = now.after(FORGET_INTERVAL);
+            self.candidates.forget_missing(view);
+        }
         actions
     }
 
--- a/lib/src/entry/asking.rs
+++ b/lib/src/entry/asking.rs
@@ -12,7 +12,7 @@
     ids::{InstanceId, UpstreamId},
     ledger::{GRANT_VALID, percent_of},
     peer_api::{Grant, GrantAnswer, GrantAsk, GrantEvent, GrantRefusal},
-    placement::PlacementNeed,
+    placement::{EngineChoice, LeastRequests, PlacementNeed},
     refusal::{Refusal, RefusalCode, RetryReason, RunState},
     units::{Timestamp, TokenCount},
     view::FleetView,
@@ -384,15 +384,14 @@
         view: &FleetView,
         actions: &mut Vec<EntryAction>,
     ) {
-        let all = view.upstreams.serving(&row.spec.model);
-        let usable =
-            |id: &&UpstreamId| view.accepts_work(id) && !row.tried.contains(id);
-        let open: Vec<&UpstreamId> = all.iter().filter(usable).collect();
+        let table = &self.candidates;
         let engine = match self.policy {
-            PolicyName::RoundRobin => round_robin(&open, &mut self.turn),
-            _ => least_requests(&open, &self.candidates),
+            PolicyName::RoundRobin => {
+                pick(&mut self.round_robin, table, &row, view)
+            }
+            _ => pick(&mut LeastRequests, table, &row, view),
         };
-        let Some(engine) = engine.cloned() else {
+        let Some(engine) = engine else {
             let refusal = no_upstream(&row);
             return self.wait(now, row, refusal, actions);
         };
@@ -412,21 +411,17 @@
     }
 }
 
-fn round_robin<'a>(
-    open: &[&'a UpstreamId],
-    turn: &mut u64,
-) -> Option<&'a UpstreamId> {
-    let count = u64::try_from(open.len()).ok().filter(|count| *count > 0)?;
-    *turn += 1;
-    let at = usize::try_from(*turn % count).ok()?;
-    open.get(at).copied()
-}
-
-fn least_requests<'a>(
-    open: &[&'a UpstreamId],
+fn pick<C: EngineChoice>(
+    choice: &mut C,
     table: &CandidateTable,
-) -> Option<&'a UpstreamId> {
-    open.iter().copied().min_by_key(|id| table.running(id))
+    row: &EntryRow,
+    view: &FleetView,
+) -> Option<UpstreamId> {
+    let all = view.upstreams.serving(&row.spec.model);
+    let usable =
+        |id: &&UpstreamId| view.accepts_work(id) && !row.tried.contains(id);
+    let usable: Vec<&UpstreamId> = all.iter().filter(usable).collect();
+    choice.pick(&usable, table).cloned()
 }
 
 fn leg(ask: u64, open: &OpenAsk, grant: &Grant) -> Leg {
--- a/lib/src/placement.rs
+++ b/lib/src/placement.rs
@@ -7,7 +7,11 @@
 //! prompts have an index of their own, because few of them would be found by
 //! sampling all.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
@@ -18,7 +22,7 @@
     owner::LONG_PROMPT,
     peer_api::EngineSummary,
     units::{Timestamp, TokenCount},
-    view::FleetView,
+    view::{FleetView, UpstreamEntry},
 };
 
 /// Candidates kept from a sample.
@@ -50,11 +54,54 @@
     /// Hash of the prompt's prefix.
     pub prefix: u64,
     /// Failure domains that may be used; absent means all.
-    pub domains: Option<&'a std::collections::BTreeSet<DomainId>>,
+    pub domains: Option<&'a BTreeSet<DomainId>>,
     /// Engines that were tried before.
     pub tried: &'a [UpstreamId],
 }
 
+/// Picks an engine for a request that is sent without a grant. The baselines
+/// that the product is compared with are such policies.
+pub trait EngineChoice {
+    /// One of the usable engines.
+    fn pick<'a>(
+        &mut self,
+        usable: &[&'a UpstreamId],
+        table: &CandidateTable,
+    ) -> Option<&'a UpstreamId>;
+}
+
+/// Each engine in turn.
+#[derive(Clone, Debug, Default)]
+pub struct RoundRobin {
+    turn: usize,
+}
+
+impl EngineChoice for RoundRobin {
+    fn pick<'a>(
+        &mut self,
+        usable: &[&'a UpstreamId],
+        _table: &CandidateTable,
+    ) -> Option<&'a UpstreamId> {
+        self.turn = self.turn.wrapping_add(1);
+        let at = self.turn.checked_rem(usable.len())?;
+        usable.get(at).copied()
+    }
+}
+
+/// The engine with the fewest requests from this instance.
+#[derive(Clone, Debug, Default)]
+pub struct LeastRequests;
+
+impl EngineChoice for LeastRequests {
+    fn pick<'a>(
+        &mut self,
+        usable: &[&'a UpstreamId],
+        table: &CandidateTable,
+    ) -> Option<&'a UpstreamId> {
+        usable.iter().copied().min_by_key(|id| table.running(id))
+    }
+}
+
 #[derive(Clone, Debug, Default)]
 struct CandidateRow {
     summary: Option<(EngineSummary, Timestamp)>,
@@ -148,22 +195,6 @@
         Some(summary.headroom.saturating_sub(row.pending))
     }
 
-    /// Memory that can probably be granted on an engine. Of an engine that
-    /// nothing is known of, half the memory is assumed.
-    pub fn headroom(
-        &self,
-        now: Timestamp,
-        engine: &UpstreamId,
-        view: &FleetView,
-    ) -> TokenCount {
-        if let Some(headroom) = self.known_headroom(now, engine) {
-            return headroom;
-        }
-        let entry = view.upstreams.get(engine);
-        let report = entry.and_then(|entry| entry.capability.as_deref());
-        report.map_or(TokenCount::ZERO, |report| percent_of(report.memory, 50))
-    }
-
     /// Candidates for a request, best first.
     pub fn choose(
         &self,
@@ -175,20 +206,26 @@
         let long = need.prompt > LONG_PROMPT;
         let indexed = self.long.get(need.model).map_or(&[][..], Vec::as_slice);
         let all = view.upstreams.serving(need.model);
-        let mut found = Vec::new();
-        if long {
-            found = self.sample(need, indexed, view, rng, |_| true);
+        let look = |id| self.look_at(now, id, need, view);
+        let mut found = if long {
+            sample(indexed, rng, look)
         } else {
-            let short = |id: &UpstreamId| !self.takes_long(id);
-            found.extend(self.sample(need, all, view, rng, short));
-        }
+            let short = |id| look(id).filter(|candidate| !candidate.takes_long);
+            sample(all, rng, short)
+        };
         if found.is_empty() {
-            found = self.sample(need, all, view, rng, |_| true);
+            found = sample(all, rng, look);
         }
-        let mut chosen = self.weighted(now, found, view, rng);
-        self.add_affinity(need, long, view, &mut chosen);
-        chosen.sort_by_cached_key(|id| self.rank(now, id, need, view));
-        chosen
+        let mut chosen = weighted(found, rng);
+        let cached = self.prefixes.get(&need.prefix).map(|(id, _)| id);
+        let missing = cached.filter(|cached| {
+            chosen.iter().all(|candidate| candidate.id != *cached)
+        });
+        let serving = |id: &&UpstreamId| all.binary_search(id).is_ok();
+        let cached = missing.filter(serving).and_then(look);
+        chosen.extend(cached.filter(|known| known.takes_long == long));
+        chosen.sort_by_key(Candidate::rank);
+        chosen.into_iter().map(|known| known.id.clone()).collect()
     }
 
     /// Whether an engine's owner says that it takes long prompts.
@@ -198,103 +235,104 @@
         summary.is_some_and(|(summary, _)| summary.takes_long)
     }
 
-    fn sample(
+    /// What is known of an engine, if it may be used.
+    fn look_at<'a>(
         &self,
+        now: Timestamp,
+        id: &'a UpstreamId,
         need: &PlacementNeed,
-        engines: &[UpstreamId],
         view: &FleetView,
-        rng: &mut ChaCha8Rng,
-        wanted: impl Fn(&UpstreamId) -> bool,
-    ) -> Vec<UpstreamId> {
-        let usable = |id: &&UpstreamId| usable(id, need, view) && wanted(id);
-        if engines.len() <= DRAWS / 2 {
-            return engines.iter().filter(usable).cloned().collect();
+    ) -> Option<Candidate<'a>> {
+        let entry = view.upstreams.get(id)?;
+        if !usable(id, entry, need, view) {
+            return None;
         }
-        let mut found: Vec<UpstreamId> = Vec::with_capacity(SAMPLES);
-        for _ in 0..DRAWS {
-            let id = &engines[rng.random_range(0..engines.len())];
-            if !found.contains(id) && usable(&id) {
-                found.push(id.clone());
-            }
-            if found.len() == SAMPLES {
-                break;
-            }
+        let row = self.rows.get(id);
+        let recent = row.and_then(|row| row.recent(now));
+        let known = recent.map(|(_, summary)| summary);
+        let headroom = match recent {
+            Some((row, known)) => known.headroom.saturating_sub(row.pending),
+            None => assumed_headroom(entry),
+        };
+        let mut wait = known.map_or(Duration::ZERO, |known| known.wait);
+        let cached = self.prefixes.get(&need.prefix);
+        if cached.is_some_and(|(engine, _)| engine == id) {
+            wait = wait.saturating_sub(AFFINITY_WAIT);
+        } else if cached.is_some() {
+            wait = wait.saturating_add(Duration::from_millis(1));
         }
-        found
+        let slots = known.is_none_or(|known| known.free_slots > 0);
+        let summary = row.and_then(|row| row.summary.as_ref());
+        Some(Candidate {
+            id,
+            headroom,
+            wait_steps: wait.as_millis().div_ceil(WAIT_STEP_MS),
+            full: headroom < need.tokens || !slots,
+            remote: entry.domain != *view.own_domain,
+            takes_long: summary.is_some_and(|(known, _)| known.takes_long),
+        })
     }
+}
 
-    fn weighted(
-        &self,
-        now: Timestamp,
-        found: Vec<UpstreamId>,
-        view: &FleetView,
-        rng: &mut ChaCha8Rng,
-    ) -> Vec<UpstreamId> {
-        let mut weights: Vec<(UpstreamId, u64)> = found
-            .into_iter()
-            .map(|id| {
-                let headroom = self.headroom(now, &id, view).get();
-                (id, headroom.min(WEIGHT_MAX) + 1)
-            })
-            .collect();
-        let mut chosen = Vec::with_capacity(CANDIDATES + 1);
-        while chosen.len() < CANDIDATES && !weights.is_empty() {
-            let sum: u64 = weights.iter().map(|(_, weight)| weight).sum();
-            let mut draw = rng.random_range(0..sum);
-            let at = weights.iter().position(|(_, weight)| {
-                let hit = draw < *weight;
-                draw = draw.saturating_sub(*weight);
-                hit
-            });
-            let (id, _) = weights.swap_remove(at.unwrap_or(0));
-            chosen.push(id);
-        }
-        chosen
+/// One engine that may be used, as it is known at the moment.
+#[derive(Clone, Copy, Debug)]
+struct Candidate<'a> {
+    id: &'a UpstreamId,
+    headroom: TokenCount,
+    wait_steps: u128,
+    full: bool,
+    remote: bool,
+    takes_long: bool,
+}
+
+impl Candidate<'_> {
+    /// Sorts engines with room first, then by wait, then the own domain.
+    fn rank(&self) -> (bool, u128, bool, Reverse<TokenCount>) {
+        let room = Reverse(self.headroom);
+        (self.full, self.wait_steps, self.remote, room)
     }
+}
 
-    fn add_affinity(
-        &self,
-        need: &PlacementNeed,
-        long: bool,
-        view: &FleetView,
-        chosen: &mut Vec<UpstreamId>,
-    ) {
-        let Some((id, _)) = self.prefixes.get(&need.prefix) else {
-            return;
-        };
-        let serving = view.upstreams.serving(need.model);
-        let fits = usable(id, need, view)
-            && self.takes_long(id) == long
-            && serving.binary_search(id).is_ok();
-        if fits && !chosen.contains(id) {
-            chosen.push(id.clone());
+/// Looks at a bounded number of engines, or at all if there are few.
+fn sample<'a>(
+    engines: &'a [UpstreamId],
+    rng: &mut ChaCha8Rng,
+    look: impl Fn(&'a UpstreamId) -> Option<Candidate<'a>>,
+) -> Vec<Candidate<'a>> {
+    if engines.len() <= DRAWS / 2 {
+        return engines.iter().filter_map(look).collect();
+    }
+    let mut found: Vec<Candidate> = Vec::with_capacity(SAMPLES);
+    for _ in 0..DRAWS {
+        let id = &engines[rng.random_range(0..engines.len())];
+        if found.iter().all(|known| known.id != id) {
+            found.extend(look(id));
+        }
+        if found.len() == SAMPLES {
+            break;
         }
     }
+    found
+}
 
-    /// Sorts engines with room first, then by wait, then the own domain.
-    fn rank(
-        &self,
-        now: Timestamp,
-        id: &UpstreamId,
-        need: &PlacementNeed,
-        view: &FleetView,
-    ) -> (bool, u128, bool, std::cmp::Reverse<TokenCount>) {
-        let headroom = self.headroom(now, id, view);
-        let row = self.rows.get(id).and_then(|row| row.recent(now));
-        let mut wait = row.map_or(Duration::ZERO, |(_, known)| known.wait);
-        let cached = self.prefixes.get(&need.prefix);
-        if cached.is_some_and(|(engine, _)| engine == id) {
-            wait = wait.saturating_sub(AFFINITY_WAIT);
-        } else if cached.is_some() {
-            wait = wait.saturating_add(Duration::from_millis(1));
-        }
-        let entry = view.upstreams.get(id);
-        let remote = entry.is_none_or(|entry| entry.domain != *view.own_domain);
-        let slots = row.is_none_or(|(_, known)| known.free_slots > 0);
-        let full = headroom < need.tokens || !slots;
-        let step = wait.as_millis().div_ceil(WAIT_STEP_MS);
-        (full, step, remote, std::cmp::Reverse(headroom))
+/// Keeps some of a sample by random choice weighted by headroom.
+fn weighted<'a>(
+    mut found: Vec<Candidate<'a>>,
+    rng: &mut ChaCha8Rng,
+) -> Vec<Candidate<'a>> {
+    let weight = |known: &Candidate| known.headroom.get().min(WEIGHT_MAX) + 1;
+    let mut chosen = Vec::with_capacity(CANDIDATES + 1);
+    while chosen.len() < CANDIDATES && !found.is_empty() {
+        let sum: u64 = found.iter().map(weight).sum();
+        let mut draw = rng.random_range(0..sum);
+        let at = found.iter().position(|known| {
+            let hit = draw < weight(known);
+            draw = draw.saturating_sub(weight(known));
+            hit
+        });
+        chosen.push(found.swap_remove(at.unwrap_or(0)));
     }
+    chosen
 }
 
 impl CandidateRow {
@@ -304,12 +342,22 @@
     }
 }
 
-fn usable(id: &UpstreamId, need: &PlacementNeed, view: &FleetView) -> bool {
-    let allowed = need.domains.is_none_or(|domains| {
-        let entry = view.upstreams.get(id);
-        entry.is_some_and(|entry| domains.contains(&entry.domain))
-    });
-    allowed && !need.tried.contains(id) && view.accepts_work(id)
+fn usable(
+    id: &UpstreamId,
+    entry: &UpstreamEntry,
+    need: &PlacementNeed,
+    view: &FleetView,
+) -> bool {
+    let allowed = need
+        .domains
+        .is_none_or(|domains| domains.contains(&entry.domain));
+    allowed && !need.tried.contains(id) && view.accepts_entry(id, entry)
+}
+
+/// Half the memory, for an engine that nothing else is known of.
+fn assumed_headroom(entry: &UpstreamEntry) -> TokenCount {
+    let report = entry.capability.as_deref();
+    report.map_or(TokenCount::ZERO, |report| percent_of(report.memory, 50))
 }
 
 fn index(
--- a/lib/src/view.rs
+++ b/lib/src/view.rs
@@ -108,7 +108,29 @@
 impl FleetView<'_> {
     /// How running work on an upstream is to end, if it takes no new work.
     pub fn drain_mode(&self, id: &UpstreamId) -> Option<DrainMode> {
-        let entry = self.upstreams.get(id)?;
+        self.entry_drain_mode(id, self.upstreams.get(id)?)
+    }
+
+    /// Whether an upstream may get new work.
+    pub fn accepts_work(&self, id: &UpstreamId) -> bool {
+        let entry = self.upstreams.get(id);
+        entry.is_some_and(|entry| self.accepts_entry(id, entry))
+    }
+
+    /// Whether an upstream with a known entry may get new work.
+    pub fn accepts_entry(
+        &self,
+        id: &UpstreamId,
+        entry: &UpstreamEntry,
+    ) -> bool {
+        self.entry_drain_mode(id, entry).is_none()
+    }
+
+    fn entry_drain_mode(
+        &self,
+        id: &UpstreamId,
+        entry: &UpstreamEntry,
+    ) -> Option<DrainMode> {
         let domain = self.fleet.domains.get(&entry.domain);
         let rule = self.fleet.upstreams.get(id);
         let closed = domain.and_then(|rule| rule.closed);
@@ -117,11 +139,6 @@
         closed.or(drained).or(leaving)
     }
 
-    /// Whether an upstream may get new work.
-    pub fn accepts_work(&self, id: &UpstreamId) -> bool {
-        self.upstreams.get(id).is_some() && self.drain_mode(id).is_none()
-    }
-
     /// Whether this instance owns an engine.
     pub fn owns(&self, id: &UpstreamId) -> bool {
         self.owners.get(id) == Some(self.own)
--- a/lib/tests/sim/mod.rs
+++ b/lib/tests/serving/sim/mod.rs
@@ -5,6 +5,8 @@
 //! the real one promises: it reports each read once, and writes nothing after
 //! an assignment's `send_before`.
 
+mod engine;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
@@ -17,11 +19,11 @@
         Assignment, PolicyName, RequestDecision, RequestProgress, RequestSpec,
         StreamFailure,
     },
-    engine_api::{CapabilityReport, HeldReport, HeldRequest, LoadReport},
+    engine_api::{CapabilityReport, HeldReport, HeldRequest},
     entry::{EntryAction, EntryEvent, EntryTable},
     fleet::FleetState,
     ids::{DomainId, InstanceId, RequestId, UpstreamId},
-    owner::{OwnerAction, OwnerEvent, OwnerTable},
+    owner::{OwnerAction, OwnerEvent, OwnerTable, TakeoverState},
     peer_api::{Grant, GrantAnswer},
     refusal::{Refusal, RunState},
     units::{Incarnation, Timestamp, TokenCount, TokenRate},
@@ -103,7 +105,9 @@
     sequence: u64,
     replies: BTreeMap<u64, (usize, u64)>,
     placed: BTreeMap<RequestId, (u64, Assignment)>,
-    fleet: FleetState,
+    pub(crate) fleet: FleetState,
+    pub(crate) fresh: bool,
+    pub(crate) frozen: bool,
 }
 
 pub(crate) fn engine_id(number: usize) -> UpstreamId {
@@ -184,6 +188,8 @@
             replies: BTreeMap::new(),
             placed: BTreeMap::new(),
             fleet: FleetState::default(),
+            fresh: true,
+            frozen: false,
             config,
         }
     }
@@ -257,6 +263,23 @@
         }
     }
 
+    pub(crate) fn set_loss(&mut self, percent: u32) {
+        self.config.loss_percent = percent;
+    }
+
+    pub(crate) fn held_by(&self, number: usize) -> Vec<RequestId> {
+        let held = &self.engines[&engine_id(number)].held;
+        held.keys().cloned().collect()
+    }
+
+    pub(crate) fn takeover(
+        &self,
+        at: usize,
+        number: usize,
+    ) -> Option<TakeoverState> {
+        self.instances[at].owner.takeover(&engine_id(number))
+    }
+
     pub(crate) fn held(&self) -> usize {
         self.engines.values().map(|engine| engine.held.len()).sum()
     }
@@ -339,7 +362,7 @@
             upstreams: &instance.upstreams,
             owners: &instance.owners,
             live_instances,
-            fresh: true,
+            fresh: self.fresh,
             may_own: true,
         };
         act((&mut instance.entry, &mut instance.owner), &view)
@@ -511,175 +534,6 @@
             }
         }
     }
-
-    /// Delivers the result of a read; a lost one is reported as failed.
-    fn read(&mut self, at: usize, event: OwnerEvent) {
-        let lost = self.rng.random_range(0..100) < self.config.loss_percent;
-        let event = match event {
-            OwnerEvent::LoadRead(engine, _) if lost => {
-                OwnerEvent::LoadRead(engine, None)
-            }
-            OwnerEvent::HeldRead(engine, _) if lost => {
-                OwnerEvent::HeldRead(engine, None)
-            }
-            event => event,
-        };
-        let delay = self.rng.random_range(0..=self.config.delay_ms);
-        self.post(delay, Event::Owner(at, event));
-    }
-
-    fn load(&self, engine: &UpstreamId) -> LoadReport {
-        let state = &self.engines[engine];
-        LoadReport {
-            engine: engine.clone(),
-            incarnation: Incarnation::new(state.incarnation),
-            age_ms: self.config.report_lag_ms,
-            held: state.held.values().map(|held| held.tokens).sum(),
-            running: state.held.len() as u32,
-            queued: 0,
-            prefill_backlog: TokenCount::ZERO,
-            prefill_rate: TokenRate::new(PREFILL),
-            decode_rate: TokenRate::new(DECODE),
-            leaving: false,
-        }
-    }
-
-    fn deliver(&mut self, event: Event) {
-        match event {
-            Event::Owner(at, event) => self.owner_event(at, event),
-            Event::Entry(at, event) => self.entry_event(at, event),
-            Event::Owns(at, engine, to) => {
-                let owner = self.instances[to].name.clone();
-                self.instances[at].owners.insert(engine, owner);
-            }
-            Event::Cancel(engine, request) => {
-                let state = self.engines.get_mut(&engine).expect("known");
-                state.held.remove(&request);
-            }
-            Event::Write(at, request, turn, leg) => {
-                self.write(at, request, turn, leg);
-            }
-            Event::Arrive(at, request, turn, leg) => {
-                self.arrive_at_engine(at, request, turn, leg);
-            }
-            Event::FirstPart(at, request, engine, incarnation) => {
-                if self.runs(&request, &engine, incarnation) {
-                    let first = RequestProgress::FirstPart;
-                    let event = EntryEvent::Progress(request, first);
-                    self.entry_event(at, event);
-                }
-            }
-            Event::End(at, request, engine, incarnation) => {
-                self.finish(at, request, engine, incarnation);
-            }
-        }
-    }
-
-    fn runs(&self, request: &RequestId, on: &UpstreamId, inc: u64) -> bool {
-        let state = &self.engines[on];
-        state.incarnation == inc && state.held.contains_key(request)
-    }
-
-    fn current(&self, request: &RequestId, turn: u64) -> Option<Assignment> {
-        let (placed, assignment) = self.placed.get(request)?;
-        let ended = self.ends.contains_key(request);
-        (*placed == turn && !ended).then(|| assignment.clone())
-    }
-
-    fn write(&mut self, at: usize, request: RequestId, turn: u64, leg: usize) {
-        let Some(assignment) = self.current(&request, turn) else {
-            return;
-        };
-        let engine = assignment.engines[leg].engine.clone();
-        if leg == 0 && self.now >= assignment.send_before {
-            let expired = StreamFailure::AssignmentExpired;
-            return self.fail(&request, &engine, expired);
-        }
-        let sent = RequestProgress::Sent(engine);
-        self.entry_event(at, EntryEvent::Progress(request.clone(), sent));
-        let delay = self.rng.random_range(0..=WRITE_MS);
-        self.post(delay, Event::Arrive(at, request, turn, leg));
-    }
-
-    fn arrive_at_engine(
-        &mut self,
-        at: usize,
-        request: RequestId,
-        turn: u64,
-        leg: usize,
-    ) {
-        let spec = self.specs[&request].clone();
-        let Some((_, assignment)) = self
-            .placed
-            .get(&request)
-            .filter(|(placed, _)| *placed == turn)
-        else {
-            return;
-        };
-        let last = leg + 1 == assignment.engines.len();
-        let assigned = assignment.engines[leg].clone();
-        let engine = assigned.engine;
-        let output = if last { spec.output.get() } else { 0 };
-        let tokens = assigned.prompt.get() + output;
-        let now = self.now;
-        let state = self.engines.get_mut(&engine).expect("known engine");
-        let used: u64 = state.held.values().map(|held| held.tokens.get()).sum();
-        if used + tokens > MEMORY || state.held.len() >= SLOTS as usize {
-            self.overcommitted += 1;
-            return self.fail(&request, &engine, StreamFailure::Overcommitted);
-        }
-        let held = HeldRequest {
-            request: request.clone(),
-            tokens: TokenCount::new(tokens),
-            age_ms: 0,
-            attached: true,
-        };
-        state.held.insert(request.clone(), held);
-        self.accepted.insert(request.clone());
-        let start = state.busy_until.max(now);
-        let prefill = assigned.prompt.get() * 1_000_000 / PREFILL;
-        let first = start.after(Duration::from_micros(prefill));
-        state.busy_until = first;
-        let incarnation = state.incarnation;
-        let most = self.most_held.entry(engine.clone()).or_default();
-        *most = state.held.len().max(*most);
-        let wait = first.since(now).as_millis() as u64;
-        if last {
-            let decode = output * 1000 / DECODE;
-            let part = Event::FirstPart(
-                at,
-                request.clone(),
-                engine.clone(),
-                incarnation,
-            );
-            self.post(wait, part);
-            let end = Event::End(at, request, engine, incarnation);
-            self.post(wait + decode, end);
-        } else {
-            self.post(wait, Event::Write(at, request, turn, leg + 1));
-        }
-    }
-
-    fn finish(
-        &mut self,
-        at: usize,
-        request: RequestId,
-        engine: UpstreamId,
-        incarnation: u64,
-    ) {
-        if !self.runs(&request, &engine, incarnation) {
-            return;
-        }
-        let state = self.engines.get_mut(&engine).expect("known engine");
-        state.held.remove(&request);
-        if self.ends.contains_key(&request) {
-            return;
-        }
-        self.placed.remove(&request);
-        self.ends.insert(request.clone(), (self.now, None));
-        let done = RequestProgress::Finished(self.specs[&request].output);
-        self.entry_event(at, EntryEvent::Progress(request, done));
-    }
 }
 
 /// Requests that were answered whole.
--- a/lib/tests/test_policy.rs
+++ b/lib/tests/serving/test_policy.rs
@@ -1,10 +1,9 @@
 //! Properties of owners and entry instances together, over random arrivals,
 //! delays, losses, restarts, cancels and changes of ownership.
 
-mod sim;
-
 use std::time::Duration;
 
+use crate::sim::{MEMORY, SimConfig, World, answered, untrue};
 use borageline_lib::{
     api::PriorityClass,
     core::PolicyName,
@@ -14,7 +13,6 @@
     prelude::*,
     test_runner::{RngAlgorithm, RngSeed},
 };
-use sim::{MEMORY, SimConfig, World, answered, untrue};
 
 /// Longest time for which two instances own an engine: what the hold-down
 /// leaves beside the life of a grant.
