policy: make a placement decision cheaper with many engines

The upstream table keeps the entries of a model beside its ids, rows of candidates are keyed by a hash, and each sampled engine is looked at once.

--- a/lib/src/placement.rs
+++ b/lib/src/placement.rs
@@ -15,6 +15,7 @@
 
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     ids::{DomainId, ModelName, UpstreamId},
@@ -28,7 +29,7 @@
 /// Candidates kept from a sample.
 pub const CANDIDATES: usize = 3;
 /// Engines looked at in one sample; all of them if there are no more.
-const SAMPLES: usize = 8;
+const SAMPLES: usize = 6;
 /// Draws made to find as many usable engines.
 const DRAWS: usize = 32;
 /// Age from which a summary says nothing.
@@ -102,8 +103,9 @@
     }
 }
 
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 struct CandidateRow {
+    id: UpstreamId,
     summary: Option<(EngineSummary, Timestamp)>,
     running: u32,
     pending: TokenCount,
@@ -112,7 +114,7 @@
 /// Engines as an entry instance knows them.
 #[derive(Clone, Debug, Default)]
 pub struct CandidateTable {
-    rows: BTreeMap<UpstreamId, CandidateRow>,
+    rows: BTreeMap<u64, CandidateRow>,
     long: BTreeMap<ModelName, Vec<UpstreamId>>,
     prefixes: BTreeMap<u64, (UpstreamId, u64)>,
     uses: u64,
@@ -140,28 +142,28 @@
         for model in &report.models {
             index(&mut self.long, model, &engine, summary.takes_long);
         }
-        let row = self.rows.entry(engine).or_default();
+        let row = self.row_mut(&engine);
         row.pending = TokenCount::ZERO;
         row.summary = Some((summary, now));
     }
 
     /// Counts a request of this instance that goes to an engine.
     pub fn started(&mut self, engine: &UpstreamId, tokens: TokenCount) {
-        let row = self.rows.entry(engine.clone()).or_default();
+        let row = self.row_mut(engine);
         row.running += 1;
         row.pending = row.pending.saturating_add(tokens);
     }
 
     /// Counts a request of this instance that left an engine.
     pub fn ended(&mut self, engine: &UpstreamId) {
-        if let Some(row) = self.rows.get_mut(engine) {
+        if let Some(row) = self.rows.get_mut(&row_key(engine)) {
             row.running = row.running.saturating_sub(1);
         }
     }
 
     /// Requests of this instance at an engine.
     pub fn running(&self, engine: &UpstreamId) -> u32 {
-        self.rows.get(engine).map_or(0, |row| row.running)
+        self.row(engine).map_or(0, |row| row.running)
     }
 
     /// Remembers where a prefix was sent.
@@ -177,7 +179,7 @@
     /// Drops what is known of upstreams that no longer exist.
     pub fn forget_missing(&mut self, view: &FleetView) {
         let known = |id: &UpstreamId| view.upstreams.get(id).is_some();
-        self.rows.retain(|id, row| row.running > 0 || known(id));
+        self.rows.retain(|_, row| row.running > 0 || known(&row.id));
         for engines in self.long.values_mut() {
             engines.retain(known);
         }
@@ -190,7 +192,7 @@
         now: Timestamp,
         engine: &UpstreamId,
     ) -> Option<TokenCount> {
-        let row = self.rows.get(engine)?;
+        let row = self.row(engine)?;
         let (row, summary) = row.recent(now)?;
         Some(summary.headroom.saturating_sub(row.pending))
     }
@@ -206,15 +208,18 @@
         let long = need.prompt > LONG_PROMPT;
         let indexed = self.long.get(need.model).map_or(&[][..], Vec::as_slice);
         let all = view.upstreams.serving(need.model);
-        let look = |id| self.look_at(now, id, need, view);
+        let entries = view.upstreams.serving_entries(need.model);
+        let look = |id, entry| self.look_at(now, id, entry, need, view);
+        let known = |id| look(id, view.upstreams.get(id)?);
+        let any = |at: usize| look(&all[at], &entries[at]);
         let mut found = if long {
-            sample(indexed, rng, look)
+            sample(indexed.len(), rng, |at| known(&indexed[at]))
         } else {
-            let short = |id| look(id).filter(|candidate| !candidate.takes_long);
-            sample(all, rng, short)
+            let short = |found: &Candidate| !found.takes_long;
+            sample(all.len(), rng, |at| any(at).filter(short))
         };
         if found.is_empty() {
-            found = sample(all, rng, look);
+            found = sample(all.len(), rng, any);
         }
         let mut chosen = weighted(found, rng);
         let cached = self.prefixes.get(&need.prefix).map(|(id, _)| id);
@@ -222,7 +227,7 @@
             chosen.iter().all(|candidate| candidate.id != *cached)
         });
         let serving = |id: &&UpstreamId| all.binary_search(id).is_ok();
-        let cached = missing.filter(serving).and_then(look);
+        let cached = missing.filter(serving).and_then(known);
         chosen.extend(cached.filter(|known| known.takes_long == long));
         chosen.sort_by_key(Candidate::rank);
         chosen.into_iter().map(|known| known.id.clone()).collect()
@@ -230,24 +235,37 @@
 
     /// Whether an engine's owner says that it takes long prompts.
     pub fn takes_long(&self, engine: &UpstreamId) -> bool {
-        let summary =
-            self.rows.get(engine).and_then(|row| row.summary.as_ref());
+        let summary = self.row(engine).and_then(|row| row.summary.as_ref());
         summary.is_some_and(|(summary, _)| summary.takes_long)
     }
 
+    fn row(&self, engine: &UpstreamId) -> Option<&CandidateRow> {
+        self.rows.get(&row_key(engine))
+    }
+
+    fn row_mut(&mut self, engine: &UpstreamId) -> &mut CandidateRow {
+        let row = self.rows.entry(row_key(engine));
+        row.or_insert_with(|| CandidateRow {
+            id: engine.clone(),
+            summary: None,
+            running: 0,
+            pending: TokenCount::ZERO,
+        })
+    }
+
     /// What is known of an engine, if it may be used.
     fn look_at<'a>(
         &self,
         now: Timestamp,
         id: &'a UpstreamId,
+        entry: &UpstreamEntry,
         need: &PlacementNeed,
         view: &FleetView,
     ) -> Option<Candidate<'a>> {
-        let entry = view.upstreams.get(id)?;
         if !usable(id, entry, need, view) {
             return None;
         }
-        let row = self.rows.get(id);
+        let row = self.row(id);
         let recent = row.and_then(|row| row.recent(now));
         let known = recent.map(|(_, summary)| summary);
         let headroom = match recent {
@@ -295,18 +313,20 @@
 
 /// Looks at a bounded number of engines, or at all if there are few.
 fn sample<'a>(
-    engines: &'a [UpstreamId],
+    count: usize,
     rng: &mut ChaCha8Rng,
-    look: impl Fn(&'a UpstreamId) -> Option<Candidate<'a>>,
+    look: impl Fn(usize) -> Option<Candidate<'a>>,
 ) -> Vec<Candidate<'a>> {
-    if engines.len() <= DRAWS / 2 {
-        return engines.iter().filter_map(look).collect();
+    if count <= DRAWS / 2 {
+        return (0..count).filter_map(look).collect();
     }
     let mut found: Vec<Candidate> = Vec::with_capacity(SAMPLES);
+    let mut seen = Vec::with_capacity(DRAWS);
     for _ in 0..DRAWS {
-        let id = &engines[rng.random_range(0..engines.len())];
-        if found.iter().all(|known| known.id != id) {
-            found.extend(look(id));
+        let at = rng.random_range(0..count);
+        if !seen.contains(&at) {
+            seen.push(at);
+            found.extend(look(at));
         }
         if found.len() == SAMPLES {
             break;
@@ -342,6 +362,13 @@
     }
 }
 
+/// Key of an engine's row. Comparing hashes is cheaper than comparing ids that
+/// share a long prefix. Two engines with the same hash would share a row, which
+/// holds only hints.
+fn row_key(engine: &UpstreamId) -> u64 {
+    xxh3_64(engine.as_str().as_bytes())
+}
+
 fn usable(
     id: &UpstreamId,
     entry: &UpstreamEntry,
--- a/lib/src/view.rs
+++ b/lib/src/view.rs
@@ -30,7 +30,34 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct UpstreamTable {
     entries: BTreeMap<UpstreamId, UpstreamEntry>,
-    by_model: BTreeMap<ModelName, Vec<UpstreamId>>,
+    by_model: BTreeMap<ModelName, ServingIndex>,
+}
+
+/// Engines of one model. The entries stand beside the ids, because a look-up
+/// for each sampled engine costs more the more engines there are.
+#[derive(Clone, Debug, Default, PartialEq)]
+struct ServingIndex {
+    ids: Vec<UpstreamId>,
+    entries: Vec<UpstreamEntry>,
+}
+
+impl ServingIndex {
+    fn insert(&mut self, id: &UpstreamId, entry: &UpstreamEntry) {
+        match self.ids.binary_search(id) {
+            Ok(at) => self.entries[at] = entry.clone(),
+            Err(at) => {
+                self.ids.insert(at, id.clone());
+                self.entries.insert(at, entry.clone());
+            }
+        }
+    }
+
+    fn remove(&mut self, id: &UpstreamId) {
+        if let Ok(at) = self.ids.binary_search(id) {
+            self.ids.remove(at);
+            self.entries.remove(at);
+        }
+    }
 }
 
 impl UpstreamTable {
@@ -41,15 +68,21 @@
 
     /// Adds or replaces an entry.
     pub fn insert(&mut self, id: UpstreamId, entry: UpstreamEntry) {
-        self.remove(&id);
-        if let Some(report) = &entry.capability {
-            for model in &report.models {
-                let ids = self.by_model.entry(model.clone()).or_default();
-                if let Err(index) = ids.binary_search(&id) {
-                    ids.insert(index, id.clone());
-                }
+        let models = |entry: &UpstreamEntry| {
+            let report = entry.capability.as_ref();
+            report.map_or(Vec::new(), |report| report.models.clone())
+        };
+        let new = models(&entry);
+        let old = self.entries.get(&id).map_or(Vec::new(), models);
+        for model in old.iter().filter(|model| !new.contains(model)) {
+            if let Some(index) = self.by_model.get_mut(model) {
+                index.remove(&id);
             }
         }
+        for model in new {
+            let index = self.by_model.entry(model).or_default();
+            index.insert(&id, &entry);
+        }
         self.entries.insert(id, entry);
     }
 
@@ -58,10 +91,8 @@
         let entry = self.entries.remove(id)?;
         if let Some(report) = &entry.capability {
             for model in &report.models {
-                if let Some(ids) = self.by_model.get_mut(model)
-                    && let Ok(index) = ids.binary_search(id)
-                {
-                    ids.remove(index);
+                if let Some(index) = self.by_model.get_mut(model) {
+                    index.remove(id);
                 }
             }
         }
@@ -80,7 +111,12 @@
 
     /// Engines that have a model loaded, in the order of their ids.
     pub fn serving(&self, model: &ModelName) -> &[UpstreamId] {
-        self.by_model.get(model).map_or(&[], Vec::as_slice)
+        self.by_model.get(model).map_or(&[], |index| &index.ids)
+    }
+
+    /// Entries of [`Self::serving`], in the same order.
+    pub fn serving_entries(&self, model: &ModelName) -> &[UpstreamEntry] {
+        self.by_model.get(model).map_or(&[], |index| &index.entries)
     }
 }
 
