--- a/lib/src/placement.rs
+++ b/lib/src/placement.rs
@@ -7,10 +7,15 @@
 //! prompts have an index of their own, because few of them would be found by
 //! sampling all.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     ids::{DomainId, ModelName, UpstreamId},
@@ -18,13 +23,13 @@
     owner::LONG_PROMPT,
     peer_api::EngineSummary,
     units::{Timestamp, TokenCount},
-    view::FleetView,
+    view::{FleetView, UpstreamEntry},
 };
 
 /// Candidates kept from a sample.
 pub const CANDIDATES: usize = 3;
 /// Engines looked at in one sample; all of them if there are no more.
-const SAMPLES: usize = 8;
+const SAMPLES: usize = 6;
 /// Draws made to find as many usable engines.
 const DRAWS: usize = 32;
 /// Age from which a summary says nothing.
@@ -50,13 +55,57 @@
     /// Hash of the prompt's prefix.
     pub prefix: u64,
     /// Failure domains that may be used; absent means all.
-    pub domains: Option<&'a std::collections::BTreeSet<DomainId>>,
+    pub domains: Option<&'a BTreeSet<DomainId>>,
     /// Engines that were tried before.
     pub tried: &'a [UpstreamId],
 }
 
+/// Picks an engine for a request that is sent without a grant. The baselines
+/// that the product is compared with are such policies.
+pub trait EngineChoice {
+    /// One of the usable engines.
+    fn pick<'a>(
+        &mut self,
+        usable: &[&'a UpstreamId],
+        table: &CandidateTable,
+    ) -> Option<&'a UpstreamId>;
+}
+
+/// Each engine in turn.
 #[derive(Clone, Debug, Default)]
+pub struct RoundRobin {
+    turn: usize,
+}
+
+impl EngineChoice for RoundRobin {
+    fn pick<'a>(
+        &mut self,
+        usable: &[&'a UpstreamId],
+        _table: &CandidateTable,
+    ) -> Option<&'a UpstreamId> {
+        self.turn = self.turn.wrapping_add(1);
+        let at = self.turn.checked_rem(usable.len())?;
+        usable.get(at).copied()
+    }
+}
+
+/// The engine with the fewest requests from this instance.
+#[derive(Clone, Debug, Default)]
+pub struct LeastRequests;
+
+impl EngineChoice for LeastRequests {
+    fn pick<'a>(
+        &mut self,
+        usable: &[&'a UpstreamId],
+        table: &CandidateTable,
+    ) -> Option<&'a UpstreamId> {
+        usable.iter().copied().min_by_key(|id| table.running(id))
+    }
+}
+
+#[derive(Clone, Debug)]
 struct CandidateRow {
+    id: UpstreamId,
     summary: Option<(EngineSummary, Timestamp)>,
     running: u32,
     pending: TokenCount,
@@ -65,7 +114,7 @@
 /// Engines as an entry instance knows them.
 #[derive(Clone, Debug, Default)]
 pub struct CandidateTable {
-    rows: BTreeMap<UpstreamId, CandidateRow>,
+    rows: BTreeMap<u64, CandidateRow>,
     long: BTreeMap<ModelName, Vec<UpstreamId>>,
     prefixes: BTreeMap<u64, (UpstreamId, u64)>,
     uses: u64,
@@ -93,28 +142,28 @@
         for model in &report.models {
             index(&mut self.long, model, &engine, summary.takes_long);
         }
-        let row = self.rows.entry(engine).or_default();
+        let row = self.row_mut(&engine);
         row.pending = TokenCount::ZERO;
         row.summary = Some((summary, now));
     }
 
     /// Counts a request of this instance that goes to an engine.
     pub fn started(&mut self, engine: &UpstreamId, tokens: TokenCount) {
-        let row = self.rows.entry(engine.clone()).or_default();
+        let row = self.row_mut(engine);
         row.running += 1;
         row.pending = row.pending.saturating_add(tokens);
     }
 
     /// Counts a request of this instance that left an engine.
     pub fn ended(&mut self, engine: &UpstreamId) {
-        if let Some(row) = self.rows.get_mut(engine) {
+        if let Some(row) = self.rows.get_mut(&row_key(engine)) {
             row.running = row.running.saturating_sub(1);
         }
     }
 
     /// Requests of this instance at an engine.
     pub fn running(&self, engine: &UpstreamId) -> u32 {
-        self.rows.get(engine).map_or(0, |row| row.running)
+        self.row(engine).map_or(0, |row| row.running)
     }
 
     /// Remembers where a prefix was sent.
@@ -130,7 +179,7 @@
     /// Drops what is known of upstreams that no longer exist.
     pub fn forget_missing(&mut self, view: &FleetView) {
         let known = |id: &UpstreamId| view.upstreams.get(id).is_some();
-        self.rows.retain(|id, row| row.running > 0 || known(id));
+        self.rows.retain(|_, row| row.running > 0 || known(&row.id));
         for engines in self.long.values_mut() {
             engines.retain(known);
         }
@@ -143,27 +192,11 @@
         now: Timestamp,
         engine: &UpstreamId,
     ) -> Option<TokenCount> {
-        let row = self.rows.get(engine)?;
+        let row = self.row(engine)?;
         let (row, summary) = row.recent(now)?;
         Some(summary.headroom.saturating_sub(row.pending))
     }
 
-    /// Memory that can probably be granted on an engine. Of an engine that
-    /// nothing is known of, half the memory is assumed.
-    pub fn headroom(
-        &self,
-        now: Timestamp,
-        engine: &UpstreamId,
-        view: &FleetView,
-    ) -> TokenCount {
-        if let Some(headroom) = self.known_headroom(now, engine) {
-            return headroom;
-        }
-        let entry = view.upstreams.get(engine);
-        let report = entry.and_then(|entry| entry.capability.as_deref());
-        report.map_or(TokenCount::ZERO, |report| percent_of(report.memory, 50))
-    }
-
     /// Candidates for a request, best first.
     pub fn choose(
         &self,
@@ -175,128 +208,161 @@
         let long = need.prompt > LONG_PROMPT;
         let indexed = self.long.get(need.model).map_or(&[][..], Vec::as_slice);
         let all = view.upstreams.serving(need.model);
-        let mut found = Vec::new();
-        if long {
-            found = self.sample(need, indexed, view, rng, |_| true);
+        let entries = view.upstreams.serving_entries(need.model);
+        let look = |id, entry| self.look_at(now, id, entry, need, view);
+        let known = |id| look(id, view.upstreams.get(id)?);
+        let any = |at: usize| look(&all[at], &entries[at]);
+        let mut found = if long {
+            sample(indexed.len(), rng, |at| known(&indexed[at]))
         } else {
-            let short = |id: &UpstreamId| !self.takes_long(id);
-            found.extend(self.sample(need, all, view, rng, short));
-        }
+            let short = |found: &Candidate| !found.takes_long;
+            sample(all.len(), rng, |at| any(at).filter(short))
+        };
         if found.is_empty() {
-            found = self.sample(need, all, view, rng, |_| true);
+            found = sample(all.len(), rng, any);
+        }
+        let mut chosen = weighted(found, rng);
+        // Short prompts spill over to engines that take long ones rather than
+        // being refused, but long prompts never the other way.
+        if !long && chosen.iter().all(|known| known.full) {
+            let others = sample(all.len(), rng, |at| {
+                any(at).filter(|found| found.takes_long && !found.full)
+            });
+            chosen.extend(weighted(others, rng).into_iter().take(1));
         }
-        let mut chosen = self.weighted(now, found, view, rng);
-        self.add_affinity(need, long, view, &mut chosen);
-        chosen.sort_by_cached_key(|id| self.rank(now, id, need, view));
-        chosen
+        let cached = self.prefixes.get(&need.prefix).map(|(id, _)| id);
+        let missing = cached.filter(|cached| {
+            chosen.iter().all(|candidate| candidate.id != *cached)
+        });
+        let serving = |id: &&UpstreamId| all.binary_search(id).is_ok();
+        let cached = missing.filter(serving).and_then(known);
+        chosen.extend(cached.filter(|known| known.takes_long == long));
+        chosen.sort_by_key(Candidate::rank);
+        chosen.into_iter().map(|known| known.id.clone()).collect()
     }
 
     /// Whether an engine's owner says that it takes long prompts.
     pub fn takes_long(&self, engine: &UpstreamId) -> bool {
-        let summary =
-            self.rows.get(engine).and_then(|row| row.summary.as_ref());
+        let summary = self.row(engine).and_then(|row| row.summary.as_ref());
         summary.is_some_and(|(summary, _)| summary.takes_long)
     }
 
-    fn sample(
-        &self,
-        need: &PlacementNeed,
-        engines: &[UpstreamId],
-        view: &FleetView,
-        rng: &mut ChaCha8Rng,
-        wanted: impl Fn(&UpstreamId) -> bool,
-    ) -> Vec<UpstreamId> {
-        let usable = |id: &&UpstreamId| usable(id, need, view) && wanted(id);
-        if engines.len() <= DRAWS / 2 {
-            return engines.iter().filter(usable).cloned().collect();
-        }
-        let mut found: Vec<UpstreamId> = Vec::with_capacity(SAMPLES);
-        for _ in 0..DRAWS {
-            let id = &engines[rng.random_range(0..engines.len())];
-            if !found.contains(id) && usable(&id) {
-                found.push(id.clone());
-            }
-            if found.len() == SAMPLES {
-                break;
-            }
-        }
-        found
+    fn row(&self, engine: &UpstreamId) -> Option<&CandidateRow> {
+        self.rows.get(&row_key(engine))
     }
 
-    fn weighted(
-        &self,
-        now: Timestamp,
-        found: Vec<UpstreamId>,
-        view: &FleetView,
-        rng: &mut ChaCha8Rng,
-    ) -> Vec<UpstreamId> {
-        let mut weights: Vec<(UpstreamId, u64)> = found
-            .into_iter()
-            .map(|id| {
-                let headroom = self.headroom(now, &id, view).get();
-                (id, headroom.min(WEIGHT_MAX) + 1)
-            })
-            .collect();
-        let mut chosen = Vec::with_capacity(CANDIDATES + 1);
-        while chosen.len() < CANDIDATES && !weights.is_empty() {
-            let sum: u64 = weights.iter().map(|(_, weight)| weight).sum();
-            let mut draw = rng.random_range(0..sum);
-            let at = weights.iter().position(|(_, weight)| {
-                let hit = draw < *weight;
-                draw = draw.saturating_sub(*weight);
-                hit
-            });
-            let (id, _) = weights.swap_remove(at.unwrap_or(0));
-            chosen.push(id);
-        }
-        chosen
+    fn row_mut(&mut self, engine: &UpstreamId) -> &mut CandidateRow {
+        let row = self.rows.entry(row_key(engine));
+        row.or_insert_with(|| CandidateRow {
+            id: engine.clone(),
+            summary: None,
+            running: 0,
+            pending: TokenCount::ZERO,
+        })
     }
 
-    fn add_affinity(
-        &self,
-        need: &PlacementNeed,
-        long: bool,
-        view: &FleetView,
-        chosen: &mut Vec<UpstreamId>,
-    ) {
-        let Some((id, _)) = self.prefixes.get(&need.prefix) else {
-            return;
-        };
-        let serving = view.upstreams.serving(need.model);
-        let fits = usable(id, need, view)
-            && self.takes_long(id) == long
-            && serving.binary_search(id).is_ok();
-        if fits && !chosen.contains(id) {
-            chosen.push(id.clone());
-        }
-    }
-
-    /// Sorts engines with room first, then by wait, then the own domain.
-    fn rank(
+    /// What is known of an engine, if it may be used.
+    fn look_at<'a>(
         &self,
         now: Timestamp,
-        id: &UpstreamId,
+        id: &'a UpstreamId,
+        entry: &UpstreamEntry,
         need: &PlacementNeed,
         view: &FleetView,
-    ) -> (bool, u128, bool, std::cmp::Reverse<TokenCount>) {
-        let headroom = self.headroom(now, id, view);
-        let row = self.rows.get(id).and_then(|row| row.recent(now));
-        let mut wait = row.map_or(Duration::ZERO, |(_, known)| known.wait);
+    ) -> Option<Candidate<'a>> {
+        if !usable(id, entry, need, view) {
+            return None;
+        }
+        let row = self.row(id);
+        let recent = row.and_then(|row| row.recent(now));
+        let known = recent.map(|(_, summary)| summary);
+        let headroom = match recent {
+            Some((row, known)) => known.headroom.saturating_sub(row.pending),
+            None => assumed_headroom(entry),
+        };
+        let mut wait = known.map_or(Duration::ZERO, |known| known.wait);
         let cached = self.prefixes.get(&need.prefix);
         if cached.is_some_and(|(engine, _)| engine == id) {
             wait = wait.saturating_sub(AFFINITY_WAIT);
         } else if cached.is_some() {
             wait = wait.saturating_add(Duration::from_millis(1));
         }
-        let entry = view.upstreams.get(id);
-        let remote = entry.is_none_or(|entry| entry.domain != *view.own_domain);
-        let slots = row.is_none_or(|(_, known)| known.free_slots > 0);
-        let full = headroom < need.tokens || !slots;
-        let step = wait.as_millis().div_ceil(WAIT_STEP_MS);
-        (full, step, remote, std::cmp::Reverse(headroom))
+        let slots = known.is_none_or(|known| known.free_slots > 0);
+        let summary = row.and_then(|row| row.summary.as_ref());
+        Some(Candidate {
+            id,
+            headroom,
+            wait_steps: wait.as_millis().div_ceil(WAIT_STEP_MS),
+            full: headroom < need.tokens || !slots,
+            remote: entry.domain != *view.own_domain,
+            takes_long: summary.is_some_and(|(known, _)| known.takes_long),
+        })
     }
 }
 
+/// One engine that may be used, as it is known at the moment.
+#[derive(Clone, Copy, Debug)]
+struct Candidate<'a> {
+    id: &'a UpstreamId,
+    headroom: TokenCount,
+    wait_steps: u128,
+    full: bool,
+    remote: bool,
+    takes_long: bool,
+}
+
+impl Candidate<'_> {
+    /// Sorts engines with room first, then by wait, then the own domain.
+    fn rank(&self) -> (bool, u128, bool, Reverse<TokenCount>) {
+        let room = Reverse(self.headroom);
+        (self.full, self.wait_steps, self.remote, room)
+    }
+}
+
+/// Looks at a bounded number of engines, or at all if there are few.
+fn sample<'a>(
+    count: usize,
+    rng: &mut ChaCha8Rng,
+    look: impl Fn(usize) -> Option<Candidate<'a>>,
+) -> Vec<Candidate<'a>> {
+    if count <= DRAWS / 2 {
+        return (0..count).filter_map(look).collect();
+    }
+    let mut found: Vec<Candidate> = Vec::with_capacity(SAMPLES);
+    let mut seen = Vec::with_capacity(DRAWS);
+    for _ in 0..DRAWS {
+        let at = rng.random_range(0..count);
+        if !seen.contains(&at) {
+            seen.push(at);
+            found.extend(look(at));
+        }
+        if found.len() == SAMPLES {
+            break;
+        }
+    }
+    found
+}
+
+/// Keeps some of a sample by random choice weighted by headroom.
+fn weighted<'a>(
+    mut found: Vec<Candidate<'a>>,
+    rng: &mut ChaCha8Rng,
+) -> Vec<Candidate<'a>> {
+    let weight = |known: &Candidate| known.headroom.get().min(WEIGHT_MAX) + 1;
+    let mut chosen = Vec::with_capacity(CANDIDATES + 1);
+    while chosen.len() < CANDIDATES && !found.is_empty() {
+        let sum: u64 = found.iter().map(weight).sum();
+        let mut draw = rng.random_range(0..sum);
+        let at = found.iter().position(|known| {
+            let hit = draw < weight(known);
+            draw = draw.saturating_sub(weight(known));
+            hit
+        });
+        chosen.push(found.swap_remove(at.unwrap_or(0)));
+    }
+    chosen
+}
+
 impl CandidateRow {
     fn recent(&self, now: Timestamp) -> Option<(&Self, &EngineSummary)> {
         let (summary, seen) = self.summary.as_ref()?;
@@ -304,12 +370,29 @@
     }
 }
 
-fn usable(id: &UpstreamId, need: &PlacementNeed, view: &FleetView) -> bool {
-    let allowed = need.domains.is_none_or(|domains| {
-        let entry = view.upstreams.get(id);
-        entry.is_some_and(|entry| domains.contains(&entry.domain))
-    });
-    allowed && !need.tried.contains(id) && view.accepts_work(id)
+/// Key of an engine's row. Comparing hashes is cheaper than comparing ids that
+/// share a long prefix. Two engines with the same hash would share a row, which
+/// holds only hints.
+fn row_key(engine: &UpstreamId) -> u64 {
+    xxh3_64(engine.as_str().as_bytes())
+}
+
+fn usable(
+    id: &UpstreamId,
+    entry: &UpstreamEntry,
+    need: &PlacementNeed,
+    view: &FleetView,
+) -> bool {
+    let allowed = need
+        .domains
+        .is_none_or(|domains| domains.contains(&entry.domain));
+    allowed && !need.tried.contains(id) && view.accepts_entry(id, entry)
+}
+
+/// Half the memory, for an engine that nothing else is known of.
+fn assumed_headroom(entry: &UpstreamEntry) -> TokenCount {
+    let report = entry.capability.as_deref();
+    report.map_or(TokenCount::ZERO, |report| percent_of(report.memory, 50))
 }
 
 fn index(
