--- a/lib/tests/call_world/mod.rs
+++ b/lib/tests/call_world/mod.rs
@@ -43,7 +43,8 @@
     Reply(usize, u64, EntryCall, Result<PeerReply, CallFailure>),
     Land(usize, Vec<serde_json::Value>),
     Appended(usize, u64, CallAppend, Result<AppendAnswer, CallFailure>),
-    Serve(usize, u64, usize, LogOffset),
+    /// The log answers once it has a record or the time is over.
+    Serve(usize, u64, usize, LogOffset, Timestamp),
     Read(usize, u64, usize, Result<RecordPage, CallFailure>),
     Send(usize, u64, RequestId),
     Settled(usize, u64, RequestId, CallResult),
@@ -202,7 +203,12 @@
                 let event = CallEvent::Appended { append, result };
                 self.owner_event(to, event);
             }
-            Event::Serve(to, life, stream, from) => {
+            Event::Serve(_, _, stream, from, until)
+                if now < until && self.logs[stream].head() <= from =>
+            {
+                self.queue.push_in(millis(10), event);
+            }
+            Event::Serve(to, life, stream, from, _) => {
                 let page = self.logs[stream].read(now, from, 3);
                 let result = if now < self.log_up_at {
                     Err(failure(RunState::NotRun))
@@ -354,11 +360,10 @@
                     self.queue.push_in(Duration::ZERO, event);
                 }
                 CallAction::Read { stream, from, wait } => {
-                    let idle = self.logs[stream].head() <= from;
-                    let wait = if idle { wait } else { Duration::ZERO };
-                    let event = Event::Serve(index, life, stream, from);
+                    let until = self.queue.now.after(wait);
+                    let event = Event::Serve(index, life, stream, from, until);
                     let delay = self.delay();
-                    self.queue.push_in(wait + delay, event);
+                    self.queue.push_in(delay, event);
                 }
                 CallAction::Append {
                     append,
