--- /dev/null
+++ b/cli/tests/test_peers.rs
@@ -0,0 +1,601 @@
+//! Tests of the calls between instances over loopback.
+
+#![expect(
+    clippy::unwrap_used,
+    reason = "a failed step in a helper fails the test"
+)]
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
+
+use borageline::peers::{
+    FRAME_MAX_BYTES, IN_FLIGHT_MAX, PeerPool, PoolSetup, TrafficMeter,
+    serve_peers, serve_peers_metered,
+};
+use borageline_lib::{
+    ids::InstanceId,
+    peer_api::{PEER_VERSION, PeerEnvelope, PeerMessage, PeerReply},
+    refusal::RunState,
+    units::Incarnation,
+};
+use futures::future::join_all;
+use hmac::{Hmac, Mac};
+use proptest::prelude::*;
+use tarpc::{serde_transport::tcp, tokio_serde::formats::Bincode};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    task::JoinHandle,
+    time::{sleep, timeout},
+};
+
+const SECRET: &str = "a secret of the whole fleet";
+const TIMEOUT: Duration = Duration::from_secs(5);
+
+/// The protocol as another program would declare it.
+mod wire {
+    use borageline_lib::peer_api::{PeerEnvelope, PeerReply};
+
+    #[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
+    pub(crate) struct Challenge {
+        pub(crate) nonce: [u8; 32],
+        pub(crate) versions: Vec<u16>,
+    }
+
+    #[tarpc::service]
+    pub(crate) trait Wire {
+        async fn challenge() -> Challenge;
+        async fn exchange(envelope: PeerEnvelope) -> PeerReply;
+    }
+}
+
+struct TestServer {
+    address: SocketAddr,
+    calls: Arc<AtomicU32>,
+    task: JoinHandle<()>,
+}
+
+impl TestServer {
+    async fn stop(self) {
+        self.task.abort();
+        let _ = self.task.await;
+    }
+}
+
+async fn answer(message: PeerMessage) -> PeerReply {
+    match message {
+        PeerMessage::Query(text) => match text.as_ref() {
+            "slow" => {
+                sleep(Duration::from_secs(60)).await;
+                PeerReply::Done
+            }
+            "large" => PeerReply::Rows("x".repeat(FRAME_MAX_BYTES).into()),
+            _ => PeerReply::Rows(text),
+        },
+        _ => PeerReply::Nack,
+    }
+}
+
+/// Serves at an address; a restart may have to wait for the old listener.
+async fn start_server(address: &str) -> TestServer {
+    let listener = TcpListener::bind(address).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let calls = Arc::new(AtomicU32::new(0));
+    let counter = calls.clone();
+    let handler = move |_: InstanceId, _: Incarnation, message| {
+        counter.fetch_add(1, Ordering::Relaxed);
+        answer(message)
+    };
+    let task = tokio::spawn(async move {
+        serve_peers(listener, SECRET.into(), handler).await.unwrap();
+    });
+    TestServer {
+        address,
+        calls,
+        task,
+    }
+}
+
+fn setup_with(secret: &str) -> PoolSetup {
+    PoolSetup::new(
+        "entry-1".parse().unwrap(),
+        Incarnation::new(5),
+        secret.into(),
+    )
+}
+
+fn make_pool() -> PeerPool {
+    PeerPool::new(setup_with(SECRET))
+}
+
+fn query(text: &str) -> PeerMessage {
+    PeerMessage::Query(text.into())
+}
+
+fn rows(text: &str) -> PeerReply {
+    PeerReply::Rows(text.into())
+}
+
+async fn raw_client(address: SocketAddr) -> wire::WireClient {
+    let transport = tcp::connect(address, Bincode::default).await.unwrap();
+    wire::WireClient::new(tarpc::client::Config::default(), transport).spawn()
+}
+
+fn envelope_for(challenge: &wire::Challenge, version: u16) -> PeerEnvelope {
+    let from: InstanceId = "entry-1".parse().unwrap();
+    let mut mac =
+        Hmac::<sha2::Sha256>::new_from_slice(SECRET.as_bytes()).unwrap();
+    mac.update(b"borageline peer proof");
+    mac.update(&version.to_be_bytes());
+    mac.update(&7_u64.to_be_bytes());
+    mac.update(b"entry-1");
+    mac.update(&9_u64.to_be_bytes());
+    mac.update(&challenge.nonce);
+    PeerEnvelope {
+        version,
+        from,
+        incarnation: Incarnation::new(9),
+        proof: format!("{:x}", mac.finalize().into_bytes()).into(),
+        message: query("hello"),
+    }
+}
+
+fn context() -> tarpc::context::Context {
+    tarpc::context::current()
+}
+
+/// Guards against replies that reach the wrong call on a shared connection.
+#[tokio::test]
+async fn test_call_many_at_once() {
+    let server = start_server("127.0.0.1:0").await;
+    let pool = make_pool();
+    let calls = (0..500).map(|number| {
+        let pool = pool.clone();
+        let to = server.address;
+        async move {
+            let text = number.to_string();
+            let reply = pool.call(to, query(&text), TIMEOUT).await;
+            assert_eq!(reply, Ok(rows(&text)));
+        }
+    });
+    join_all(calls).await;
+    assert_eq!(pool.connections(), 1);
+    let traffic = pool.traffic();
+    assert!(traffic.sent.get() > 500 * 50, "{traffic:?}");
+    assert!(traffic.received.get() > 500 * 10, "{traffic:?}");
+}
+
+/// Guards against an instance of another fleet being listened to.
+#[tokio::test]
+async fn test_wrong_secret_rejected() {
+    let server = start_server("127.0.0.1:0").await;
+    let pool = PeerPool::new(setup_with("a secret of another fleet"));
+    let reply = pool.call(server.address, query("hello"), TIMEOUT).await;
+    let Ok(PeerReply::Rejected(reason)) = reply else {
+        panic!("{reply:?}");
+    };
+    assert_eq!(
+        reason.as_ref(),
+        "proof of entry-1 does not match the fleet secret; understood \
+         versions: 1",
+    );
+    assert_eq!(server.calls.load(Ordering::Relaxed), 0);
+}
+
+/// Guards against a proof seen on one connection being used on another.
+#[tokio::test]
+async fn test_replayed_proof_rejected() {
+    let server = start_server("127.0.0.1:0").await;
+    let first = raw_client(server.address).await;
+    let challenge = first.challenge(context()).await.unwrap();
+    let envelope = envelope_for(&challenge, PEER_VERSION);
+    let reply = first.exchange(context(), envelope.clone()).await.unwrap();
+    assert_eq!(reply, rows("hello"));
+    let second = raw_client(server.address).await;
+    let reply = second.exchange(context(), envelope).await.unwrap();
+    assert!(matches!(reply, PeerReply::Rejected(_)), "{reply:?}");
+    assert_eq!(server.calls.load(Ordering::Relaxed), 1);
+}
+
+/// Guards against a proof that holds for a sender who did not make it.
+#[tokio::test]
+async fn test_changed_sender_rejected() {
+    let server = start_server("127.0.0.1:0").await;
+    let client = raw_client(server.address).await;
+    let challenge = client.challenge(context()).await.unwrap();
+    let mut envelope = envelope_for(&challenge, PEER_VERSION);
+    envelope.from = "entry-2".parse().unwrap();
+    let reply = client.exchange(context(), envelope).await.unwrap();
+    assert!(matches!(reply, PeerReply::Rejected(_)), "{reply:?}");
+    let mut envelope = envelope_for(&challenge, PEER_VERSION);
+    envelope.incarnation = Incarnation::new(10);
+    let reply = client.exchange(context(), envelope).await.unwrap();
+    assert!(matches!(reply, PeerReply::Rejected(_)), "{reply:?}");
+}
+
+/// Guards against messages of another version being acted on.
+#[tokio::test]
+async fn test_unknown_version_rejected() {
+    let server = start_server("127.0.0.1:0").await;
+    let client = raw_client(server.address).await;
+    let challenge = client.challenge(context()).await.unwrap();
+    assert_eq!(challenge.versions, [PEER_VERSION]);
+    let envelope = envelope_for(&challenge, 99);
+    let reply = client.exchange(context(), envelope).await.unwrap();
+    let expected = "message version 99 is not understood; understood \
+                    versions: 1";
+    assert_eq!(reply, PeerReply::Rejected(expected.into()));
+}
+
+/// Guards against a large message ending the connection of other calls.
+#[tokio::test]
+async fn test_oversized_message_not_sent() {
+    let server = start_server("127.0.0.1:0").await;
+    let pool = make_pool();
+    let large = "x".repeat(FRAME_MAX_BYTES);
+    let failure = pool
+        .call(server.address, query(&large), TIMEOUT)
+        .await
+        .unwrap_err();
+    assert_eq!(failure.run_state, RunState::NotRun, "{}", failure.message);
+    let reply = pool.call(server.address, query("a"), TIMEOUT).await;
+    assert_eq!(reply, Ok(rows("a")));
+    assert_eq!(server.calls.load(Ordering::Relaxed), 1);
+}
+
+/// Guards against a large reply ending the connection of other calls.
+#[tokio::test]
+async fn test_oversized_reply_rejected() {
+    let server = start_server("127.0.0.1:0").await;
+    let pool = make_pool();
+    let reply = pool.call(server.address, query("large"), TIMEOUT).await;
+    let Ok(PeerReply::Rejected(reason)) = reply else {
+        panic!("{reply:?}");
+    };
+    assert!(reason.starts_with("reply has "), "{reason}");
+    let reply = pool.call(server.address, query("a"), TIMEOUT).await;
+    assert_eq!(reply, Ok(rows("a")));
+}
+
+/// Guards against a frame length that makes the server reserve memory.
+#[tokio::test]
+async fn test_oversized_frame_closes_connection() {
+    let server = start_server("127.0.0.1:0").await;
+    let mut stream = TcpStream::connect(server.address).await.unwrap();
+    let length = FRAME_MAX_BYTES as u32 + 1;
+    stream.write_all(&length.to_be_bytes()).await.unwrap();
+    let mut rest = Vec::new();
+    let read = timeout(TIMEOUT, stream.read_to_end(&mut rest)).await;
+    // Either a close or a reset; waiting for the frame would be the fault.
+    assert!(read.is_ok(), "connection stays open");
+    let reply = make_pool().call(server.address, query("a"), TIMEOUT).await;
+    assert_eq!(reply, Ok(rows("a")));
+}
+
+/// Guards against a pool that never reaches a restarted peer again.
+#[tokio::test]
+async fn test_peer_restarted() {
+    let server = start_server("127.0.0.1:0").await;
+    let address = server.address;
+    let pool = make_pool();
+    let reply = pool.call(address, query("a"), TIMEOUT).await;
+    assert_eq!(reply, Ok(rows("a")));
+    server.stop().await;
+    let failure = pool.call(address, query("b"), TIMEOUT).await.unwrap_err();
+    let place = format!("to {address}");
+    assert!(failure.message.contains(&place), "{}", failure.message);
+    let server = start_server(&address.to_string()).await;
+    let reply = pool.call(address, query("c"), TIMEOUT).await;
+    assert_eq!(reply, Ok(rows("c")));
+    assert_eq!(server.calls.load(Ordering::Relaxed), 1);
+}
+
+/// Guards against a refused connection being reported as a possible run.
+#[tokio::test]
+async fn test_connection_refused_not_run() {
+    let server = start_server("127.0.0.1:0").await;
+    let address = server.address;
+    server.stop().await;
+    let pool = make_pool();
+    let failure = pool.call(address, query("a"), TIMEOUT).await.unwrap_err();
+    assert_eq!(failure.run_state, RunState::NotRun);
+    let place = format!("peer connection to {address}: ");
+    assert!(failure.message.starts_with(&place), "{}", failure.message);
+}
+
+/// Guards against a slow handler that blocks others or outlives the timeout.
+#[tokio::test]
+async fn test_timeout_may_have_run() {
+    let server = start_server("127.0.0.1:0").await;
+    let pool = make_pool();
+    let slow =
+        pool.call(server.address, query("slow"), Duration::from_millis(200));
+    let quick = pool.call(server.address, query("a"), TIMEOUT);
+    let (slow, quick) = timeout(TIMEOUT, async { tokio::join!(slow, quick) })
+        .await
+        .unwrap();
+    assert_eq!(slow.unwrap_err().run_state, RunState::MayHaveRun);
+    assert_eq!(quick, Ok(rows("a")));
+}
+
+/// Guards against a peer that takes connections and says nothing.
+#[tokio::test]
+async fn test_silent_peer_not_run() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let pool = make_pool();
+    let limit = Duration::from_millis(200);
+    let failure = pool.call(address, query("a"), limit).await.unwrap_err();
+    assert_eq!(failure.run_state, RunState::NotRun, "{}", failure.message);
+}
+
+/// Guards against several connections to one peer when many calls start.
+#[tokio::test]
+async fn test_one_connection_attempt() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let pool = make_pool();
+    let limit = Duration::from_millis(300);
+    let calls = (0..20).map(|_| pool.call(address, query("a"), limit));
+    let accepted = async {
+        let mut streams = Vec::new();
+        while let Ok(stream) = timeout(limit / 2, listener.accept()).await {
+            streams.push(stream);
+        }
+        streams.len()
+    };
+    let (results, accepted) = tokio::join!(join_all(calls), accepted);
+    assert!(results.iter().all(Result::is_err));
+    assert_eq!(accepted, 1);
+}
+
+/// Guards against unbounded calls to a peer that has stopped answering.
+#[tokio::test]
+async fn test_in_flight_bounded() {
+    let server = start_server("127.0.0.1:0").await;
+    let pool = make_pool();
+    let mut slow = tokio::task::JoinSet::new();
+    for _ in 0..IN_FLIGHT_MAX {
+        let pool = pool.clone();
+        let to = server.address;
+        slow.spawn(async move {
+            pool.call(to, query("slow"), Duration::from_secs(60)).await
+        });
+    }
+    let running = async {
+        while server.calls.load(Ordering::Relaxed) < IN_FLIGHT_MAX as u32 {
+            sleep(Duration::from_millis(5)).await;
+        }
+    };
+    timeout(TIMEOUT, running).await.unwrap();
+    let limit = Duration::from_millis(200);
+    let calls = (0..10).map(|_| pool.call(server.address, query("a"), limit));
+    for result in join_all(calls).await {
+        let failure = result.unwrap_err();
+        assert_eq!(failure.run_state, RunState::NotRun, "{failure:?}");
+    }
+    assert_eq!(server.calls.load(Ordering::Relaxed), IN_FLIGHT_MAX as u32);
+    // A call that is given up makes room again.
+    slow.shutdown().await;
+    let reply = pool.call(server.address, query("a"), TIMEOUT).await;
+    assert_eq!(reply, Ok(rows("a")));
+}
+
+/// Guards against connections to peers that are no longer called.
+#[tokio::test]
+async fn test_idle_connection_closed() {
+    let server = start_server("127.0.0.1:0").await;
+    let idle = Duration::from_millis(100);
+    let pool = PeerPool::new(setup_with(SECRET).with_idle_timeout(idle));
+    let reply = pool.call(server.address, query("a"), TIMEOUT).await;
+    assert_eq!(reply, Ok(rows("a")));
+    let closed = async {
+        while pool.connections() > 0 {
+            sleep(idle / 4).await;
+        }
+    };
+    timeout(TIMEOUT, closed).await.unwrap();
+    let reply = pool.call(server.address, query("b"), TIMEOUT).await;
+    assert_eq!(reply, Ok(rows("b")));
+}
+
+/// Passes bytes between a client and a server and keeps the client's.
+async fn record_through(
+    server: SocketAddr,
+) -> (SocketAddr, JoinHandle<Vec<u8>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let task = tokio::spawn(async move {
+        let (client, _) = listener.accept().await.unwrap();
+        let (mut from_client, mut to_client) = client.into_split();
+        let server = TcpStream::connect(server).await.unwrap();
+        let (mut from_server, mut to_server) = server.into_split();
+        let back = tokio::spawn(async move {
+            tokio::io::copy(&mut from_server, &mut to_client).await
+        });
+        let mut recorded = Vec::new();
+        let mut chunk = [0; 4_096];
+        while let Ok(count @ 1..) = from_client.read(&mut chunk).await {
+            recorded.extend_from_slice(&chunk[..count]);
+            to_server.write_all(&chunk[..count]).await.unwrap();
+        }
+        back.abort();
+        recorded
+    });
+    (address, task)
+}
+
+/// Bytes that a pool sends for one call.
+async fn record_call() -> Vec<u8> {
+    let server = start_server("127.0.0.1:0").await;
+    let (address, recorded) = record_through(server.address).await;
+    let pool = make_pool();
+    let reply = pool.call(address, query("a"), TIMEOUT).await;
+    assert_eq!(reply, Ok(rows("a")));
+    drop(pool);
+    recorded.await.unwrap()
+}
+
+/// Guards against a secret that whoever reads the traffic can take.
+#[tokio::test]
+async fn test_secret_not_sent() {
+    let bytes = record_call().await;
+    let contains = |text: &str| {
+        bytes
+            .windows(text.len())
+            .any(|window| window == text.as_bytes())
+    };
+    assert!(contains("entry-1"), "the recording has no envelope");
+    assert!(!contains(SECRET));
+}
+
+/// Guards against strangers that take every place or hold it for ever.
+#[tokio::test]
+async fn test_connections_without_proof_bounded() {
+    let server = start_server("127.0.0.1:0").await;
+    let mut streams = Vec::new();
+    for _ in 0..129 {
+        streams.push(TcpStream::connect(server.address).await.unwrap());
+    }
+    let mut last = streams.pop().unwrap();
+    let read = timeout(TIMEOUT, last.read(&mut [0; 1])).await;
+    assert!(read.is_ok(), "connection 129 stays open");
+    let pool = make_pool();
+    let reply = pool.call(server.address, query("a"), TIMEOUT).await;
+    assert_eq!(reply.unwrap_err().run_state, RunState::NotRun);
+    drop(streams);
+    let served = async {
+        while pool
+            .call(server.address, query("a"), TIMEOUT)
+            .await
+            .is_err()
+        {
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    timeout(TIMEOUT, served).await.unwrap();
+}
+
+/// Guards against a proof that leaves its connection counted as a stranger's.
+#[tokio::test]
+async fn test_connections_with_proof_not_counted_as_strangers() {
+    let server = start_server("127.0.0.1:0").await;
+    let pools: Vec<_> = (0..150).map(|_| make_pool()).collect();
+    for pool in &pools {
+        let reply = pool.call(server.address, query("a"), TIMEOUT).await;
+        assert_eq!(reply, Ok(rows("a")));
+    }
+}
+
+/// Guards against control traffic that is counted on one side only.
+#[tokio::test]
+async fn test_server_traffic_counted() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let meter = TrafficMeter::new();
+    let handler = |_, _, message| answer(message);
+    let server =
+        serve_peers_metered(listener, SECRET.into(), meter.clone(), handler);
+    let server = tokio::spawn(server);
+    let pool = make_pool();
+    let reply = pool.call(address, query("a"), TIMEOUT).await;
+    assert_eq!(reply, Ok(rows("a")));
+    server.abort();
+    let (client, server) = (pool.traffic(), meter.count());
+    assert_eq!(server.received, client.sent);
+    assert_eq!(server.sent, client.received);
+}
+
+/// Guards against a lost route that blocks a peer until TCP gives up.
+#[tokio::test]
+async fn test_silent_connection_replaced() {
+    let server = start_server("127.0.0.1:0").await;
+    let pool = make_pool();
+    let reply = pool.call(server.address, query("a"), TIMEOUT).await;
+    assert_eq!(reply, Ok(rows("a")));
+    let before = pool.traffic().sent;
+    let limit = Duration::from_millis(100);
+    let slow = pool.call(server.address, query("slow"), limit).await;
+    assert!(slow.is_err());
+    let middle = pool.traffic().sent;
+    let reply = pool.call(server.address, query("a"), TIMEOUT).await;
+    assert_eq!(reply, Ok(rows("a")));
+    // A new connection starts with a challenge, a kept one does not.
+    let last = pool.traffic().sent.saturating_sub(middle);
+    let kept = middle.saturating_sub(before);
+    assert!(last > kept, "{last} after {kept}");
+}
+
+fn make_runtime() -> tokio::runtime::Runtime {
+    tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap()
+}
+
+/// Sends bytes to a new server and checks that it still answers.
+async fn check_server_survives(parts: Vec<Vec<u8>>) {
+    let server = start_server("127.0.0.1:0").await;
+    let mut stream = TcpStream::connect(server.address).await.unwrap();
+    for part in parts {
+        // The server may have closed the connection already.
+        if stream.write_all(&part).await.is_err() {
+            break;
+        }
+    }
+    let pool = make_pool();
+    let reply = pool.call(server.address, query("a"), TIMEOUT).await;
+    assert_eq!(reply, Ok(rows("a")));
+    assert!(!server.task.is_finished());
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 96,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(11),
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against bytes on the peer port that stop the server.
+    #[test]
+    fn test_arbitrary_bytes_do_not_stop_server(
+        frames in prop::collection::vec(
+            prop::collection::vec(any::<u8>(), 0..200),
+            1..8,
+        ),
+        framed: bool,
+    ) {
+        let parts = frames.into_iter().map(|frame| {
+            let length = (frame.len() as u32).to_be_bytes();
+            let head = if framed { &length[..] } else { &[] };
+            [head, &frame].concat()
+        });
+        let parts = parts.collect();
+        make_runtime().block_on(check_server_survives(parts));
+    }
+
+    /// Guards against damaged messages that stop the server.
+    #[test]
+    fn test_damaged_message_does_not_stop_server(
+        changes in prop::collection::vec(
+            (any::<prop::sample::Index>(), any::<u8>()),
+            1..6,
+        ),
+    ) {
+        make_runtime().block_on(async {
+            let mut bytes = record_call().await;
+            for (index, value) in changes {
+                let index = index.index(bytes.len());
+                bytes[index] = value;
+            }
+            check_server_survives(vec![bytes]).await;
+        });
+    }
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -4,22 +4,34 @@
 //! seeded random source as input and returns actions. Sockets, clocks and
 //! tasks live in the `borageline` binary, which carries the actions out.
 
+pub mod admission;
+pub mod answer;
 pub mod api;
 pub mod call_log;
+pub mod cold_start;
 pub mod config_reader;
 pub mod core;
+pub mod cost;
 pub mod derives;
 pub mod engine_api;
+pub mod engine_facts;
+pub mod entry;
 pub mod fleet;
 pub mod freshness;
 pub mod ids;
+pub mod ledger;
+pub mod limits;
 pub mod log_event;
+pub mod long_share;
 pub mod membership;
 pub mod order_desk;
+pub mod owner;
 pub mod ownership;
 pub mod peer_api;
+pub mod placement;
 pub mod platform_api;
 pub mod refusal;
+pub mod retry;
 pub mod settings;
 pub mod units;
 pub mod view;
--- a/lib/src/peer_api.rs
+++ b/lib/src/peer_api.rs
@@ -8,10 +8,12 @@
 
 use crate::{
     api::PriorityClass,
+    engine_api::CapabilityReport,
     ids::{
         DomainId, InstanceId, ModelName, OrderId, RequestId, ServiceName,
         UpstreamId, WorkspaceId,
     },
+    limits::{BorrowAnswer, BorrowAsk},
     refusal::{Refusal, RunState},
     units::{Incarnation, LogOffset, TokenCount},
     value_type,
@@ -53,6 +55,8 @@
         ClaimCall(ClaimAsk),
         /// Tell a call stream's owner what became of an attempt.
         SettleCall(SettleNotice),
+        /// Ask for a part of a workspace's limit.
+        Borrow(BorrowAsk),
         /// Ask for the rows of a query.
         Query(Arc<str>),
     }
@@ -71,6 +75,8 @@
         Grant(GrantAnswer),
         /// Answer to a claim.
         Claim(ClaimAnswer),
+        /// Answer to a question for a part of a limit.
+        Lent(BorrowAnswer),
         /// The notice was taken.
         Done,
         /// Rows of a query as JSON text.
@@ -93,6 +99,18 @@
         pub updates: Vec<MemberUpdate>,
         /// Summaries of engines that the sender owns.
         pub engines: Vec<EngineSummary>,
+        /// New facts about engines, passed on.
+        pub facts: Vec<EngineFact>,
+    }
+}
+
+value_type! {
+    /// What an engine says of itself, with its place in the order of changes.
+    pub struct EngineFact {
+        /// Rises with each change within one incarnation.
+        pub revision: u64,
+        /// What the engine says.
+        pub report: CapabilityReport,
     }
 }
 
@@ -162,12 +180,16 @@
         pub snapshot: Option<Arc<str>>,
         /// Last instance listing as JSON text, if any.
         pub listing: Option<Arc<str>>,
+        /// Everything known of the engines.
+        pub facts: Vec<EngineFact>,
     }
 }
 
 value_type! {
     /// Asks an engine's owner for a grant.
     pub struct GrantAsk {
+        /// Number of the question, rising at its entry instance.
+        pub ask: u64,
         /// Request that it is for.
         pub request: RequestId,
         /// Engine.
@@ -234,6 +256,10 @@
 value_type! {
     /// What became of a grant.
     pub struct GrantNotice {
+        /// Number of the question that led to the grant.
+        pub ask: u64,
+        /// Tokens reserved, so that a new owner can book them.
+        pub reserved: TokenCount,
         /// Request.
         pub request: RequestId,
         /// Engine.
