--- a/cli/tests/test_serve/fixture.rs
+++ b/cli/tests/test_serve/fixture.rs
@@ -168,7 +168,9 @@
             domains: None,
             limits: Vec::new(),
         };
-        fleet.workspaces.insert("w".parse().unwrap(), rule);
+        fleet
+            .workspaces
+            .insert("w".parse().unwrap(), std::sync::Arc::new(rule));
         let routes = vec![RouteRule {
             method: "GET".into(),
             path_prefix: "/items".into(),
--- a/lib/tests/test_serving_parts.rs
+++ b/lib/tests/test_serving_parts.rs
@@ -294,7 +294,10 @@
             domains: None,
             limits: vec![limit],
         };
-        fleet.state.workspaces.insert(id("w"), rule);
+        fleet
+            .state
+            .workspaces
+            .insert(id("w"), std::sync::Arc::new(rule));
         fleet
     }
 
