bench: measure an instance's processor time per request and part

Cause: the capacity page needs the data path's slopes. Change: the capacity measure starts one instance and three engines and compares runs that differ in output or prompt length only.

--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod fleet;
 pub mod quickstart;
 pub mod report;
+pub mod stream_cost;
 pub mod workload;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -2,7 +2,7 @@
 
 use std::process::ExitCode;
 
-use borageline_bench::{capacity, quickstart};
+use borageline_bench::{capacity, quickstart, stream_cost};
 use bpaf::Bpaf;
 
 /// Load and experiment tool of borageline
@@ -28,8 +28,10 @@
     let result = match bench_command().run() {
         BenchCommand::Quickstart => quickstart::run().await,
         BenchCommand::Capacity { seed, json } => {
-            capacity::run(seed).print(json);
-            Ok(())
+            let mut report = capacity::run(seed);
+            let result = stream_cost::run(&mut report).await;
+            report.print(json);
+            result
         }
     };
     match result {
