owner: hand accounts over, and wait longer where nobody can be asked

Ruled out: a longer hold-down alone, which would slow every planned change; a lease of each engine in the log, which the log's append limit does not carry at 10,000 engines.

Change: a new owner asks the former one, which stops granting and sends its holds and the step of the cold-start limit. If it cannot be asked, the hold-down is 3 s. A takeover also starts the cold-start limit from what the engine's list shows that it carries.

--- a/lib/src/cold_start.rs
+++ b/lib/src/cold_start.rs
@@ -124,6 +124,18 @@
         }
     }
 
+    /// Starts from a step that the former owner had reached.
+    pub fn continue_from(&mut self, step: u32) {
+        self.step = self.step.max(step.min(LAST_STEP));
+    }
+
+    /// Starts from what the engine carries already, as its own list shows.
+    pub fn cover(&mut self, held: usize) {
+        while self.step < LAST_STEP && (self.requests() as usize) < held {
+            self.step += 1;
+        }
+    }
+
     /// Falls to the lowest step.
     pub fn reset(&mut self) {
         let busy_from = self.busy_from;
--- a/lib/src/core/request_routing.rs
+++ b/lib/src/core/request_routing.rs
@@ -12,6 +12,7 @@
     ids::{InstanceId, RequestId, UpstreamId},
     limits::BorrowAsk,
     owner::{OwnerAction, OwnerEvent},
+    ownership::former_owner,
     peer_api::{
         GrantAnswer, GrantAsk, GrantNotice, MemberState, PeerMessage, PeerReply,
     },
@@ -24,6 +25,12 @@
 const NOTICE_TIMEOUT: std::time::Duration =
     std::time::Duration::from_millis(1_000);
 
+/// Time for the former owner of an engine to hand its account over.
+const TAKE_OVER_TIMEOUT: std::time::Duration =
+    std::time::Duration::from_millis(250);
+/// Time for which an instance that has died may be the former owner.
+const FORMER_WINDOW: std::time::Duration = std::time::Duration::from_secs(5);
+
 /// Who gets the answer to an ask.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum AskRoute {
@@ -58,6 +65,8 @@
         spec: RequestSpec,
         output: &mut TickOutput,
     ) {
+        let event = OwnerEvent::Arrived(spec.model.clone(), spec.prompt);
+        self.handle_owner(now, event, output);
         self.handle_entry(now, EntryEvent::Arrived(spec), output);
     }
 
@@ -136,6 +145,17 @@
                 OwnerAction::Answer { reply, answer, .. } => {
                     self.answer_ask(now, reply, answer, output);
                 }
+                OwnerAction::AskTakeOver(id) => {
+                    self.ask_take_over(now, id, output);
+                }
+                OwnerAction::AnswerTakeOver { reply, answer } => {
+                    if let Some(AskRoute::Peer(inbound)) =
+                        self.replies.remove(&reply)
+                    {
+                        let reply = PeerReply::TakenOver(answer);
+                        Self::answer_peer(inbound, reply, output);
+                    }
+                }
                 OwnerAction::ReadLoad(id) => {
                     self.read_engine(id, CoreAction::ReadLoad, output);
                 }
@@ -204,6 +224,61 @@
         }
     }
 
+    /// Asks the former owner of an engine for its account, unless it is dead.
+    fn ask_take_over(
+        &mut self,
+        now: Timestamp,
+        id: UpstreamId,
+        output: &mut TickOutput,
+    ) {
+        let Some(entry) = self.upstreams.table().get(&id) else {
+            return;
+        };
+        let members = self.members.members().iter();
+        let candidates = members
+            .filter(|(_, member)| {
+                let lost_for = now.since(member.since);
+                member.is_present() || lost_for < FORMER_WINDOW
+            })
+            .map(|(id, member)| (id.clone(), member.update.domain.clone()))
+            .collect();
+        let own = &self.setup.instance;
+        let former = former_owner(&id, &entry.domain, own, &candidates);
+        if let Some(former) = former {
+            let purpose = CallPurpose::TakeOver(id.clone());
+            let message = PeerMessage::TakeOver(id);
+            // The address of a dead member is not known, so that nothing is
+            // sent, and the wait of the takeover runs out.
+            self.call_instance(
+                &former,
+                purpose,
+                message,
+                TAKE_OVER_TIMEOUT,
+                output,
+            );
+        }
+    }
+
+    /// Takes in a new owner's ask for the account of an engine.
+    pub(super) fn take_over_asked(
+        &mut self,
+        now: Timestamp,
+        inbound: InboundNumber,
+        from: InstanceId,
+        engine: UpstreamId,
+        output: &mut TickOutput,
+    ) {
+        self.next_reply += 1;
+        let reply = self.next_reply;
+        self.replies.insert(reply, AskRoute::Peer(inbound));
+        let event = OwnerEvent::TakeOverAsked {
+            from,
+            reply,
+            engine,
+        };
+        self.handle_owner(now, event, output);
+    }
+
     /// Asks one live peer, another one each time, for a part of a limit.
     fn borrow(&mut self, ask: BorrowAsk, output: &mut TickOutput) {
         let members = self.members.members();
--- a/lib/src/core/routing.rs
+++ b/lib/src/core/routing.rs
@@ -14,7 +14,7 @@
     config_reader::{ReaderAction, ReaderEvent},
     entry::EntryEvent,
     fleet::{ApplyOutcome, CONFIG_STREAM},
-    ids::{InstanceId, RequestId, StreamName},
+    ids::{InstanceId, RequestId, StreamName, UpstreamId},
     log_event::LogEvent,
     membership::{MemberAction, MemberEvent, ProbeNumber},
     order_desk::{DeskEvent, OrderAppend},
@@ -43,6 +43,8 @@
     Grant(u64),
     /// A notice about a grant.
     Notice,
+    /// An ask for an engine's account.
+    TakeOver(UpstreamId),
     /// A question for a part of a limit.
     Borrow,
 }
@@ -225,6 +227,9 @@
                 let event = OwnerEvent::Noticed(from, notice);
                 self.handle_owner(now, event, output);
             }
+            PeerMessage::TakeOver(engine) => {
+                self.take_over_asked(now, inbound, from, engine, output);
+            }
             PeerMessage::Borrow(ask) => {
                 self.borrow_asked(now, inbound, ask, output);
             }
@@ -277,6 +282,12 @@
                 };
                 self.ask_answered(now, ask, answer, output);
             }
+            CallPurpose::TakeOver(engine) => {
+                if let Ok(PeerReply::TakenOver(answer)) = result {
+                    let event = OwnerEvent::TakenOver(engine, answer);
+                    self.handle_owner(now, event, output);
+                }
+            }
             CallPurpose::Borrow => {
                 if let Ok(PeerReply::Lent(answer)) = result {
                     let event = EntryEvent::Lent {
--- a/lib/src/owner.rs
+++ b/lib/src/owner.rs
@@ -7,6 +7,7 @@
 //! core routes asks and notices here and carries the reads out; it reports one
 //! result for each read.
 
+mod handover;
 mod row;
 
 use std::{
@@ -14,7 +15,10 @@
     time::Duration,
 };
 
-use self::row::{Obstacle, OwnerRow, enqueue, give, judge};
+use self::{
+    handover::FormerRow,
+    row::{Obstacle, OwnerRow, enqueue, give, judge},
+};
 use crate::{
     cold_start::ColdLimit,
     engine_api::{HeldReport, LoadReport},
@@ -23,14 +27,20 @@
     long_share::{LongRanking, LongShare},
     peer_api::{
         EngineSummary, GrantAnswer, GrantAsk, GrantNotice, GrantRefusal,
+        TakeOverAnswer,
     },
     refusal::{Refusal, RefusalCode},
     units::{Timestamp, TokenCount},
     view::FleetView,
 };
 
-/// Wait of a new owner until unused grants of the old one are void.
+/// Wait of a new owner until unused grants of the old one are void, where the
+/// old owner is known to grant no more.
 pub const HOLD_DOWN: Duration = Duration::from_secs(1);
+/// Wait of a new owner that cannot ask the old one. The old owner may grant for
+/// as long as the membership views differ; in simulation, an overlap of 1 s or
+/// more led to overcommitted engines with a wait of only 1 s.
+pub const HOLD_DOWN_SHARED: Duration = Duration::from_secs(3);
 /// Interval between two readings of an owned engine's load.
 pub const LOAD_INTERVAL: Duration = Duration::from_millis(500);
 /// Interval between two readings of an owned engine's list.
@@ -39,6 +49,8 @@
 pub const HELD_URGENT: Duration = Duration::from_millis(100);
 /// Prompts above this length go only to engines that take long prompts.
 pub const LONG_PROMPT: TokenCount = TokenCount::new(16_384);
+/// Interval between two asks for the account of the former owner.
+const TAKE_INTERVAL: Duration = Duration::from_millis(300);
 /// Interval between two comparisons of the rows with the view.
 const SYNC_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval between two decisions on which engines take long prompts.
@@ -73,6 +85,17 @@
     MemberDead(InstanceId),
     /// An instance that was dead is alive.
     MemberBack(InstanceId),
+    /// The new owner of an engine asks for its account.
+    TakeOverAsked {
+        /// New owner.
+        from: InstanceId,
+        /// Number for the answer.
+        reply: u64,
+        /// Engine.
+        engine: UpstreamId,
+    },
+    /// The former owner of an engine handed over its account, or not.
+    TakenOver(UpstreamId, Option<TakeOverAnswer>),
     /// A caller's request entered at this instance; this shows the demand.
     Arrived(ModelName, TokenCount),
 }
@@ -89,6 +112,15 @@
         /// The answer.
         answer: GrantAnswer,
     },
+    /// Ask the former owner of an engine for its account.
+    AskTakeOver(UpstreamId),
+    /// Answer an [`OwnerEvent::TakeOverAsked`].
+    AnswerTakeOver {
+        /// Number of the ask.
+        reply: u64,
+        /// The account, if there is one to rely on.
+        answer: Option<TakeOverAnswer>,
+    },
     /// Read an engine's load.
     ReadLoad(UpstreamId),
     /// Read an engine's list of held requests.
@@ -112,6 +144,8 @@
 #[derive(Debug, Default)]
 pub struct OwnerTable {
     rows: BTreeMap<UpstreamId, OwnerRow>,
+    former: BTreeMap<UpstreamId, FormerRow>,
+    started: Option<Timestamp>,
     dead: BTreeSet<InstanceId>,
     sync_due: Timestamp,
     demand: LongShare,
@@ -158,6 +192,17 @@
             OwnerEvent::MemberBack(instance) => {
                 self.dead.remove(&instance);
             }
+            OwnerEvent::TakeOverAsked {
+                from,
+                reply,
+                engine,
+            } => {
+                let answer = self.hand_over(now, from, &engine, &mut actions);
+                actions.push(OwnerAction::AnswerTakeOver { reply, answer });
+            }
+            OwnerEvent::TakenOver(engine, answer) => {
+                self.taken_over(now, &engine, answer);
+            }
             OwnerEvent::Arrived(model, prompt) => {
                 self.demand.observe(now, &model, prompt);
             }
@@ -173,6 +218,7 @@
         view: &FleetView,
     ) -> Vec<OwnerAction> {
         let mut actions = Vec::new();
+        self.started.get_or_insert(now);
         if now >= self.sync_due {
             self.sync_due = now.after(SYNC_INTERVAL);
             self.sync(now, view, &mut actions);
@@ -243,9 +289,9 @@
                 answer_to(queued.from, queued.reply, answer)
             }));
         }
-        self.rows.retain(|engine, _| view.owns(engine));
+        self.keep_former(now, view);
         for (engine, owner) in view.owners {
-            if owner == view.own {
+            if owner == view.own && !self.is_handed(engine) {
                 self.row(now, engine, view);
             }
         }
@@ -284,7 +330,9 @@
     ) -> &mut OwnerRow {
         if !self.rows.contains_key(engine) {
             self.ranking_due = now;
-            self.rows.insert(engine.clone(), OwnerRow::new(now));
+            let alone = view.live_instances <= 1;
+            let wait = if alone { HOLD_DOWN } else { HOLD_DOWN_SHARED };
+            self.rows.insert(engine.clone(), OwnerRow::new(now, wait));
         }
         let row = self.rows.get_mut(engine).expect("inserted above");
         let entry = view.upstreams.get(engine);
@@ -314,6 +362,10 @@
             let answer = GrantAnswer::NotOwner(owner);
             return actions.push(answer_to(from, reply, answer));
         }
+        if let Some(owner) = self.handed_to(&ask.engine) {
+            let answer = GrantAnswer::NotOwner(Some(owner.clone()));
+            return actions.push(answer_to(from, reply, answer));
+        }
         let row = self.row(now, &ask.engine, view);
         if let Some(older) = row.queue.remove(&ask.request) {
             let answer = refused(now, row, &ask.engine, replaced());
@@ -356,7 +408,7 @@
         notice: &GrantNotice,
         view: &FleetView,
     ) {
-        if !view.owns(&notice.engine) {
+        if !view.owns(&notice.engine) || self.is_handed(&notice.engine) {
             return;
         }
         let row = self.row(now, &notice.engine, view);
@@ -418,6 +470,7 @@
         }
         if row.state == TakeoverState::Reading {
             row.state = TakeoverState::Serving;
+            row.cold.cover(report.requests.len());
             row.ledger.set_complete(true);
         }
         row.held_urgent = row.ledger.wants_list();
@@ -442,6 +495,10 @@
                 row.held_urgent = true;
             }
             row.held_urgent |= row.ledger.wants_list();
+            if row.state == TakeoverState::Waiting && now >= row.take_due {
+                row.take_due = now.after(TAKE_INTERVAL);
+                actions.push(OwnerAction::AskTakeOver(engine.clone()));
+            }
             if row.state == TakeoverState::Waiting && now >= row.hold_down_until
             {
                 row.state = TakeoverState::Reading;
--- a/lib/src/owner/row.rs
+++ b/lib/src/owner/row.rs
@@ -2,7 +2,9 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use super::{HOLD_DOWN, LOAD_INTERVAL, LONG_PROMPT, RETRY_MIN, TakeoverState};
+use super::{
+    HOLD_DOWN_SHARED, LOAD_INTERVAL, LONG_PROMPT, RETRY_MIN, TakeoverState,
+};
 use crate::{
     admission::{AdmissionQueue, QueuedAsk},
     cold_start::ColdLimit,
@@ -31,6 +33,8 @@
     pub(super) cost: Option<CostModel>,
     pub(super) state: TakeoverState,
     pub(super) hold_down_until: Timestamp,
+    /// When the former owner is asked for the account.
+    pub(super) take_due: Timestamp,
     pub(super) measured_at: Option<Timestamp>,
     pub(super) load_due: Timestamp,
     pub(super) load_asked: Option<Timestamp>,
@@ -44,17 +48,18 @@
 }
 
 impl OwnerRow {
-    pub(super) fn new(now: Timestamp) -> Self {
+    pub(super) fn new(now: Timestamp, hold_down: Duration) -> Self {
         Self {
             ledger: EngineLedger::new(),
             cold: ColdLimit::new(),
             cost: None,
             state: TakeoverState::Waiting,
-            hold_down_until: now.after(HOLD_DOWN),
+            hold_down_until: now.after(hold_down),
+            take_due: now,
             measured_at: None,
             load_due: now,
             load_asked: None,
-            held_due: now.after(HOLD_DOWN),
+            held_due: now.after(hold_down),
             held_asked: None,
             held_urgent: false,
             accepted: true,
@@ -90,7 +95,8 @@
     pub(super) fn suspend(&mut self, now: Timestamp) {
         self.state = TakeoverState::Waiting;
         self.ledger.set_complete(false);
-        self.hold_down_until = now.after(HOLD_DOWN);
+        self.hold_down_until = now.after(HOLD_DOWN_SHARED);
+        self.take_due = now;
     }
 
     pub(super) fn measured(&self, now: Timestamp) -> bool {
--- a/lib/src/ownership.rs
+++ b/lib/src/ownership.rs
@@ -47,6 +47,30 @@
     choose(&format!("calls-{index}"), &all).cloned()
 }
 
+/// Owner of an engine if one instance were not there.
+///
+/// For an instance that has just come to own the engine, this is the former
+/// owner, provided that the candidates hold the instances that have just left.
+pub fn former_owner(
+    engine: &UpstreamId,
+    domain: &DomainId,
+    without: &InstanceId,
+    candidates: &OwnerCandidates,
+) -> Option<InstanceId> {
+    let others = candidates.iter().filter(|(id, _)| *id != without);
+    let others: Vec<_> = others.collect();
+    let local = others.iter().filter(|(_, at)| *at == domain);
+    let mut hashed: Vec<_> =
+        local.map(|(id, _)| HashedInstance::new(id)).collect();
+    if hashed.is_empty() {
+        hashed = others
+            .iter()
+            .map(|(id, _)| HashedInstance::new(id))
+            .collect();
+    }
+    choose(engine.as_str(), &hashed).cloned()
+}
+
 /// An instance with the hash of its id. Each id is hashed once, as hashing
 /// every pair of ids took 25 ms for 10,000 engines and 53 instances a domain.
 struct HashedInstance<'a> {
--- a/lib/src/peer_api.rs
+++ b/lib/src/peer_api.rs
@@ -13,6 +13,7 @@
         DomainId, InstanceId, ModelName, OrderId, RequestId, ServiceName,
         UpstreamId, WorkspaceId,
     },
+    ledger::HoldState,
     limits::{BorrowAnswer, BorrowAsk},
     refusal::{Refusal, RunState},
     units::{Incarnation, LogOffset, TokenCount},
@@ -51,6 +52,8 @@
         Grant(GrantAsk),
         /// Tell an engine's owner what became of a grant.
         Notice(GrantNotice),
+        /// Ask the former owner of an engine to hand it over.
+        TakeOver(UpstreamId),
         /// Ask a call stream's owner to claim an idempotency key.
         ClaimCall(ClaimAsk),
         /// Tell a call stream's owner what became of an attempt.
@@ -73,6 +76,8 @@
         State(StateAnswer),
         /// Answer to a grant question.
         Grant(GrantAnswer),
+        /// Answer to a takeover; absent if there is nothing to rely on.
+        TakenOver(Option<TakeOverAnswer>),
         /// Answer to a claim.
         Claim(ClaimAnswer),
         /// Answer to a question for a part of a limit.
@@ -291,6 +296,40 @@
     }
 }
 
+value_type! {
+    /// An engine's account, handed over. The former owner grants no more.
+    pub struct TakeOverAnswer {
+        /// Holds.
+        pub holds: Vec<HandedHold>,
+        /// Step of the cold-start limit.
+        pub cold_step: u32,
+    }
+}
+
+value_type! {
+    /// One hold of an account that is handed over.
+    pub struct HandedHold {
+        /// Request.
+        pub request: RequestId,
+        /// Entry instance, if it is known.
+        pub entry: Option<InstanceId>,
+        /// Number of the question that led to it.
+        pub ask: u64,
+        /// Memory counted.
+        pub tokens: TokenCount,
+        /// Prompt tokens to prefill.
+        pub prompt: TokenCount,
+        /// State.
+        pub state: HoldState,
+        /// Time until the state runs out.
+        pub expires_in: Option<Duration>,
+        /// Time until the request must have ended.
+        pub deadline_in: Option<Duration>,
+        /// Whether prefill is still to be done as far as is known.
+        pub prefilling: bool,
+    }
+}
+
 value_type! {
     /// Asks for the first use of an idempotency key.
     pub struct ClaimAsk {
--- a/lib/tests/serving/sim/mod.rs
+++ b/lib/tests/serving/sim/mod.rs
@@ -104,6 +104,10 @@
     queue: BTreeMap<(Timestamp, u64), Event>,
     sequence: u64,
     replies: BTreeMap<u64, (usize, u64)>,
+    former: BTreeMap<UpstreamId, (usize, usize)>,
+    takeovers: BTreeMap<u64, (usize, UpstreamId)>,
+    /// Whether former owners can be asked for their accounts.
+    pub(crate) hands_over: bool,
     placed: BTreeMap<RequestId, (u64, Assignment)>,
     pub(crate) fleet: FleetState,
     pub(crate) fresh: bool,
@@ -186,6 +190,9 @@
             queue: BTreeMap::new(),
             sequence: 0,
             replies: BTreeMap::new(),
+            former: BTreeMap::new(),
+            takeovers: BTreeMap::new(),
+            hands_over: true,
             placed: BTreeMap::new(),
             fleet: FleetState::default(),
             fresh: true,
@@ -256,6 +263,11 @@
         to: usize,
         overlap_ms: u64,
     ) {
+        let engine = engine_id(number);
+        let initial = number % self.instances.len();
+        let known = self.former.get(&engine);
+        let old = known.map_or(initial, |(_, new)| *new);
+        self.former.insert(engine, (old, to));
         self.post(0, Event::Owns(to, engine_id(number), to));
         for at in (0..self.instances.len()).filter(|at| *at != to) {
             let delay = self.rng.random_range(0..=overlap_ms);
@@ -280,6 +292,17 @@
         self.instances[at].owner.takeover(&engine_id(number))
     }
 
+    /// Whether an owner's account has a request.
+    pub(crate) fn holds(
+        &self,
+        at: usize,
+        number: usize,
+        request: &RequestId,
+    ) -> bool {
+        let ledger = self.instances[at].owner.ledger(&engine_id(number));
+        ledger.is_some_and(|ledger| ledger.hold(request).is_some())
+    }
+
     pub(crate) fn held(&self) -> usize {
         self.engines.values().map(|engine| engine.held.len()).sum()
     }
@@ -509,6 +532,32 @@
                     let event = EntryEvent::AskAnswered(ask, Some(answer));
                     self.send(Event::Entry(to, event));
                 }
+                OwnerAction::AskTakeOver(engine) => {
+                    let former = self.former.get(&engine);
+                    let former =
+                        former.filter(|(old, new)| *new == at && *old != at);
+                    let former = former.map(|(old, _)| *old);
+                    let Some(old) = former.filter(|_| self.hands_over) else {
+                        continue;
+                    };
+                    self.sequence += 1;
+                    let reply = self.sequence;
+                    self.takeovers.insert(reply, (at, engine.clone()));
+                    let from = self.instances[at].name.clone();
+                    self.send(Event::Owner(
+                        old,
+                        OwnerEvent::TakeOverAsked {
+                            from,
+                            reply,
+                            engine,
+                        },
+                    ));
+                }
+                OwnerAction::AnswerTakeOver { reply, answer } => {
+                    let (to, engine) = self.takeovers[&reply].clone();
+                    let event = OwnerEvent::TakenOver(engine, answer);
+                    self.send(Event::Owner(to, event));
+                }
                 OwnerAction::ReadLoad(engine) => {
                     let report = self.load(&engine);
                     let event = OwnerEvent::LoadRead(engine, Some(report));
