--- a/cli/src/callers.rs
+++ b/cli/src/callers.rs
@@ -62,6 +62,9 @@
         route
             .request(methods(), "/v1/services/*")
             .to_new_handler(handler(context, services::call));
+        route
+            .post("/v1/query")
+            .to_new_handler(handler(context, operators::query));
         route
             .post("/v1/order")
             .to_new_handler(handler(context, operators::order));
--- a/cli/src/commands/order.rs
+++ b/cli/src/commands/order.rs
@@ -3,7 +3,11 @@
 use std::{str::FromStr, time::Duration};
 
 use borageline_lib::{
-    fleet::FleetChange, ids::OrderId, peer_api::OrderReport, units::LogOffset,
+    fleet::FleetChange,
+    ids::OrderId,
+    peer_api::OrderReport,
+    query::{OrderPreview, complete_order, parse_order},
+    units::LogOffset,
 };
 use bpaf::Bpaf;
 use http::Method;
@@ -18,7 +22,9 @@
         OperatorClient, OperatorFailure, OperatorTarget, operator_target,
         run_calls,
     },
-    output::{print_error, print_hint, print_text, render_report},
+    output::{
+        print_error, print_hint, print_text, render_preview, render_report,
+    },
 };
 
 /// Pause between two questions while waiting for an order to be in force.
@@ -29,7 +35,7 @@
 #[bpaf(
     command("order"),
     footer(
-        "Example: borageline order --address 10.0.0.1:8080 --key-file key --wait in-force '{\"kind\":\"close_domain\",\"domain\":\"domain-a\",\"mode\":\"finish\"}'"
+        "Example: borageline order --address 10.0.0.1:8080 --key-file key --wait in-force 'close domain domain-a finish'"
     )
 )]
 pub struct OrderOptions {
@@ -75,12 +81,20 @@
         /// Id of the order; a new one by default
         #[bpaf(long, argument("ID"), optional)]
         order_id: Option<OrderId>,
-        /// One change or a list of changes, as JSON
-        #[bpaf(positional("CHANGES"))]
+        /// Tell what would change, and change nothing
+        #[bpaf(long("dry-run"))]
+        dry_run: bool,
+        /// Changes in words, or one change or a list of changes as JSON
+        #[bpaf(positional("CHANGES"), complete(|input: &String| complete_text(input)))]
         changes: String,
     },
 }
 
+fn complete_text(input: &str) -> Vec<(String, Option<String>)> {
+    let texts = complete_order(input).into_iter();
+    texts.map(|text| (text, None)).collect()
+}
+
 /// Runs the command.
 pub fn run(options: &OrderOptions) -> ExitReason {
     run_calls(carry_out(options))
@@ -102,17 +116,22 @@
         OrderAction::Give {
             expect,
             order_id,
+            dry_run,
             changes,
         } => {
             let order = order_id.clone().unwrap_or_else(new_order_id);
-            let changes = match parse_changes(changes) {
+            let changes = match read_changes(changes) {
                 Ok(changes) => changes,
                 Err(cause) => {
                     print_error(cause);
                     return ExitReason::Usage;
                 }
             };
-            let given = give(&client, &order, *expect, changes).await;
+            let body = order_body(&order, *expect, changes);
+            if *dry_run {
+                return preview(options, &client, body).await;
+            }
+            let given = give(&client, &body).await;
             (order, given)
         }
     };
@@ -134,6 +153,56 @@
     text.parse().expect("a UUID has only characters of an id")
 }
 
+/// Reads changes in words or as JSON, so that what is wrong is found before
+/// anything is sent.
+fn read_changes(text: &str) -> Result<(&'static str, Value), String> {
+    let start = text.trim_start();
+    if start.starts_with(['[', '{']) {
+        return Ok(("changes", json!(parse_changes(text)?)));
+    }
+    parse_order(text).map_err(|fault| fault.render(text))?;
+    Ok(("text", json!(text)))
+}
+
+fn order_body(
+    order: &OrderId,
+    expect: Option<LogOffset>,
+    (field, changes): (&'static str, Value),
+) -> Value {
+    json!({
+        "order": order,
+        "expect_version": expect,
+        field: changes,
+    })
+}
+
+/// Asks what an order would change.
+async fn preview(
+    options: &OrderOptions,
+    client: &OperatorClient,
+    mut body: Value,
+) -> ExitReason {
+    body["dry_run"] = json!(true);
+    let answer = client.call(Method::POST, "/v1/order", Some(&body)).await;
+    let answer = match answer {
+        Ok(answer) => answer,
+        Err(failure) => {
+            print_error(&failure);
+            return failure.read_reason();
+        }
+    };
+    if options.target.json {
+        return print_text(&format!("{answer}\n"));
+    }
+    match serde_json::from_value::<OrderPreview>(answer) {
+        Ok(preview) => print_text(&render_preview(&preview)),
+        Err(error) => {
+            print_error(format_args!("malformed preview: {error}"));
+            ExitReason::Failed
+        }
+    }
+}
+
 /// Reads one change or a list of changes.
 fn parse_changes(text: &str) -> Result<Vec<FleetChange>, String> {
     let changes = match text.trim_start().starts_with('[') {
@@ -156,16 +225,9 @@
 
 async fn give(
     client: &OperatorClient,
-    order: &OrderId,
-    expect: Option<LogOffset>,
-    changes: Vec<FleetChange>,
+    body: &Value,
 ) -> Result<OrderReport, OperatorFailure> {
-    let body = json!({
-        "order": order,
-        "expect_version": expect,
-        "changes": changes,
-    });
-    let answer = client.call(Method::POST, "/v1/order", Some(&body)).await?;
+    let answer = client.call(Method::POST, "/v1/order", Some(body)).await?;
     read_report(answer)
 }
 
--- a/cli/src/commands/query.rs
+++ b/cli/src/commands/query.rs
@@ -1,5 +1,6 @@
 //! `borageline query`: asks a running instance.
 
+use borageline_lib::query::{complete_query, parse_query};
 use bpaf::Bpaf;
 use http::Method;
 use serde_json::json;
@@ -9,7 +10,7 @@
     operator_client::{
         OperatorClient, OperatorTarget, operator_target, run_calls,
     },
-    output::{print_error, print_text, render_rows},
+    output::{print_error, print_missing, print_text, render_rows},
 };
 
 /// Ask a running instance about the fleet.
@@ -17,17 +18,22 @@
 #[bpaf(
     command("query"),
     footer(
-        "Example: borageline query --address 10.0.0.1:8080 --key-file key 'engines'"
+        "Example: borageline query --address 10.0.0.1:8080 --key-file key 'select id, wait from engines where free > 0 order by wait desc limit 5'"
     )
 )]
 pub struct QueryOptions {
     #[bpaf(external(operator_target))]
     target: OperatorTarget,
     /// Text of the query
-    #[bpaf(positional("QUERY"))]
+    #[bpaf(positional("QUERY"), complete(|input: &String| complete_text(input)))]
     query: String,
 }
 
+fn complete_text(input: &str) -> Vec<(String, Option<String>)> {
+    let texts = complete_query(input).into_iter();
+    texts.map(|text| (text, None)).collect()
+}
+
 /// Runs the command.
 pub fn run(options: &QueryOptions) -> ExitReason {
     run_calls(ask(options))
@@ -41,10 +47,18 @@
             return failure.read_reason();
         }
     };
+    if let Err(fault) = parse_query(&options.query) {
+        print_error(fault.render(&options.query));
+        return ExitReason::Usage;
+    }
     let body = json!({ "query": options.query });
     match client.call(Method::POST, "/v1/query", Some(&body)).await {
         Ok(answer) if options.target.json => print_text(&format!("{answer}\n")),
-        Ok(answer) => print_text(&render_rows(&answer)),
+        Ok(answer) => {
+            let reason = print_text(&render_rows(&answer));
+            print_missing(&answer);
+            reason
+        }
         Err(failure) => {
             print_error(&failure);
             failure.read_reason()
--- a/cli/src/core_handle.rs
+++ b/cli/src/core_handle.rs
@@ -22,6 +22,7 @@
     peer_api::{
         CallKey, CallResult, ClaimAnswer, OrderReport, PeerMessage, PeerReply,
     },
+    query::QueryParts,
     refusal::{Refusal, RefusalCode, RunState},
     units::{Incarnation, Timestamp},
 };
@@ -34,6 +35,9 @@
 pub(crate) const EVENT_QUEUE: usize = 4_096;
 /// Time after which an operator hears that the outcome is unknown.
 const ORDER_WAIT: Duration = Duration::from_secs(5);
+/// Time after which an operator hears that a question was not answered. The
+/// core ends its questions earlier.
+const QUERY_WAIT: Duration = Duration::from_secs(4);
 /// Age of the last tick from which the process counts as paused. The core
 /// ticks at least every 500 ms.
 const PAUSE_AFTER: Duration = Duration::from_millis(1_500);
@@ -85,9 +89,13 @@
     requests: BTreeMap<RequestId, mpsc::UnboundedSender<RequestDecision>>,
     peers: BTreeMap<InboundNumber, oneshot::Sender<PeerReply>>,
     orders: BTreeMap<InboundNumber, oneshot::Sender<OrderReport>>,
+    queries: BTreeMap<InboundNumber, oneshot::Sender<QueryResult>>,
     claims: BTreeMap<InboundNumber, WaitingClaim>,
 }
 
+/// What the core gathered for a question, or why it did not.
+type QueryResult = Result<Box<QueryParts>, Refusal>;
+
 impl WaitingTable {
     fn next_inbound(&mut self) -> InboundNumber {
         self.last_inbound += 1;
@@ -173,6 +181,15 @@
         sender.map(|sender| sender.send(report));
     }
 
+    pub(crate) fn answer_query(
+        &self,
+        inbound: InboundNumber,
+        result: QueryResult,
+    ) {
+        let sender = self.waiting().queries.remove(&inbound);
+        sender.map(|sender| sender.send(result));
+    }
+
     /// Answers a claim; one that was won for an abandoned attempt is
     /// released.
     pub(crate) fn answer_claim(
@@ -239,6 +256,30 @@
         receiver.await.unwrap_or_else(stopped)
     }
 
+    /// Asks a question and waits for what the fleet answers.
+    pub async fn query(
+        &self,
+        text: Arc<str>,
+    ) -> Result<Box<QueryParts>, Refusal> {
+        let (sender, receiver) = oneshot::channel();
+        let inbound = {
+            let mut table = self.waiting();
+            table.queries.retain(|_, sender| !sender.is_closed());
+            let inbound = table.next_inbound();
+            table.queries.insert(inbound, sender);
+            inbound
+        };
+        self.send(CoreEvent::QueryAsked(inbound, text)).await;
+        match tokio::time::timeout(QUERY_WAIT, receiver).await {
+            Ok(Ok(result)) => result,
+            Ok(Err(_)) | Err(_) => {
+                let message = "the query was not answered in time";
+                Err(Refusal::new(RefusalCode::Overloaded, message)
+                    .with_retry_after(Duration::from_secs(1)))
+            }
+        }
+    }
+
     /// Gives an operator's order and waits for its outcome.
     pub async fn order(&self, order: FleetOrder) -> OrderReport {
         let id = order.order.clone();
--- a/cli/src/driver.rs
+++ b/cli/src/driver.rs
@@ -139,6 +139,9 @@
             CoreAction::AnswerOrder(inbound, report) => {
                 self.handle.answer_order(inbound, report);
             }
+            CoreAction::AnswerQuery(inbound, result) => {
+                self.handle.answer_query(inbound, result);
+            }
             CoreAction::AnswerClaim(inbound, answer) => {
                 self.handle.answer_claim(inbound, answer);
             }
--- a/cli/src/output.rs
+++ b/cli/src/output.rs
@@ -5,7 +5,7 @@
     io::{self, Write},
 };
 
-use borageline_lib::peer_api::OrderReport;
+use borageline_lib::{peer_api::OrderReport, query::OrderPreview};
 use owo_colors::{OwoColorize, Stream};
 use serde_json::Value;
 
@@ -87,6 +87,43 @@
         .to_string()
 }
 
+/// Renders what an order would change, one value a line.
+pub(crate) fn render_preview(preview: &OrderPreview) -> String {
+    let version = preview.version;
+    let mut text = format!("version {version}, nothing was changed\n");
+    if preview.changes.is_empty() {
+        text += "the order would change nothing\n";
+    }
+    for line in &preview.changes {
+        let (path, before, after) = (&line.path, &line.before, &line.after);
+        text += &format!("{path}: {before} -> {after}\n");
+    }
+    text
+}
+
+/// Names on the standard error output what an answer lacks.
+pub(crate) fn print_missing(answer: &Value) {
+    let label = "warning:";
+    let label = label.if_supports_color(Stream::Stderr, |text| text.yellow());
+    let list = |name: &str| {
+        let items = answer.get(name).and_then(Value::as_array);
+        items.cloned().unwrap_or_default()
+    };
+    for missing in list("missing") {
+        let instance = render_cell(missing.get("instance"));
+        let reason = render_cell(missing.get("reason"));
+        eprintln!("{label} rows of {instance} are missing: {reason}");
+    }
+    for cut in list("cut") {
+        let rows = render_cell(cut.get("rows"));
+        let place = match cut.get("instance").and_then(Value::as_str) {
+            Some(instance) => format!("of {instance} "),
+            None => String::new(),
+        };
+        eprintln!("{label} {rows} rows {place}are left out over the bound");
+    }
+}
+
 /// Renders rows as a table; what is not a list of objects stays JSON.
 pub(crate) fn render_rows(answer: &Value) -> String {
     let rows = answer.get("rows").unwrap_or(answer);
@@ -97,7 +134,9 @@
     let Some(objects) = objects else {
         return format!("{answer:#}\n");
     };
-    let mut names: Vec<&str> = Vec::new();
+    let columns = answer.get("columns").and_then(Value::as_array);
+    let columns = columns.into_iter().flatten();
+    let mut names: Vec<&str> = columns.filter_map(Value::as_str).collect();
     for name in objects.iter().flat_map(|object| object.keys()) {
         if !names.contains(&name.as_str()) {
             names.push(name);
@@ -119,22 +158,42 @@
     };
     let widths: Vec<_> = (0..names.len()).map(width).collect();
     let mut text = String::new();
-    for line in &lines {
+    for (index, line) in lines.iter().enumerate() {
         let padded = line
             .iter()
             .zip(&widths)
             .map(|(cell, width)| format!("{cell:<width$}"));
         let joined = padded.collect::<Vec<_>>().join("  ");
-        text.push_str(joined.trim_end());
+        let joined = joined.trim_end();
+        if index == 0 {
+            text += &paint_header(joined);
+        } else {
+            text += joined;
+        }
         text.push('\n');
     }
     text
 }
 
+fn paint_header(text: &str) -> String {
+    text.if_supports_color(Stream::Stdout, |text| text.bold())
+        .to_string()
+}
+
 fn render_cell(value: Option<&Value>) -> String {
     match value {
         None | Some(Value::Null) => "-".into(),
-        Some(Value::String(text)) => text.clone(),
+        Some(Value::String(text)) => printable(text),
+        Some(Value::Array(items)) => {
+            let items = items.iter().map(|item| render_cell(Some(item)));
+            items.collect::<Vec<_>>().join(",")
+        }
         Some(other) => other.to_string(),
     }
 }
+
+/// Text without control characters, which could change the terminal.
+fn printable(text: &str) -> String {
+    let clean = |char: char| if char.is_control() { ' ' } else { char };
+    text.chars().map(clean).collect()
+}
--- a/lib/src/admission.rs
+++ b/lib/src/admission.rs
@@ -75,6 +75,19 @@
     received: u128,
 }
 
+/// Asks of one class that wait for one engine.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct QueueLine {
+    /// Class.
+    pub class: PriorityClass,
+    /// Number of asks.
+    pub waiting: usize,
+    /// Prompt and output tokens that they ask for.
+    pub tokens: TokenCount,
+    /// When the first of them was queued.
+    pub oldest: Timestamp,
+}
+
 /// Asks that wait for one engine.
 #[derive(Clone, Debug, Default)]
 pub struct AdmissionQueue {
@@ -99,6 +112,19 @@
         self.classes.values().all(|class| class.asks.is_empty())
     }
 
+    /// The classes in which something waits.
+    pub fn lines(&self) -> impl Iterator<Item = QueueLine> {
+        self.classes.iter().filter_map(|(class, queue)| {
+            let oldest = queue.asks.values().map(|ask| ask.queued_at).min()?;
+            Some(QueueLine {
+                class: *class,
+                waiting: queue.asks.len(),
+                tokens: queue.asks.values().map(QueuedAsk::tokens).sum(),
+                oldest,
+            })
+        })
+    }
+
     /// Prompt tokens that would be prefilled before an ask: those of its class
     /// with earlier deadlines, enlarged by the share of the other classes that
     /// wait.
--- a/lib/src/call_log.rs
+++ b/lib/src/call_log.rs
@@ -17,7 +17,9 @@
 pub use self::{
     entry::{CallEntryTable, EntryAction, EntryCall, EntryEvent},
     judge::{CallJudge, ClaimVerdict},
-    owner::{CallAction, CallAppend, CallAsker, CallEvent, CallTable},
+    owner::{
+        CallAction, CallAppend, CallAsker, CallEvent, CallLine, CallTable,
+    },
 };
 use crate::{
     ids::{InstanceId, RequestId},
--- a/lib/src/call_log/judge.rs
+++ b/lib/src/call_log/judge.rs
@@ -68,6 +68,12 @@
         self.keys.len()
     }
 
+    /// Number of keys whose attempt has neither an outcome nor a release.
+    pub fn open_count(&self) -> usize {
+        let held = self.keys.values().filter_map(|key| key.held.as_ref());
+        held.filter(|claim| claim.outcome.is_none()).count()
+    }
+
     /// Whether no key is held.
     pub fn is_empty(&self) -> bool {
         self.keys.is_empty()
--- a/lib/src/call_log/owner.rs
+++ b/lib/src/call_log/owner.rs
@@ -88,6 +88,19 @@
     },
 }
 
+/// What queries read of one call stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallLine {
+    /// Keys held in memory.
+    pub keys: usize,
+    /// Keys whose attempt has neither an outcome nor a release.
+    pub in_progress: usize,
+    /// Claims and notices that wait to be read back.
+    pub waiting: usize,
+    /// Whether the stream was read to its head.
+    pub at_head: bool,
+}
+
 /// The call streams that this instance owns.
 #[derive(Debug)]
 pub struct CallTable {
@@ -190,6 +203,14 @@
         tables.filter_map(StreamTable::next_timer).min()
     }
 
+    /// The owned streams by index.
+    pub fn lines(&self) -> impl Iterator<Item = (usize, CallLine)> {
+        let streams = self.streams.iter().enumerate();
+        streams.filter_map(|(index, slot)| {
+            slot.as_ref().map(|table| (index, table.line()))
+        })
+    }
+
     /// Number of keys held in memory.
     pub fn key_count(&self) -> usize {
         let tables = self.streams.iter().flatten();
--- a/lib/src/call_log/stream.rs
+++ b/lib/src/call_log/stream.rs
@@ -82,6 +82,16 @@
         self.judge.len()
     }
 
+    /// What queries read of the stream.
+    pub(super) fn line(&self) -> super::CallLine {
+        super::CallLine {
+            keys: self.judge.len(),
+            in_progress: self.judge.open_count(),
+            waiting: self.waiters.len(),
+            at_head: self.at_head,
+        }
+    }
+
     /// Answers a claim at once if no append is needed, or queues it.
     pub(super) fn take_claim(
         &mut self,
--- a/lib/src/core.rs
+++ b/lib/src/core.rs
@@ -5,9 +5,12 @@
 //! clock or task, so that a run can be repeated from its events.
 
 mod log_routing;
+mod query_routing;
+mod query_tables;
 mod request_routing;
 mod routing;
 mod serving_core;
+mod tracing;
 mod upstream_reader;
 
 use std::{
@@ -17,7 +20,7 @@
     time::Duration,
 };
 
-pub use self::serving_core::ServingCore;
+pub use self::{query_routing::QUERY_TIMEOUT, serving_core::ServingCore};
 
 use crate::{
     api::{InstanceAddress, PriorityClass},
@@ -31,6 +34,7 @@
         CallKey, CallResult, ClaimAnswer, OrderReport, PeerMessage, PeerReply,
     },
     platform_api::{AppendAnswer, InstanceListing, RecordPage},
+    query::QueryParts,
     refusal::{Refusal, RefusalCode, RetryReason, RunState},
     units::{Incarnation, LogOffset, Timestamp, TokenCount},
 };
@@ -238,6 +242,9 @@
     OrderGiven(InboundNumber, FleetOrder),
     /// An operator asked for the outcome of an order.
     OrderAsked(InboundNumber, OrderId),
+    /// An operator asked a question, to be answered with
+    /// [`CoreAction::AnswerQuery`].
+    QueryAsked(InboundNumber, Arc<str>),
     /// A caller asks for the first use of an idempotency key, to be answered
     /// with [`CoreAction::AnswerClaim`].
     ClaimAsked {
@@ -317,6 +324,9 @@
     OrderEngine(UpstreamId, SocketAddr, EngineOrder),
     /// Answer an operator.
     AnswerOrder(InboundNumber, OrderReport),
+    /// Answer a question. The parts are to be merged with
+    /// [`crate::query::finish`], outside the task that owns the core.
+    AnswerQuery(InboundNumber, Result<Box<QueryParts>, Refusal>),
     /// Answer a claim of an idempotency key.
     AnswerClaim(InboundNumber, ClaimAnswer),
     /// Replace the view that the servers read.
--- /dev/null
+++ b/lib/src/core/query_routing.rs
@@ -0,0 +1,319 @@
+//! Questions of operators, answered over the fleet.
+//!
+//! The instance that is asked takes its own rows at once, sends
+//! [`PeerMessage::Query`] to every member that is present and waits for at
+//! most [`QUERY_TIMEOUT`]. A peer answers from its own state alone, so that a
+//! question is never passed on. An instance that does not answer is named, as
+//! is one that died or is listed without having been heard of; rows of engines
+//! whose owner is missing come without its account. Tables that every instance
+//! knows, such as workspaces, are answered without a message.
+//!
+//! A question over the fleet costs one message and one answer of at most 1 MiB
+//! for each member: 949 of each at 950 instances. Answers are kept as text and
+//! merged outside the core, which must not stand still for that.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use super::{
+    CallFailure, CoreAction, InboundNumber, ServingCore,
+    routing::{CallPurpose, TickOutput},
+};
+use crate::{
+    ids::InstanceId,
+    peer_api::{PeerMessage, PeerReply},
+    platform_api::ListedKind,
+    query::{
+        MissingInstance, PartAnswer, QueryParts, QueryStatement, bounded_text,
+        parse_query,
+    },
+    refusal::{Refusal, RefusalCode},
+    units::Timestamp,
+};
+
+/// Time for the other instances to answer.
+pub const QUERY_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time after which calls that the shell has not reported count as lost.
+const QUERY_LOST: Duration = Duration::from_millis(2_250);
+/// Most questions under way at once.
+const QUERIES_MAX: usize = 16;
+/// Most bytes of answers that one question may gather.
+const GATHERED_BYTES_MAX: usize = 32 << 20;
+/// Time for which an instance that died is named as missing.
+const DEAD_NAMED: Duration = Duration::from_secs(600);
+
+/// One question over the fleet that waits for answers.
+#[derive(Debug)]
+struct OpenQuery {
+    inbound: InboundNumber,
+    parts: QueryParts,
+    waiting: BTreeSet<InstanceId>,
+    bytes: usize,
+    due: Timestamp,
+}
+
+/// Questions that wait for answers.
+#[derive(Debug, Default)]
+pub(super) struct QueryDesk {
+    open: BTreeMap<u64, OpenQuery>,
+    last: u64,
+}
+
+impl QueryDesk {
+    /// When a question ends without further answers.
+    pub(super) fn next_timer(&self) -> Option<Timestamp> {
+        self.open.values().map(|query| query.due).min()
+    }
+}
+
+impl ServingCore {
+    /// Takes an operator's question in.
+    pub(super) fn query_asked(
+        &mut self,
+        now: Timestamp,
+        inbound: InboundNumber,
+        text: Arc<str>,
+        output: &mut TickOutput,
+    ) {
+        let statement = match parse_query(&text) {
+            Ok(statement) => statement,
+            Err(fault) => {
+                let message = fault.render(&text);
+                let refusal = Refusal::new(RefusalCode::Malformed, message);
+                return answer(inbound, Err(refusal), output);
+            }
+        };
+        let fleet_wide = match &statement {
+            QueryStatement::Table(query) => query.table.is_fleet_wide(),
+            QueryStatement::Explain(_) => true,
+        };
+        if fleet_wide && self.queries.open.len() >= QUERIES_MAX {
+            let message = format!("{QUERIES_MAX} queries are under way");
+            let refusal = Refusal::new(RefusalCode::Overloaded, message);
+            let refusal = refusal.with_retry_after(QUERY_TIMEOUT);
+            return answer(inbound, Err(refusal), output);
+        }
+        let parts = self.own_parts(now, statement);
+        if fleet_wide {
+            self.ask_members(now, inbound, parts, text, output);
+        } else {
+            answer(inbound, Ok(Box::new(parts)), output);
+        }
+    }
+
+    fn own_parts(
+        &self,
+        now: Timestamp,
+        statement: QueryStatement,
+    ) -> QueryParts {
+        let known = match &statement {
+            QueryStatement::Table(query) => self.known_rows(now, query.table),
+            QueryStatement::Explain(_) => Vec::new(),
+        };
+        QueryParts {
+            own: self.setup.instance.clone(),
+            own_part: self.own_part(now, &statement),
+            statement,
+            peers: Vec::new(),
+            known,
+            missing: Vec::new(),
+        }
+    }
+
+    /// Rows of this instance alone.
+    fn own_part(
+        &self,
+        now: Timestamp,
+        statement: &QueryStatement,
+    ) -> PartAnswer {
+        match statement {
+            QueryStatement::Table(query) => {
+                let rows = self.table_rows(now, query.table);
+                let covered = Self::covered(query.table, &rows);
+                query.collect(rows.into_iter(), covered)
+            }
+            QueryStatement::Explain(request) => PartAnswer {
+                rows: self.explain.rows(request, &self.setup.instance),
+                ..PartAnswer::default()
+            },
+        }
+    }
+
+    /// Answers a peer's question from this instance's own state.
+    pub(super) fn answer_query(
+        &self,
+        now: Timestamp,
+        inbound: InboundNumber,
+        text: &str,
+        output: &mut TickOutput,
+    ) {
+        let reply = match parse_query(text) {
+            Ok(statement) => {
+                let part = self.own_part(now, &statement);
+                PeerReply::Rows(bounded_text(&part))
+            }
+            Err(fault) => PeerReply::Rejected(fault.to_string().into()),
+        };
+        Self::answer_peer(inbound, reply, output);
+    }
+
+    fn ask_members(
+        &mut self,
+        now: Timestamp,
+        inbound: InboundNumber,
+        mut parts: QueryParts,
+        text: Arc<str>,
+        output: &mut TickOutput,
+    ) {
+        parts.missing = self.unreachable(now);
+        let members = self.members.members().iter();
+        let members = members.filter(|(_, entry)| entry.is_present());
+        let members: Vec<InstanceId> =
+            members.map(|(id, _)| id.clone()).collect();
+        self.queries.last += 1;
+        let number = self.queries.last;
+        let query = OpenQuery {
+            inbound,
+            parts,
+            waiting: members.iter().cloned().collect(),
+            bytes: 0,
+            due: now.after(QUERY_LOST),
+        };
+        self.queries.open.insert(number, query);
+        for member in members {
+            let purpose = CallPurpose::Query(number, member.clone());
+            let message = PeerMessage::Query(text.clone());
+            let sent = self.call_instance(
+                &member,
+                purpose,
+                message,
+                QUERY_TIMEOUT,
+                output,
+            );
+            if !sent {
+                let reason = "its address is not known";
+                self.query_missing(number, member, reason.into());
+            }
+        }
+        self.finish_query(number, output);
+    }
+
+    /// Instances that cannot be asked although they may hold rows.
+    fn unreachable(&self, now: Timestamp) -> Vec<MissingInstance> {
+        let members = self.members.members();
+        let dead = members.iter().filter(|(_, entry)| {
+            let recent = now.since(entry.since) < DEAD_NAMED;
+            !entry.is_present() && !entry.left && recent
+        });
+        let dead = dead.map(|(id, entry)| MissingInstance {
+            instance: id.clone(),
+            reason: format!("dead for {:.1?}", now.since(entry.since)).into(),
+        });
+        let listed = self.upstreams.listing();
+        let listed = listed.iter().flat_map(|listing| &listing.instances);
+        let listed = listed
+            .filter(|line| line.kind == ListedKind::Instance && !line.leaving);
+        let listed = listed.filter_map(|line| line.id.parse().ok());
+        let unheard = listed.filter(|id: &InstanceId| {
+            *id != self.setup.instance && !members.contains_key(id)
+        });
+        let unheard = unheard.map(|instance| MissingInstance {
+            instance,
+            reason: "listed, but it was not heard of".into(),
+        });
+        dead.chain(unheard).collect()
+    }
+
+    /// Takes a peer's rows in.
+    pub(super) fn query_answered(
+        &mut self,
+        number: u64,
+        peer: InstanceId,
+        result: Result<PeerReply, CallFailure>,
+        output: &mut TickOutput,
+    ) {
+        match result {
+            Ok(PeerReply::Rows(rows)) => self.take_rows(number, peer, rows),
+            Ok(PeerReply::Rejected(reason)) => {
+                self.query_missing(number, peer, reason);
+            }
+            Ok(_) => {
+                let reason = "it answered something else";
+                self.query_missing(number, peer, reason.into());
+            }
+            Err(failure) => self.query_missing(number, peer, failure.message),
+        }
+        self.finish_query(number, output);
+    }
+
+    fn take_rows(&mut self, number: u64, peer: InstanceId, rows: Arc<str>) {
+        let Some(query) = self.queries.open.get_mut(&number) else {
+            return;
+        };
+        if query.bytes + rows.len() > GATHERED_BYTES_MAX {
+            let reason = "the answers exceed 32 MiB; ask for fewer rows";
+            return self.query_missing(number, peer, reason.into());
+        }
+        if query.waiting.remove(&peer) {
+            query.bytes += rows.len();
+            query.parts.peers.push((peer, rows));
+        }
+    }
+
+    fn query_missing(
+        &mut self,
+        number: u64,
+        instance: InstanceId,
+        reason: Arc<str>,
+    ) {
+        if let Some(query) = self.queries.open.get_mut(&number)
+            && query.waiting.remove(&instance)
+        {
+            let missing = MissingInstance { instance, reason };
+            query.parts.missing.push(missing);
+        }
+    }
+
+    /// Answers a question that waits for nobody any more.
+    fn finish_query(&mut self, number: u64, output: &mut TickOutput) {
+        let open = &mut self.queries.open;
+        if open.get(&number).is_some_and(|it| it.waiting.is_empty())
+            && let Some(query) = open.remove(&number)
+        {
+            answer(query.inbound, Ok(Box::new(query.parts)), output);
+        }
+    }
+
+    /// Ends the questions whose time is over.
+    pub(super) fn expire_queries(
+        &mut self,
+        now: Timestamp,
+        output: &mut TickOutput,
+    ) {
+        let due = self.queries.open.iter();
+        let due = due.filter(|(_, query)| now >= query.due);
+        let due: Vec<u64> = due.map(|(number, _)| *number).collect();
+        for number in due {
+            let waiting = self.queries.open.get(&number);
+            let waiting = waiting.map(|query| query.waiting.clone());
+            for peer in waiting.unwrap_or_default() {
+                let reason = format!("no answer within {QUERY_TIMEOUT:?}");
+                self.query_missing(number, peer, reason.into());
+            }
+            self.finish_query(number, output);
+        }
+    }
+}
+
+fn answer(
+    inbound: InboundNumber,
+    result: Result<Box<QueryParts>, Refusal>,
+    output: &mut TickOutput,
+) {
+    output
+        .actions
+        .push(CoreAction::AnswerQuery(inbound, result));
+}
--- a/lib/src/core/request_routing.rs
+++ b/lib/src/core/request_routing.rs
@@ -84,6 +84,7 @@
         self.route_owner(now, actions, output);
         let view = fleet_view!(self, now);
         let actions = self.entries.tick(now, &view);
+        self.trace_outcome(now, None, false, &actions);
         self.route_entry(now, actions, output);
     }
 
@@ -93,8 +94,11 @@
         event: EntryEvent,
         output: &mut TickOutput,
     ) {
+        let request = self.trace_event(now, &event);
+        let arrived = matches!(event, EntryEvent::Arrived(_));
         let view = fleet_view!(self, now);
         let actions = self.entries.handle(now, event, &view);
+        self.trace_outcome(now, request.as_ref(), arrived, &actions);
         self.route_entry(now, actions, output);
     }
 
--- a/lib/src/core/routing.rs
+++ b/lib/src/core/routing.rs
@@ -45,6 +45,8 @@
     Notice,
     /// A question for a part of a limit.
     Borrow,
+    /// A query, by its number, to this instance.
+    Query(u64, InstanceId),
 }
 
 /// Actions of one tick.
@@ -133,6 +135,9 @@
                 let event = DeskEvent::Asked(inbound, order);
                 self.handle_desk(now, event, output);
             }
+            CoreEvent::QueryAsked(inbound, text) => {
+                self.query_asked(now, inbound, text, output);
+            }
             CoreEvent::ClaimAsked {
                 inbound,
                 key,
@@ -228,9 +233,8 @@
             PeerMessage::Borrow(ask) => {
                 self.borrow_asked(now, inbound, ask, output);
             }
-            PeerMessage::Query(_) => {
-                let reply = PeerReply::Rejected("not supported".into());
-                Self::answer_peer(inbound, reply, output);
+            PeerMessage::Query(text) => {
+                self.answer_query(now, inbound, &text, output);
             }
         }
     }
@@ -286,6 +290,9 @@
                     self.handle_entry(now, event, output);
                 }
             }
+            CallPurpose::Query(number, peer) => {
+                self.query_answered(number, peer, result, output);
+            }
             CallPurpose::Notice
             | CallPurpose::Snapshot
             | CallPurpose::Order(_)
--- a/lib/src/core/serving_core.rs
+++ b/lib/src/core/serving_core.rs
@@ -5,6 +5,7 @@
 use super::{
     CallNumber, CoreAction, CoreEvent, CoreSetup, InboundNumber,
     InstanceReadiness, PublishedView,
+    query_routing::QueryDesk,
     request_routing::AskRoute,
     routing::{CallPurpose, TickOutput},
     upstream_reader::UpstreamReader,
@@ -14,6 +15,7 @@
     call_log::{CALL_STREAMS, CallEntryTable, CallTable},
     config_reader::ConfigReader,
     entry::{EntryEvent, EntryTable},
+    explain::ExplainTable,
     freshness::{Freshness, FreshnessTable},
     ids::InstanceId,
     log_event::LogEvent,
@@ -45,6 +47,8 @@
     pub(super) calls: CallTable,
     pub(super) call_entries: CallEntryTable,
     pub(super) desk: OrderDesk,
+    pub(super) queries: QueryDesk,
+    pub(super) explain: ExplainTable,
     pub(super) entries: EntryTable,
     pub(super) owners: OwnerTable,
     pub(super) replies: BTreeMap<u64, AskRoute>,
@@ -82,6 +86,8 @@
             calls: CallTable::new(setup.instance.clone()),
             call_entries: CallEntryTable::new(),
             desk: OrderDesk::new(),
+            queries: QueryDesk::default(),
+            explain: ExplainTable::new(),
             entries: EntryTable::new(
                 setup.policy,
                 setup.incarnation,
@@ -129,6 +135,7 @@
             self.calls.next_timer(),
             self.call_entries.next_timer(),
             self.desk.next_timer(),
+            self.queries.next_timer(),
             self.entries.next_timer(),
             self.owners.next_timer(),
             Some(self.slow_due),
@@ -176,6 +183,7 @@
         let actions = self.call_entries.tick(now);
         self.route_call_entries(now, actions, output);
         self.tick_desk(now, output);
+        self.expire_queries(now, output);
         self.report_freshness(now, output);
         let idle = self.entries.is_empty() && self.call_entries.is_empty();
         if self.stopping && idle && !self.stop_done {
--- /dev/null
+++ b/lib/src/core/tracing.rs
@@ -0,0 +1,145 @@
+//! Noting decisions on requests for `explain`.
+//!
+//! The steps are taken from the events that go into the entry side and the
+//! actions that come out of it, so that the policy knows nothing of them.
+
+use std::sync::Arc;
+
+use super::ServingCore;
+use crate::{
+    core::{RequestDecision, RequestProgress},
+    entry::{EntryAction, EntryEvent},
+    explain::{CandidateFigure, TraceStep, WaitReason},
+    ids::RequestId,
+    peer_api::GrantAsk,
+    refusal::RefusalCode,
+    units::Timestamp,
+};
+
+impl ServingCore {
+    /// Notes an event before the entry side takes it in. Returns the request
+    /// that it is about.
+    pub(super) fn trace_event(
+        &mut self,
+        now: Timestamp,
+        event: &EntryEvent,
+    ) -> Option<RequestId> {
+        match event {
+            EntryEvent::Arrived(spec) => {
+                self.explain.arrived(now, spec);
+                Some(spec.request.clone())
+            }
+            EntryEvent::Progress(request, progress) => {
+                self.explain.progressed(now, request, progress);
+                let goes_on =
+                    matches!(progress, RequestProgress::Failed { .. });
+                goes_on.then(|| request.clone())
+            }
+            EntryEvent::AskAnswered(ask, answer) => {
+                let (request, engine) = self.entries.open_ask(*ask)?;
+                let request = request.clone();
+                let answer = answer.as_ref();
+                self.explain.answered(now, &request, engine, answer);
+                Some(request)
+            }
+            _ => None,
+        }
+    }
+
+    /// Notes what the entry side decided on an event about a request. What is
+    /// due by time names its requests in the actions alone.
+    pub(super) fn trace_outcome(
+        &mut self,
+        now: Timestamp,
+        request: Option<&RequestId>,
+        arrived: bool,
+        actions: &[EntryAction],
+    ) {
+        if let Some(request) = request
+            && arrived
+            && !actions.iter().any(is_entry_refusal)
+        {
+            self.explain.step(now, request, TraceStep::WithinLimits);
+        }
+        for action in actions {
+            match action {
+                EntryAction::Decide(request, decision) => {
+                    self.explain.decided(now, request, decision);
+                }
+                EntryAction::Ask { owner, ask, .. } => {
+                    self.trace_candidates(now, ask);
+                    let step = TraceStep::Asked {
+                        engine: ask.engine.clone(),
+                        owner: owner.clone(),
+                        may_queue: ask.may_queue,
+                    };
+                    self.explain.step(now, &ask.request, step);
+                }
+                EntryAction::CountRetry(reason) => {
+                    if let Some(request) = request {
+                        let step = TraceStep::Retried(*reason);
+                        self.explain.step(now, request, step);
+                    }
+                }
+                _ => {}
+            }
+        }
+        if let Some(request) = request {
+            self.trace_wait(now, request);
+        }
+    }
+
+    /// Notes the candidates of a round at its first ask.
+    fn trace_candidates(&mut self, now: Timestamp, ask: &GrantAsk) {
+        let Some((tried, left)) = self.entries.round(&ask.request) else {
+            return;
+        };
+        if tried.len() > 1 {
+            return;
+        }
+        let table = self.entries.candidates();
+        let engines = std::iter::once(&ask.engine).chain(left.iter().rev());
+        let figures = engines.map(|engine| CandidateFigure {
+            engine: engine.clone(),
+            headroom: table.known_headroom(now, engine),
+            running: table.running(engine),
+        });
+        let figures: Arc<[CandidateFigure]> = figures.collect();
+        let step = TraceStep::Candidates(figures);
+        self.explain.step(now, &ask.request, step);
+    }
+
+    fn trace_wait(&mut self, now: Timestamp, request: &RequestId) {
+        let Some(until) = self.entries.waiting_until(request) else {
+            return;
+        };
+        let view = self.view(now);
+        let model = self.explain.model(request);
+        let unserved =
+            model.is_some_and(|model| view.upstreams.serving(model).is_empty());
+        let reason = if !view.fresh {
+            WaitReason::Stale
+        } else if unserved {
+            WaitReason::NoEngine
+        } else {
+            WaitReason::NotTaken
+        };
+        let step = TraceStep::Waits(until, reason);
+        self.explain.step(now, request, step);
+    }
+}
+
+/// Whether a request was refused before it was admitted under its limits. The
+/// codes of refusals after that differ, but for a stale configuration.
+fn is_entry_refusal(action: &EntryAction) -> bool {
+    let EntryAction::Decide(_, RequestDecision::End(refusal)) = action else {
+        return false;
+    };
+    matches!(
+        refusal.code,
+        RefusalCode::WorkspaceLimit
+            | RefusalCode::Overloaded
+            | RefusalCode::ConfigurationStale
+            | RefusalCode::DeadlineExceeded
+    )
+}
--- a/lib/src/entry.rs
+++ b/lib/src/entry.rs
@@ -13,6 +13,7 @@
 mod asking;
 mod group;
 mod running;
+mod tables;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -21,6 +22,8 @@
 
 use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng};
 
+pub use self::tables::RequestLine;
+
 use crate::{
     core::{PolicyName, RequestDecision, RequestProgress, RequestSpec},
     ids::{InstanceId, RequestId, UpstreamId},
--- /dev/null
+++ b/lib/src/entry/tables.rs
@@ -0,0 +1,73 @@
+//! What queries and the record of decisions read of the entry side.
+
+use super::{EntryRow, EntryTable, Phase};
+use crate::{
+    core::RequestSpec,
+    ids::{RequestId, UpstreamId},
+    limits::LimitShare,
+    units::Timestamp,
+};
+
+/// One request that has not ended.
+#[derive(Clone, Debug)]
+pub struct RequestLine<'a> {
+    /// The request.
+    pub spec: &'a RequestSpec,
+    /// When it arrived.
+    pub arrived: Timestamp,
+    /// How far it has come.
+    pub state: &'static str,
+    /// Engines that are reserved for it or run it.
+    pub engines: Vec<&'a UpstreamId>,
+}
+
+impl EntryTable {
+    /// All requests that have not ended.
+    pub fn lines(&self) -> impl Iterator<Item = RequestLine<'_>> {
+        self.rows.values().map(|row| RequestLine {
+            spec: &row.spec,
+            arrived: row.arrived,
+            state: state(row),
+            engines: row.legs.iter().map(|leg| &leg.engine).collect(),
+        })
+    }
+
+    /// Request and engine of an ask that was not answered yet.
+    pub fn open_ask(&self, ask: u64) -> Option<(&RequestId, &UpstreamId)> {
+        let open = self.asks.get(&ask)?;
+        Some((&open.request, &open.engine))
+    }
+
+    /// Engines that a request was tried on in its present round, and those
+    /// that are left, the best last.
+    pub fn round(
+        &self,
+        request: &RequestId,
+    ) -> Option<(&[UpstreamId], &[UpstreamId])> {
+        let row = self.rows.get(request)?;
+        Some((&row.tried, &row.candidates))
+    }
+
+    /// Until when a request waits for its next round, if it does.
+    pub fn waiting_until(&self, request: &RequestId) -> Option<Timestamp> {
+        let row = self.rows.get(request)?;
+        matches!(row.phase, Phase::Waiting).then_some(row.due)
+    }
+
+    /// Shares in the limits of workspaces.
+    pub fn limits(&self) -> &LimitShare {
+        &self.limits
+    }
+}
+
+fn state(row: &EntryRow) -> &'static str {
+    match row.phase {
+        Phase::Asking { .. } => "asking",
+        Phase::Waiting => "waiting",
+        Phase::Placed if row.delivered => "streaming",
+        Phase::Placed if row.legs.iter().any(|leg| leg.sent_at.is_some()) => {
+            "sent"
+        }
+        Phase::Placed => "placed",
+    }
+}
--- a/lib/src/fleet/apply.rs
+++ b/lib/src/fleet/apply.rs
@@ -203,6 +203,16 @@
         Ok(())
     }
 
+    /// The configuration as an order would leave it, were it the next record.
+    pub fn preview(&self, order: &FleetOrder) -> Result<Self, OrderRejection> {
+        self.validate(order)?;
+        let mut state = self.clone();
+        for change in &order.changes {
+            apply_change(&mut state, self.next_offset(), change.clone());
+        }
+        Ok(state)
+    }
+
     /// Builds the claim of the lease on an upstream that is held now, if any.
     pub fn lease_claim(
         &self,
--- a/lib/src/limits.rs
+++ b/lib/src/limits.rs
@@ -170,6 +170,25 @@
     }
 }
 
+/// One limit as this instance takes part in it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LimitLine<'a> {
+    /// Workspace.
+    pub workspace: &'a WorkspaceId,
+    /// Position of the limit among the workspace's limits.
+    pub limit: u32,
+    /// The limit, unless it was removed in the meantime.
+    pub rule: Option<&'a LimitRule>,
+    /// Part of the whole limit that is in use here.
+    pub used: f64,
+    /// Part of the whole limit that may be used here.
+    pub share: f64,
+    /// Requests that run.
+    pub running: u32,
+    /// Tokens that they hold.
+    pub held: u64,
+}
+
 /// Positions of the limits that an admitted request counts against. They are
 /// kept with the request, because the limits may be replaced before it ends.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -294,6 +313,34 @@
         known.map_or(equal_part(view), |known| known.part(now, view))
     }
 
+    /// All limits that are or were in use here.
+    pub fn lines<'a>(
+        &'a self,
+        now: Timestamp,
+        view: &'a FleetView<'a>,
+    ) -> impl Iterator<Item = LimitLine<'a>> {
+        self.uses.iter().map(move |((workspace, at), known)| {
+            let rule = view.fleet.workspaces.get(workspace);
+            let rule = rule.and_then(|rule| limit_at(rule, *at));
+            // A copy, because a question changes nothing.
+            let mut known = known.clone();
+            let share = known.part(now, view);
+            let used = rule.map_or(0.0, |rule| {
+                known.fill(now, rule, share);
+                known.used(rule, share)
+            });
+            LimitLine {
+                workspace,
+                limit: *at,
+                rule,
+                used,
+                share,
+                running: known.running,
+                held: known.held,
+            }
+        })
+    }
+
     fn lendable(
         &mut self,
         now: Timestamp,
--- a/lib/src/owner.rs
+++ b/lib/src/owner.rs
@@ -8,12 +8,15 @@
 //! result for each read.
 
 mod row;
+mod tables;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
     time::Duration,
 };
 
+pub use self::tables::OwnerLine;
+
 use self::row::{Obstacle, OwnerRow, enqueue, give, judge};
 use crate::{
     cold_start::ColdLimit,
--- /dev/null
+++ b/lib/src/owner/tables.rs
@@ -0,0 +1,71 @@
+//! What queries read of the owned engines.
+
+use std::time::Duration;
+
+use super::{OwnerTable, TakeoverState};
+use crate::{
+    admission::QueueLine,
+    ids::{RequestId, UpstreamId},
+    ledger::Hold,
+    units::{Incarnation, Timestamp, TokenCount},
+};
+
+/// One owned engine.
+#[derive(Clone, Copy, Debug)]
+pub struct OwnerLine {
+    /// Step of the takeover.
+    pub takeover: TakeoverState,
+    /// Memory of the engine.
+    pub memory: TokenCount,
+    /// Memory that is granted or held.
+    pub granted: TokenCount,
+    /// Memory that can be granted now.
+    pub free: TokenCount,
+    /// Step of the cold-start limit.
+    pub cold_step: u32,
+    /// Predicted wait before a new prompt's prefill starts.
+    pub wait: Duration,
+    /// Whether the engine takes long prompts.
+    pub takes_long: bool,
+    /// Incarnation that the account belongs to.
+    pub incarnation: Option<Incarnation>,
+}
+
+impl OwnerTable {
+    /// Account of an engine, if this instance owns it.
+    pub fn line(
+        &self,
+        now: Timestamp,
+        engine: &UpstreamId,
+    ) -> Option<OwnerLine> {
+        let row = self.rows.get(engine)?;
+        let summary = row.summary(now, engine);
+        Some(OwnerLine {
+            takeover: row.state,
+            memory: row.ledger.memory(),
+            granted: row.ledger.used(),
+            free: summary.headroom,
+            cold_step: row.cold.step(),
+            wait: summary.wait,
+            takes_long: row.takes_long,
+            incarnation: row.ledger.incarnation(),
+        })
+    }
+
+    /// All holds on the owned engines.
+    pub fn holds(
+        &self,
+    ) -> impl Iterator<Item = (&UpstreamId, &RequestId, &Hold)> {
+        self.rows.iter().flat_map(|(engine, row)| {
+            let holds = row.ledger.holds();
+            holds.map(move |(request, hold)| (engine, request, hold))
+        })
+    }
+
+    /// The queues of the owned engines in which something waits.
+    pub fn queues(&self) -> impl Iterator<Item = (&UpstreamId, QueueLine)> {
+        self.rows.iter().flat_map(|(engine, row)| {
+            row.queue.lines().map(move |line| (engine, line))
+        })
+    }
+}
--- /dev/null
+++ b/lib/src/query/evaluate.rs
@@ -0,0 +1,371 @@
+//! Evaluating a query over the rows of one instance, and merging the parts.
+//!
+//! An instance sends the columns that are needed of the rows that pass the
+//! filter. Without grouping, the order and limit of the query already hold
+//! there, so that only rows that may be shown travel. Parts and answers are
+//! bounded, and what was cut is named.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+use super::{
+    query_parser::{
+        AggregateKind, OrderKey, QueryStatement, SelectItem, TableQuery,
+    },
+    schema::EXPLAIN_COLUMNS,
+    value::{CellValue, TableRow},
+};
+use crate::{ids::InstanceId, value_type};
+
+/// Most rows that one instance sends.
+pub const PART_ROWS_MAX: usize = 2_000;
+/// Most bytes of the rows that one instance sends, as JSON. A frame between
+/// instances holds 4 MiB.
+pub const PART_BYTES_MAX: usize = 1 << 20;
+/// Most rows of an answer.
+pub const ANSWER_ROWS_MAX: usize = 10_000;
+
+value_type! {
+    /// Rows of one instance.
+    #[derive(Default)]
+    pub struct PartAnswer {
+        /// Rows, with the columns that the query needs.
+        pub rows: Vec<TableRow>,
+        /// Rows that were left out over the bounds.
+        pub cut: usize,
+        /// Subjects that the instance answers for, whether or not their rows
+        /// pass the filter. Only for tables whose rows belong to known
+        /// subjects.
+        pub covered: BTreeSet<Arc<str>>,
+    }
+}
+
+value_type! {
+    /// An instance without an answer.
+    pub struct MissingInstance {
+        /// Instance.
+        pub instance: InstanceId,
+        /// Why its rows are missing.
+        pub reason: Arc<str>,
+    }
+}
+
+value_type! {
+    /// Rows that were left out.
+    pub struct CutRows {
+        /// Instance that left them out; absent for the answer as a whole.
+        pub instance: Option<InstanceId>,
+        /// Number of rows.
+        pub rows: usize,
+    }
+}
+
+value_type! {
+    /// Answer to a query.
+    #[derive(Default)]
+    pub struct QueryAnswer {
+        /// Columns in the order in which they are shown.
+        pub columns: Vec<Arc<str>>,
+        /// Rows by column.
+        pub rows: Vec<BTreeMap<Arc<str>, CellValue>>,
+        /// Whether no instance is missing and no row was cut.
+        pub complete: bool,
+        /// Number of instances whose rows are part of the answer.
+        pub answered: usize,
+        /// Instances whose rows are missing.
+        pub missing: Vec<MissingInstance>,
+        /// Rows that were left out over a bound. Counts and sums do not
+        /// contain them.
+        pub cut: Vec<CutRows>,
+    }
+}
+
+/// What an answer is made of.
+#[derive(Clone, Debug, PartialEq)]
+pub struct QueryParts {
+    /// The query.
+    pub statement: QueryStatement,
+    /// Instance that was asked.
+    pub own: InstanceId,
+    /// Its rows.
+    pub own_part: PartAnswer,
+    /// Parts of other instances as JSON text, read only when the answer is
+    /// made, outside the core.
+    pub peers: Vec<(InstanceId, Arc<str>)>,
+    /// Rows of known subjects, used for those that nobody answered for.
+    pub known: Vec<(Arc<str>, TableRow)>,
+    /// Instances whose rows are missing.
+    pub missing: Vec<MissingInstance>,
+}
+
+impl TableQuery {
+    /// Whether rows are joined to groups.
+    pub fn is_grouped(&self) -> bool {
+        let aggregate =
+            |item: &SelectItem| !matches!(item, SelectItem::Column(_));
+        !self.group_by.is_empty() || self.select.iter().any(aggregate)
+    }
+
+    /// Columns that the answer is computed from, ascending.
+    fn needed(&self) -> Vec<usize> {
+        let keys = self.order_by.iter().map(|key| key.item);
+        let items = self.select.iter().copied().chain(keys);
+        let columns = items.filter_map(|item| match item {
+            SelectItem::Column(at) | SelectItem::Aggregate(_, at) => Some(at),
+            SelectItem::Count => None,
+        });
+        let columns = columns.chain(self.group_by.iter().copied());
+        columns.collect::<BTreeSet<_>>().into_iter().collect()
+    }
+
+    /// Filters, sorts and bounds the rows of one instance.
+    pub fn collect(
+        &self,
+        rows: impl Iterator<Item = TableRow>,
+        covered: BTreeSet<Arc<str>>,
+    ) -> PartAnswer {
+        let passes = |row: &TableRow| {
+            self.filter.as_ref().is_none_or(|filter| filter.holds(row))
+        };
+        let mut rows: Vec<TableRow> = rows.filter(passes).collect();
+        let mut cut = 0;
+        if !self.is_grouped() {
+            sort_rows(&mut rows, &self.order_by, |at| at);
+            rows.truncate(self.limit.unwrap_or(usize::MAX));
+        }
+        cut += rows.len().saturating_sub(PART_ROWS_MAX);
+        rows.truncate(PART_ROWS_MAX);
+        let needed = self.needed();
+        let project = |row: TableRow| {
+            let cells = needed.iter().filter_map(|at| row.get(*at));
+            cells.cloned().collect()
+        };
+        PartAnswer {
+            rows: rows.into_iter().map(project).collect(),
+            cut,
+            covered,
+        }
+    }
+
+    /// Groups, sorts and shows merged rows.
+    fn show(&self, rows: Vec<TableRow>) -> Vec<TableRow> {
+        let needed = self.needed();
+        let place = |at: usize| {
+            needed.binary_search(&at).expect("the column is needed")
+        };
+        let groups = if self.is_grouped() {
+            self.group(rows, place)
+        } else {
+            rows.into_iter().map(|row| vec![row]).collect()
+        };
+        let items = |items: Vec<SelectItem>, group: &Vec<TableRow>| {
+            let cells = items.iter().map(|item| evaluate(*item, group, place));
+            cells.collect::<TableRow>()
+        };
+        let keys: Vec<_> = self.order_by.iter().map(|key| key.item).collect();
+        let mut keyed: Vec<(TableRow, TableRow)> = groups
+            .iter()
+            .map(|group| {
+                let shown = items(self.select.clone(), group);
+                (items(keys.clone(), group), shown)
+            })
+            .collect();
+        keyed.sort_by(|(left, _), (right, _)| {
+            compare_keys(left, right, &self.order_by)
+        });
+        let shown = keyed.into_iter().map(|(_, shown)| shown);
+        shown.take(self.limit.unwrap_or(usize::MAX)).collect()
+    }
+
+    fn group(
+        &self,
+        rows: Vec<TableRow>,
+        place: impl Fn(usize) -> usize,
+    ) -> Vec<Vec<TableRow>> {
+        if self.group_by.is_empty() {
+            return vec![rows];
+        }
+        let mut groups = BTreeMap::<TableRow, Vec<TableRow>>::new();
+        for row in rows {
+            let columns =
+                self.group_by.iter().map(|at| row[place(*at)].clone());
+            groups.entry(columns.collect()).or_default().push(row);
+        }
+        groups.into_values().collect()
+    }
+}
+
+fn sort_rows(
+    rows: &mut [TableRow],
+    keys: &[OrderKey],
+    place: impl Fn(usize) -> usize,
+) {
+    let values = |row: &TableRow| -> TableRow {
+        let cells = keys.iter().map(|key| match key.item {
+            SelectItem::Column(at) => row[place(at)].clone(),
+            _ => CellValue::Null,
+        });
+        cells.collect()
+    };
+    if !keys.is_empty() {
+        rows.sort_by(|left, right| {
+            compare_keys(&values(left), &values(right), keys)
+        });
+    }
+}
+
+fn compare_keys(
+    left: &[CellValue],
+    right: &[CellValue],
+    keys: &[OrderKey],
+) -> std::cmp::Ordering {
+    let pairs = left.iter().zip(right).zip(keys);
+    let mut orders = pairs.map(|((left, right), key)| {
+        let order = left.cmp(right);
+        if key.descending {
+            order.reverse()
+        } else {
+            order
+        }
+    });
+    let decides = |order: &std::cmp::Ordering| order.is_ne();
+    orders.find(decides).unwrap_or(std::cmp::Ordering::Equal)
+}
+
+fn evaluate(
+    item: SelectItem,
+    group: &[TableRow],
+    place: impl Fn(usize) -> usize,
+) -> CellValue {
+    match item {
+        SelectItem::Count => group.len().into(),
+        SelectItem::Column(at) => {
+            let first = group.first();
+            first.map_or(CellValue::Null, |row| row[place(at)].clone())
+        }
+        SelectItem::Aggregate(kind, at) => {
+            let at = place(at);
+            let cells = group.iter().map(|row| &row[at]);
+            let known = cells.filter(|cell| **cell != CellValue::Null);
+            aggregate(kind, known)
+        }
+    }
+}
+
+/// Computes over the values that are known; without any, nothing is known.
+fn aggregate<'c>(
+    kind: AggregateKind,
+    known: impl Iterator<Item = &'c CellValue>,
+) -> CellValue {
+    match kind {
+        AggregateKind::Min => known.min().cloned().unwrap_or(CellValue::Null),
+        AggregateKind::Max => known.max().cloned().unwrap_or(CellValue::Null),
+        AggregateKind::Sum | AggregateKind::Avg => {
+            let numbers: Vec<f64> =
+                known.filter_map(CellValue::number).collect();
+            if numbers.is_empty() {
+                return CellValue::Null;
+            }
+            let sum: f64 = numbers.iter().sum();
+            CellValue::from_f64(match kind {
+                AggregateKind::Avg => sum / numbers.len() as f64,
+                _ => sum,
+            })
+        }
+    }
+}
+
+fn item_name(query: &TableQuery, item: SelectItem) -> Arc<str> {
+    let name = |at: usize| query.table.columns()[at].0;
+    match item {
+        SelectItem::Column(at) => name(at).into(),
+        SelectItem::Count => "count".into(),
+        SelectItem::Aggregate(kind, at) => {
+            format!("{}({})", kind.name(), name(at)).into()
+        }
+    }
+}
+
+/// Bounds the text of a part; drops rows from its end until it fits.
+pub(crate) fn bounded_text(part: &PartAnswer) -> Arc<str> {
+    let mut part = part.clone();
+    loop {
+        let text = serde_json::to_string(&part);
+        let text = text.expect("a part has only text keys");
+        if text.len() <= PART_BYTES_MAX || part.rows.is_empty() {
+            return text.into();
+        }
+        let kept = part.rows.len() / 2;
+        part.cut += part.rows.len() - kept;
+        part.rows.truncate(kept);
+    }
+}
+
+/// Merges the parts into the answer.
+pub fn finish(parts: QueryParts) -> QueryAnswer {
+    let QueryParts {
+        statement,
+        own,
+        own_part,
+        peers,
+        known,
+        mut missing,
+    } = parts;
+    let mut read = vec![(own, own_part)];
+    for (instance, text) in peers {
+        match serde_json::from_str::<PartAnswer>(&text) {
+            Ok(part) => read.push((instance, part)),
+            Err(error) => missing.push(MissingInstance {
+                instance,
+                reason: format!("its answer cannot be read: {error}").into(),
+            }),
+        }
+    }
+    let mut cut = Vec::new();
+    let mut rows = Vec::new();
+    let mut covered = BTreeSet::new();
+    let answered = read.len();
+    for (instance, part) in read {
+        if part.cut > 0 {
+            cut.push(CutRows {
+                instance: Some(instance),
+                rows: part.cut,
+            });
+        }
+        rows.extend(part.rows);
+        covered.extend(part.covered);
+    }
+    let (columns, mut rows) = match &statement {
+        QueryStatement::Explain(_) => {
+            let names = EXPLAIN_COLUMNS.iter().map(|name| (*name).into());
+            (names.collect::<Vec<Arc<str>>>(), rows)
+        }
+        QueryStatement::Table(query) => {
+            let left = known
+                .into_iter()
+                .filter(|(subject, _)| !covered.contains(subject));
+            let left = left.map(|(_, row)| row);
+            rows.extend(query.collect(left, BTreeSet::new()).rows);
+            let names = query.select.iter().map(|item| item_name(query, *item));
+            (names.collect(), query.show(rows))
+        }
+    };
+    if rows.len() > ANSWER_ROWS_MAX {
+        cut.push(CutRows {
+            instance: None,
+            rows: rows.len() - ANSWER_ROWS_MAX,
+        });
+        rows.truncate(ANSWER_ROWS_MAX);
+    }
+    let named = |row: TableRow| columns.iter().cloned().zip(row).collect();
+    QueryAnswer {
+        rows: rows.into_iter().map(named).collect(),
+        complete: missing.is_empty() && cut.is_empty(),
+        columns,
+        answered,
+        missing,
+        cut,
+    }
+}
--- /dev/null
+++ b/lib/src/query/lexer.rs
@@ -0,0 +1,171 @@
+//! The words, symbols and JSON objects of a text.
+
+use serde::de::IgnoredAny;
+use winnow::{
+    LocatingSlice, Parser,
+    ascii::multispace0,
+    combinator::{alt, delimited},
+    token::{one_of, take_till, take_while},
+};
+
+use super::fault::QueryFault;
+
+type Input<'a> = LocatingSlice<&'a str>;
+
+/// Characters that end a word.
+const SEPARATORS: &str = ",;()*=<>!\"'{}[]";
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) enum TokenKind<'a> {
+    /// A keyword, name or number.
+    Word(&'a str),
+    /// A text in quotes, without them.
+    Quoted(&'a str),
+    /// A separator or operator.
+    Symbol(&'a str),
+    /// A JSON object.
+    Json(&'a str),
+    /// The end of the text.
+    End,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct Token<'a> {
+    pub(super) kind: TokenKind<'a>,
+    pub(super) start: usize,
+    pub(super) end: usize,
+}
+
+/// Splits a text as far as it goes. A fault belongs to the place after the
+/// last token.
+pub(super) fn split(text: &str) -> (Vec<Token<'_>>, Option<QueryFault>) {
+    let mut tokens = Vec::new();
+    let mut at = 0;
+    loop {
+        at += text[at..].len() - text[at..].trim_start().len();
+        let rest = &text[at..];
+        if rest.is_empty() {
+            return (tokens, None);
+        }
+        let scanned = if rest.starts_with('{') {
+            scan_json(text, at)
+        } else {
+            scan(text, at)
+        };
+        match scanned {
+            Ok(token) => {
+                at = token.end;
+                tokens.push(token);
+            }
+            Err(fault) => return (tokens, Some(fault)),
+        }
+    }
+}
+
+fn scan(text: &str, at: usize) -> Result<Token<'_>, QueryFault> {
+    let mut input = Input::new(&text[at..]);
+    match token.with_span().parse_next(&mut input) {
+        Ok((kind, span)) => Ok(Token {
+            kind,
+            start: at + span.start,
+            end: at + span.end,
+        }),
+        Err(_) => Err(unreadable(text, at)),
+    }
+}
+
+fn token<'a>(input: &mut Input<'a>) -> winnow::Result<TokenKind<'a>> {
+    alt((
+        word.map(TokenKind::Word),
+        quoted.map(TokenKind::Quoted),
+        symbol.map(TokenKind::Symbol),
+    ))
+    .parse_next(input)
+}
+
+fn word<'a>(input: &mut Input<'a>) -> winnow::Result<&'a str> {
+    let is_part = |char: char| {
+        !char.is_whitespace()
+            && !char.is_control()
+            && !SEPARATORS.contains(char)
+    };
+    take_while(1.., is_part).parse_next(input)
+}
+
+fn quoted<'a>(input: &mut Input<'a>) -> winnow::Result<&'a str> {
+    alt((
+        delimited('"', take_till(0.., '"'), '"'),
+        delimited('\'', take_till(0.., '\''), '\''),
+    ))
+    .parse_next(input)
+}
+
+fn symbol<'a>(input: &mut Input<'a>) -> winnow::Result<&'a str> {
+    let single = one_of(['=', '<', '>', '(', ')', ',', ';', '*']).take();
+    alt(("<=", ">=", "!=", single)).parse_next(input)
+}
+
+fn unreadable(text: &str, at: usize) -> QueryFault {
+    let char = text[at..].chars().next().unwrap_or_default();
+    if matches!(char, '"' | '\'') {
+        let message = format!("the text in quotes has no closing {char}");
+        return QueryFault::new(text, at, text.len(), message);
+    }
+    let message = format!("unexpected character {char:?}");
+    QueryFault::new(text, at, at + char.len_utf8(), message)
+}
+
+fn scan_json(text: &str, at: usize) -> Result<Token<'_>, QueryFault> {
+    let rest = &text[at..];
+    let reader = serde_json::Deserializer::from_str(rest);
+    let mut values = reader.into_iter::<IgnoredAny>();
+    match values.next() {
+        Some(Ok(_)) => {
+            let length = values.byte_offset();
+            Ok(Token {
+                kind: TokenKind::Json(&rest[..length]),
+                start: at,
+                end: at + length,
+            })
+        }
+        Some(Err(error)) => Err(json_fault(text, at, rest, &error)),
+        None => Err(QueryFault::new(text, at, at, "expected a JSON object")),
+    }
+}
+
+/// A fault of JSON that starts at an offset, at the place that the error names.
+pub(super) fn json_fault(
+    text: &str,
+    at: usize,
+    json: &str,
+    error: &serde_json::Error,
+) -> QueryFault {
+    let lines = json.split_inclusive('\n').take(error.line().max(1) - 1);
+    let line_start: usize = lines.map(str::len).sum();
+    let place = at + line_start + error.column().saturating_sub(1);
+    let cause = error.to_string();
+    let cause = cause.split(" at line ").next().unwrap_or_default();
+    let message = match error.classify() {
+        serde_json::error::Category::Data => cause.to_owned(),
+        _ => format!("invalid JSON: {cause}"),
+    };
+    QueryFault::new(text, place, place + 1, message)
+}
+
+/// Reads a number with an optional unit of time, which makes it seconds.
+pub(super) fn number(text: &str) -> Option<f64> {
+    let scaled = [("ms", 0.001), ("s", 1.0), ("m", 60.0), ("h", 3_600.0)];
+    let unit = scaled.iter().find_map(|(unit, scale)| {
+        text.strip_suffix(unit).map(|number| (number, *scale))
+    });
+    let (digits, scale) = unit.unwrap_or((text, 1.0));
+    let mut input = Input::new(digits);
+    let parsed = delimited(
+        multispace0::<_, winnow::error::ContextError>,
+        winnow::ascii::float::<_, f64, _>,
+        multispace0,
+    )
+    .parse_next(&mut input)
+    .ok()?;
+    (input.is_empty() && parsed.is_finite()).then_some(parsed * scale)
+}
