query: test questions over the fleet, explanations and the commands

Three instances with their real cores answer for each other; one runs on its own runtime and is ended like a process that dies. Every malformed text is sent to a running instance as well, and the version stays.

--- a/cli/src/commands/query.rs
+++ b/cli/src/commands/query.rs
@@ -3,14 +3,14 @@
 use borageline_lib::query::{complete_query, parse_query};
 use bpaf::Bpaf;
 use http::Method;
-use serde_json::json;
+use serde_json::{Value, json};
 
 use super::ExitReason;
 use crate::{
     operator_client::{
         OperatorClient, OperatorTarget, operator_target, run_calls,
     },
-    output::{print_error, print_missing, print_text, render_rows},
+    output::{print_error, print_hint, print_missing, print_text, render_rows},
 };
 
 /// Ask a running instance about the fleet.
@@ -57,6 +57,10 @@
         Ok(answer) => {
             let reason = print_text(&render_rows(&answer));
             print_missing(&answer);
+            let rows = answer.get("rows").and_then(Value::as_array);
+            if rows.is_some_and(Vec::is_empty) {
+                print_hint("no instance has rows that match");
+            }
             reason
         }
         Err(failure) => {
--- a/cli/tests/test_commands.rs
+++ b/cli/tests/test_commands.rs
@@ -483,3 +483,111 @@
         "error: unauthenticated: version 3 is not 2 (request r-1)\n",
     );
 }
+
+/// Guards against columns in another order than was asked for, and against
+/// rows that are missing without a word.
+#[test]
+fn test_query_columns_and_missing() {
+    let body = json!({
+        "columns": ["wait", "id", "models"],
+        "rows": [
+            {"id": "e1", "wait": 0.5, "models": ["a", "b"]},
+            {"id": "e\u{1b}2", "wait": null, "models": []},
+        ],
+        "missing": [{"instance": "i3", "reason": "no answer"}],
+        "cut": [{"instance": "i2", "rows": 7}],
+    });
+    let script = vec![answer("200 OK", &body)];
+    let (address, _requests) = start_instance(script);
+    let end = run(&["query", "--address", &address.to_string(), "engines"]);
+    assert_eq!(end.code, DONE, "{}", end.errors);
+    insta::assert_snapshot!(end.output, @r"
+    WAIT  ID   MODELS
+    0.5   e1   a,b
+    -     e 2
+    ");
+    insta::assert_snapshot!(end.errors, @r"
+    warning: rows of i3 are missing: no answer
+    warning: 7 rows of i2 are left out over the bound
+    ");
+}
+
+/// Guards against a malformed text that is sent, or refused without showing
+/// the place.
+#[test]
+fn test_malformed_text_points_at_column() {
+    let arguments = ["query", "--address", "127.0.0.1:9", "engines wher"];
+    let end = run(&arguments);
+    assert_eq!(end.code, USAGE);
+    insta::assert_snapshot!(end.errors, @r"
+    error: line 1, column 9: expected `where`, `group`, `order`, `limit` or the end of the text, found `wher`
+      engines wher
+              ^^^^
+    ");
+    let text = "close domain d; open d";
+    let end = run(&["order", "--address", "127.0.0.1:9", text]);
+    assert_eq!(end.code, USAGE);
+    insta::assert_snapshot!(end.errors, @r"
+    error: line 1, column 22: expected `domain`, found `d`
+      close domain d; open d
+                           ^
+    ");
+}
+
+/// Guards against words that are sent in another form.
+#[test]
+fn test_order_in_words() {
+    let script = vec![answer("200 OK", &report(Some(true), true))];
+    let (address, requests) = start_instance(script);
+    let address = address.to_string();
+    let text = "close domain domain-a move";
+    let end = run(&["order", "--address", &address, "--order-id", "o-1", text]);
+    assert_eq!(end.code, DONE, "{}", end.errors);
+    let body: Value =
+        serde_json::from_str(&requests.recv().unwrap().body).unwrap();
+    let expected =
+        json!({"order": "o-1", "expect_version": null, "text": text});
+    assert_eq!(body, expected);
+}
+
+/// Guards against a trial that is sent as an order.
+#[test]
+fn test_order_dry_run() {
+    let body = json!({"dry_run": true, "version": 4, "changes": [
+        {"path": "domain d.closed", "before": null, "after": "move"},
+    ]});
+    let script = vec![answer("200 OK", &body)];
+    let (address, requests) = start_instance(script);
+    let address = address.to_string();
+    let end = run(&[
+        "order",
+        "--address",
+        &address,
+        "--dry-run",
+        "--wait",
+        "in-force",
+        "close domain d move",
+    ]);
+    assert_eq!(end.code, DONE, "{}", end.errors);
+    insta::assert_snapshot!(end.output, @r#"
+    version 4, nothing was changed
+    domain d.closed: null -> "move"
+    "#);
+    let body: Value =
+        serde_json::from_str(&requests.recv().unwrap().body).unwrap();
+    assert_eq!(body["dry_run"], true);
+}
+
+/// Guards against completion that does not know the language.
+#[rstest]
+#[case(&["query", "engi"], "engines")]
+#[case(&["query", "engines whe"], "engines where")]
+#[case(&["order", "close dom"], "close domain")]
+#[case(&["order", "close domain d fi"], "close domain d finish")]
+fn test_completion_offers_language(
+    #[case] arguments: &[&str],
+    #[case] offered: &str,
+) {
+    let end = run(&[&["--bpaf-complete-rev=8"], arguments].concat());
+    assert!(end.output.contains(offered), "{}", end.output);
+}
--- a/cli/tests/test_serve/main.rs
+++ b/cli/tests/test_serve/main.rs
@@ -8,5 +8,6 @@
 mod fixture;
 mod test_bounds;
 mod test_completions;
+mod test_operators;
 mod test_services;
 mod test_standins;
--- /dev/null
+++ b/cli/tests/test_serve/test_operators.rs
@@ -0,0 +1,303 @@
+//! Queries and orders in words, with three instances in front of stand-ins.
+
+use std::{net::SocketAddr, time::Duration};
+
+use borageline::credentials::key_digest;
+use serde_json::{Value, json};
+use tokio::runtime::{Builder, Runtime};
+
+use crate::{
+    fixture::{KEY, completion, exchange},
+    test_standins::{TestFleet, start_fleet, start_instance},
+};
+
+const MALFORMED_QUERIES: &str =
+    include_str!("../../../lib/tests/data/malformed_queries.tsv");
+const MALFORMED_ORDERS: &str =
+    include_str!("../../../lib/tests/data/malformed_orders.tsv");
+
+/// Sends a body and returns the status and the answer.
+async fn post(
+    address: SocketAddr,
+    key: &str,
+    path: &str,
+    body: &Value,
+) -> (u16, Value) {
+    let body = body.to_string();
+    let request = format!(
+        "POST {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\
+         authorization: Bearer {key}\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len(),
+    );
+    let answer = exchange(address, &request).await;
+    let status = answer[9..12].parse().unwrap();
+    let (_, body) = answer.split_once("\r\n\r\n").unwrap();
+    (status, serde_json::from_str(body).unwrap())
+}
+
+async fn query(address: SocketAddr, text: &str) -> Value {
+    let body = json!({"query": text});
+    let (status, answer) = post(address, KEY, "/v1/query", &body).await;
+    assert_eq!(status, 200, "{answer}");
+    answer
+}
+
+async fn order(address: SocketAddr, text: &str) -> Value {
+    let id = uuid::Uuid::now_v7().to_string();
+    let body = json!({"order": id, "text": text});
+    let (status, answer) = post(address, KEY, "/v1/order", &body).await;
+    assert_eq!(status, 200, "{answer}");
+    assert_eq!(answer["accepted"], true, "{answer}");
+    answer
+}
+
+/// A fleet with two more instances.
+struct WideFleet {
+    first: TestFleet,
+    second: SocketAddr,
+    /// Everything of the third instance runs here, so that it can be stopped
+    /// like a process that dies.
+    third: Option<Runtime>,
+}
+
+impl Drop for WideFleet {
+    fn drop(&mut self) {
+        self.stop_third();
+    }
+}
+
+impl WideFleet {
+    fn stop_third(&mut self) {
+        if let Some(runtime) = self.third.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
+async fn start_wide() -> WideFleet {
+    let first = start_fleet().await;
+    let seed = Some(first.instance.context().settings.peer_address);
+    let (log, list) = (first.log.address, first.list.address);
+    let second = start_instance("i2", seed, log, list).await;
+    let second = second.context().settings.caller_address;
+    let mut builder = Builder::new_multi_thread();
+    let runtime = builder.worker_threads(1).enable_all().build().unwrap();
+    let third = runtime.spawn(start_instance("i3", seed, log, list));
+    third.await.unwrap();
+    let fleet = WideFleet {
+        first,
+        second,
+        third: Some(runtime),
+    };
+    for _ in 0..200 {
+        let answer = query(fleet.first.address, "configuration").await;
+        if answer["answered"] == 3 && answer["complete"] == true {
+            return fleet;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    panic!("three instances do not answer within 10 s");
+}
+
+fn missing(answer: &Value) -> Vec<&str> {
+    let missing = answer["missing"].as_array().unwrap();
+    let names = missing.iter().map(|it| it["instance"].as_str().unwrap());
+    names.collect()
+}
+
+/// Guards against an answer that leaves out an instance that was stopped
+/// without a word, at any time after its end.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn test_query_names_stopped_instance() {
+    let mut fleet = start_wide().await;
+    let address = fleet.first.address;
+    let answer = query(address, "select instance from configuration").await;
+    assert_eq!(answer["rows"].as_array().unwrap().len(), 3, "{answer}");
+    fleet.stop_third();
+    for _ in 0..8 {
+        let answer = query(address, "select instance from configuration").await;
+        assert_eq!(missing(&answer), ["i3"], "{answer}");
+        assert_eq!(answer["complete"], false);
+        assert_eq!(answer["answered"], 2);
+        tokio::time::sleep(Duration::from_millis(500)).await;
+    }
+    let text = "select state from instances where id = i3";
+    let answer = query(address, text).await;
+    assert_eq!(answer["rows"], json!([{"state": "dead"}]));
+}
+
+/// Guards against an engine that is missing or shown twice when another
+/// instance owns it, and against figures that are not its owner's.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn test_query_engines_from_all_instances() {
+    let fleet = start_wide().await;
+    let text = "select id, owner, takeover, memory from engines";
+    for _ in 0..200 {
+        let mut answers = Vec::new();
+        for address in [fleet.first.address, fleet.second] {
+            answers.push(query(address, text).await["rows"].clone());
+        }
+        let serving = |rows: &Value| rows[0]["takeover"] == "serving";
+        if answers.iter().all(serving) {
+            for rows in &answers {
+                assert_eq!(rows, &answers[0]);
+                assert_eq!(rows.as_array().unwrap().len(), 1, "{rows}");
+                assert_eq!(rows[0]["id"], "e1");
+            }
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    panic!("no instance shows the engine as serving within 10 s");
+}
+
+/// Guards against a limit that is not in force, and against an explanation
+/// that tells another reason than the refusal.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn test_explain_repeats_refusal() {
+    let fleet = start_wide().await;
+    let address = fleet.first.address;
+    let report = order(address, "limit workspace w concurrency 0").await;
+    assert_eq!(report["in_force"], true, "{report}");
+    let body = r#"{"model":"m","prompt":[1,2,3],"max_tokens":20}"#;
+    let answer = exchange(address, &completion(KEY, body)).await;
+    assert!(answer.starts_with("HTTP/1.1 429"), "{answer}");
+    let (_, refusal) = answer.split_once("\r\n\r\n").unwrap();
+    let refusal: Value = serde_json::from_str(refusal).unwrap();
+    let refusal = &refusal["error"];
+    let id = refusal["request_id"].as_str().unwrap();
+    // Any instance can be asked, as the record is at the entry instance.
+    let other = fleet.second;
+    let answer = query(other, &format!("explain {id}")).await;
+    let rows = answer["rows"].as_array().unwrap();
+    assert_eq!(rows[0]["step"], "arrived", "{answer}");
+    let last = rows.last().unwrap();
+    assert_eq!(last["step"], "refused", "{answer}");
+    assert_eq!(last["instance"], "i1");
+    let detail = last["detail"].as_str().unwrap();
+    let message = refusal["message"].as_str().unwrap();
+    assert!(detail.contains(message), "{detail} lacks {message}");
+    assert!(detail.starts_with("workspace_limit"), "{detail}");
+    order(address, "unlimit workspace w").await;
+    let answer = exchange(address, &completion(KEY, body)).await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    let head = answer.to_lowercase();
+    let (_, id) = head.split_once("x-request-id: ").unwrap();
+    let id = id.split("\r\n").next().unwrap();
+    let answer = query(other, &format!("explain {id}")).await;
+    let steps = answer["rows"].as_array().unwrap().iter();
+    let steps: Vec<_> =
+        steps.map(|row| row["step"].as_str().unwrap()).collect();
+    for step in ["limits", "candidates", "granted", "dispatched", "finished"] {
+        assert!(steps.contains(&step), "{step} is not in {steps:?}");
+    }
+}
+
+async fn version(address: SocketAddr) -> Value {
+    let text = "select version from configuration where instance = i1";
+    query(address, text).await["rows"].clone()
+}
+
+/// Guards against a malformed text of which a part takes effect, and against
+/// an answer without the place of the error.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn test_malformed_texts_change_nothing() {
+    let fleet = start_fleet().await;
+    let address = fleet.address;
+    let before = version(address).await;
+    let texts = |table: &'static str| {
+        table.lines().map(|line| {
+            let mut parts = line.splitn(3, '\t');
+            (parts.next().unwrap(), parts.next().unwrap())
+        })
+    };
+    let queries = texts(MALFORMED_QUERIES)
+        .map(|(column, text)| ("/v1/query", column, json!({"query": text})));
+    let orders = texts(MALFORMED_ORDERS).map(|(column, text)| {
+        ("/v1/order", column, json!({"order": "bad", "text": text}))
+    });
+    for (path, column, body) in queries.chain(orders) {
+        let (status, answer) = post(address, KEY, path, &body).await;
+        assert_eq!(status, 400, "{body}: {answer}");
+        let message = answer["error"]["message"].as_str().unwrap();
+        let place = format!("line 1, column {column}: ");
+        assert!(message.starts_with(&place), "{body}: {message}");
+        assert_eq!(answer["error"]["run_state"], "not_run");
+    }
+    assert_eq!(version(address).await, before);
+}
+
+/// Guards against a trial that changes something or allows what the order
+/// would not.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn test_dry_run_changes_nothing() {
+    let fleet = start_fleet().await;
+    let address = fleet.address;
+    let before = version(address).await;
+    let body = json!({
+        "order": "o1", "text": "close domain d; disable workspace w",
+        "dry_run": true,
+    });
+    let (status, answer) = post(address, KEY, "/v1/order", &body).await;
+    assert_eq!(status, 200, "{answer}");
+    assert_eq!(answer["dry_run"], true);
+    assert_eq!(answer["changes"][1]["path"], "workspace w.enabled");
+    assert_eq!(answer["changes"][1]["after"], false);
+    assert_eq!(version(address).await, before);
+    let body = json!({
+        "order": "o2", "text": "enable workspace x", "dry_run": true,
+    });
+    let (status, answer) = post(address, KEY, "/v1/order", &body).await;
+    assert_eq!(status, 409, "{answer}");
+    let body = json!({
+        "order": "o3", "text": "close domain d", "dry_run": true,
+        "expect_version": 77,
+    });
+    let (status, answer) = post(address, KEY, "/v1/order", &body).await;
+    assert_eq!(status, 409, "{answer}");
+    let body = json!({
+        "order": "o4", "text": "limit workspace w concurrency 3",
+        "expect_version": 77,
+    });
+    let (status, answer) = post(address, KEY, "/v1/order", &body).await;
+    assert_eq!(status, 409, "{answer}");
+    assert_eq!(version(address).await, before);
+}
+
+/// Guards against a role that may do more or less than it says.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn test_roles_of_query_and_order() {
+    let fleet = start_fleet().await;
+    let address = fleet.address;
+    for (name, role) in [("v", "viewer"), ("o", "operator")] {
+        let digest = key_digest(name.as_bytes());
+        let rule = json!({"key_digest": digest, "role": role});
+        order(address, &format!("set operator {name} json {rule}")).await;
+    }
+    let asked = json!({"query": "domains"});
+    let plain = json!({"order": "p", "text": "close domain d"});
+    let trial =
+        json!({"order": "t", "text": "close domain d", "dry_run": true});
+    let secret = json!({"order": "s", "text": "remove operator v"});
+    let cases = [
+        ("nobody", "/v1/query", &asked, 401),
+        ("v", "/v1/query", &asked, 200),
+        ("v", "/v1/order", &plain, 403),
+        ("v", "/v1/order", &trial, 403),
+        ("o", "/v1/query", &asked, 200),
+        ("o", "/v1/order", &secret, 403),
+        ("o", "/v1/order", &trial, 200),
+        ("o", "/v1/order", &plain, 200),
+        (KEY, "/v1/order", &secret, 200),
+        ("v", "/v1/query", &asked, 401),
+    ];
+    for (key, path, body, expected) in cases {
+        let (status, answer) = post(address, key, path, body).await;
+        assert_eq!(status, expected, "{key} {path} {body}: {answer}");
+    }
+    let answer = query(address, "select state, mode from domains").await;
+    assert_eq!(
+        answer["rows"],
+        json!([{"state": "closed", "mode": "finish"}])
+    );
+}
--- a/cli/tests/test_serve/test_standins.rs
+++ b/cli/tests/test_serve/test_standins.rs
@@ -25,13 +25,13 @@
 const ANY: &str = "127.0.0.1:0";
 
 /// What stays alive while a test runs.
-struct TestFleet {
-    instance: RunningInstance,
-    address: SocketAddr,
+pub(crate) struct TestFleet {
+    pub(crate) instance: RunningInstance,
+    pub(crate) address: SocketAddr,
     service: Handle<plain_service::PlainService>,
     engine: Handle<engine::Engine>,
-    log: Handle<log_service::LogService>,
-    list: Handle<instance_list::InstanceList>,
+    pub(crate) log: Handle<log_service::LogService>,
+    pub(crate) list: Handle<instance_list::InstanceList>,
 }
 
 async fn start_engine(name: &str) -> Handle<engine::Engine> {
@@ -75,7 +75,7 @@
 }
 
 /// Starts an instance and waits until it is ready and knows the upstreams.
-async fn start_instance(
+pub(crate) async fn start_instance(
     name: &str,
     seed: Option<SocketAddr>,
     log_service: SocketAddr,
@@ -110,7 +110,7 @@
     instance
 }
 
-async fn start_fleet() -> TestFleet {
+pub(crate) async fn start_fleet() -> TestFleet {
     let any = ANY.parse().unwrap();
     let log = log_service::spawn(any, log_service::LogConfig::default());
     let log = log.await.unwrap();
--- /dev/null
+++ b/lib/tests/test_explain.rs
@@ -0,0 +1,161 @@
+//! Tests of the record of decisions.
+
+#![expect(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+#[expect(dead_code, reason = "this test uses a part")]
+mod common;
+
+use std::time::Duration;
+
+use borageline_lib::{
+    api::PriorityClass,
+    core::{RequestDecision, RequestProgress, RequestSpec, StreamFailure},
+    explain::{ExplainTable, RECORDS_MAX, STEPS_HALF, TraceStep, WaitReason},
+    ids::{InstanceId, RequestId},
+    peer_api::{GrantAnswer, GrantRefusal},
+    query::{CellValue, TableRow},
+    refusal::{Refusal, RefusalCode, RetryReason},
+    units::{Timestamp, TokenCount},
+};
+use proptest::prelude::*;
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::ZERO.after(Duration::from_millis(millis))
+}
+
+fn spec(id: &str) -> RequestSpec {
+    RequestSpec {
+        request: id.parse().unwrap(),
+        workspace: "w".parse().unwrap(),
+        model: "m".parse().unwrap(),
+        class: PriorityClass::Batch,
+        prompt: TokenCount::new(1_000),
+        output: TokenCount::new(50),
+        prefix: 0,
+        deadline: at(61_000),
+    }
+}
+
+fn instance() -> InstanceId {
+    "i1".parse().unwrap()
+}
+
+/// Time, step and detail of each row.
+fn shown(table: &ExplainTable, id: &str) -> Vec<String> {
+    let id: RequestId = id.parse().unwrap();
+    let line = |row: TableRow| {
+        let text = |cell: &CellValue| {
+            serde_json::to_string(cell).unwrap().replace('"', "")
+        };
+        let cells: Vec<_> = row[1..].iter().map(text).collect();
+        cells.join(" | ")
+    };
+    table.rows(&id, &instance()).into_iter().map(line).collect()
+}
+
+/// Guards against steps that are left out or tell another reason.
+#[test]
+fn test_explain_tells_each_step() {
+    let mut table = ExplainTable::new();
+    let id: RequestId = "r".parse().unwrap();
+    let engine = || "e1".parse().unwrap();
+    table.arrived(at(1_000), &spec("r"));
+    table.step(at(1_000), &id, TraceStep::WithinLimits);
+    let refusal = Refusal::new(RefusalCode::NoCapacity, "engine has no room")
+        .with_retry_after(Duration::from_secs(2));
+    let refused = GrantAnswer::Refused(GrantRefusal {
+        refusal: refusal.clone(),
+        summary: None,
+    });
+    table.answered(at(1_002), &id, &engine(), Some(&refused));
+    table.answered(at(1_003), &id, &engine(), None);
+    let other = GrantAnswer::NotOwner(Some("i2".parse().unwrap()));
+    table.answered(at(1_004), &id, &engine(), Some(&other));
+    let step = TraceStep::Waits(at(1_100), WaitReason::NotTaken);
+    table.step(at(1_005), &id, step);
+    let sent = RequestProgress::Sent(engine());
+    table.progressed(at(1_101), &id, &sent);
+    let failed = RequestProgress::Failed {
+        engine: engine(),
+        failure: StreamFailure::Cut,
+        delivered: TokenCount::new(7),
+    };
+    table.progressed(at(1_200), &id, &failed);
+    table.step(at(1_200), &id, TraceStep::Retried(RetryReason::AnswerCut));
+    table.decided(at(1_300), &id, &RequestDecision::End(refusal));
+    insta::assert_snapshot!(shown(&table, "r").join("\n"), @r"
+    0.0 | arrived | workspace w, model m, class batch, prompt 1000 tokens, output up to 50 tokens, deadline in 60s
+    0.0 | limits | within the limits of its workspace
+    0.002 | not granted | e1: no_capacity: engine has no room, retry after 2s
+    0.003 | no answer | owner of e1 has not answered
+    0.004 | not owner | e1: its owner is i2
+    0.005 | waits | until 100ms: no engine that was asked has room
+    0.101 | sent | e1
+    0.2 | failed | e1: the stream was cut, 7 tokens delivered
+    0.2 | retried | answer_cut
+    0.3 | refused | no_capacity: engine has no room, retry after 2s
+    ");
+}
+
+/// Guards against a record of a request that never arrived here.
+#[test]
+fn test_explain_of_unknown_request_is_empty() {
+    let mut table = ExplainTable::new();
+    let id = "r".parse().unwrap();
+    table.step(at(0), &id, TraceStep::FirstPart);
+    assert!(table.rows(&id, &instance()).is_empty());
+    assert!(table.is_empty());
+}
+
+/// Guards against a request with many retries whose end is not kept.
+#[test]
+fn test_explain_keeps_beginning_and_end() {
+    let mut table = ExplainTable::new();
+    let id: RequestId = "r".parse().unwrap();
+    table.arrived(at(0), &spec("r"));
+    table.step(at(0), &id, TraceStep::WithinLimits);
+    for millis in 1..200 {
+        let step = TraceStep::Retried(RetryReason::GrantRefused);
+        table.step(at(millis), &id, step);
+    }
+    table.step(at(500), &id, TraceStep::CallerGone);
+    let lines = shown(&table, "r");
+    assert_eq!(lines.len(), 2 * STEPS_HALF + 2);
+    assert!(lines[1].contains("limits"), "{lines:?}");
+    let skipped = &lines[STEPS_HALF + 1];
+    assert!(skipped.ends_with("169 steps not kept"), "{skipped}");
+    assert!(lines.last().unwrap().contains("caller gone"), "{lines:?}");
+}
+
+/// Guards against a record that grows with the number of requests.
+#[test]
+fn test_explain_forgets_oldest() {
+    let mut table = ExplainTable::new();
+    for number in 0..RECORDS_MAX + 10 {
+        table.arrived(at(0), &spec(&format!("r{number}")));
+    }
+    assert_eq!(table.len(), RECORDS_MAX);
+    assert!(shown(&table, "r9").is_empty());
+    assert!(!shown(&table, "r10").is_empty());
+}
+
+proptest! {
+    #![proptest_config(common::config(256))]
+
+    /// Guards against a bound that some order of steps gets around.
+    #[test]
+    fn test_explain_property_is_bounded(
+        steps in proptest::collection::vec((0_u64..4, 0_u64..1_000), 0..400),
+    ) {
+        let mut table = ExplainTable::new();
+        for (number, millis) in steps {
+            let id = format!("r{number}");
+            table.arrived(at(millis), &spec(&id));
+            let id = id.parse().unwrap();
+            table.step(at(millis), &id, TraceStep::FirstPart);
+            let rows = table.rows(&id, &instance());
+            prop_assert!(rows.len() <= 2 * STEPS_HALF + 2);
+        }
+        prop_assert!(table.len() <= 4);
+    }
+}
--- a/lib/tests/test_query.rs
+++ b/lib/tests/test_query.rs
@@ -5,6 +5,9 @@
     reason = "clippy only exempts functions marked as tests"
 )]
 
+#[expect(dead_code, reason = "this test uses a part")]
+mod common;
+
 use std::collections::BTreeSet;
 
 use borageline_lib::{
@@ -96,7 +99,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig::with_cases(2_000))]
+    #![proptest_config(common::config(2_000))]
 
     /// Guards against text that makes the parser panic, and against errors
     /// whose place lies outside the text.
