--- a/cli/tests/test_serve/test_operators.rs
+++ b/cli/tests/test_serve/test_operators.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use borageline::credentials::key_digest;
+use borageline::{credentials::key_digest, metrics::ServerMetrics};
 use serde_json::{Value, json};
 use tokio::runtime::{Builder, Runtime};
 
@@ -301,3 +301,36 @@
         json!([{"state": "closed", "mode": "finish"}])
     );
 }
+
+/// Guards against a page that names metrics, codes or reasons that do not
+/// exist, and against metrics that it leaves out.
+#[tokio::test]
+async fn test_operators_page_names_metrics() {
+    const PAGE: &str = include_str!("../../../docs/operators.md");
+    let metrics = ServerMetrics::new();
+    metrics.watch_traffic(&borageline::peers::TrafficMeter::new());
+    let text = String::from_utf8(metrics.render()).unwrap();
+    let real = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
+    let real: Vec<_> =
+        real.map(|line| line.split(' ').next().unwrap()).collect();
+    let part = |char: char| char.is_ascii_lowercase() || char == '_';
+    let found = PAGE.match_indices("borageline_").map(|(start, _)| {
+        let rest = &PAGE[start..];
+        let end = rest.find(|char| !part(char)).unwrap_or(rest.len());
+        &rest[..end]
+    });
+    let found: std::collections::BTreeSet<_> = found.collect();
+    for name in &found {
+        assert!(real.contains(name), "{name} is no metric");
+    }
+    for name in real {
+        assert!(found.contains(name), "{name} is not on the page");
+    }
+    for label in ["code=\"", "reason=\"", "prompt=\""] {
+        for (start, _) in PAGE.match_indices(label) {
+            let value = PAGE[start..].split('"').nth(1).unwrap();
+            let series = format!("{label}{value}\"");
+            assert!(text.contains(&series), "{series} is no series");
+        }
+    }
+}
--- a/lib/tests/test_query.rs
+++ b/lib/tests/test_query.rs
@@ -606,3 +606,68 @@
     assert!(complete_order("close window d").is_empty());
     assert!(complete_query("engines where id = 'a").is_empty());
 }
+
+const OPERATORS_PAGE: &str = include_str!("../../docs/operators.md");
+
+/// Lines of the fenced blocks of a language.
+fn fenced(page: &'static str, language: &str) -> Vec<&'static str> {
+    let mut lines = Vec::new();
+    let mut inside = false;
+    for line in page.lines() {
+        match line.strip_prefix("```") {
+            Some(mark) => inside = !inside && mark == language,
+            None if inside => lines.push(line),
+            None => {}
+        }
+    }
+    lines
+}
+
+/// Guards against examples that do not work, and against ones that are both a
+/// query and an order.
+#[test]
+fn test_examples_of_operators_page_parse() {
+    let examples = fenced(OPERATORS_PAGE, "borageline");
+    assert!(examples.len() > 60, "{} examples", examples.len());
+    for example in examples {
+        let query = parse_query(example);
+        let order = parse_order(example);
+        match (query, order) {
+            (Err(query), Err(order)) => {
+                panic!("{}\n{}", query.render(example), order.render(example),)
+            }
+            (Ok(_), Ok(_)) => panic!("{example} is both"),
+            _ => {}
+        }
+    }
+}
+
+/// Guards against a page that names other tables or columns than there are.
+#[test]
+fn test_operators_page_lists_tables() {
+    let text = OPERATORS_PAGE.replace("\n  ", " ");
+    for table in QueryTable::ALL {
+        let columns = table.columns().iter();
+        let columns: Vec<_> =
+            columns.map(|(name, _)| format!("`{name}`")).collect();
+        let line = format!("- `{}`: {}.", table.name(), columns.join(", "));
+        assert!(text.contains(&line), "missing: {line}");
+    }
+}
+
+/// Guards against a page whose grammar differs from the parser's.
+#[test]
+fn test_operators_page_repeats_grammar() {
+    let sources = [
+        include_str!("../src/query/query_parser.rs"),
+        include_str!("../src/query/order_parser.rs"),
+    ];
+    let mut grammar = Vec::new();
+    for source in sources {
+        let prose = source.lines().map_while(|line| line.strip_prefix("//!"));
+        let lines = prose.map(|line| line.strip_prefix(' ').unwrap_or(line));
+        let lines = lines.skip_while(|line| *line != "```text").skip(1);
+        grammar.extend(lines.take_while(|line| *line != "```"));
+    }
+    assert_eq!(fenced(OPERATORS_PAGE, "text"), grammar);
+}
