query: build the rows of shared tables outside the core

With 10,000 upstreams or 16,000 workspaces, building every row took the core's time, rows beyond 2,000 were cut although they need no message, and rows of engines without an owner were cut without being named. The core now hands out shared values; the rows are built where the parts are merged, and only what travels between instances is bounded.

--- a/lib/src/core/query_routing.rs
+++ b/lib/src/core/query_routing.rs
@@ -27,8 +27,8 @@
     peer_api::{PeerMessage, PeerReply},
     platform_api::ListedKind,
     query::{
-        MissingInstance, PartAnswer, QueryParts, QueryStatement, bounded_text,
-        parse_query,
+        MissingInstance, PartAnswer, QueryParts, QueryStatement, SharedTables,
+        bounded_text, parse_query,
     },
     refusal::{Refusal, RefusalCode},
     units::Timestamp,
@@ -109,16 +109,18 @@
         now: Timestamp,
         statement: QueryStatement,
     ) -> QueryParts {
-        let known = match &statement {
-            QueryStatement::Table(query) => self.known_rows(now, query.table),
-            QueryStatement::Explain(_) => Vec::new(),
+        let shared = match &statement {
+            QueryStatement::Table(query) => {
+                self.shared_tables(now, query.table)
+            }
+            QueryStatement::Explain(_) => SharedTables::default(),
         };
         QueryParts {
             own: self.setup.instance.clone(),
             own_part: self.own_part(now, &statement),
             statement,
             peers: Vec::new(),
-            known,
+            shared,
             missing: Vec::new(),
         }
     }
@@ -133,7 +135,11 @@
             QueryStatement::Table(query) => {
                 let rows = self.table_rows(now, query.table);
                 let covered = Self::covered(query.table, &rows);
-                query.collect(rows.into_iter(), covered)
+                PartAnswer {
+                    rows: query.collect(rows),
+                    cut: 0,
+                    covered,
+                }
             }
             QueryStatement::Explain(request) => PartAnswer {
                 rows: self.explain.rows(request, &self.setup.instance),
@@ -153,7 +159,7 @@
         let reply = match parse_query(text) {
             Ok(statement) => {
                 let part = self.own_part(now, &statement);
-                PeerReply::Rows(bounded_text(&part))
+                PeerReply::Rows(bounded_text(part))
             }
             Err(fault) => PeerReply::Rejected(fault.to_string().into()),
         };
--- a/lib/src/core/query_tables.rs
+++ b/lib/src/core/query_tables.rs
@@ -4,15 +4,16 @@
 
 use super::{InstanceReadiness, ServingCore};
 use crate::{
-    fleet::{DrainMode, LimitRule},
+    fleet::LimitRule,
     freshness::Freshness,
-    ids::{DomainId, UpstreamId},
+    ids::DomainId,
     ledger::HoldState,
-    owner::TakeoverState,
     peer_api::MemberState,
-    query::{CellValue, QueryTable, TableRow},
+    query::{
+        CellValue, KnownUpstream, QueryTable, SharedTables, TableRow,
+        drain_mode, engine_row,
+    },
     units::Timestamp,
-    view::UpstreamEntry,
 };
 
 impl ServingCore {
@@ -27,16 +28,17 @@
             QueryTable::Holds => self.hold_rows(now),
             QueryTable::Queues => self.queue_rows(now),
             QueryTable::Limits => self.limit_rows(now),
-            QueryTable::Engines => self.engine_rows(now, true),
+            QueryTable::Engines => self.engine_rows(now),
             QueryTable::Instances => self.instance_rows(),
             QueryTable::Domains => self.domain_rows(),
-            QueryTable::Workspaces => self.workspace_rows(),
-            QueryTable::Services => self.service_rows(),
-            QueryTable::Upstreams => self.upstream_rows(now),
             QueryTable::Configuration => vec![self.configuration_row(now)],
-            QueryTable::Orders => self.order_rows(),
-            QueryTable::Leases => self.lease_rows(),
             QueryTable::Calls => self.call_rows(),
+            // Built from the shared tables, outside the core.
+            QueryTable::Workspaces
+            | QueryTable::Services
+            | QueryTable::Upstreams
+            | QueryTable::Orders
+            | QueryTable::Leases => Vec::new(),
         }
     }
 
@@ -121,65 +123,49 @@
             .collect()
     }
 
-    /// Rows of the engines that this instance owns, or of all others without
-    /// what only their owners know.
-    fn engine_rows(&self, now: Timestamp, owned: bool) -> Vec<TableRow> {
+    /// Rows of the engines that this instance owns.
+    fn engine_rows(&self, now: Timestamp) -> Vec<TableRow> {
+        let view = self.view(now);
         let engines = self.upstreams.table().iter();
-        let engines = engines.filter(|(id, entry)| {
-            let line = self.owners.line(now, id);
-            entry.service.is_none() && line.is_some() == owned
-        });
         engines
-            .map(|(id, entry)| self.engine_row(now, id, entry))
+            .filter_map(|(id, entry)| {
+                let line = self.owners.line(now, id)?;
+                let known = KnownUpstream {
+                    id: id.clone(),
+                    entry: entry.clone(),
+                    owner: Some(self.setup.instance.clone()),
+                    accepts_work: view.accepts_work(id),
+                };
+                Some(engine_row(&known, Some(line)))
+            })
             .collect()
     }
 
-    fn engine_row(
-        &self,
-        now: Timestamp,
-        id: &UpstreamId,
-        entry: &UpstreamEntry,
-    ) -> TableRow {
-        let line = self.owners.line(now, id);
-        let owner = match line {
-            Some(_) => Some(&self.setup.instance),
-            None => self.ownership.owners().get(id),
-        };
-        let report = entry.capability.as_deref();
-        let models = report.map(|report| &report.models);
-        let memory = report.map(|report| report.memory);
-        let memory = line.map(|line| line.memory).or(memory);
-        let known = report.map(|report| report.incarnation);
-        let incarnation = line.and_then(|line| line.incarnation).or(known);
-        vec![
-            CellValue::text(id),
-            CellValue::text(&entry.domain),
-            CellValue::option(models, CellValue::list),
-            CellValue::option(owner, CellValue::text),
-            CellValue::option(line, |line| takeover(line.takeover).into()),
-            CellValue::option(memory, |memory| memory.get().into()),
-            CellValue::option(line, |line| line.granted.get().into()),
-            CellValue::option(line, |line| line.free.get().into()),
-            CellValue::option(line, |line| line.cold_step.into()),
-            CellValue::option(line, |line| CellValue::seconds(line.wait)),
-            CellValue::option(line, |line| line.takes_long.into()),
-            CellValue::option(incarnation, |number| number.get().into()),
-            self.view(now).accepts_work(id).into(),
-            CellValue::text(entry.address),
-        ]
-    }
-
-    /// Engines that other instances own, for those whose owner is missing.
-    pub(super) fn known_rows(
+    /// What every instance knows of the upstreams, for tables that need it.
+    /// Only shared values are copied here; the rows are built outside the
+    /// core, as there may be ten thousand.
+    pub(super) fn shared_tables(
         &self,
         now: Timestamp,
         table: QueryTable,
-    ) -> Vec<(std::sync::Arc<str>, TableRow)> {
-        if table != QueryTable::Engines {
-            return Vec::new();
+    ) -> SharedTables {
+        let needed = matches!(
+            table,
+            QueryTable::Engines | QueryTable::Upstreams | QueryTable::Services
+        );
+        let view = self.view(now);
+        let owners = self.ownership.owners();
+        let entries = self.upstreams.table().iter().filter(|_| needed);
+        let upstreams = entries.map(|(id, entry)| KnownUpstream {
+            id: id.clone(),
+            entry: entry.clone(),
+            owner: owners.get(id).cloned(),
+            accepts_work: view.accepts_work(id),
+        });
+        SharedTables {
+            fleet: self.reader.state().clone(),
+            upstreams: upstreams.collect(),
         }
-        let rows = self.engine_rows(now, false).into_iter();
-        rows.filter_map(|row| Some((row_id(&row)?, row))).collect()
     }
 
     /// Subjects that this instance answers for.
@@ -244,91 +230,6 @@
             .collect()
     }
 
-    fn workspace_rows(&self) -> Vec<TableRow> {
-        let rules = self.reader.state().workspaces.iter();
-        rules
-            .map(|(id, rule)| {
-                vec![
-                    CellValue::text(id),
-                    rule.enabled.into(),
-                    rule.default_class.as_str().into(),
-                    CellValue::list(&rule.classes),
-                    CellValue::option(rule.models.as_ref(), CellValue::list),
-                    CellValue::option(rule.domains.as_ref(), CellValue::list),
-                    rule.limits.len().into(),
-                    rule.key_digests.len().into(),
-                ]
-            })
-            .collect()
-    }
-
-    fn service_rows(&self) -> Vec<TableRow> {
-        let mut processes = BTreeMap::<_, usize>::new();
-        for (_, entry) in self.upstreams.table().iter() {
-            if let Some(service) = &entry.service {
-                *processes.entry(service).or_default() += 1;
-            }
-        }
-        let rules = &self.reader.state().services;
-        let names: BTreeSet<_> =
-            rules.keys().chain(processes.keys().copied()).collect();
-        names
-            .into_iter()
-            .map(|name| {
-                let rule = rules.get(name);
-                let routes = rule.map(|rule| {
-                    rule.routes.iter().map(|route| {
-                        let once = if route.idempotent {
-                            ""
-                        } else {
-                            " at most once"
-                        };
-                        format!("{} {}{once}", route.method, route.path_prefix)
-                    })
-                });
-                vec![
-                    CellValue::text(name),
-                    CellValue::option(rule, |rule| rule.timeout_ms.into()),
-                    CellValue::option(routes, CellValue::list),
-                    processes.get(name).copied().unwrap_or(0).into(),
-                ]
-            })
-            .collect()
-    }
-
-    fn upstream_rows(&self, now: Timestamp) -> Vec<TableRow> {
-        let view = self.view(now);
-        let rules = &self.reader.state().upstreams;
-        let table = self.upstreams.table();
-        let listed = table.iter().map(|(id, _)| id);
-        let ids: BTreeSet<_> = listed.chain(rules.keys()).collect();
-        ids.into_iter()
-            .map(|id| {
-                let entry = table.get(id);
-                let rule = rules.get(id);
-                let report = entry.and_then(|entry| entry.capability.as_ref());
-                let service = entry.and_then(|entry| entry.service.as_ref());
-                let fencing = rule.and_then(|rule| rule.checks_fencing);
-                let fencing = fencing.or(report.map(|it| it.checks_fencing));
-                let drained = rule.and_then(|rule| rule.drained);
-                let models = rule.and_then(|rule| rule.models.as_ref());
-                let role = rule.and_then(|rule| rule.role.as_ref());
-                vec![
-                    CellValue::text(id),
-                    CellValue::option(entry, |it| CellValue::text(&it.domain)),
-                    CellValue::option(service, CellValue::text),
-                    CellValue::option(entry, |it| CellValue::text(it.address)),
-                    view.accepts_work(id).into(),
-                    CellValue::option(drained, |mode| drain_mode(mode).into()),
-                    CellValue::option(entry, |entry| entry.leaving.into()),
-                    CellValue::option(fencing, CellValue::from),
-                    CellValue::option(models, CellValue::list),
-                    CellValue::option(role, CellValue::text),
-                ]
-            })
-            .collect()
-    }
-
     fn configuration_row(&self, now: Timestamp) -> TableRow {
         let state = self.reader.state();
         let confirmed = self.freshness.confirmed_at();
@@ -355,34 +256,6 @@
         ]
     }
 
-    fn order_rows(&self) -> Vec<TableRow> {
-        let outcomes = self.reader.state().outcomes.iter();
-        outcomes
-            .map(|(id, outcome)| {
-                vec![
-                    CellValue::text(id),
-                    outcome.offset.get().into(),
-                    outcome.accepted.into(),
-                    CellValue::option(outcome.reason.as_ref(), CellValue::text),
-                ]
-            })
-            .collect()
-    }
-
-    fn lease_rows(&self) -> Vec<TableRow> {
-        let leases = self.reader.state().leases.iter();
-        leases
-            .map(|(upstream, lease)| {
-                vec![
-                    CellValue::text(upstream),
-                    CellValue::text(&lease.holder),
-                    lease.incarnation.get().into(),
-                    lease.token.get().into(),
-                ]
-            })
-            .collect()
-    }
-
     fn call_rows(&self) -> Vec<TableRow> {
         let lines = self.calls.lines();
         lines
@@ -412,14 +285,6 @@
     (part * 1_000.0).round() / 1_000.0
 }
 
-fn drain_mode(mode: DrainMode) -> &'static str {
-    match mode {
-        DrainMode::Finish => "finish",
-        DrainMode::Move => "move",
-        DrainMode::Fail => "fail",
-    }
-}
-
 fn member_state(state: MemberState) -> &'static str {
     match state {
         MemberState::Alive => "alive",
@@ -429,14 +294,6 @@
     }
 }
 
-fn takeover(state: TakeoverState) -> &'static str {
-    match state {
-        TakeoverState::Waiting => "waiting",
-        TakeoverState::Reading => "reading",
-        TakeoverState::Serving => "serving",
-    }
-}
-
 fn hold_state(state: HoldState) -> &'static str {
     match state {
         HoldState::Granted => "granted",
--- a/lib/src/explain.rs
+++ b/lib/src/explain.rs
@@ -6,10 +6,12 @@
 //! formatted until somebody asks.
 //!
 //! The record holds the last [`RECORDS_MAX`] requests and, of each, the first
-//! and last [`STEPS_HALF`] steps. A step takes at most 80 B, so that a full
-//! record takes at most 4,096 x 32 x 80 B = 10.5 MB, and about 1,000 B for the
-//! names and candidates of each request besides; a request that is placed at
-//! the first try has about seven steps, which makes 2.3 MB in all.
+//! and last [`STEPS_HALF`] steps. A step takes at most 80 B, so that the steps
+//! take at most 4,096 x 32 x 80 B = 10.5 MB. Names are shared with the tables
+//! of the core; refusal messages and candidates that a step keeps alive are
+//! estimated at 150 B, which makes 30 MB where every request has all its steps.
+//! A request that is placed at the first try has about seven steps, eight with
+//! the room of its vector, and so about 1,000 B with its head: 4 MB in all.
 
 use std::{
     collections::{BTreeMap, VecDeque},
--- a/lib/src/query.rs
+++ b/lib/src/query.rs
@@ -20,13 +20,15 @@
 mod query_parser;
 mod reader;
 mod schema;
+mod shared_rows;
 mod value;
 
-pub(crate) use self::evaluate::bounded_text;
+pub(crate) use self::shared_rows::{drain_mode, engine_row};
 pub use self::{
     evaluate::{
         ANSWER_ROWS_MAX, CutRows, MissingInstance, PART_BYTES_MAX,
-        PART_ROWS_MAX, PartAnswer, QueryAnswer, QueryParts, finish,
+        PART_ROWS_MAX, PartAnswer, QueryAnswer, QueryParts, bounded_text,
+        finish,
     },
     fault::QueryFault,
     filter::{Comparison, FilterLiteral, RowFilter},
@@ -37,6 +39,7 @@
         parse_query,
     },
     schema::{ColumnKind, EXPLAIN_COLUMNS, QueryTable, TableColumn},
+    shared_rows::{KnownUpstream, SharedTables},
     value::{CellValue, TableRow},
 };
 
--- a/lib/src/query/evaluate.rs
+++ b/lib/src/query/evaluate.rs
@@ -6,6 +6,7 @@
 //! bounded, and what was cut is named.
 
 use std::{
+    cmp::Ordering,
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
 };
@@ -15,6 +16,7 @@
         AggregateKind, OrderKey, QueryStatement, SelectItem, TableQuery,
     },
     schema::EXPLAIN_COLUMNS,
+    shared_rows::SharedTables,
     value::{CellValue, TableRow},
 };
 use crate::{ids::InstanceId, value_type};
@@ -94,8 +96,8 @@
     /// Parts of other instances as JSON text, read only when the answer is
     /// made, outside the core.
     pub peers: Vec<(InstanceId, Arc<str>)>,
-    /// Rows of known subjects, used for those that nobody answered for.
-    pub known: Vec<(Arc<str>, TableRow)>,
+    /// What every instance knows.
+    pub shared: SharedTables,
     /// Instances whose rows are missing.
     pub missing: Vec<MissingInstance>,
 }
@@ -120,33 +122,25 @@
         columns.collect::<BTreeSet<_>>().into_iter().collect()
     }
 
-    /// Filters, sorts and bounds the rows of one instance.
+    /// Filters and sorts rows and takes the columns that are needed.
     pub fn collect(
         &self,
-        rows: impl Iterator<Item = TableRow>,
-        covered: BTreeSet<Arc<str>>,
-    ) -> PartAnswer {
+        rows: impl IntoIterator<Item = TableRow>,
+    ) -> Vec<TableRow> {
         let passes = |row: &TableRow| {
             self.filter.as_ref().is_none_or(|filter| filter.holds(row))
         };
-        let mut rows: Vec<TableRow> = rows.filter(passes).collect();
-        let mut cut = 0;
+        let mut rows: Vec<TableRow> = rows.into_iter().filter(passes).collect();
         if !self.is_grouped() {
-            sort_rows(&mut rows, &self.order_by, |at| at);
+            sort_rows(&mut rows, &self.order_by);
             rows.truncate(self.limit.unwrap_or(usize::MAX));
         }
-        cut += rows.len().saturating_sub(PART_ROWS_MAX);
-        rows.truncate(PART_ROWS_MAX);
         let needed = self.needed();
         let project = |row: TableRow| {
             let cells = needed.iter().filter_map(|at| row.get(*at));
             cells.cloned().collect()
         };
-        PartAnswer {
-            rows: rows.into_iter().map(project).collect(),
-            cut,
-            covered,
-        }
+        rows.into_iter().map(project).collect()
     }
 
     /// Groups, sorts and shows merged rows.
@@ -197,41 +191,44 @@
     }
 }
 
-fn sort_rows(
-    rows: &mut [TableRow],
-    keys: &[OrderKey],
-    place: impl Fn(usize) -> usize,
-) {
-    let values = |row: &TableRow| -> TableRow {
-        let cells = keys.iter().map(|key| match key.item {
-            SelectItem::Column(at) => row[place(at)].clone(),
-            _ => CellValue::Null,
+fn sort_rows(rows: &mut [TableRow], keys: &[OrderKey]) {
+    let columns = keys.iter().map(|key| match key.item {
+        SelectItem::Column(at) => Some(at),
+        _ => None,
+    });
+    let columns: Vec<Option<usize>> = columns.collect();
+    let compare = |left: &TableRow, right: &TableRow| {
+        let pairs = columns.iter().zip(keys).filter_map(|(at, key)| {
+            Some(directed(left.get((*at)?)?, right.get((*at)?)?, key))
         });
-        cells.collect()
+        first_difference(pairs)
     };
-    if !keys.is_empty() {
-        rows.sort_by(|left, right| {
-            compare_keys(&values(left), &values(right), keys)
-        });
+    rows.sort_by(compare);
+}
+
+fn directed(left: &CellValue, right: &CellValue, key: &OrderKey) -> Ordering {
+    let order = left.cmp(right);
+    if key.descending {
+        order.reverse()
+    } else {
+        order
     }
 }
 
+fn first_difference(mut orders: impl Iterator<Item = Ordering>) -> Ordering {
+    let differs = |order: &Ordering| order.is_ne();
+    orders.find(differs).unwrap_or(Ordering::Equal)
+}
+
 fn compare_keys(
     left: &[CellValue],
     right: &[CellValue],
     keys: &[OrderKey],
-) -> std::cmp::Ordering {
+) -> Ordering {
     let pairs = left.iter().zip(right).zip(keys);
-    let mut orders = pairs.map(|((left, right), key)| {
-        let order = left.cmp(right);
-        if key.descending {
-            order.reverse()
-        } else {
-            order
-        }
-    });
-    let decides = |order: &std::cmp::Ordering| order.is_ne();
-    orders.find(decides).unwrap_or(std::cmp::Ordering::Equal)
+    first_difference(
+        pairs.map(|((left, right), key)| directed(left, right, key)),
+    )
 }
 
 fn evaluate(
@@ -288,9 +285,11 @@
     }
 }
 
-/// Bounds the text of a part; drops rows from its end until it fits.
-pub(crate) fn bounded_text(part: &PartAnswer) -> Arc<str> {
-    let mut part = part.clone();
+/// Text of a part for another instance; rows over the bounds are left out
+/// from its end.
+pub fn bounded_text(mut part: PartAnswer) -> Arc<str> {
+    part.cut += part.rows.len().saturating_sub(PART_ROWS_MAX);
+    part.rows.truncate(PART_ROWS_MAX);
     loop {
         let text = serde_json::to_string(&part);
         let text = text.expect("a part has only text keys");
@@ -310,7 +309,7 @@
         own,
         own_part,
         peers,
-        known,
+        shared,
         mut missing,
     } = parts;
     let mut read = vec![(own, own_part)];
@@ -343,11 +342,9 @@
             (names.collect::<Vec<Arc<str>>>(), rows)
         }
         QueryStatement::Table(query) => {
-            let left = known
-                .into_iter()
-                .filter(|(subject, _)| !covered.contains(subject));
-            let left = left.map(|(_, row)| row);
-            rows.extend(query.collect(left, BTreeSet::new()).rows);
+            rows.extend(query.collect(shared.rows(query.table)));
+            let left = shared.uncovered_rows(query.table, &covered);
+            rows.extend(query.collect(left));
             let names = query.select.iter().map(|item| item_name(query, *item));
             (names.collect(), query.show(rows))
         }
