--- a/cli/tests/test_serve/test_operators.rs
+++ b/cli/tests/test_serve/test_operators.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use borageline::{credentials::key_digest, metrics::ServerMetrics};
+use borageline_testutils::{fault::Fault, http_server::Standin};
 use serde_json::{Value, json};
 use tokio::runtime::{Builder, Runtime};
 
@@ -334,3 +335,88 @@
         }
     }
 }
+
+/// Runs the binary against an instance of this process.
+async fn run_command(address: SocketAddr, arguments: &[&str]) -> (i32, String) {
+    let mut command =
+        tokio::process::Command::new(env!("CARGO_BIN_EXE_borageline"));
+    command
+        .arg(arguments[0])
+        .args(["--address", &address.to_string()])
+        .args(&arguments[1..])
+        .env("BORAGELINE_OPERATOR_KEY", KEY);
+    let output = command.output().await.unwrap();
+    let text = [output.stdout, output.stderr].concat();
+    let text = String::from_utf8(text).unwrap();
+    (output.status.code().unwrap(), text)
+}
+
+/// Guards against commands and handlers that do not fit together.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn test_commands_against_instance() {
+    let fleet = start_fleet().await;
+    let address = fleet.address;
+    let order = ["order", "--dry-run", "close domain d move"];
+    let (code, text) = run_command(address, &order).await;
+    assert_eq!(code, 0, "{text}");
+    assert!(
+        text.contains("domain d: null -> {\"closed\":\"move\""),
+        "{text}"
+    );
+    let order = ["order", "--wait", "in-force", "close domain d move"];
+    let (code, text) = run_command(address, &order).await;
+    assert_eq!(code, 0, "{text}");
+    assert!(text.contains("in force     yes"), "{text}");
+    let (code, text) = run_command(address, &["query", "domains"]).await;
+    assert_eq!(code, 0, "{text}");
+    insta::assert_snapshot!(text, @r"
+    ID  STATE   MODE  ENGINES  INSTANCES
+    d   closed  move  1        1
+    ");
+    let order = ["order", "--expect", "1", "open domain d"];
+    let (code, text) = run_command(address, &order).await;
+    assert_eq!(code, 1, "{text}");
+    assert!(text.contains("lost to order"), "{text}");
+    let (code, text) = run_command(address, &["query", "explain none"]).await;
+    assert_eq!(code, 0, "{text}");
+    assert!(text.contains("no instance has rows that match"), "{text}");
+}
+
+/// Guards against a failure or retry that the record leaves out.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn test_explain_tells_failure_and_resumption() {
+    let fleet = start_fleet().await;
+    let cut = Fault::TruncateStreams {
+        after_parts: 2,
+        count: 1,
+    };
+    fleet.engine.control.control(cut).unwrap();
+    let body = r#"{"model":"m","prompt":[1,2,3],"max_tokens":100}"#;
+    let answer = exchange(fleet.address, &completion(KEY, body)).await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    let (_, id) = answer.split_once("x-request-id: ").unwrap();
+    let id = id.split("\r\n").next().unwrap();
+    let answer = query(fleet.address, &format!("explain {id}")).await;
+    let text = |row: &Value, name: &str| row[name].as_str().unwrap().to_owned();
+    let rows = answer["rows"].as_array().unwrap();
+    let steps: Vec<_> = rows.iter().map(|row| text(row, "step")).collect();
+    // The owner may still have been taking the engine over when it was asked.
+    let sent = steps.iter().position(|step| step == "dispatched").unwrap();
+    assert_eq!(steps[..3], ["arrived", "limits", "candidates"]);
+    assert_eq!(
+        steps[sent..],
+        [
+            "dispatched",
+            "sent",
+            "first part",
+            "failed",
+            "retried",
+            "resumed",
+            "finished",
+        ],
+    );
+    let detail = |step: usize| text(&rows[sent + step], "detail");
+    assert!(detail(3).starts_with("e1: the stream was cut"), "{answer}");
+    assert_eq!(detail(4), "answer_cut");
+    assert_eq!(detail(5), "e1");
+}
--- a/cli/tests/test_serve/test_standins.rs
+++ b/cli/tests/test_serve/test_standins.rs
@@ -29,7 +29,7 @@
     pub(crate) instance: RunningInstance,
     pub(crate) address: SocketAddr,
     service: Handle<plain_service::PlainService>,
-    engine: Handle<engine::Engine>,
+    pub(crate) engine: Handle<engine::Engine>,
     pub(crate) log: Handle<log_service::LogService>,
     pub(crate) list: Handle<instance_list::InstanceList>,
 }
