--- a/lib/src/core/routing.rs
+++ b/lib/src/core/routing.rs
@@ -47,6 +47,8 @@
     TakeOver(UpstreamId),
     /// A question for a part of a limit.
     Borrow,
+    /// A query, by its number, to this instance.
+    Query(u64, InstanceId),
 }
 
 /// Actions of one tick.
@@ -135,6 +137,9 @@
                 let event = DeskEvent::Asked(inbound, order);
                 self.handle_desk(now, event, output);
             }
+            CoreEvent::QueryAsked(inbound, text) => {
+                self.query_asked(now, inbound, text, output);
+            }
             CoreEvent::ClaimAsked {
                 inbound,
                 key,
@@ -233,9 +238,8 @@
             PeerMessage::Borrow(ask) => {
                 self.borrow_asked(now, inbound, ask, output);
             }
-            PeerMessage::Query(_) => {
-                let reply = PeerReply::Rejected("not supported".into());
-                Self::answer_peer(inbound, reply, output);
+            PeerMessage::Query(text) => {
+                self.answer_query(now, inbound, &text, output);
             }
         }
     }
@@ -297,6 +301,9 @@
                     self.handle_entry(now, event, output);
                 }
             }
+            CallPurpose::Query(number, peer) => {
+                self.query_answered(number, peer, result, output);
+            }
             CallPurpose::Notice
             | CallPurpose::Snapshot
             | CallPurpose::Order(_)
--- a/lib/src/owner.rs
+++ b/lib/src/owner.rs
@@ -9,12 +9,14 @@
 
 mod handover;
 mod row;
+mod tables;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
     time::Duration,
 };
 
+pub use self::tables::OwnerLine;
 use self::{
     handover::FormerRow,
     row::{Obstacle, OwnerRow, enqueue, give, judge},
