bench: measure overhead, decision cost and time to first token

Each measure runs the product and both baselines on the same planned requests and prints one report. `first-token` plans arrivals at 70 % of a capacity computed from the mix and the engines' rates, warms the fleet up, and accounts for every request.

Without the warm-up, the product refused 14 % of the short requests at 70 % load (`no_capacity`, all in the first 6 s): the owners' cold-start limit (lib/src/cold_start.rs) starts at one request for engines that are warm, and each step needs 2 s of the engine's work.

--- a/bench/src/caller.rs
+++ b/bench/src/caller.rs
@@ -28,6 +28,8 @@
     Answered,
     /// An error came in the documented form.
     Refused(ErrorDetail),
+    /// No connection was made, so nothing of the request was sent.
+    ConnectRefused(String),
     /// The connection broke or the answer had another form.
     Broken(String),
     /// An answer came that is not the answer to this request.
@@ -46,6 +48,15 @@
 }
 
 impl CallerRecord {
+    /// The record of a request that got no answer.
+    pub fn broken(started: Instant, cause: &str) -> Self {
+        Self {
+            first_part: None,
+            total: started.elapsed(),
+            outcome: CallerOutcome::Broken(cause.into()),
+        }
+    }
+
     /// Whether the whole and right answer came.
     pub fn answered(&self) -> bool {
         self.outcome == CallerOutcome::Answered
@@ -61,6 +72,34 @@
     }
 }
 
+/// A completion request with its body and the answer it must get.
+#[derive(Clone, Debug)]
+pub struct PreparedRequest {
+    body: Bytes,
+    expected: String,
+}
+
+impl PreparedRequest {
+    /// Makes the body and the answer of a request.
+    pub fn new(request: &CompletionRequest) -> Self {
+        let body = serde_json::to_vec(request).expect("a request is JSON");
+        Self::with_body(request, body.into())
+    }
+
+    /// A request with another body for the same prompt.
+    pub fn with_body(request: &CompletionRequest, body: Bytes) -> Self {
+        let digest = content::prompt_digest(&request.prompt);
+        let count = u64::from(request.max_tokens);
+        let expected = content::expected_text(digest, count);
+        Self { body, expected }
+    }
+
+    /// The body.
+    pub fn body(&self) -> Bytes {
+        self.body.clone()
+    }
+}
+
 /// Sends requests over pooled connections.
 #[derive(Clone, Debug)]
 pub struct CallerClient {
@@ -124,12 +163,39 @@
         key: &str,
         request: &CompletionRequest,
         pace: Option<Duration>,
+    ) -> CallerRecord {
+        let request = PreparedRequest::new(request);
+        self.complete_prepared(address, key, &request, pace).await
+    }
+
+    /// Like [`Self::complete`], with the body made before.
+    pub async fn complete_prepared(
+        &self,
+        address: SocketAddr,
+        key: &str,
+        request: &PreparedRequest,
+        pace: Option<Duration>,
+    ) -> CallerRecord {
+        let url = format!("http://{address}/v1/completions");
+        let http_request = Request::post(url)
+            .header(header::AUTHORIZATION, format!("Bearer {key}"))
+            .header(header::CONTENT_TYPE, "application/json")
+            .body(Full::new(request.body.clone()));
+        let http_request = http_request.expect("address and key are valid");
+        self.complete_http(http_request, request, pace).await
+    }
+
+    /// Sends a completion with its headers and checks the streamed answer.
+    pub async fn complete_http(
+        &self,
+        http_request: Request<Full<Bytes>>,
+        request: &PreparedRequest,
+        pace: Option<Duration>,
     ) -> CallerRecord {
         let started = Instant::now();
-        let body = serde_json::to_vec(request).expect("a request is JSON");
         let mut first_part = None;
         let outcome = self
-            .stream(address, key, request, body.into(), pace, &mut || {
+            .stream(http_request, request, pace, &mut || {
                 first_part.get_or_insert_with(|| started.elapsed());
             })
             .await;
@@ -143,24 +209,18 @@
 
     async fn stream(
         &self,
-        address: SocketAddr,
-        key: &str,
-        request: &CompletionRequest,
-        body: Bytes,
+        http_request: Request<Full<Bytes>>,
+        request: &PreparedRequest,
         pace: Option<Duration>,
         on_part: &mut impl FnMut(),
     ) -> Result<CallerOutcome, String> {
-        let http_request =
-            Request::post(format!("http://{address}/v1/completions"))
-                .header(header::AUTHORIZATION, format!("Bearer {key}"))
-                .header(header::CONTENT_TYPE, "application/json")
-                .body(Full::new(body))
-                .map_err(|error| error.to_string())?;
-        let response = self
-            .client
-            .request(http_request)
-            .await
-            .map_err(|error| format!("{error:?}"))?;
+        let response = match self.client.request(http_request).await {
+            Ok(response) => response,
+            Err(error) if error.is_connect() => {
+                return Ok(CallerOutcome::ConnectRefused(format!("{error:?}")));
+            }
+            Err(error) => return Err(format!("{error:?}")),
+        };
         let status = response.status();
         if !status.is_success() {
             let body = response.into_body().collect().await;
@@ -251,7 +311,7 @@
         Ok(None)
     }
 
-    fn judge(self, request: &CompletionRequest) -> CallerOutcome {
+    fn judge(self, request: &PreparedRequest) -> CallerOutcome {
         if let Some(fault) = self.fault {
             return CallerOutcome::Wrong(fault);
         }
@@ -259,9 +319,7 @@
             let fault = format!("no end marker after {}", self.next_index);
             return CallerOutcome::Broken(fault);
         }
-        let digest = content::prompt_digest(&request.prompt);
-        let count = u64::from(request.max_tokens);
-        if self.text != content::expected_text(digest, count) {
+        if self.text != request.expected {
             let fault = format!("text differs ({} tokens)", self.next_index);
             return CallerOutcome::Wrong(fault);
         }
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -5,6 +5,10 @@
 
 pub mod caller;
 pub mod fleet;
+pub mod load;
+pub mod measures;
+pub mod options;
+pub mod probe;
 pub mod quickstart;
 pub mod report;
 pub mod workload;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -1,9 +1,15 @@
 //! Command line of the load and experiment tool.
 
-use std::process::ExitCode;
+use std::{io, process::ExitCode};
 
-use borageline_bench::quickstart;
+use borageline_bench::{
+    measures,
+    options::{MeasureOptions, measure_options},
+    quickstart,
+    report::MeasureReport,
+};
 use bpaf::Bpaf;
+use tokio::signal::unix::{SignalKind, signal};
 
 /// Load and experiment tool of borageline
 #[derive(Clone, Debug, Bpaf)]
@@ -12,12 +18,61 @@
     /// Start a small fleet, try each kind of request and check the answers
     #[bpaf(command)]
     Quickstart,
+    /// Latency that an instance adds over calling the engine directly
+    #[bpaf(command)]
+    Overhead(#[bpaf(external(measure_options))] MeasureOptions),
+    /// Time to the first token, with and without long prompts
+    #[bpaf(command)]
+    FirstToken(#[bpaf(external(measure_options))] MeasureOptions),
+    /// Cost of one placement decision by the number of engines
+    #[bpaf(command)]
+    Decision(#[bpaf(external(measure_options))] MeasureOptions),
+}
+
+async fn run(command: BenchCommand) -> io::Result<()> {
+    let (options, report): (MeasureOptions, MeasureReport) = match command {
+        BenchCommand::Quickstart => return quickstart::run().await,
+        BenchCommand::Overhead(options) => {
+            let report = measures::overhead::run(&options).await?;
+            (options, report)
+        }
+        BenchCommand::FirstToken(options) => {
+            let report = measures::first_token::run(&options).await?;
+            (options, report)
+        }
+        BenchCommand::Decision(options) => {
+            let report = measures::decision::run(&options).await?;
+            (options, report)
+        }
+    };
+    report.print(options.json);
+    Ok(())
+}
+
+/// Ends the run when the tool is told to end, so that the fleet is dropped
+/// and its processes are ended with it.
+async fn ended() -> io::Error {
+    let names = [SignalKind::interrupt(), SignalKind::terminate()];
+    let waits = names.map(|kind| {
+        Box::pin(async move {
+            match signal(kind) {
+                Ok(mut stream) => {
+                    stream.recv().await;
+                }
+                Err(_) => std::future::pending().await,
+            }
+        })
+    });
+    futures::future::select_all(waits).await;
+    io::Error::other("ended by a signal")
 }
 
 #[tokio::main]
 async fn main() -> ExitCode {
-    let result = match bench_command().run() {
-        BenchCommand::Quickstart => quickstart::run().await,
+    let command = bench_command().run();
+    let result = tokio::select! {
+        result = run(command) => result,
+        error = ended() => Err(error),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
