--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -3,7 +3,7 @@
 use std::{io, process::ExitCode};
 
 use borageline_bench::{
-    measures,
+    capacity, measures,
     options::{MeasureOptions, measure_options},
     quickstart,
     report::MeasureReport,
@@ -18,6 +18,15 @@
     /// Start a small fleet, try each kind of request and check the answers
     #[bpaf(command)]
     Quickstart,
+    /// Memory and processor time of the core's state, in one process
+    #[bpaf(command)]
+    Capacity {
+        /// Seed of the random source
+        #[bpaf(argument("N"), fallback(1))]
+        seed: u64,
+        /// Print one JSON object on the last line
+        json: bool,
+    },
     /// Latency that an instance adds over calling the engine directly
     #[bpaf(command)]
     Overhead(#[bpaf(external(measure_options))] MeasureOptions),
@@ -32,6 +41,10 @@
 async fn run(command: BenchCommand) -> io::Result<()> {
     let (options, report): (MeasureOptions, MeasureReport) = match command {
         BenchCommand::Quickstart => return quickstart::run().await,
+        BenchCommand::Capacity { seed, json } => {
+            capacity::run(seed).print(json);
+            return Ok(());
+        }
         BenchCommand::Overhead(options) => {
             let report = measures::overhead::run(&options).await?;
             (options, report)
--- a/cli/src/callers.rs
+++ b/cli/src/callers.rs
@@ -24,14 +24,14 @@
 use http::{Method, Response, StatusCode};
 
 use crate::{
-    buffer::{HeldBytes, PartReader, StreamItem, part_channel},
+    buffer::{AnswerStart, HeldBytes, PartReader, StreamItem, part_channel},
     context::SharedContext,
     operators, prompt,
     reply::{
         BodyLimits, CallerRequest, bytes_answer, json_answer, parse_json,
         read_body, refusal_answer, stream_answer,
     },
-    request_task::RequestTask,
+    request_task::{HeldPrompt, RequestTask},
     services,
 };
 
@@ -210,7 +210,7 @@
     context: &SharedContext,
     view: &PublishedView,
     call: &CallerRequest,
-) -> Result<(WorkspaceId, WorkspaceRule), Refusal> {
+) -> Result<(WorkspaceId, Arc<WorkspaceRule>), Refusal> {
     if view.readiness == InstanceReadiness::Starting {
         return Err(not_ready());
     }
@@ -248,34 +248,38 @@
     let spec = check_request(&context, &view, &call, workspace, rule, &asked)?;
     context.metrics.count_request(spec.class);
 
-    let (sender, mut reader) = part_channel(
+    let channel = part_channel(
         call.request.clone(),
         context.settings.limits.stream_buffer,
-        context.stream_budget.clone(),
+        &context.stream_budget,
     );
+    let (sender, mut reader) = channel.ok_or_else(|| {
+        let text = "the instance serves too many answers at once";
+        Refusal::new(RefusalCode::Overloaded, text)
+            .with_retry_after(std::time::Duration::from_secs(1))
+    })?;
     let deadline = spec.deadline;
     let tools = context.task_tools();
-    let task = RequestTask::new(tools, spec, asked.prompt, call.arrived);
-    let held = body.held;
+    let prompt = HeldPrompt {
+        prompt: asked.prompt,
+        held: body.held,
+    };
     drop(body.bytes);
-    tokio::spawn(async move {
-        task.run(sender).await;
-        drop(held);
-    });
+    let task = RequestTask::new(tools, spec, prompt, call.arrived);
+    tokio::spawn(task.run(sender));
     if !asked.stream {
         return collect_answer(&context, &call, reader).await;
     }
-    match reader.next().await {
-        Some(StreamItem::Failure(refusal)) => Err(refusal),
-        Some(item) => {
-            reader.put_back(item);
+    match reader.begin().await {
+        AnswerStart::Failed(refusal) => Err(refusal),
+        AnswerStart::Streaming => {
             close_after(&context, &call, &reader, deadline);
             let body = Body::new(reader);
             let content_type = "text/event-stream";
             let status = StatusCode::OK;
             Ok(stream_answer(status, content_type, &call.request, body))
         }
-        None => Err(internal()),
+        AnswerStart::Lost => Err(internal()),
     }
 }
 
@@ -284,11 +288,14 @@
     view: &PublishedView,
     call: &CallerRequest,
     workspace: WorkspaceId,
-    rule: WorkspaceRule,
+    rule: Arc<WorkspaceRule>,
     asked: &CompletionRequest,
 ) -> Result<RequestSpec, Refusal> {
     let class = check_class(&rule, asked.class)?;
-    let allowed = rule.models.is_none_or(|m| m.contains(&asked.model));
+    let allowed = rule
+        .models
+        .as_ref()
+        .is_none_or(|m| m.contains(&asked.model));
     if !allowed || !is_known(view, &asked.model) {
         let text = format!("model {} is not known", asked.model);
         return Err(Refusal::new(RefusalCode::UnknownModel, text));
@@ -371,15 +378,16 @@
     reader: &PartReader,
     deadline: Timestamp,
 ) {
-    let Some(closer) = call.closer.clone() else {
-        return;
-    };
+    let closer = call.closer.clone();
     let watch = reader.watch();
     let until = context.handle.clock().instant(deadline) + LINGER;
     tokio::spawn(async move {
         let gone = tokio::time::timeout_at(until, watch.gone()).await;
         if gone.is_err() {
-            closer.0.cancel();
+            watch.abort();
+            if let Some(closer) = closer {
+                closer.0.cancel();
+            }
         }
     });
 }
@@ -390,7 +398,7 @@
     call: &CallerRequest,
     mut reader: PartReader,
 ) -> Result<Response<Body>, Refusal> {
-    let mut held = HeldBytes::new(context.stream_budget.clone());
+    let mut held = HeldBytes::new(context.body_budget.clone());
     let mut whole: Option<borageline_lib::api::CompletionPart> = None;
     while let Some(item) = reader.next().await {
         match item {
--- a/cli/tests/test_serve/test_standins.rs
+++ b/cli/tests/test_serve/test_standins.rs
@@ -11,7 +11,10 @@
     settings::{InstanceLimits, InstanceSettings},
 };
 use borageline_testutils::{
-    content, engine, engine_config::EngineConfig, http_server::Handle,
+    content, engine,
+    engine_config::EngineConfig,
+    fault::Fault,
+    http_server::{Handle, Standin},
     instance_list, log_service, plain_service,
 };
 use serde_json::json;
@@ -26,9 +29,9 @@
     instance: RunningInstance,
     address: SocketAddr,
     service: Handle<plain_service::PlainService>,
-    _engine: Handle<engine::Engine>,
-    _log: Handle<log_service::LogService>,
-    _list: Handle<instance_list::InstanceList>,
+    engine: Handle<engine::Engine>,
+    log: Handle<log_service::LogService>,
+    list: Handle<instance_list::InstanceList>,
 }
 
 async fn start_engine(name: &str) -> Handle<engine::Engine> {
@@ -71,6 +74,42 @@
     })
 }
 
+/// Starts an instance and waits until it is ready and knows the upstreams.
+async fn start_instance(
+    name: &str,
+    seed: Option<SocketAddr>,
+    log_service: SocketAddr,
+    instance_list: SocketAddr,
+) -> RunningInstance {
+    let any: SocketAddr = ANY.parse().unwrap();
+    let settings = InstanceSettings {
+        instance: name.parse().unwrap(),
+        failure_domain: "d".parse().unwrap(),
+        caller_address: any,
+        peer_address: any,
+        seeds: seed.into_iter().collect(),
+        fleet_secret: "secret".into(),
+        log_service,
+        instance_list,
+        weight_store: None,
+        limits: InstanceLimits {
+            address_ttl: Duration::from_secs(3),
+            ..InstanceLimits::default()
+        },
+        policy: PolicyName::Product,
+    };
+    let instance = RunningInstance::start(settings).await.unwrap();
+    let mut view = instance.handle().watch_view();
+    let ready = view.wait_for(|view| {
+        view.readiness == InstanceReadiness::Ready
+            && !view.models.is_empty()
+            && !view.services.is_empty()
+    });
+    let ready = tokio::time::timeout(Duration::from_secs(20), ready).await;
+    ready.expect("instance is ready within 20 s").unwrap();
+    instance
+}
+
 async fn start_fleet() -> TestFleet {
     let any = ANY.parse().unwrap();
     let log = log_service::spawn(any, log_service::LogConfig::default());
@@ -91,39 +130,36 @@
         .add(listed("e1", ListedKind::Engine, engine.address));
     let kind = ListedKind::Service("s".parse().unwrap());
     list.control.add(listed("s1", kind, service.address));
-    let settings = InstanceSettings {
-        instance: "i1".parse().unwrap(),
-        failure_domain: "d".parse().unwrap(),
-        caller_address: any,
-        peer_address: any,
-        seeds: Vec::new(),
-        fleet_secret: "secret".into(),
-        log_service: log.address,
-        instance_list: list.address,
-        weight_store: None,
-        limits: InstanceLimits::default(),
-        policy: PolicyName::Product,
-    };
-    let instance = RunningInstance::start(settings).await.unwrap();
-    let mut view = instance.handle().watch_view();
-    let ready = view.wait_for(|view| {
-        view.readiness == InstanceReadiness::Ready
-            && !view.models.is_empty()
-            && !view.services.is_empty()
-    });
-    let ready = tokio::time::timeout(Duration::from_secs(20), ready).await;
-    ready.expect("instance is ready within 20 s").unwrap();
+    let (log_address, list_address) = (log.address, list.address);
+    let instance = start_instance("i1", None, log_address, list_address).await;
     let address = instance.context().settings.caller_address;
     TestFleet {
         instance,
         address,
         service,
-        _engine: engine,
-        _log: log,
-        _list: list,
+        engine,
+        log,
+        list,
     }
 }
 
+/// Repeats a call for at most two seconds while it is answered with a code.
+async fn exchange_unless(
+    address: SocketAddr,
+    call: &str,
+    code: &str,
+) -> String {
+    let mut answer = exchange(address, call).await;
+    for _ in 0..100 {
+        if !answer.contains(code) {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        answer = exchange(address, call).await;
+    }
+    answer
+}
+
 /// Guards against a chain of log, list, core, engine client and listener
 /// that does not fit together.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -139,6 +175,58 @@
     drop(fleet.instance);
 }
 
+/// Guards against an answer that is spoilt by a cut, a foreign part or a
+/// repeated part from the engine.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn test_standins_faulty_stream() {
+    let fleet = start_fleet().await;
+    let faults = [
+        Fault::TruncateStreams {
+            after_parts: 2,
+            count: 1,
+        },
+        Fault::ForeignId { count: 2 },
+        Fault::DuplicateParts { count: 2 },
+    ];
+    for fault in faults {
+        fleet.engine.control.control(fault).unwrap();
+    }
+    let body = r#"{"model":"m","prompt":[1,2,3],"max_tokens":100}"#;
+    let answer = exchange(fleet.address, &completion(KEY, body)).await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    let prompt = PromptInput::Tokens([1, 2, 3].into());
+    let digest = content::prompt_digest(&prompt);
+    let text = content::expected_text(digest, 100);
+    assert!(answer.contains(&text), "{answer}");
+}
+
+/// Guards against a planned stop that refuses callers who still know the
+/// address.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn test_standins_stop() {
+    let fleet = start_fleet().await;
+    let address = fleet.address;
+    let seed = fleet.instance.context().settings.peer_address;
+    let (log, list) = (fleet.log.address, fleet.list.address);
+    let other = start_instance("i2", Some(seed), log, list).await;
+    // The instances must know each other before one of them leaves, as
+    // the only instance would leave the engine without an owner.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let stop = tokio::spawn(fleet.instance.stop());
+    // A completion that meets the change of the engine's owner can take
+    // seconds; it must still be answered. None begins after the listener has
+    // closed.
+    let begun = std::time::Instant::now();
+    while begun.elapsed() < Duration::from_secs(1) {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        let body = r#"{"model":"m","prompt":[1,2,3],"max_tokens":2}"#;
+        let answer = exchange(address, &completion(KEY, body)).await;
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    }
+    stop.await.unwrap();
+    drop(other);
+}
+
 /// Guards against a call that runs twice when its caller repeats it.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn test_standins_single_call() {
@@ -149,21 +237,16 @@
          authorization: Bearer {KEY}\r\nidempotency-key: {key}\r\n\
          content-length: 2\r\n\r\nhi",
     );
-    let answer = exchange(fleet.address, &call).await;
+    // An instance is ready before it has read the call streams.
+    let answer = exchange_unless(fleet.address, &call, "not_ready").await;
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
     assert!(answer.contains("\"number\":1"), "{answer}");
     // The outcome is appended after the answer; until it is read back, a
     // repeat hears that the first use is under way.
-    let mut repeat = exchange(fleet.address, &call).await;
-    for _ in 0..100 {
-        if !repeat.contains("key_in_progress") {
-            break;
-        }
-        tokio::time::sleep(Duration::from_millis(20)).await;
-        repeat = exchange(fleet.address, &call).await;
-    }
-    assert!(repeat.starts_with("HTTP/1.1 200"), "{repeat}");
-    assert!(repeat.contains("\"number\":1"), "{repeat}");
+    let under_way = "key_in_progress";
+    let answer = exchange_unless(fleet.address, &call, under_way).await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert!(answer.contains("\"number\":1"), "{answer}");
     assert_eq!(fleet.service.control.counts().issued, 1);
     let conflict = call.replace("\r\n\r\nhi", "\r\n\r\nho");
     let answer = exchange(fleet.address, &conflict).await;
@@ -208,7 +291,7 @@
         answer.contains("\"run_state\":\"may_have_run\""),
         "{answer}"
     );
-    let body = r#"{"model":"m","prompt":[1],"max_tokens":1}"#;
+    let body = r#"{"model":"m","prompt":[1],"max_tokens":1,"timeout_ms":2000}"#;
     let answer = exchange(fleet.address, &completion(KEY, body)).await;
     assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
 }
--- a/lib/src/core/request_routing.rs
+++ b/lib/src/core/request_routing.rs
@@ -10,8 +10,11 @@
 use crate::{
     entry::{EntryAction, EntryEvent},
     ids::{InstanceId, RequestId, UpstreamId},
+    limits::BorrowAsk,
     owner::{OwnerAction, OwnerEvent},
-    peer_api::{GrantAnswer, GrantAsk, GrantNotice, PeerMessage, PeerReply},
+    peer_api::{
+        GrantAnswer, GrantAsk, GrantNotice, MemberState, PeerMessage, PeerReply,
+    },
     units::Timestamp,
     view::FleetView,
 };
@@ -182,6 +185,15 @@
                 EntryAction::CancelHeld(id, request) => {
                     self.cancel_held(id, request, output);
                 }
+                EntryAction::Borrow(ask) => self.borrow(ask, output),
+                EntryAction::AnswerBorrow { reply, answer } => {
+                    if let Some(AskRoute::Peer(inbound)) =
+                        self.replies.remove(&reply)
+                    {
+                        let reply = PeerReply::Lent(answer);
+                        Self::answer_peer(inbound, reply, output);
+                    }
+                }
                 EntryAction::CountRefusal(code) => {
                     output.actions.push(CoreAction::CountRefusal(code));
                 }
@@ -192,6 +204,44 @@
         }
     }
 
+    /// Asks one live peer, another one each time, for a part of a limit.
+    fn borrow(&mut self, ask: BorrowAsk, output: &mut TickOutput) {
+        let members = self.members.members();
+        let live: Vec<&InstanceId> = members
+            .iter()
+            .filter(|(_, entry)| entry.update.state == MemberState::Alive)
+            .map(|(id, _)| id)
+            .collect();
+        if live.is_empty() {
+            return;
+        }
+        self.borrow_turn = self.borrow_turn.wrapping_add(1);
+        let peer = live[self.borrow_turn % live.len()].clone();
+        let message = PeerMessage::Borrow(ask);
+        self.call_instance(
+            &peer,
+            CallPurpose::Borrow,
+            message,
+            NOTICE_TIMEOUT,
+            output,
+        );
+    }
+
+    /// Takes in a peer's question for a part of a limit.
+    pub(super) fn borrow_asked(
+        &mut self,
+        now: Timestamp,
+        inbound: InboundNumber,
+        ask: BorrowAsk,
+        output: &mut TickOutput,
+    ) {
+        self.next_reply += 1;
+        let reply = self.next_reply;
+        self.replies.insert(reply, AskRoute::Peer(inbound));
+        let event = EntryEvent::BorrowAsked { reply, ask };
+        self.handle_entry(now, event, output);
+    }
+
     fn answer_ask(
         &mut self,
         now: Timestamp,
--- a/lib/src/entry.rs
+++ b/lib/src/entry.rs
@@ -24,8 +24,9 @@
 use crate::{
     core::{PolicyName, RequestDecision, RequestProgress, RequestSpec},
     ids::{InstanceId, RequestId, UpstreamId},
+    limits::{BookedLimits, BorrowAnswer, BorrowAsk, LimitShare},
     peer_api::{EngineSummary, GrantAnswer, GrantAsk, GrantEvent, GrantNotice},
-    placement::CandidateTable,
+    placement::{CandidateTable, RoundRobin},
     refusal::{Refusal, RefusalCode, RetryReason, RunState},
     retry::{RetryBudget, backoff},
     units::{Incarnation, Timestamp, TokenCount},
@@ -37,15 +38,14 @@
 /// Wait for the answer to an ask that may be queued. It exceeds the time that
 /// an owner queues it.
 pub const QUEUED_ASK_TIMEOUT: Duration = Duration::from_millis(5500);
-/// Interval between two renewals of holds that are not yet sent.
-const KEPT_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval between two renewals of holds that are not yet sent. A new owner
+/// hears of them several times before it grants from the whole account.
+const KEPT_INTERVAL: Duration = Duration::from_millis(250);
 /// Interval between two notices on a running request, so that a new owner
 /// learns whose it is.
 const STARTED_INTERVAL: Duration = Duration::from_secs(5);
 /// Most asks of one round.
 const ROUND_ASKS: usize = 3;
-/// Most rounds of asks; with the longest backoff they last past a takeover.
-const ROUNDS_MAX: u32 = 40;
 /// Time from its arrival in which a request waits for an engine to appear.
 /// Covers the takeover of engines whose owner was lost; engines taken out by
 /// an order stay away for longer, so that waiting on would not help.
@@ -56,6 +56,8 @@
 const RESUMES_MAX: u32 = 3;
 /// Interval between two looks for engines that leave.
 const DRAIN_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval between two removals of what is known of engines that are gone.
+const FORGET_INTERVAL: Duration = Duration::from_secs(30);
 /// How long an unanswered ask is remembered.
 const ASK_FORGOTTEN: Duration = Duration::from_secs(60);
 /// Prompts up to this length run before longer ones at an engine.
@@ -72,6 +74,20 @@
     AskAnswered(u64, Option<GrantAnswer>),
     /// A peer published the room on an engine.
     Summary(EngineSummary),
+    /// A peer asks for a part of a workspace's limit.
+    BorrowAsked {
+        /// Number for the answer.
+        reply: u64,
+        /// The ask.
+        ask: BorrowAsk,
+    },
+    /// A peer lent a part of a workspace's limit.
+    Lent {
+        /// When the ask was sent.
+        asked_at: Timestamp,
+        /// The answer.
+        answer: BorrowAnswer,
+    },
 }
 
 /// Output of the table.
@@ -94,6 +110,15 @@
     Notify(InstanceId, GrantNotice),
     /// Cancel a request at an engine.
     CancelHeld(UpstreamId, RequestId),
+    /// Ask any live peer for a part of a workspace's limit.
+    Borrow(BorrowAsk),
+    /// Answer an [`EntryEvent::BorrowAsked`].
+    AnswerBorrow {
+        /// Number of the ask.
+        reply: u64,
+        /// The answer.
+        answer: BorrowAnswer,
+    },
     /// Count a refusal.
     CountRefusal(RefusalCode),
     /// Count a retry.
@@ -135,6 +160,7 @@
 struct EntryRow {
     spec: RequestSpec,
     arrived: Timestamp,
+    limits: BookedLimits,
     phase: Phase,
     due: Timestamp,
     legs: Vec<Leg>,
@@ -158,6 +184,7 @@
             due: spec.deadline,
             spec,
             arrived: now,
+            limits: BookedLimits::default(),
             phase: Phase::Waiting,
             legs: Vec::new(),
             candidates: Vec::new(),
@@ -206,10 +233,12 @@
     next_ask: u64,
     candidates: CandidateTable,
     budget: RetryBudget,
+    limits: LimitShare,
     policy: PolicyName,
-    turn: u64,
+    round_robin: RoundRobin,
     rng: ChaCha8Rng,
     drain_due: Timestamp,
+    forget_due: Timestamp,
 }
 
 impl EntryTable {
@@ -227,10 +256,12 @@
             next_ask: incarnation.get() << 20,
             candidates: CandidateTable::new(),
             budget: RetryBudget::new(),
+            limits: LimitShare::new(),
             policy,
-            turn: 0,
+            round_robin: RoundRobin::default(),
             rng: ChaCha8Rng::seed_from_u64(seed),
             drain_due: Timestamp::ZERO,
+            forget_due: Timestamp::ZERO,
         }
     }
 
@@ -255,6 +286,13 @@
             EntryEvent::Summary(summary) => {
                 self.candidates.take_summary(now, summary, view);
             }
+            EntryEvent::BorrowAsked { reply, ask } => {
+                let answer = self.limits.lend(now, ask, view);
+                actions.push(EntryAction::AnswerBorrow { reply, answer });
+            }
+            EntryEvent::Lent { asked_at, answer } => {
+                self.limits.borrowed(now, asked_at, &answer, view);
+            }
         }
         actions
     }
@@ -278,9 +316,14 @@
         }
         if now >= self.drain_due {
             self.drain_due = now.after(DRAIN_INTERVAL);
+            self.tell_new_owners(now, view, &mut actions);
             self.look_for_drains(now, view, &mut actions);
             self.forget_asks(now);
         }
+        if now >= self.forget_due {
+            self.forget_due = now.after(FORGET_INTERVAL);
+            self.candidates.forget_missing(view);
+        }
         actions
     }
 
@@ -333,13 +376,21 @@
         if self.rows.contains_key(&spec.request) {
             return;
         }
-        let row = EntryRow::new(now, spec);
+        let mut row = EntryRow::new(now, spec);
         if now >= row.spec.deadline {
-            self.end_late(row, actions);
-        } else if !view.fresh {
-            self.end(row, stale(), actions);
-        } else {
-            self.place(now, row, view, actions);
+            return self.refuse(row, late(), actions);
+        }
+        if !view.fresh {
+            return self.refuse(row, stale(), actions);
+        }
+        let (admitted, asks) = self.limits.admit(now, &row.spec, view);
+        actions.extend(asks.into_iter().map(EntryAction::Borrow));
+        match admitted {
+            Ok(booked) => {
+                row.limits = booked;
+                self.place(now, row, view, actions);
+            }
+            Err(refusal) => self.refuse(row, refusal, actions),
         }
     }
 
@@ -373,12 +424,10 @@
 
     /// Ends a row whose deadline has passed.
     fn end_late(&mut self, row: EntryRow, actions: &mut Vec<EntryAction>) {
-        let message = "the request's deadline has passed";
-        let refusal = Refusal::new(RefusalCode::DeadlineExceeded, message);
-        self.end(row, refusal, actions);
+        self.end(row, late(), actions);
     }
 
-    /// Ends a row with a refusal and frees what it holds.
+    /// Ends an admitted row with a refusal and frees what it holds.
     fn end(
         &mut self,
         mut row: EntryRow,
@@ -386,6 +435,17 @@
         actions: &mut Vec<EntryAction>,
     ) {
         self.release(&mut row, actions);
+        self.limits.ended(&row.spec, &row.limits);
+        self.refuse(row, refusal, actions);
+    }
+
+    /// Ends a row that holds nothing with a refusal.
+    fn refuse(
+        &mut self,
+        row: EntryRow,
+        refusal: Refusal,
+        actions: &mut Vec<EntryAction>,
+    ) {
         let refusal = refusal.with_run_state(row.run_state);
         actions.push(EntryAction::CountRefusal(refusal.code));
         let decision = RequestDecision::End(refusal);
@@ -426,7 +486,7 @@
         let next = now.after(pause);
         let gone = refusal.code == RefusalCode::NoUpstream
             && now.since(row.arrived) >= NO_UPSTREAM_WAIT;
-        if gone || next >= row.spec.deadline || row.rounds > ROUNDS_MAX {
+        if gone || next >= row.spec.deadline {
             let refusal = refusal.with_retry_after(pause);
             return self.end(row, refusal, actions);
         }
@@ -455,6 +515,11 @@
     EntryAction::Notify(leg.owner.clone(), notice)
 }
 
+fn late() -> Refusal {
+    let message = "the request's deadline has passed";
+    Refusal::new(RefusalCode::DeadlineExceeded, message)
+}
+
 fn stale() -> Refusal {
     let message = "the configuration may be out of date";
     Refusal::new(RefusalCode::ConfigurationStale, message)
