--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -14,9 +14,12 @@
     ids::{DomainId, OrderId},
     platform_api::{AppendRequest, ListedInstance, ListedKind},
 };
-use borageline_testutils::process::{
-    AddressLine, ChildProcess, ChildSignal, binary_path, free_addresses,
-    start_announced, wait_http,
+use borageline_testutils::{
+    engine_config::ReceivedLine,
+    process::{
+        AddressLine, ChildProcess, ChildSignal, binary_path, free_addresses,
+        start_announced, wait_http,
+    },
 };
 use http::Method;
 use serde_json::json;
@@ -35,8 +38,10 @@
 const FLEET_SECRET: &str = "secret-of-the-bench-fleet";
 /// Time for one process to announce its address.
 const START_LIMIT: Duration = Duration::from_secs(10);
-/// Time for all instances to be ready.
+/// Time for all instances of a small fleet to be ready, or to stop.
 const READY_LIMIT: Duration = Duration::from_secs(20);
+/// More time for each instance, because all of them start at once.
+const READY_LIMIT_EACH: Duration = Duration::from_millis(250);
 
 /// What a fleet is made of.
 #[derive(Clone, Debug)]
@@ -86,6 +91,7 @@
     pub domain: DomainId,
     /// The process.
     pub child: ChildProcess,
+    arguments: Vec<String>,
 }
 
 /// A running fleet; its processes end when it is dropped.
@@ -101,6 +107,10 @@
     pub services: Vec<FleetProcess>,
     /// Instances.
     pub instances: Vec<FleetProcess>,
+    /// Engines that were killed and started again.
+    retired: Vec<ChildProcess>,
+    plan: FleetPlan,
+    peers: Vec<SocketAddr>,
     directory: PathBuf,
 }
 
@@ -123,33 +133,37 @@
     hex
 }
 
-fn standin(kind: &str, arguments: &[String]) -> io::Result<Command> {
-    let mut command = Command::new(binary_path("borageline-standin")?);
-    command
-        .args([kind, "--listen", "127.0.0.1:0"])
-        .args(arguments);
-    Ok(command)
-}
-
 fn start_standin(
     kind: &str,
     name: &str,
     domain: DomainId,
     arguments: &[String],
 ) -> io::Result<FleetProcess> {
-    let command = standin(kind, arguments)?;
-    let (child, line): (ChildProcess, AddressLine) =
-        start_announced(command, START_LIMIT)?;
-    let address = line.address;
-    let name = name.into();
+    let listen = ([127, 0, 0, 1], 0).into();
+    let (child, address) = spawn_standin(kind, listen, arguments)?;
     Ok(FleetProcess {
-        name,
+        name: name.into(),
         address,
         domain,
         child,
+        arguments: arguments.to_vec(),
     })
 }
 
+fn spawn_standin(
+    kind: &str,
+    listen: SocketAddr,
+    arguments: &[String],
+) -> io::Result<(ChildProcess, SocketAddr)> {
+    let mut command = Command::new(binary_path("borageline-standin")?);
+    command
+        .args([kind, "--listen", &listen.to_string()])
+        .args(arguments);
+    let (child, line): (ChildProcess, AddressLine) =
+        start_announced(command, START_LIMIT)?;
+    Ok((child, line.address))
+}
+
 impl BenchFleet {
     /// Starts all processes and waits until every instance is ready.
     pub async fn start(plan: &FleetPlan) -> io::Result<Self> {
@@ -210,63 +224,110 @@
             engines,
             services,
             instances: Vec::new(),
+            retired: Vec::new(),
+            plan: plan.clone(),
+            peers,
             directory,
         };
         fleet.write_configuration(plan).await?;
         for (index, caller) in callers.into_iter().enumerate() {
-            fleet.start_instance(plan, index, caller, &peers)?;
+            let instance = fleet.start_instance(index, caller)?;
+            fleet.instances.push(instance);
         }
         fleet.wait_ready().await?;
         Ok(fleet)
     }
 
     /// Starts one instance with its settings file.
-    pub fn start_instance(
-        &mut self,
-        plan: &FleetPlan,
+    fn start_instance(
+        &self,
         index: usize,
         caller: SocketAddr,
-        peers: &[SocketAddr],
-    ) -> io::Result<()> {
+    ) -> io::Result<FleetProcess> {
         let name = format!("instance-{index}");
-        let domain = domain_name(index % plan.domains);
+        let domain = domain_name(index % self.plan.domains);
         let settings = json!({
             "instance": name,
             "failure_domain": domain,
             "caller_address": caller,
-            "peer_address": peers[index],
-            "seeds": &peers[..peers.len().min(3)],
+            "peer_address": self.peers[index],
+            "seeds": &self.peers[..self.peers.len().min(3)],
             "fleet_secret": FLEET_SECRET,
             "log_service": self.log.address,
             "instance_list": self.list.address,
-            "policy": plan.policy,
+            "policy": self.plan.policy,
             "limits": { "address_ttl_ms": 1_000 },
         });
         let file = self.directory.join(format!("{name}.jsonc"));
         fs::write(&file, settings.to_string())?;
         let mut command = Command::new(binary_path("borageline")?);
         command.arg("serve").arg("--config").arg(&file);
-        for setting in &plan.settings {
+        for setting in &self.plan.settings {
             command.arg("--set").arg(setting);
         }
         let log = self.directory.join(format!("{name}.log"));
         command
             .stderr(fs::File::options().create(true).append(true).open(log)?);
         let child = ChildProcess::start(command)?;
-        let address = caller;
-        self.instances.push(FleetProcess {
+        Ok(FleetProcess {
             name,
-            address,
+            address: caller,
             domain,
             child,
-        });
+            arguments: Vec::new(),
+        })
+    }
+
+    /// Kills the engines and instances of a failure domain with SIGKILL.
+    pub fn kill_domain(&mut self, domain: &DomainId) -> io::Result<()> {
+        let all = self.engines.iter_mut().chain(&mut self.instances);
+        for process in all.filter(|process| process.domain == *domain) {
+            process.child.kill()?;
+        }
+        Ok(())
+    }
+
+    /// Starts the engines and instances of a domain again where they were.
+    pub fn restart_domain(&mut self, domain: &DomainId) -> io::Result<()> {
+        for engine in &mut self.engines {
+            if engine.domain == *domain {
+                let (child, _) =
+                    spawn_standin("engine", engine.address, &engine.arguments)?;
+                let old = std::mem::replace(&mut engine.child, child);
+                self.retired.push(old);
+            }
+        }
+        for index in 0..self.instances.len() {
+            if self.instances[index].domain == *domain {
+                let address = self.instances[index].address;
+                self.instances[index] = self.start_instance(index, address)?;
+            }
+        }
         Ok(())
     }
 
+    /// Requests that engines received, of all domains or of one, also of
+    /// engines that were killed; only with `--print-requests`.
+    pub fn received(&self, domain: Option<&DomainId>) -> Vec<ReceivedLine> {
+        let wanted = |process: &&FleetProcess| {
+            domain.is_none_or(|domain| process.domain == *domain)
+        };
+        let engines = self.engines.iter().filter(wanted);
+        let running = engines.map(|engine| &engine.child);
+        // Killed engines count for every domain: only one is ever killed.
+        let lines = running
+            .chain(&self.retired)
+            .flat_map(ChildProcess::output)
+            .filter_map(|line| serde_json::from_str(&line).ok());
+        lines.collect()
+    }
+
     /// Waits until every instance says that it is ready.
     pub async fn wait_ready(&self) -> io::Result<()> {
+        let count = u32::try_from(self.instances.len()).unwrap_or(u32::MAX);
+        let limit = READY_LIMIT + READY_LIMIT_EACH.saturating_mul(count);
         for instance in &self.instances {
-            wait_http(instance.address, "/readyz", READY_LIMIT)
+            wait_http(instance.address, "/readyz", limit)
                 .await
                 .map_err(|error| {
                     let text = format!("{}: {error:?}", instance.name);
@@ -279,7 +340,9 @@
     /// Waits until every instance knows the engines' models.
     async fn wait_models(&self) -> io::Result<()> {
         let client = CallerClient::new();
-        let until = Instant::now() + READY_LIMIT;
+        let count = u32::try_from(self.instances.len()).unwrap_or(u32::MAX);
+        let limit = READY_LIMIT + READY_LIMIT_EACH.saturating_mul(count);
+        let until = Instant::now() + limit;
         for instance in &self.instances {
             loop {
                 let body = json!({
--- a/bench/src/load.rs
+++ b/bench/src/load.rs
@@ -38,7 +38,7 @@
 /// Shortest time between two reads of the addresses.
 const ADDRESS_WAIT: Duration = Duration::from_millis(100);
 /// Time before its start at which a request's body is made.
-const PREPARE_AHEAD: Duration = Duration::from_millis(300);
+pub const PREPARE_AHEAD: Duration = Duration::from_millis(300);
 
 /// Time that a caller gives a request of a class.
 pub fn timeout(class: PriorityClass) -> Duration {
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -36,6 +36,18 @@
     /// Cost of one placement decision by the number of engines
     #[bpaf(command)]
     Decision(#[bpaf(external(measure_options))] MeasureOptions),
+    /// Service while a failure domain is closed, reopened, killed, restarted
+    #[bpaf(command)]
+    DomainChange(#[bpaf(external(measure_options))] MeasureOptions),
+    /// Cost of control with nothing to serve, at 7, 50 and 200 instances
+    #[bpaf(command)]
+    ControlCost(#[bpaf(external(measure_options))] MeasureOptions),
+    /// Slowdown of short requests by long ones
+    #[bpaf(command)]
+    Slowdown(#[bpaf(external(measure_options))] MeasureOptions),
+    /// Memory held for slow readers, and what they cost fast callers
+    #[bpaf(command)]
+    SlowReaders(#[bpaf(external(measure_options))] MeasureOptions),
 }
 
 async fn run(command: BenchCommand) -> io::Result<()> {
@@ -57,6 +69,22 @@
             let report = measures::decision::run(&options).await?;
             (options, report)
         }
+        BenchCommand::DomainChange(options) => {
+            let report = measures::domain_change::run(&options).await?;
+            (options, report)
+        }
+        BenchCommand::ControlCost(options) => {
+            let report = measures::control_cost::run(&options).await?;
+            (options, report)
+        }
+        BenchCommand::Slowdown(options) => {
+            let report = measures::slowdown::run(&options).await?;
+            (options, report)
+        }
+        BenchCommand::SlowReaders(options) => {
+            let report = measures::slow_readers::run(&options).await?;
+            (options, report)
+        }
     };
     report.print(options.json);
     Ok(())
--- a/bench/src/measures/first_token.rs
+++ b/bench/src/measures/first_token.rs
@@ -89,11 +89,21 @@
     deployment: Deployment,
     duration: Duration,
     seed: u64,
+) -> Vec<PlannedRequest> {
+    planned_at(deployment, LOAD_SHARE, duration, seed)
+}
+
+/// The plan at another share of the capacity.
+pub fn planned_at(
+    deployment: Deployment,
+    share: f64,
+    duration: Duration,
+    seed: u64,
 ) -> Vec<PlannedRequest> {
     let engines = deployment.plan("product").engines;
     // A long plan of the same mix gives the means without sampling noise.
     let sample = WorkloadSpec::new(1_000.0, Duration::from_secs(100));
-    let rate = LOAD_SHARE * capacity(engines, TIME_SCALE, &sample.plan(0));
+    let rate = share * capacity(engines, TIME_SCALE, &sample.plan(0));
     WorkloadSpec::new(rate, duration).plan(seed)
 }
 
--- a/bench/src/report.rs
+++ b/bench/src/report.rs
@@ -37,8 +37,12 @@
         }
     }
 
-    /// Adds the value of one policy to a figure.
+    /// Adds the value of one policy to a figure. A ratio to nothing is left
+    /// out, because JSON has no number for it.
     pub fn add(&mut self, policy: &str, name: &str, unit: &str, value: f64) {
+        if !value.is_finite() {
+            return;
+        }
         let figure =
             self.figures
                 .entry(name.into())
@@ -54,6 +58,15 @@
         }
     }
 
+    /// Value of one policy for a figure.
+    pub fn value(&self, policy: &str, name: &str) -> Option<f64> {
+        let figure = self.figures.get(name)?;
+        if policy == "product" {
+            return figure.product;
+        }
+        figure.baselines.get(policy).copied()
+    }
+
     /// Prints one JSON object, or a table for people.
     pub fn print(&self, json: bool) {
         if json {
--- a/bench/tests/test_plans.rs
+++ b/bench/tests/test_plans.rs
@@ -1,11 +1,11 @@
 //! Tests of plans and reports, without processes.
 
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
 use borageline_bench::{
     load::quantile_ms,
     measures::first_token::{
-        LOAD_SHARE, TIME_SCALE, capacity, planned, without_long,
+        LOAD_SHARE, TIME_SCALE, capacity, planned, warm_up, without_long,
     },
     options::Deployment,
     report::MeasureReport,
@@ -70,6 +70,27 @@
     assert!((share / LOAD_SHARE - 1.0).abs() < 0.05, "share {share}");
 }
 
+/// Guards against a warm-up whose prompts fill the prefix caches of the run.
+#[test]
+fn test_warm_up_shares_no_prompt_with_the_run() {
+    let seeds = |plan: &[PlannedRequest]| -> BTreeSet<u64> {
+        plan.iter().map(|request| request.text_seed).collect()
+    };
+    let run = seeds(&planned(Deployment::Facturas, RUN, 1));
+    let before = seeds(&warm_up(Deployment::Facturas, 1));
+    assert!(!before.is_empty(), "the warm-up has requests");
+    assert!(run.is_disjoint(&before), "a prompt is in both");
+}
+
+/// Guards against a figure that JSON has no number for.
+#[test]
+fn test_report_leaves_out_ratios_to_nothing() {
+    let mut report = MeasureReport::new("slowdown", 1);
+    report.add("product", "ratio", "ratio", 1.0 / 0.0);
+    report.add("round-robin", "ratio", "ratio", f64::NAN);
+    assert!(report.figures.is_empty(), "{report:?}");
+}
+
 /// Guards against a report that readers of the last line cannot parse.
 #[test]
 fn test_report_has_the_documented_shape() {
--- a/testutils/src/arguments.rs
+++ b/testutils/src/arguments.rs
@@ -128,6 +128,8 @@
     /// Weight store that models are read from.
     #[bpaf(argument("ADDRESS"))]
     weight_store: Option<SocketAddr>,
+    /// Prints one line of JSON for each request received.
+    print_requests: bool,
 }
 
 fn set<T>(field: &mut T, value: Option<T>) {
@@ -169,6 +171,7 @@
         set(&mut config.part_tokens, self.part_tokens);
         set_ms(&mut config.load_time, self.load_time_ms);
         config.weight_store = self.weight_store;
+        config.print_requests = self.print_requests;
         (self.listen, config)
     }
 }
--- a/testutils/src/engine.rs
+++ b/testutils/src/engine.rs
@@ -6,13 +6,13 @@
 //! simulated time, which passes `time_scale` times as fast.
 
 use std::{
-    io,
+    io::{self, Write},
     net::SocketAddr,
     sync::{
         Arc, Mutex,
         atomic::{AtomicU64, Ordering},
     },
-    time::{Duration, Instant},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use borageline_lib::{
@@ -34,6 +34,7 @@
     client, content,
     engine_config::{
         AdmitError, EngineConfig, EntryEnd, EntryKind, EntryReader, NewEntry,
+        ReceivedLine,
     },
     engine_sim::EngineSim,
     engine_stream::{PartFaults, PartStream},
@@ -317,8 +318,12 @@
 
     fn admit(&self, new: NewEntry) -> Result<EntryReader, CallError> {
         let now = Instant::now();
+        let request = new.key.0.clone();
         let result = lock(&self.sim).admit(new, now);
         self.wake.notify_one();
+        if self.config.print_requests {
+            print_received(request, result.is_ok());
+        }
         result.map_err(|error| match error {
             AdmitError::Duplicate => CallError::new(
                 StatusCode::CONFLICT,
@@ -528,6 +533,18 @@
     }
 }
 
+fn print_received(request: RequestId, admitted: bool) {
+    let at = SystemTime::now().duration_since(UNIX_EPOCH);
+    let line = ReceivedLine {
+        request,
+        at_ms: millis(at.unwrap_or_default()),
+        admitted,
+    };
+    let line = serde_json::to_string(&line).expect("a line is JSON");
+    // Nobody reads the lines any more if this fails.
+    let _ = writeln!(io::stdout().lock(), "{line}");
+}
+
 /// A rate in real time.
 fn scaled(rate: u64, config: &EngineConfig) -> TokenRate {
     TokenRate::new((rate as f64 * config.time_scale) as u64)
--- a/testutils/src/engine_config.rs
+++ b/testutils/src/engine_config.rs
@@ -6,7 +6,7 @@
 };
 
 use borageline_lib::ids::{ModelName, RequestId, UpstreamId};
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 
 use crate::prefix_cache::CacheConfig;
@@ -59,6 +59,21 @@
     pub load_time: Duration,
     /// Weight store that models are read from.
     pub weight_store: Option<SocketAddr>,
+    /// Prints one line for each request received, see
+    /// [`ReceivedLine`].
+    pub print_requests: bool,
+}
+
+/// A request that an engine received, as one line of JSON on its standard
+/// output. The lines outlive an engine that is killed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReceivedLine {
+    /// Request.
+    pub request: RequestId,
+    /// When it was received, in milliseconds since the Unix epoch.
+    pub at_ms: u64,
+    /// Whether the engine took it; a request that was taken may have run.
+    pub admitted: bool,
 }
 
 impl EngineConfig {
@@ -87,6 +102,7 @@
             part_tokens: 8,
             load_time: Duration::from_millis(200),
             weight_store: None,
+            print_requests: false,
         }
     }
 }
