--- a/bench/src/capacity.rs
+++ b/bench/src/capacity.rs
@@ -170,6 +170,8 @@
         decode_rate: TokenRate::new(50),
         segments: true,
         checks_fencing: true,
+        role: None,
+        loading: None,
     }
 }
 
--- a/lib/benches/placement.rs
+++ b/lib/benches/placement.rs
@@ -35,6 +35,8 @@
         decode_rate: TokenRate::new(50),
         segments: true,
         checks_fencing: true,
+        role: None,
+        loading: None,
     };
     UpstreamEntry {
         address: "127.0.0.1:1".parse().expect("constant is an address"),
--- a/lib/src/engine_api.rs
+++ b/lib/src/engine_api.rs
@@ -33,6 +33,12 @@
         pub segments: bool,
         /// Whether orders with an old fencing token are refused.
         pub checks_fencing: bool,
+        /// Role, if the engine has one.
+        #[serde(default)]
+        pub role: Option<Arc<str>>,
+        /// Models being loaded; absent if the engine does not say.
+        #[serde(default)]
+        pub loading: Option<Vec<ModelName>>,
     }
 }
 
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -165,6 +165,17 @@
     }
 }
 
+value_type! {
+    /// How fast the weight store may be read by the whole fleet.
+    #[derive(Copy, Eq)]
+    pub struct WeightRate {
+        /// Most loads begun in a minute, if that is limited.
+        pub loads_per_minute: Option<u32>,
+        /// Most loads at once.
+        pub concurrent: u32,
+    }
+}
+
 value_type! {
     /// One change of the configuration.
     #[serde(tag = "kind", rename_all = "snake_case", deny_unknown_fields)]
@@ -245,6 +256,14 @@
             /// Operator.
             operator: OperatorName,
         },
+        /// Set how fast the weight store may be read.
+        SetWeightRate {
+            /// Most loads begun in a minute, over the whole fleet.
+            #[serde(default)]
+            loads_per_minute: Option<u32>,
+            /// Most loads at once, over the whole fleet.
+            concurrent: u32,
+        },
     }
 }
 
@@ -331,6 +350,11 @@
         pub operators: BTreeMap<OperatorName, OperatorRule>,
         /// Leases on giving orders to upstreams.
         pub leases: BTreeMap<UpstreamId, LeaseEntry>,
+        /// How fast the weight store may be read, where that was stated.
+        ///
+        /// Left out where absent, so that digests of older snapshots hold.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub weight_rate: Option<WeightRate>,
         /// Outcomes of the latest orders.
         pub outcomes: BTreeMap<OrderId, OrderOutcome>,
     }
--- a/lib/src/fleet/change.rs
+++ b/lib/src/fleet/change.rs
@@ -8,7 +8,7 @@
 
 use super::{
     DomainRule, FleetChange, FleetState, LimitRule, OperatorRule, ServiceRule,
-    UpstreamRule, WorkspaceRule,
+    UpstreamRule, WeightRate, WorkspaceRule,
 };
 use crate::{
     ids::{DomainId, OperatorName, UpstreamId, WorkspaceId},
@@ -128,6 +128,14 @@
                 known(held, "operator", operator)?;
                 self.operators.insert(operator, false);
             }
+            FleetChange::SetWeightRate {
+                loads_per_minute,
+                concurrent,
+            } => {
+                let positive = *concurrent > 0 && *loads_per_minute != Some(0);
+                let subject = "weight_rate";
+                check(positive, &subject, "value", "must not be zero")?;
+            }
         }
         Ok(())
     }
@@ -190,6 +198,15 @@
         FleetChange::RemoveOperator { operator } => {
             state.operators.remove(&operator);
         }
+        FleetChange::SetWeightRate {
+            loads_per_minute,
+            concurrent,
+        } => {
+            state.weight_rate = Some(WeightRate {
+                loads_per_minute,
+                concurrent,
+            });
+        }
     }
 }
 
--- a/lib/tests/serving/sim/mod.rs
+++ b/lib/tests/serving/sim/mod.rs
@@ -128,6 +128,8 @@
         decode_rate: TokenRate::new(DECODE),
         segments: true,
         checks_fencing: true,
+        role: None,
+        loading: None,
     }
 }
 
--- a/lib/tests/test_serving_parts.rs
+++ b/lib/tests/test_serving_parts.rs
@@ -52,6 +52,8 @@
         decode_rate: TokenRate::new(100),
         segments: true,
         checks_fencing: true,
+        role: None,
+        loading: None,
     }
 }
 
--- a/testutils/src/engine.rs
+++ b/testutils/src/engine.rs
@@ -59,6 +59,7 @@
 #[derive(Debug)]
 struct OrderState {
     models: Vec<ModelName>,
+    loading: Vec<ModelName>,
     role: Arc<str>,
     highest_token: u64,
     accepted: u64,
@@ -157,6 +158,7 @@
         Self {
             orders: Mutex::new(OrderState {
                 models: config.models.clone(),
+                loading: Vec::new(),
                 role: "serve".into(),
                 highest_token: 0,
                 accepted: 0,
@@ -180,16 +182,19 @@
     }
 
     fn capabilities(&self) -> CapabilityReport {
+        let orders = lock(&self.orders);
         CapabilityReport {
             engine: self.config.engine.clone(),
             incarnation: lock(&self.sim).incarnation(),
-            models: lock(&self.orders).models.clone(),
+            models: orders.models.clone(),
             memory: TokenCount::new(self.config.memory),
             slots: self.config.slots,
             prefill_rate: scaled(self.config.prefill_rate, &self.config),
             decode_rate: scaled(self.config.decode_rate, &self.config),
             segments: self.config.segments,
             checks_fencing: self.config.checks_fencing,
+            role: Some(orders.role.clone()),
+            loading: Some(orders.loading.clone()),
         }
     }
 
@@ -396,6 +401,7 @@
     fn carry_out(self: Arc<Self>, action: EngineAction) {
         match action {
             EngineAction::LoadModel { model } => {
+                lock(&self.orders).loading.push(model.clone());
                 tokio::spawn(self.load_model(model));
             }
             EngineAction::UnloadModel { model } => {
@@ -406,22 +412,25 @@
     }
 
     async fn load_model(self: Arc<Self>, model: ModelName) {
-        match self.config.weight_store {
-            Some(store) => {
-                let path = format!("/v1/weights/{model}");
-                let read = client::get(store, &path).await;
-                if !read.is_ok_and(|answer| answer.status.is_success()) {
-                    return;
-                }
-            }
-            None => tokio::time::sleep(self.config.load_time).await,
-        }
+        let loaded = self.read_weights(&model).await;
         let mut orders = lock(&self.orders);
-        if !orders.models.contains(&model) {
+        if let Some(at) = orders.loading.iter().position(|m| *m == model) {
+            orders.loading.remove(at);
+        }
+        if loaded && !orders.models.contains(&model) {
             orders.models.push(model);
         }
     }
 
+    async fn read_weights(&self, model: &ModelName) -> bool {
+        let Some(store) = self.config.weight_store else {
+            tokio::time::sleep(self.config.load_time).await;
+            return true;
+        };
+        let read = client::get(store, &format!("/v1/weights/{model}")).await;
+        read.is_ok_and(|answer| answer.status.is_success())
+    }
+
     fn lose_state(&self) {
         lock(&self.sim).restart(Instant::now());
         lock(&self.loads).clear();
