--- a/lib/src/query/preview.rs
+++ b/lib/src/query/preview.rs
@@ -85,6 +85,7 @@
         | FleetChange::RemoveOperator { operator } => {
             ("operator", operator.to_string())
         }
+        FleetChange::SetWeightRate { .. } => ("weights", "rate".into()),
     }
 }
 
@@ -102,6 +103,9 @@
         "upstream" => value(&fleet.upstreams, name),
         "workspace" => value(&fleet.workspaces, name),
         "service" => value(&fleet.services, name),
+        "weights" => {
+            serde_json::to_value(&fleet.weight_rate).unwrap_or(Value::Null)
+        }
         _ => value(&fleet.operators, name),
     }
 }
