--- a/bench/src/measures/decision.rs
+++ b/bench/src/measures/decision.rs
@@ -143,6 +143,8 @@
             decode_rate: TokenRate::new(50),
             segments: true,
             checks_fencing: true,
+            role: None,
+            loading: None,
         };
         let entry = UpstreamEntry {
             address: ([127, 0, 0, 1], 1).into(),
--- a/lib/src/query/preview.rs
+++ b/lib/src/query/preview.rs
@@ -104,7 +104,7 @@
         "workspace" => value(&fleet.workspaces, name),
         "service" => value(&fleet.services, name),
         "weights" => {
-            serde_json::to_value(&fleet.weight_rate).unwrap_or(Value::Null)
+            serde_json::to_value(fleet.weight_rate).unwrap_or(Value::Null)
         }
         _ => value(&fleet.operators, name),
     }
