placement: pass over engines that say themselves that they leave

Cause: only the owner of an engine reads its load reports, so other instances kept an engine that announces its leaving as a candidate. If it was the only one of the share for short prompts, it had free slots, no spill-over began, and after 3 s the request was refused with no_upstream, although other engines served the model and 25 s of its time were left.

Ruled out: the deadline (30 s) and the cold-start limit of the other engines, which only makes a request wait; keeping the refusal of the busy engines in place of no_upstream, which alone did not help, as no other engine was asked.

Change: the owner's summary says whether the engine is leaving, and the entry instance passes over it while the summary is recent (10 s). A refusal of one engine that cannot be used no longer hides that others were only full.

--- a/lib/benches/placement.rs
+++ b/lib/benches/placement.rs
@@ -50,6 +50,7 @@
         engine: engine.clone(),
         headroom: TokenCount::new(1000 * (number as u64 % 300)),
         free_slots: 8,
+        leaving: false,
         wait: Duration::from_millis(number as u64 % 100),
         takes_long: number.is_multiple_of(5),
     }
--- a/lib/src/entry/asking.rs
+++ b/lib/src/entry/asking.rs
@@ -231,7 +231,15 @@
         if again {
             row.rounds = 0;
         }
-        row.last = Some(refusal);
+        // One engine that cannot be used does not mean that none can: the
+        // request waits for the others until its deadline.
+        let others_full = row
+            .last
+            .as_ref()
+            .is_some_and(|last| last.code != RefusalCode::NoUpstream);
+        if refusal.code != RefusalCode::NoUpstream || !others_full {
+            row.last = Some(refusal);
+        }
         let reason = RetryReason::GrantRefused;
         actions.push(EntryAction::CountRetry(reason));
         self.ask_failed(now, row, view, actions);
--- a/lib/src/owner.rs
+++ b/lib/src/owner.rs
@@ -297,6 +297,7 @@
             row.cold.reset();
         }
         row.accepted = accepted;
+        row.leaving = entry.is_some_and(|entry| entry.leaving);
         row
     }
 
--- a/lib/src/owner/row.rs
+++ b/lib/src/owner/row.rs
@@ -38,6 +38,8 @@
     pub(super) held_asked: Option<Timestamp>,
     pub(super) held_urgent: bool,
     pub(super) accepted: bool,
+    /// Whether the engine is leaving.
+    pub(super) leaving: bool,
     pub(super) takes_long: bool,
     pub(super) queue: AdmissionQueue,
     pub(super) forecasts: BTreeMap<RequestId, Forecast>,
@@ -58,6 +60,7 @@
             held_asked: None,
             held_urgent: false,
             accepted: true,
+            leaving: false,
             takes_long: false,
             queue: AdmissionQueue::new(),
             forecasts: BTreeMap::new(),
@@ -137,6 +140,7 @@
             engine: engine.clone(),
             headroom: self.headroom(now),
             free_slots: self.room_slots(),
+            leaving: self.leaving,
             wait,
             takes_long: self.takes_long,
         }
--- a/lib/src/peer_api.rs
+++ b/lib/src/peer_api.rs
@@ -158,6 +158,9 @@
         pub headroom: TokenCount,
         /// Slots that can still be granted.
         pub free_slots: u32,
+        /// Whether it is leaving; an engine that leaves of itself tells only
+        /// its owner.
+        pub leaving: bool,
         /// Predicted wait before a new prompt's prefill starts.
         pub wait: Duration,
         /// Whether the engine takes long prompts.
--- a/lib/src/placement.rs
+++ b/lib/src/placement.rs
@@ -276,6 +276,9 @@
         let row = self.row(id);
         let recent = row.and_then(|row| row.recent(now));
         let known = recent.map(|(_, summary)| summary);
+        if known.is_some_and(|known| known.leaving) {
+            return None;
+        }
         let headroom = match recent {
             Some((row, known)) => known.headroom.saturating_sub(row.pending),
             None => assumed_headroom(entry),
--- a/lib/tests/test_membership.rs
+++ b/lib/tests/test_membership.rs
@@ -485,6 +485,7 @@
         engine: format!("e{n}").parse().unwrap(),
         headroom: TokenCount::ZERO,
         free_slots: 0,
+        leaving: false,
         wait: Duration::ZERO,
         takes_long: false,
     };
--- a/lib/tests/test_serving_parts.rs
+++ b/lib/tests/test_serving_parts.rs
@@ -320,6 +320,7 @@
         engine: engine.clone(),
         headroom: TokenCount::new(headroom),
         free_slots: 4,
+        leaving: false,
         wait: Duration::ZERO,
         takes_long: long,
     }
