order_desk: refuse orders as not run while the log is down

Cause: the desk appended an order even if the log had not answered for seconds. Refusals before an append were answered as order_rejected (409), whatever their reason.

Ruled out: the HTTP client, which rightly says may_have_run for a connection that breaks after the request was written.

Change: the desk refuses a new order with log_unavailable while the last read of the log failed; a repeat of an order that may stand in the log still gets an unknown outcome. The report carries the code of such a refusal, and the answer has its status (503).

--- a/cli/src/core_handle.rs
+++ b/cli/src/core_handle.rs
@@ -271,6 +271,7 @@
         match tokio::time::timeout(ORDER_WAIT, receiver).await {
             Ok(Ok(report)) => report,
             Ok(Err(_)) | Err(_) => OrderReport {
+                code: None,
                 order: id,
                 offset: None,
                 accepted: None,
--- a/cli/src/operators.rs
+++ b/cli/src/operators.rs
@@ -125,7 +125,10 @@
     let reason = || report.reason.clone().unwrap_or_else(|| "".into());
     match report.accepted {
         Some(true) => Ok(json_answer(StatusCode::OK, &call.request, report)),
-        Some(false) => Err(Refusal::new(RefusalCode::OrderRejected, reason())),
+        Some(false) => {
+            let code = report.code.unwrap_or(RefusalCode::OrderRejected);
+            Err(Refusal::new(code, reason()))
+        }
         None if report.run_state == RunState::NotRun => {
             Err(Refusal::new(RefusalCode::LogUnavailable, reason()))
         }
--- a/lib/src/config_reader.rs
+++ b/lib/src/config_reader.rs
@@ -156,6 +156,11 @@
         &self.state
     }
 
+    /// Whether the log answered when it was last asked.
+    pub fn log_answers(&self) -> bool {
+        !self.log_failing
+    }
+
     /// Whether the configuration is complete.
     pub fn is_ready(&self) -> bool {
         self.complete && self.state.applied.is_some()
--- a/lib/src/core/log_routing.rs
+++ b/lib/src/core/log_routing.rs
@@ -154,6 +154,7 @@
             fleet: &fleet,
             members: &self.members,
             ready: self.reader.is_ready(),
+            log_answers: self.reader.log_answers(),
         };
         let actions = self.desk.tick(now, view);
         self.route_desk(now, actions, output);
@@ -170,6 +171,7 @@
             fleet: &fleet,
             members: &self.members,
             ready: self.reader.is_ready(),
+            log_answers: self.reader.log_answers(),
         };
         let actions = self.desk.handle(now, event, view);
         self.route_desk(now, actions, output);
--- a/lib/src/order_desk.rs
+++ b/lib/src/order_desk.rs
@@ -72,6 +72,8 @@
     pub members: &'a MemberTable,
     /// Whether the configuration is complete.
     pub ready: bool,
+    /// Whether the log answered when it was last asked.
+    pub log_answers: bool,
 }
 
 /// How far an order has come.
@@ -224,6 +226,12 @@
             let text = "the configuration was not read yet";
             return Some((RefusalCode::NotReady, text.into()));
         }
+        // An append to a log that is down may still have taken effect, so it
+        // would have to be reported as unknown.
+        if !view.log_answers {
+            let text = "the log service does not answer";
+            return Some((RefusalCode::LogUnavailable, text.into()));
+        }
         if self.entries.len() >= ORDERS_MAX {
             let text = format!("{ORDERS_MAX} orders are waiting");
             return Some((RefusalCode::Overloaded, text));
@@ -438,6 +446,7 @@
         offset: Some(outcome.offset),
         accepted: Some(outcome.accepted),
         reason: outcome.reason.clone(),
+        code: None,
         in_force: outcome.accepted && waiting_for.is_empty(),
         waiting_for,
         run_state: if outcome.accepted {
@@ -463,6 +472,7 @@
         offset: None,
         accepted: None,
         reason: Some(reason.into()),
+        code: None,
         in_force: false,
         waiting_for: Vec::new(),
         run_state: RunState::MayHaveRun,
@@ -480,6 +490,7 @@
         offset: None,
         accepted: Some(false),
         reason: Some(reason),
+        code: Some(code),
         in_force: false,
         waiting_for: Vec::new(),
         run_state: RunState::NotRun,
--- a/lib/src/peer_api.rs
+++ b/lib/src/peer_api.rs
@@ -14,7 +14,7 @@
         UpstreamId, WorkspaceId,
     },
     limits::{BorrowAnswer, BorrowAsk},
-    refusal::{Refusal, RunState},
+    refusal::{Refusal, RefusalCode, RunState},
     units::{Incarnation, LogOffset, TokenCount},
     value_type,
 };
@@ -390,6 +390,9 @@
         pub accepted: Option<bool>,
         /// Why it was rejected.
         pub reason: Option<Arc<str>>,
+        /// Why it was refused before anything was appended.
+        #[serde(default)]
+        pub code: Option<RefusalCode>,
         /// Whether every live instance has applied it.
         pub in_force: bool,
         /// Live instances that have not applied it.
--- a/lib/tests/test_order_desk.rs
+++ b/lib/tests/test_order_desk.rs
@@ -15,7 +15,7 @@
     order_desk::{DeskAction, DeskEvent, DeskView, OrderAppend, OrderDesk},
     peer_api::{Gossip, MemberState, MemberUpdate, OrderReport},
     platform_api::AppendAnswer,
-    refusal::RunState,
+    refusal::{RefusalCode, RunState},
     units::{Incarnation, LogOffset, Timestamp},
 };
 use common::{EventQueue, LogModel, millis};
@@ -187,11 +187,13 @@
 
     fn tick(&mut self, index: usize) {
         let now = self.queue.now;
+        let log_answers = self.queue.now >= self.log_up_at;
         let node = &mut self.nodes[index];
         let view = DeskView {
             fleet: &node.fleet,
             members: &node.members,
             ready: true,
+            log_answers,
         };
         let actions = node.desk.tick(now, view);
         let due = node.desk.next_timer();
@@ -204,11 +206,13 @@
 
     fn desk_event(&mut self, index: usize, event: DeskEvent) {
         let now = self.queue.now;
+        let log_answers = self.queue.now >= self.log_up_at;
         let node = &mut self.nodes[index];
         let view = DeskView {
             fleet: &node.fleet,
             members: &node.members,
             ready: true,
+            log_answers,
         };
         let actions = node.desk.handle(now, event, view);
         self.act(index, actions);
@@ -348,6 +352,7 @@
         fleet: &node.fleet,
         members: &node.members,
         ready: true,
+        log_answers: true,
     };
     let given = DeskEvent::Given(InboundNumber(1), order("o1", None));
     let actions = node.desk.handle(now, given, view);
@@ -377,6 +382,7 @@
         fleet: &fleet,
         members: &members,
         ready: true,
+        log_answers: true,
     };
     let mut desk = OrderDesk::new();
     let states = [
@@ -399,3 +405,26 @@
         assert_eq!(report.run_state, expected);
     }
 }
+
+/// Guards against an order that is sent to a log known to be down: its
+/// outcome would be unknown, where a true `not_run` is possible.
+#[test]
+fn test_order_refused_while_log_is_down() {
+    let fleet = FleetState::default();
+    let members = members(0);
+    let mut desk = OrderDesk::new();
+    let view = DeskView {
+        fleet: &fleet,
+        members: &members,
+        ready: true,
+        log_answers: false,
+    };
+    let given = DeskEvent::Given(InboundNumber(1), order("o", None));
+    let mut actions = desk.handle(Timestamp::ZERO, given, view);
+    actions.extend(desk.tick(Timestamp::ZERO, view));
+    let [DeskAction::Answer(_, report)] = actions.as_slice() else {
+        panic!("{actions:?}");
+    };
+    assert_eq!(report.code, Some(RefusalCode::LogUnavailable));
+    assert_eq!(report.run_state, RunState::NotRun);
+}
