group: wait for engines whose memory is not known yet

Cause: a group is planned over the engines whose capabilities are known. An instance that has just started knows some of them, and refused a prompt of 150,000 tokens with prompt_too_large (413) although three engines of 100,000 can hold it. Callers do not repeat after this refusal.

Ruled out: the estimate of the prompt's length (the same prompt was accepted later) and room that other requests hold (nothing was running).

--- a/lib/src/entry/group.rs
+++ b/lib/src/entry/group.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeMap;
 
 use super::{
-    EntryAction, EntryRow, EntryTable, GroupPart,
+    EntryAction, EntryRow, EntryTable, GroupPart, NO_UPSTREAM_WAIT,
     asking::{full_size, need},
     unreachable,
 };
@@ -34,6 +34,11 @@
         row.candidates.clear();
         let room = |id: &UpstreamId| full_size(id, view);
         if self.plan(&row, view, room).is_none() {
+            // An engine that has not told its memory yet may add the room.
+            let waited = now.since(row.arrived);
+            if waited < NO_UPSTREAM_WAIT && has_unknown_engine(view) {
+                return self.wait(now, row, no_room(), actions);
+            }
             let tokens = row.spec.prompt.saturating_add(row.spec.output);
             let message = format!(
                 "no engine or group of engines can hold {tokens} of model {}",
@@ -185,3 +190,10 @@
     let message = "no group of engines has room for the prompt now";
     Refusal::new(RefusalCode::NoCapacity, message)
 }
+
+/// Whether an engine is listed whose capabilities are not known.
+fn has_unknown_engine(view: &FleetView) -> bool {
+    view.upstreams.iter().any(|(_, entry)| {
+        entry.service.is_none() && !entry.leaving && entry.capability.is_none()
+    })
+}
