--- /dev/null
+++ b/cli/tests/test_faults/engine_tap.rs
@@ -0,0 +1,153 @@
+//! A forwarder in front of an engine that records the work sent to it.
+//!
+//! The record outlives the engine's process, so a test can compare it with
+//! what callers were told.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Instant,
+};
+
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
+
+/// Calls that give an engine new work.
+const WORK_LINES: [&str; 2] = [
+    "POST /v1/completions HTTP/1.1\r\n",
+    "POST /v1/kv/prefill HTTP/1.1\r\n",
+];
+/// Longest head of a request that is recorded.
+const HEAD_MAX: usize = 16 << 10;
+
+/// One call that gave an engine work.
+#[derive(Clone, Debug)]
+pub(crate) struct SentWork {
+    /// When its head was forwarded.
+    pub(crate) at: Instant,
+    /// Request id.
+    pub(crate) request: String,
+}
+
+/// Records what is sent to one engine.
+pub(crate) struct EngineTap {
+    /// Address that instances use for the engine.
+    pub(crate) address: SocketAddr,
+    sent: Arc<Mutex<Vec<SentWork>>>,
+    task: tokio::task::JoinHandle<()>,
+}
+
+impl EngineTap {
+    /// Starts a tap in front of an engine.
+    pub(crate) async fn start(target: SocketAddr) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let sent = Arc::new(Mutex::new(Vec::new()));
+        let record = sent.clone();
+        let task = tokio::spawn(async move {
+            loop {
+                let (client, _) = listener.accept().await.unwrap();
+                tokio::spawn(forward(client, target, record.clone()));
+            }
+        });
+        Self {
+            address,
+            sent,
+            task,
+        }
+    }
+
+    /// All work sent so far.
+    pub(crate) fn sent(&self) -> Vec<SentWork> {
+        self.sent.lock().unwrap().clone()
+    }
+
+    /// Number of calls after a moment.
+    pub(crate) fn sent_after(&self, at: Instant) -> usize {
+        self.sent().iter().filter(|work| work.at > at).count()
+    }
+}
+
+impl Drop for EngineTap {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn forward(
+    client: TcpStream,
+    target: SocketAddr,
+    sent: Arc<Mutex<Vec<SentWork>>>,
+) {
+    // A dead engine shows as a connection that ends at once.
+    let Ok(engine) = TcpStream::connect(target).await else {
+        return;
+    };
+    let _ = (client.set_nodelay(true), engine.set_nodelay(true));
+    let (mut from_client, mut to_client) = client.into_split();
+    let (mut from_engine, mut to_engine) = engine.into_split();
+    let upward = async move {
+        let mut scan = HeadScan::default();
+        let mut buffer = vec![0; 64 << 10];
+        loop {
+            match from_client.read(&mut buffer).await {
+                Ok(count) if count > 0 => {
+                    let data = &buffer[..count];
+                    for request in scan.feed(data) {
+                        let at = Instant::now();
+                        let work = SentWork { at, request };
+                        sent.lock().unwrap().push(work);
+                    }
+                    if to_engine.write_all(data).await.is_err() {
+                        return;
+                    }
+                }
+                _ => return,
+            }
+        }
+    };
+    let downward = tokio::io::copy(&mut from_engine, &mut to_client);
+    tokio::select! {
+        () = upward => {}
+        _ = downward => {}
+    }
+}
+
+/// Finds the heads of work calls in a byte stream.
+#[derive(Default)]
+struct HeadScan {
+    pending: Vec<u8>,
+}
+
+impl HeadScan {
+    fn feed(&mut self, data: &[u8]) -> Vec<String> {
+        self.pending.extend_from_slice(data);
+        let mut found = Vec::new();
+        while let Some(start) =
+            WORK_LINES.iter().filter_map(|line| self.find(line)).min()
+        {
+            self.pending.drain(..start);
+            let Some(end) = self.find("\r\n\r\n") else {
+                assert!(self.pending.len() < HEAD_MAX, "head without an end");
+                return found;
+            };
+            let head = String::from_utf8_lossy(&self.pending[..end]);
+            let id = head
+                .lines()
+                .find_map(|line| line.strip_prefix("x-request-id: "));
+            found.push(id.unwrap_or_default().to_owned());
+            self.pending.drain(..end);
+        }
+        // A head's first line may be cut in two.
+        let kept = self.pending.len().min(64);
+        self.pending.drain(..self.pending.len() - kept);
+        found
+    }
+
+    fn find(&self, text: &str) -> Option<usize> {
+        let mut windows = self.pending.windows(text.len());
+        windows.position(|window| window == text.as_bytes())
+    }
+}
