--- a/lib/src/peer_api.rs
+++ b/lib/src/peer_api.rs
@@ -15,7 +15,7 @@
     },
     ledger::HoldState,
     limits::{BorrowAnswer, BorrowAsk},
-    refusal::{Refusal, RunState},
+    refusal::{Refusal, RefusalCode, RunState},
     units::{Incarnation, LogOffset, TokenCount},
     value_type,
 };
@@ -163,6 +163,9 @@
         pub headroom: TokenCount,
         /// Slots that can still be granted.
         pub free_slots: u32,
+        /// Whether it is leaving; an engine that leaves of itself tells only
+        /// its owner.
+        pub leaving: bool,
         /// Predicted wait before a new prompt's prefill starts.
         pub wait: Duration,
         /// Whether the engine takes long prompts.
@@ -426,6 +429,9 @@
         pub accepted: Option<bool>,
         /// Why it was rejected.
         pub reason: Option<Arc<str>>,
+        /// Why it was refused before anything was appended.
+        #[serde(default)]
+        pub code: Option<RefusalCode>,
         /// Whether every live instance has applied it.
         pub in_force: bool,
         /// Live instances that have not applied it.
