--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -6,6 +6,10 @@
 pub mod caller;
 pub mod capacity;
 pub mod fleet;
+pub mod load;
+pub mod measures;
+pub mod options;
+pub mod probe;
 pub mod quickstart;
 pub mod report;
 pub mod stream_cost;
--- /dev/null
+++ b/lib/src/core/query_tables.rs
@@ -0,0 +1,305 @@
+//! The rows that this instance has for each table of the language.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::{InstanceReadiness, ServingCore};
+use crate::{
+    fleet::LimitRule,
+    freshness::Freshness,
+    ids::DomainId,
+    ledger::HoldState,
+    peer_api::MemberState,
+    query::{
+        CellValue, KnownUpstream, QueryTable, SharedTables, TableRow,
+        drain_mode, engine_row,
+    },
+    units::Timestamp,
+};
+
+impl ServingCore {
+    /// Rows of a table that this instance answers for.
+    pub(super) fn table_rows(
+        &self,
+        now: Timestamp,
+        table: QueryTable,
+    ) -> Vec<TableRow> {
+        match table {
+            QueryTable::Requests => self.request_rows(now),
+            QueryTable::Holds => self.hold_rows(now),
+            QueryTable::Queues => self.queue_rows(now),
+            QueryTable::Limits => self.limit_rows(now),
+            QueryTable::Engines => self.engine_rows(now),
+            QueryTable::Instances => self.instance_rows(),
+            QueryTable::Domains => self.domain_rows(),
+            QueryTable::Configuration => vec![self.configuration_row(now)],
+            QueryTable::Calls => self.call_rows(),
+            // Built from the shared tables, outside the core.
+            QueryTable::Workspaces
+            | QueryTable::Services
+            | QueryTable::Upstreams
+            | QueryTable::Orders
+            | QueryTable::Leases => Vec::new(),
+        }
+    }
+
+    fn own_cell(&self) -> CellValue {
+        CellValue::text(&self.setup.instance)
+    }
+
+    fn request_rows(&self, now: Timestamp) -> Vec<TableRow> {
+        let lines = self.entries.lines();
+        let row = |line: crate::entry::RequestLine<'_>| {
+            let spec = line.spec;
+            vec![
+                CellValue::text(&spec.request),
+                CellValue::text(&spec.workspace),
+                CellValue::text(&spec.model),
+                spec.class.as_str().into(),
+                line.state.into(),
+                CellValue::list(line.engines),
+                spec.prompt.get().into(),
+                spec.output.get().into(),
+                CellValue::seconds(now.since(line.arrived)),
+                CellValue::seconds(spec.deadline.since(now)),
+                self.own_cell(),
+            ]
+        };
+        lines.map(row).collect()
+    }
+
+    fn hold_rows(&self, now: Timestamp) -> Vec<TableRow> {
+        let holds = self.owners.holds();
+        holds
+            .map(|(engine, request, hold)| {
+                vec![
+                    CellValue::text(engine),
+                    CellValue::text(request),
+                    CellValue::option(hold.entry.as_ref(), CellValue::text),
+                    hold.tokens.get().into(),
+                    hold_state(hold.state).into(),
+                    CellValue::seconds(now.since(hold.since)),
+                    self.own_cell(),
+                ]
+            })
+            .collect()
+    }
+
+    fn queue_rows(&self, now: Timestamp) -> Vec<TableRow> {
+        let queues = self.owners.queues();
+        queues
+            .map(|(engine, line)| {
+                vec![
+                    CellValue::text(engine),
+                    line.class.as_str().into(),
+                    line.waiting.into(),
+                    line.tokens.get().into(),
+                    CellValue::seconds(now.since(line.oldest)),
+                    self.own_cell(),
+                ]
+            })
+            .collect()
+    }
+
+    fn limit_rows(&self, now: Timestamp) -> Vec<TableRow> {
+        let view = self.view(now);
+        let lines = self.entries.limits().lines(now, &view);
+        lines
+            .map(|line| {
+                let model = line.rule.and_then(|rule| rule.model.as_ref());
+                let class = |rule: &LimitRule| rule.class;
+                let class = line.rule.and_then(class);
+                vec![
+                    CellValue::text(line.workspace),
+                    line.limit.into(),
+                    CellValue::option(model, CellValue::text),
+                    CellValue::option(class, |class| class.as_str().into()),
+                    rounded(line.used).into(),
+                    rounded(line.share).into(),
+                    line.running.into(),
+                    line.held.into(),
+                    self.own_cell(),
+                ]
+            })
+            .collect()
+    }
+
+    /// Rows of the engines that this instance owns.
+    fn engine_rows(&self, now: Timestamp) -> Vec<TableRow> {
+        let view = self.view(now);
+        let engines = self.upstreams.table().iter();
+        engines
+            .filter_map(|(id, entry)| {
+                let line = self.owners.line(now, id)?;
+                let known = KnownUpstream {
+                    id: id.clone(),
+                    entry: entry.clone(),
+                    owner: Some(self.setup.instance.clone()),
+                    accepts_work: view.accepts_work(id),
+                };
+                Some(engine_row(&known, Some(line)))
+            })
+            .collect()
+    }
+
+    /// What every instance knows of the upstreams, for tables that need it.
+    /// Only shared values are copied here; the rows are built outside the
+    /// core, as there may be ten thousand.
+    pub(super) fn shared_tables(
+        &self,
+        now: Timestamp,
+        table: QueryTable,
+    ) -> SharedTables {
+        let needed = matches!(
+            table,
+            QueryTable::Engines | QueryTable::Upstreams | QueryTable::Services
+        );
+        let view = self.view(now);
+        let owners = self.ownership.owners();
+        let entries = self.upstreams.table().iter().filter(|_| needed);
+        let upstreams = entries.map(|(id, entry)| KnownUpstream {
+            id: id.clone(),
+            entry: entry.clone(),
+            owner: owners.get(id).cloned(),
+            accepts_work: view.accepts_work(id),
+        });
+        SharedTables {
+            fleet: self.reader.state().clone(),
+            upstreams: upstreams.collect(),
+        }
+    }
+
+    /// Subjects that this instance answers for.
+    pub(super) fn covered(
+        table: QueryTable,
+        rows: &[TableRow],
+    ) -> BTreeSet<std::sync::Arc<str>> {
+        if table != QueryTable::Engines {
+            return BTreeSet::new();
+        }
+        rows.iter().filter_map(row_id).collect()
+    }
+
+    fn instance_rows(&self) -> Vec<TableRow> {
+        let others = self.members.members().values();
+        let others = others.map(|entry| &entry.update);
+        others
+            .chain([self.members.own()])
+            .map(|update| {
+                let applied = update.applied;
+                vec![
+                    CellValue::text(&update.instance),
+                    CellValue::text(&update.domain),
+                    member_state(update.state).into(),
+                    update.incarnation.get().into(),
+                    CellValue::option(applied, |offset| offset.get().into()),
+                    CellValue::text(update.caller_address),
+                    CellValue::text(update.peer_address),
+                ]
+            })
+            .collect()
+    }
+
+    fn domain_rows(&self) -> Vec<TableRow> {
+        let mut counts = BTreeMap::<&DomainId, (usize, usize)>::new();
+        let rules = &self.reader.state().domains;
+        for domain in rules.keys() {
+            counts.entry(domain).or_default();
+        }
+        for (_, entry) in self.upstreams.table().iter() {
+            let count = counts.entry(&entry.domain).or_default();
+            count.0 += usize::from(entry.service.is_none());
+        }
+        let others = self.members.members().values();
+        let others = others.filter(|entry| entry.is_present());
+        let others = others.map(|entry| &entry.update.domain);
+        for domain in others.chain([&self.setup.domain]) {
+            counts.entry(domain).or_default().1 += 1;
+        }
+        counts
+            .into_iter()
+            .map(|(domain, (engines, instances))| {
+                let closed = rules.get(domain).and_then(|rule| rule.closed);
+                vec![
+                    CellValue::text(domain),
+                    if closed.is_some() { "closed" } else { "open" }.into(),
+                    CellValue::option(closed, |mode| drain_mode(mode).into()),
+                    engines.into(),
+                    instances.into(),
+                ]
+            })
+            .collect()
+    }
+
+    fn configuration_row(&self, now: Timestamp) -> TableRow {
+        let state = self.reader.state();
+        let confirmed = self.freshness.confirmed_at();
+        vec![
+            self.own_cell(),
+            state.version.get().into(),
+            CellValue::option(state.applied, |offset| offset.get().into()),
+            match self.freshness.freshness(now) {
+                Freshness::Confirmed => "confirmed",
+                Freshness::LogOutage => "log_outage",
+                Freshness::Stale => "stale",
+            }
+            .into(),
+            CellValue::option(confirmed, |at| {
+                CellValue::seconds(now.since(at))
+            }),
+            match self.readiness(now) {
+                InstanceReadiness::Starting => "starting",
+                InstanceReadiness::Ready => "ready",
+                InstanceReadiness::Stale => "stale",
+                InstanceReadiness::Stopping => "stopping",
+            }
+            .into(),
+        ]
+    }
+
+    fn call_rows(&self) -> Vec<TableRow> {
+        let lines = self.calls.lines();
+        lines
+            .map(|(stream, line)| {
+                vec![
+                    stream.into(),
+                    self.own_cell(),
+                    line.keys.into(),
+                    line.in_progress.into(),
+                    line.waiting.into(),
+                    line.at_head.into(),
+                ]
+            })
+            .collect()
+    }
+}
+
+fn row_id(row: &TableRow) -> Option<std::sync::Arc<str>> {
+    match row.first() {
+        Some(CellValue::Text(id)) => Some(id.clone()),
+        _ => None,
+    }
+}
+
+/// A part of a whole to three places.
+fn rounded(part: f64) -> f64 {
+    (part * 1_000.0).round() / 1_000.0
+}
+
+fn member_state(state: MemberState) -> &'static str {
+    match state {
+        MemberState::Alive => "alive",
+        MemberState::Leaving => "leaving",
+        MemberState::Suspect => "suspect",
+        MemberState::Dead => "dead",
+    }
+}
+
+fn hold_state(state: HoldState) -> &'static str {
+    match state {
+        HoldState::Granted => "granted",
+        HoldState::Kept => "kept",
+        HoldState::Started => "started",
+        HoldState::Adopted => "adopted",
+        HoldState::Ending => "ending",
+    }
+}
--- a/lib/src/core/routing.rs
+++ b/lib/src/core/routing.rs
@@ -44,8 +44,12 @@
     Grant(u64),
     /// A notice about a grant.
     Notice,
+    /// An ask for an engine's account.
+    TakeOver(UpstreamId),
     /// A question for a part of a limit.
     Borrow,
+    /// A query, by its number, to this instance.
+    Query(u64, InstanceId),
     /// A claim of the lease on orders to an engine.
     Lease(UpstreamId),
 }
@@ -135,6 +139,9 @@
                 let event = DeskEvent::Asked(inbound, order);
                 self.handle_desk(now, event, output);
             }
+            CoreEvent::QueryAsked(inbound, text) => {
+                self.query_asked(now, inbound, text, output);
+            }
             CoreEvent::ClaimAsked {
                 inbound,
                 key,
@@ -227,12 +234,14 @@
                 let event = OwnerEvent::Noticed(from, notice);
                 self.handle_owner(now, event, output);
             }
+            PeerMessage::TakeOver(engine) => {
+                self.take_over_asked(now, inbound, from, engine, output);
+            }
             PeerMessage::Borrow(ask) => {
                 self.borrow_asked(now, inbound, ask, output);
             }
-            PeerMessage::Query(_) => {
-                let reply = PeerReply::Rejected("not supported".into());
-                Self::answer_peer(inbound, reply, output);
+            PeerMessage::Query(text) => {
+                self.answer_query(now, inbound, &text, output);
             }
         }
     }
@@ -279,6 +288,12 @@
                 };
                 self.ask_answered(now, ask, answer, output);
             }
+            CallPurpose::TakeOver(engine) => {
+                if let Ok(PeerReply::TakenOver(answer)) = result {
+                    let event = OwnerEvent::TakenOver(engine, answer);
+                    self.handle_owner(now, event, output);
+                }
+            }
             CallPurpose::Borrow => {
                 if let Ok(PeerReply::Lent(answer)) = result {
                     let event = EntryEvent::Lent {
@@ -288,6 +303,9 @@
                     self.handle_entry(now, event, output);
                 }
             }
+            CallPurpose::Query(number, peer) => {
+                self.query_answered(number, peer, result, output);
+            }
             CallPurpose::Notice
             | CallPurpose::Snapshot
             | CallPurpose::Order(_)
--- a/lib/src/core/serving_core.rs
+++ b/lib/src/core/serving_core.rs
@@ -5,6 +5,7 @@
 use super::{
     CallNumber, CoreAction, CoreEvent, CoreSetup, InboundNumber,
     InstanceReadiness, PublishedView,
+    query_routing::QueryDesk,
     request_routing::AskRoute,
     routing::{CallPurpose, TickOutput},
     upstream_reader::UpstreamReader,
@@ -15,6 +16,7 @@
     config_reader::ConfigReader,
     engine_orders::{EngineOrderTable, OrderEvent},
     entry::{EntryEvent, EntryTable},
+    explain::ExplainTable,
     freshness::{Freshness, FreshnessTable},
     ids::InstanceId,
     log_event::LogEvent,
@@ -46,6 +48,8 @@
     pub(super) calls: CallTable,
     pub(super) call_entries: CallEntryTable,
     pub(super) desk: OrderDesk,
+    pub(super) queries: QueryDesk,
+    pub(super) explain: ExplainTable,
     pub(super) entries: EntryTable,
     pub(super) owners: OwnerTable,
     pub(super) engine_orders: EngineOrderTable,
@@ -84,6 +88,8 @@
             calls: CallTable::new(setup.instance.clone()),
             call_entries: CallEntryTable::new(),
             desk: OrderDesk::new(),
+            queries: QueryDesk::default(),
+            explain: ExplainTable::new(),
             entries: EntryTable::new(
                 setup.policy,
                 setup.incarnation,
@@ -135,6 +141,7 @@
             self.calls.next_timer(),
             self.call_entries.next_timer(),
             self.desk.next_timer(),
+            self.queries.next_timer(),
             self.entries.next_timer(),
             self.owners.next_timer(),
             self.engine_orders.next_timer(),
@@ -184,6 +191,7 @@
         let actions = self.call_entries.tick(now);
         self.route_call_entries(now, actions, output);
         self.tick_desk(now, output);
+        self.expire_queries(now, output);
         self.report_freshness(now, output);
         let idle = self.entries.is_empty() && self.call_entries.is_empty();
         if self.stopping && idle && !self.stop_done {
