bench: give listeners ports outside the kernel's own range

Listeners now use ports from 10000 to 32000, and a failed start shows the instance's last log line.

Unanswered requests are now printed by prompt length.

--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -1,7 +1,11 @@
 //! A fleet of real processes on loopback: stand-ins and instances.
 
 use std::{
-    fmt::Write as _, fs, io, net::SocketAddr, path::PathBuf, process::Command,
+    fmt::Write as _,
+    fs, io,
+    net::{SocketAddr, TcpListener},
+    path::PathBuf,
+    process::Command,
     time::Duration,
 };
 
@@ -17,8 +21,8 @@
 use borageline_testutils::{
     engine_config::ReceivedLine,
     process::{
-        AddressLine, ChildProcess, ChildSignal, binary_path, free_addresses,
-        start_announced, wait_http,
+        AddressLine, ChildProcess, ChildSignal, binary_path, start_announced,
+        wait_http,
     },
 };
 use http::Method;
@@ -43,6 +47,13 @@
 /// More time for each instance, because all of them start at once.
 const READY_LIMIT_EACH: Duration = Duration::from_millis(250);
 
+/// First port of processes; the range lies below the kernel's own.
+const FIRST_PORT: u16 = 10_000;
+/// Port after the last one.
+const LAST_PORT: u16 = 32_000;
+/// Ports between the places at which two processes begin to search.
+const PORT_STRIDE: usize = 1_009;
+
 /// What a fleet is made of.
 #[derive(Clone, Debug)]
 pub struct FleetPlan {
@@ -133,13 +144,36 @@
     hex
 }
 
+/// Addresses that are free now and that no outgoing connection is given.
+///
+/// A port from the kernel's own range can become the source of a connection
+/// before its process binds it, or while a killed process is down. With 200
+/// instances one of them regularly found its port taken.
+fn listen_addresses(count: usize) -> io::Result<Vec<SocketAddr>> {
+    let ports = usize::from(LAST_PORT - FIRST_PORT);
+    // Fleets of other processes start their search elsewhere.
+    let offset = std::process::id() as usize * PORT_STRIDE;
+    let mut found = Vec::with_capacity(count);
+    for step in 0..ports {
+        if found.len() == count {
+            return Ok(found);
+        }
+        let port = FIRST_PORT + ((offset + step) % ports) as u16;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() {
+            found.push(address);
+        }
+    }
+    Err(io::Error::other(format!("fewer than {count} free ports")))
+}
+
 fn start_standin(
     kind: &str,
     name: &str,
+    listen: SocketAddr,
     domain: DomainId,
     arguments: &[String],
 ) -> io::Result<FleetProcess> {
-    let listen = ([127, 0, 0, 1], 0).into();
     let (child, address) = spawn_standin(kind, listen, arguments)?;
     Ok(FleetProcess {
         name: name.into(),
@@ -171,25 +205,30 @@
             .join(format!("borageline-bench-{}", std::process::id()));
         fs::create_dir_all(&directory)?;
         let first = domain_name(0);
-        let log = start_standin("log", "log", first.clone(), &[])?;
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let mut free =
+            listen_addresses(plan.engines + 2 * plan.instances)?.into_iter();
+        let log = start_standin("log", "log", any, first.clone(), &[])?;
         let mut engines = Vec::new();
-        for index in 0..plan.engines {
+        for (index, listen) in free.by_ref().take(plan.engines).enumerate() {
             let name = format!("engine-{index}");
             let mut arguments = vec!["--id".into(), name.clone()];
             arguments.extend(["--model".into(), MODEL.into()]);
             arguments.extend(plan.engine_arguments.iter().cloned());
             let domain = domain_name(index % plan.domains);
-            let engine = start_standin("engine", &name, domain, &arguments)?;
+            let engine =
+                start_standin("engine", &name, listen, domain, &arguments)?;
             engines.push(engine);
         }
         let mut services = Vec::new();
         for index in 0..plan.services {
             let name = format!("{SERVICE}-{index}");
             let domain = domain_name(index % plan.domains);
-            services.push(start_standin("service", &name, domain, &[])?);
+            services.push(start_standin("service", &name, any, domain, &[])?);
         }
-        let peers = free_addresses(plan.instances)?;
-        let callers = free_addresses(plan.instances)?;
+        let peers: Vec<SocketAddr> =
+            free.by_ref().take(plan.instances).collect();
+        let callers: Vec<SocketAddr> = free.collect();
         let mut entries = Vec::new();
         for (index, address) in peers.iter().enumerate() {
             let name = format!("instance-{index}");
@@ -217,7 +256,7 @@
                 ["--entry".into(), json.expect("an entry is JSON")]
             })
             .collect();
-        let list = start_standin("list", "list", first, &arguments)?;
+        let list = start_standin("list", "list", any, first, &arguments)?;
         let mut fleet = Self {
             log,
             list,
@@ -330,13 +369,21 @@
             wait_http(instance.address, "/readyz", limit)
                 .await
                 .map_err(|error| {
-                    let text = format!("{}: {error:?}", instance.name);
+                    let log = self.last_log_line(instance);
+                    let text = format!("{}: {error:?}: {log}", instance.name);
                     io::Error::other(text)
                 })?;
         }
         self.wait_models().await
     }
 
+    /// Last line that an instance logged, for an error message.
+    fn last_log_line(&self, instance: &FleetProcess) -> String {
+        let file = self.directory.join(format!("{}.log", instance.name));
+        let text = fs::read_to_string(file).unwrap_or_default();
+        text.lines().last().unwrap_or("nothing logged").to_owned()
+    }
+
     /// Waits until every instance knows the engines' models.
     async fn wait_models(&self) -> io::Result<()> {
         let client = CallerClient::new();
--- a/bench/src/load.rs
+++ b/bench/src/load.rs
@@ -313,13 +313,21 @@
     counts
 }
 
-/// Causes of requests that were not answered, with their numbers.
+/// Causes of requests that were not answered by prompt length, with their
+/// numbers.
 pub fn count_causes(records: &[LoadRecord]) -> BTreeMap<String, u64> {
     let mut counts = BTreeMap::new();
     for record in records.iter().filter(|record| !record.answered()) {
         let cause = record.detail.clone().unwrap_or_default();
         let cause: String = cause.chars().take(80).collect();
-        let cause = format!("{:?} {cause}", record.end);
+        let length = if record.is_short() {
+            "le_4k"
+        } else if record.is_long() {
+            "gt_100k"
+        } else {
+            "4k_to_100k"
+        };
+        let cause = format!("{length} {:?} {cause}", record.end);
         *counts.entry(cause).or_default() += 1;
     }
     counts
