tests: freeze and kill all engines at once

No request can be answered elsewhere then, so those that were sent must end in a refusal that does not say not_run. With the run state left at not_run after sending, the cases with some healthy engines still passed.

--- a/cli/tests/test_faults/test_engines.rs
+++ b/cli/tests/test_faults/test_engines.rs
@@ -127,6 +127,10 @@
 enum EngineFault {
     Killed,
     Frozen,
+    /// All engines, for longer than the time of a short request.
+    AllFrozen,
+    /// All engines, so that no retry can help.
+    AllKilled,
     StateLost,
     StreamsCut,
     LogDownEngineAndInstanceKilled,
@@ -149,6 +153,26 @@
             let child = &mut fleet.engines[0].child;
             child.signal(ChildSignal::Continue).unwrap();
         }
+        EngineFault::AllFrozen => {
+            for engine in &mut fleet.engines {
+                engine.child.signal(ChildSignal::Stop).unwrap();
+            }
+            sleep(Duration::from_secs(5)).await;
+            for engine in &mut fleet.engines {
+                engine.child.signal(ChildSignal::Continue).unwrap();
+            }
+            sleep(Duration::from_secs(4)).await;
+        }
+        EngineFault::AllKilled => {
+            for engine in &mut fleet.engines {
+                engine.kill();
+            }
+            sleep(Duration::from_secs(1)).await;
+            for engine in &mut fleet.engines {
+                engine.restart();
+            }
+            sleep(Duration::from_secs(3)).await;
+        }
         EngineFault::StateLost => {
             for index in 0..3 {
                 let restart = json!({"fault": "restart"});
@@ -188,6 +212,8 @@
 #[rstest]
 #[case::killed(EngineFault::Killed)]
 #[case::frozen(EngineFault::Frozen)]
+#[case::all_frozen(EngineFault::AllFrozen)]
+#[case::all_killed(EngineFault::AllKilled)]
 #[case::state_lost(EngineFault::StateLost)]
 #[case::streams_cut(EngineFault::StreamsCut)]
 #[case::log_down_engine_and_instance_killed(
