--- a/lib/src/core/routing.rs
+++ b/lib/src/core/routing.rs
@@ -12,9 +12,10 @@
         EntryEvent as CallEntryEvent,
     },
     config_reader::{ReaderAction, ReaderEvent},
+    engine_orders::OrderEvent,
     entry::EntryEvent,
     fleet::{ApplyOutcome, CONFIG_STREAM},
-    ids::{InstanceId, RequestId, StreamName},
+    ids::{InstanceId, RequestId, StreamName, UpstreamId},
     log_event::LogEvent,
     membership::{MemberAction, MemberEvent, ProbeNumber},
     order_desk::{DeskEvent, OrderAppend},
@@ -43,8 +44,14 @@
     Grant(u64),
     /// A notice about a grant.
     Notice,
+    /// An ask for an engine's account.
+    TakeOver(UpstreamId),
     /// A question for a part of a limit.
     Borrow,
+    /// A query, by its number, to this instance.
+    Query(u64, InstanceId),
+    /// A claim of the lease on orders to an engine.
+    Lease(UpstreamId),
 }
 
 /// Actions of one tick.
@@ -103,12 +110,11 @@
                 self.take_list(now, result, output);
             }
             CoreEvent::CapabilityRead(id, result) => {
-                self.upstreams.capability_read(now, &id, result.is_ok());
-                if let Ok(report) = result {
-                    self.members.engine_facts().observe(report);
-                    let fact = self.members.engine_facts().get(&id);
-                    self.upstreams.take_fact(&id, fact);
-                }
+                self.capability_read(now, id, result.ok(), output);
+            }
+            CoreEvent::EngineOrdered(id, result) => {
+                let event = OrderEvent::Ordered(id, result);
+                self.handle_engine_order(now, event, output);
             }
             CoreEvent::LoadRead(id, result) => {
                 if let Ok(report) = &result {
@@ -133,6 +139,9 @@
                 let event = DeskEvent::Asked(inbound, order);
                 self.handle_desk(now, event, output);
             }
+            CoreEvent::QueryAsked(inbound, text) => {
+                self.query_asked(now, inbound, text, output);
+            }
             CoreEvent::ClaimAsked {
                 inbound,
                 key,
@@ -225,12 +234,14 @@
                 let event = OwnerEvent::Noticed(from, notice);
                 self.handle_owner(now, event, output);
             }
+            PeerMessage::TakeOver(engine) => {
+                self.take_over_asked(now, inbound, from, engine, output);
+            }
             PeerMessage::Borrow(ask) => {
                 self.borrow_asked(now, inbound, ask, output);
             }
-            PeerMessage::Query(_) => {
-                let reply = PeerReply::Rejected("not supported".into());
-                Self::answer_peer(inbound, reply, output);
+            PeerMessage::Query(text) => {
+                self.answer_query(now, inbound, &text, output);
             }
         }
     }
@@ -277,6 +288,12 @@
                 };
                 self.ask_answered(now, ask, answer, output);
             }
+            CallPurpose::TakeOver(engine) => {
+                if let Ok(PeerReply::TakenOver(answer)) = result {
+                    let event = OwnerEvent::TakenOver(engine, answer);
+                    self.handle_owner(now, event, output);
+                }
+            }
             CallPurpose::Borrow => {
                 if let Ok(PeerReply::Lent(answer)) = result {
                     let event = EntryEvent::Lent {
@@ -286,9 +303,13 @@
                     self.handle_entry(now, event, output);
                 }
             }
+            CallPurpose::Query(number, peer) => {
+                self.query_answered(number, peer, result, output);
+            }
             CallPurpose::Notice
             | CallPurpose::Snapshot
             | CallPurpose::Order(_)
+            | CallPurpose::Lease(_)
             | CallPurpose::Call(_) => {}
         }
     }
@@ -310,6 +331,10 @@
                 let event = DeskEvent::Appended(append, result);
                 self.handle_desk(now, event, output);
             }
+            Some(CallPurpose::Lease(engine)) => {
+                let event = OrderEvent::Claimed(engine, result);
+                self.handle_engine_order(now, event, output);
+            }
             Some(CallPurpose::Call(append)) => {
                 let event = CallEvent::Appended { append, result };
                 let actions = self.calls.handle(now, event);
--- a/lib/src/core/serving_core.rs
+++ b/lib/src/core/serving_core.rs
@@ -5,6 +5,7 @@
 use super::{
     CallNumber, CoreAction, CoreEvent, CoreSetup, InboundNumber,
     InstanceReadiness, PublishedView,
+    query_routing::QueryDesk,
     request_routing::AskRoute,
     routing::{CallPurpose, TickOutput},
     upstream_reader::UpstreamReader,
@@ -13,7 +14,9 @@
     api::InstanceAddress,
     call_log::{CALL_STREAMS, CallEntryTable, CallTable},
     config_reader::ConfigReader,
+    engine_orders::{EngineOrderTable, OrderEvent},
     entry::{EntryEvent, EntryTable},
+    explain::ExplainTable,
     freshness::{Freshness, FreshnessTable},
     ids::InstanceId,
     log_event::LogEvent,
@@ -45,8 +48,11 @@
     pub(super) calls: CallTable,
     pub(super) call_entries: CallEntryTable,
     pub(super) desk: OrderDesk,
+    pub(super) queries: QueryDesk,
+    pub(super) explain: ExplainTable,
     pub(super) entries: EntryTable,
     pub(super) owners: OwnerTable,
+    pub(super) engine_orders: EngineOrderTable,
     pub(super) replies: BTreeMap<u64, AskRoute>,
     pub(super) next_reply: u64,
     pub(super) borrow_turn: usize,
@@ -82,12 +88,18 @@
             calls: CallTable::new(setup.instance.clone()),
             call_entries: CallEntryTable::new(),
             desk: OrderDesk::new(),
+            queries: QueryDesk::default(),
+            explain: ExplainTable::new(),
             entries: EntryTable::new(
                 setup.policy,
                 setup.incarnation,
                 setup.seed.wrapping_add(2),
             ),
             owners: OwnerTable::new(),
+            engine_orders: EngineOrderTable::new(
+                setup.incarnation,
+                setup.seed.wrapping_add(3),
+            ),
             replies: BTreeMap::new(),
             next_reply: 0,
             borrow_turn: 0,
@@ -129,8 +141,10 @@
             self.calls.next_timer(),
             self.call_entries.next_timer(),
             self.desk.next_timer(),
+            self.queries.next_timer(),
             self.entries.next_timer(),
             self.owners.next_timer(),
+            self.engine_orders.next_timer(),
             Some(self.slow_due),
         ];
         timers.into_iter().flatten().min()
@@ -169,6 +183,7 @@
             self.update_slowly(now, output);
         }
         self.update_owners(now, output);
+        self.tick_engine_orders(now, output);
         self.read_upstreams(now, output);
         self.tick_requests(now, output);
         let actions = self.calls.tick(now);
@@ -176,6 +191,7 @@
         let actions = self.call_entries.tick(now);
         self.route_call_entries(now, actions, output);
         self.tick_desk(now, output);
+        self.expire_queries(now, output);
         self.report_freshness(now, output);
         let idle = self.entries.is_empty() && self.call_entries.is_empty();
         if self.stopping && idle && !self.stop_done {
@@ -248,8 +264,10 @@
         let own = &self.setup.instance;
         for id in self.upstreams.capabilities_due(now, own, &owners) {
             if let Some(entry) = self.upstreams.table().get(&id) {
+                let event = OrderEvent::ReadBegun(id.clone());
                 let read = CoreAction::ReadCapability(id, entry.address);
                 output.actions.push(read);
+                self.handle_engine_order(now, event, output);
             }
         }
     }
--- a/testutils/src/engine.rs
+++ b/testutils/src/engine.rs
@@ -6,13 +6,13 @@
 //! simulated time, which passes `time_scale` times as fast.
 
 use std::{
-    io,
+    io::{self, Write},
     net::SocketAddr,
     sync::{
         Arc, Mutex,
         atomic::{AtomicU64, Ordering},
     },
-    time::{Duration, Instant},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use borageline_lib::{
@@ -34,6 +34,7 @@
     client, content,
     engine_config::{
         AdmitError, EngineConfig, EntryEnd, EntryKind, EntryReader, NewEntry,
+        ReceivedLine,
     },
     engine_sim::EngineSim,
     engine_stream::{PartFaults, PartStream},
@@ -59,6 +60,7 @@
 #[derive(Debug)]
 struct OrderState {
     models: Vec<ModelName>,
+    loading: Vec<ModelName>,
     role: Arc<str>,
     highest_token: u64,
     accepted: u64,
@@ -157,6 +159,7 @@
         Self {
             orders: Mutex::new(OrderState {
                 models: config.models.clone(),
+                loading: Vec::new(),
                 role: "serve".into(),
                 highest_token: 0,
                 accepted: 0,
@@ -180,16 +183,19 @@
     }
 
     fn capabilities(&self) -> CapabilityReport {
+        let orders = lock(&self.orders);
         CapabilityReport {
             engine: self.config.engine.clone(),
             incarnation: lock(&self.sim).incarnation(),
-            models: lock(&self.orders).models.clone(),
+            models: orders.models.clone(),
             memory: TokenCount::new(self.config.memory),
             slots: self.config.slots,
             prefill_rate: scaled(self.config.prefill_rate, &self.config),
             decode_rate: scaled(self.config.decode_rate, &self.config),
             segments: self.config.segments,
             checks_fencing: self.config.checks_fencing,
+            role: Some(orders.role.clone()),
+            loading: Some(orders.loading.clone()),
         }
     }
 
@@ -317,8 +323,12 @@
 
     fn admit(&self, new: NewEntry) -> Result<EntryReader, CallError> {
         let now = Instant::now();
+        let request = new.key.0.clone();
         let result = lock(&self.sim).admit(new, now);
         self.wake.notify_one();
+        if self.config.print_requests {
+            print_received(request, result.is_ok());
+        }
         result.map_err(|error| match error {
             AdmitError::Duplicate => CallError::new(
                 StatusCode::CONFLICT,
@@ -396,6 +406,7 @@
     fn carry_out(self: Arc<Self>, action: EngineAction) {
         match action {
             EngineAction::LoadModel { model } => {
+                lock(&self.orders).loading.push(model.clone());
                 tokio::spawn(self.load_model(model));
             }
             EngineAction::UnloadModel { model } => {
@@ -406,22 +417,25 @@
     }
 
     async fn load_model(self: Arc<Self>, model: ModelName) {
-        match self.config.weight_store {
-            Some(store) => {
-                let path = format!("/v1/weights/{model}");
-                let read = client::get(store, &path).await;
-                if !read.is_ok_and(|answer| answer.status.is_success()) {
-                    return;
-                }
-            }
-            None => tokio::time::sleep(self.config.load_time).await,
-        }
+        let loaded = self.read_weights(&model).await;
         let mut orders = lock(&self.orders);
-        if !orders.models.contains(&model) {
+        if let Some(at) = orders.loading.iter().position(|m| *m == model) {
+            orders.loading.remove(at);
+        }
+        if loaded && !orders.models.contains(&model) {
             orders.models.push(model);
         }
     }
 
+    async fn read_weights(&self, model: &ModelName) -> bool {
+        let Some(store) = self.config.weight_store else {
+            tokio::time::sleep(self.config.load_time).await;
+            return true;
+        };
+        let read = client::get(store, &format!("/v1/weights/{model}")).await;
+        read.is_ok_and(|answer| answer.status.is_success())
+    }
+
     fn lose_state(&self) {
         lock(&self.sim).restart(Instant::now());
         lock(&self.loads).clear();
@@ -528,6 +542,18 @@
     }
 }
 
+fn print_received(request: RequestId, admitted: bool) {
+    let at = SystemTime::now().duration_since(UNIX_EPOCH);
+    let line = ReceivedLine {
+        request,
+        at_ms: millis(at.unwrap_or_default()),
+        admitted,
+    };
+    let line = serde_json::to_string(&line).expect("a line is JSON");
+    // Nobody reads the lines any more if this fails.
+    let _ = writeln!(io::stdout().lock(), "{line}");
+}
+
 /// A rate in real time.
 fn scaled(rate: u64, config: &EngineConfig) -> TokenRate {
     TokenRate::new((rate as f64 * config.time_scale) as u64)
