--- a/cli/tests/test_faults/test_domains.rs
+++ b/cli/tests/test_faults/test_domains.rs
@@ -50,6 +50,7 @@
     let mut fleet = TestFleet::start(FleetPlan::default()).await;
     let load = RunningLoad::start(LoadShape::SHORT, &fleet.addresses());
     sleep(Duration::from_secs(2)).await;
+    // Of the readiness check at least; placement decides how much more.
     assert!(
         !fleet.engines[0].tap.sent().is_empty(),
         "the domain got no work before it was closed",
--- a/cli/tests/test_faults/test_leaving.rs
+++ b/cli/tests/test_faults/test_leaving.rs
@@ -8,7 +8,7 @@
 use tokio::time::{sleep, sleep_until};
 
 use crate::{
-    fixture::{FleetPlan, TestFleet, completion},
+    fixture::{FleetPlan, TestEngine, TestFleet, completion},
     load::{LoadShape, RunningLoad, send_one, unique_prompt},
 };
 
@@ -17,6 +17,9 @@
 /// Time after the bound for which the engine is watched.
 const WATCH: Duration = Duration::from_secs(3);
 
+/// Time until an engine has work.
+const BUSY_LIMIT: Duration = Duration::from_secs(5);
+
 /// Who says that an engine leaves.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum LeaveNews {
@@ -55,11 +58,7 @@
         })
         .collect();
     sleep(Duration::from_secs(2)).await;
-    let engine = &fleet.engines[0];
-    assert!(
-        !engine.held().await.is_empty(),
-        "nothing runs on the engine"
-    );
+    let engine = busiest_engine(&fleet).await;
     let left = Instant::now();
     match news {
         LeaveNews::InstanceList => {
@@ -81,3 +80,23 @@
     let bad = records.iter().find(|record| !record.answered());
     assert!(bad.is_none(), "a leaving engine failed a request: {bad:?}");
 }
+
+/// The engine with most requests, once one has any; placement may leave some
+/// engines to long prompts.
+async fn busiest_engine(fleet: &TestFleet) -> &TestEngine {
+    let until = Instant::now() + BUSY_LIMIT;
+    loop {
+        let mut busiest = (0, &fleet.engines[0]);
+        for engine in &fleet.engines {
+            let held = engine.held().await.len();
+            if held > busiest.0 {
+                busiest = (held, engine);
+            }
+        }
+        if busiest.0 > 0 {
+            return busiest.1;
+        }
+        assert!(Instant::now() < until, "no engine has work");
+        sleep(Duration::from_millis(20)).await;
+    }
+}
