--- a/bench/src/measures/decision.rs
+++ b/bench/src/measures/decision.rs
@@ -86,6 +86,7 @@
             engine: engine_id(index),
             headroom: TokenCount::new(rng.random_range(50_000..400_000)),
             free_slots: rng.random_range(0..32),
+            leaving: false,
             wait: Duration::from_millis(rng.random_range(0..400)),
             takes_long: index % 6 == 0,
             leaving: false,
