engine_orders: keep places when an unrelated order changes the version

The rank now depends on the engine alone. Whoever gets a place that another engine lost waits until a load of that engine must have shown.

--- a/lib/src/engine_orders/plan.rs
+++ b/lib/src/engine_orders/plan.rs
@@ -1,8 +1,9 @@
 //! Which engines change now, from the shared view alone.
 //!
 //! Instances with the same view plan alike. Engines that still differ from
-//! their wanted state are ranked by a hash of engine and configuration
-//! version, those that load first; the first of them within the bounds change.
+//! their wanted state are ranked by a hash of their ids, those that load first;
+//! the first of them within the bounds change. The configuration's version is
+//! no part of the hash, since each change would then move all places.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -25,9 +26,10 @@
 const CHANGING_PARTS: usize = 4;
 /// Time for which an engine may hold its place without beginning its load.
 const STALL_LIMIT: Duration = Duration::from_secs(60);
-/// Time that an engine holds its place before its load begins. A new version
-/// reorders the engines; by then the loads begun before it are known to all.
-const PLACE_SETTLE: Duration = Duration::from_secs(2);
+/// Time for which a load that is not reported yet may be on its way to an
+/// engine that lost its place: its order, then a reading that is passed on.
+const UNSEEN_LOAD: Duration =
+    TAKEOVER_WAIT.saturating_add(Duration::from_millis(2_500));
 /// An owner begins no load this long before others give its place away.
 const STALL_MARGIN: Duration = Duration::from_secs(10);
 
@@ -81,7 +83,7 @@
             .filter_map(|(engine, rule, entry, report)| {
                 let step = counts.next_step(view, engine, rule, report)?;
                 let loading = is_loading(report);
-                let hash = rank_hash(engine, view.fleet.version);
+                let hash = xxh3_64(engine.as_str().as_bytes());
                 let rank = (!loading, window.passes(engine), hash);
                 Some(Candidate {
                     rank,
@@ -133,12 +135,6 @@
     loading.is_some_and(|loading| !loading.is_empty())
 }
 
-fn rank_hash(engine: &UpstreamId, version: LogOffset) -> u64 {
-    let mut bytes = engine.as_str().as_bytes().to_vec();
-    bytes.extend_from_slice(&version.get().to_le_bytes());
-    xxh3_64(&bytes)
-}
-
 struct ModelCounts<'a> {
     counts: BTreeMap<&'a ModelName, ModelCount>,
 }
@@ -282,11 +278,12 @@
     }
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct WindowPlace {
     since: Timestamp,
-    stall: Duration,
-    wait: Duration,
+    ready_at: Timestamp,
+    given_up_at: Timestamp,
+    load: Option<ModelName>,
 }
 
 /// Since when each engine has been among those that may change.
@@ -294,6 +291,9 @@
 pub(super) struct WindowTable {
     places: BTreeMap<UpstreamId, WindowPlace>,
     passes: BTreeMap<UpstreamId, u32>,
+    /// Until when loads that are not reported yet may be under way; none
+    /// before the first plan.
+    unseen_until: Option<Timestamp>,
 }
 
 impl WindowTable {
@@ -306,11 +306,10 @@
     /// `concurrent / rate` in each place keeps the rate, whoever owns the
     /// engines: no more than `concurrent` loads begin in that time.
     pub(super) fn may_load(&self, now: Timestamp, engine: &UpstreamId) -> bool {
-        let Some(place) = self.places.get(engine) else {
-            return false;
-        };
-        let held = now.since(place.since);
-        held >= place.wait && held.saturating_add(STALL_MARGIN) < place.stall
+        let place = self.places.get(engine);
+        place.is_some_and(|place| {
+            now >= place.ready_at && now.after(STALL_MARGIN) < place.given_up_at
+        })
     }
 
     pub(super) fn update(
@@ -319,41 +318,68 @@
         plan: &ChangePlan,
         view: &FleetView,
     ) {
+        self.drop_places(now, plan, view);
+        self.passes
+            .retain(|engine, _| plan.differing.contains(engine));
         let rate = weight_rate(view);
         let wait = rate.loads_per_minute.map_or(Duration::ZERO, |loads| {
             Duration::from_secs(60) * rate.concurrent / loads.max(1)
         });
-        let wait = wait.max(PLACE_SETTLE);
-        self.places
-            .retain(|engine, _| plan.steps.contains_key(engine));
-        self.passes
-            .retain(|engine, _| plan.differing.contains(engine));
+        let unseen_until = self.unseen_until.unwrap_or(now);
         for (engine, step) in &plan.steps {
-            let entry = view.upstreams.get(engine);
-            let report = entry.and_then(|entry| entry.capability.as_deref());
-            let idle = report.is_some_and(|report| {
-                report.loading.as_ref().is_some_and(Vec::is_empty)
-            });
-            let load = matches!(step, EngineAction::LoadModel { .. });
-            let limit = if idle && load {
-                STALL_LIMIT
-            } else {
-                LOAD_LIMIT
-            };
             let place = self.places.entry(engine.clone());
             let place = place.or_insert(WindowPlace {
                 since: now,
-                stall: limit,
-                wait,
+                ready_at: now.after(wait).max(unseen_until),
+                given_up_at: now,
+                load: None,
             });
-            place.wait = wait;
-            place.stall = limit.saturating_add(wait);
-            if now.since(place.since) >= place.stall {
+            place.load = match step {
+                EngineAction::LoadModel { model } => Some(model.clone()),
+                _ => None,
+            };
+            let idle = place.load.is_some() && shows_no_load(engine, view);
+            let limit = if idle { STALL_LIMIT } else { LOAD_LIMIT };
+            let from = place.ready_at.max(place.since);
+            place.given_up_at = from.after(limit);
+            if now >= place.given_up_at {
                 *self.passes.entry(engine.clone()).or_default() += 1;
-                self.places.remove(engine);
             }
         }
+        self.places.retain(|_, place| now < place.given_up_at);
     }
+
+    /// Drops lost places. Whoever gets one instead waits while a load of the
+    /// engine that lost it may be on its way.
+    fn drop_places(
+        &mut self,
+        now: Timestamp,
+        plan: &ChangePlan,
+        view: &FleetView,
+    ) {
+        let mut unseen = self.unseen_until.is_none();
+        self.places.retain(|engine, place| {
+            if plan.steps.contains_key(engine) {
+                return true;
+            }
+            let entry = view.upstreams.get(engine);
+            let report = entry.and_then(|entry| entry.capability.as_ref());
+            unseen |= place.load.as_ref().is_some_and(|model| {
+                !report.is_some_and(|report| report.models.contains(model))
+            });
+            false
+        });
+        if unseen {
+            self.unseen_until = Some(now.after(UNSEEN_LOAD));
+        }
+    }
+}
+
+fn shows_no_load(engine: &UpstreamId, view: &FleetView) -> bool {
+    let entry = view.upstreams.get(engine);
+    let report = entry.and_then(|entry| entry.capability.as_deref());
+    let loading = report.and_then(|report| report.loading.as_ref());
+    loading.is_some_and(Vec::is_empty)
 }
 
 /// Since when the wanted engines of each model have stood.
--- a/lib/tests/test_engine_orders.rs
+++ b/lib/tests/test_engine_orders.rs
@@ -45,7 +45,7 @@
     LogAnswered(usize, Timestamp, Seen),
     Append(usize, UpstreamId, FleetRecord),
     Appended(usize, UpstreamId, Result<AppendAnswer, CallFailure>),
-    Send(usize, UpstreamId, EngineOrder, Timestamp),
+    Send(usize, UpstreamId, EngineOrder, Timestamp, u64),
     Arrive(usize, UpstreamId, EngineOrder, u64),
     Ordered(usize, UpstreamId, Result<(), CallFailure>),
     ReadArrive(usize, UpstreamId),
@@ -225,7 +225,7 @@
 
     fn run(&mut self, length: Duration) {
         let start = self.q.now;
-        for (second, shift) in [(20, 1), (45, 2)] {
+        for (second, shift) in [(20, 1), (45, 2), (60, 3), (64, 4)] {
             let delay = Duration::from_secs(second);
             self.q.push_in(delay, Msg::Change(shift));
         }
@@ -289,10 +289,11 @@
             Msg::Appended(node, engine, result) => {
                 self.call(node, Some(OrderEvent::Claimed(engine, result)));
             }
-            Msg::Send(node, engine, order, until) => {
+            Msg::Send(node, engine, order, until, epoch) => {
                 if now < until || self.setup.naive {
-                    let delay = self.q.delay(1, 1_000);
-                    let epoch = self.nodes[node].epoch;
+                    let slow = self.q.chance(20);
+                    let most = if slow { 4_900 } else { 500 };
+                    let delay = self.q.delay(1, most);
                     let arrive = Msg::Arrive(node, engine, order, epoch);
                     self.q.push_in(delay, arrive);
                 } else {
@@ -474,14 +475,18 @@
                 }
                 OrderAction::Order(engine, order, until) => {
                     let delay = self.q.delay(0, 300);
-                    let send = Msg::Send(index, engine, order, until);
+                    let epoch = node.epoch;
+                    let send = Msg::Send(index, engine, order, until, epoch);
                     self.q.push_in(delay, send);
                     if index == 0 && self.setup.faults {
                         self.orders_left = self.orders_left.wrapping_sub(1);
                         if self.orders_left == 0 {
-                            let pause = self.q.delay(3_000, 40_000);
+                            let short = self.q.chance(50);
+                            let most = if short { 2_400 } else { 40_000 };
+                            let pause = self.q.delay(500, most);
                             node.paused_until = now.after(pause);
-                            self.q.push_in(millis(1_500), Msg::NewOwners);
+                            let delay = self.q.delay(200, 1_500);
+                            self.q.push_in(delay, Msg::NewOwners);
                         }
                     }
                 }
