--- a/bench/src/measures/decision.rs
+++ b/bench/src/measures/decision.rs
@@ -89,7 +89,6 @@
             leaving: false,
             wait: Duration::from_millis(rng.random_range(0..400)),
             takes_long: index % 6 == 0,
-            leaving: false,
         };
         table.take_summary(now, summary, &view);
     }
