--- a/bench/src/measures/slow_readers.rs
+++ b/bench/src/measures/slow_readers.rs
@@ -2,7 +2,9 @@
 //!
 //! Callers with small receive buffers ask for long answers; half of them read
 //! a little every few hundred milliseconds and half do not read at all. Fast
-//! callers run the same plan of short requests without and with them. The
+//! callers run the same rate of short requests without and with them. Slow
+//! readers also hold places on the engines, so the share of fast requests that
+//! were answered stands beside their time. The
 //! instances' cap is set below its default, because the engine stand-ins
 //! cannot produce text fast enough to fill the default within a run.
 
