--- a/lib/src/ledger.rs
+++ b/lib/src/ledger.rs
@@ -7,6 +7,8 @@
 //! much memory in use, never too little. The owner reads the lists and passes
 //! them in; this module sends nothing.
 
+mod transfer;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     time::Duration,
@@ -15,7 +17,7 @@
 use crate::{
     engine_api::HeldReport,
     ids::{InstanceId, RequestId},
-    peer_api::{GrantAsk, GrantEvent, GrantNotice, HandedHold},
+    peer_api::{GrantAsk, GrantEvent, GrantNotice},
     units::{Incarnation, Timestamp, TokenCount},
     value_type,
 };
@@ -238,49 +240,6 @@
         restarted
     }
 
-    /// Holds as a new owner needs them, with times relative to now.
-    pub fn export(&self, now: Timestamp) -> Vec<HandedHold> {
-        let left = |at: Timestamp| at.since(now);
-        self.holds
-            .iter()
-            .map(|(request, hold)| HandedHold {
-                request: request.clone(),
-                entry: hold.entry.clone(),
-                ask: hold.ask,
-                tokens: hold.tokens,
-                prompt: hold.prompt,
-                state: hold.state,
-                expires_in: hold.expires.map(left),
-                deadline_in: hold.deadline.map(left),
-                prefilling: hold.prefilling,
-            })
-            .collect()
-    }
-
-    /// Books a hold of the former owner. One that this owner has booked
-    /// itself is newer and stays.
-    pub fn import(&mut self, now: Timestamp, handed: HandedHold) {
-        if self.holds.contains_key(&handed.request) {
-            return;
-        }
-        let expires = handed.expires_in.map(|left| now.after(left));
-        let hold = Hold {
-            entry: handed.entry,
-            ask: handed.ask,
-            tokens: handed.tokens,
-            prompt: handed.prompt,
-            state: handed.state,
-            since: now,
-            renewed: now,
-            expires,
-            deadline: handed.deadline_in.map(|left| now.after(left)),
-            prefilling: handed.prefilling,
-            cancel_due: None,
-            proved_from: expires.unwrap_or(now).max(now.after(IN_FLIGHT)),
-        };
-        self.put(handed.request, hold);
-    }
-
     /// Books a grant. The caller has checked [`Self::fits`].
     pub fn grant(
         &mut self,
--- a/lib/src/owner.rs
+++ b/lib/src/owner.rs
@@ -22,14 +22,11 @@
     row::{Obstacle, OwnerRow, enqueue, give, judge},
 };
 use crate::{
-    cold_start::ColdLimit,
     engine_api::{HeldReport, LoadReport},
     ids::{InstanceId, ModelName, RequestId, UpstreamId},
-    ledger::EngineLedger,
     long_share::{LongRanking, LongShare},
     peer_api::{
-        EngineSummary, GrantAnswer, GrantAsk, GrantNotice, GrantRefusal,
-        TakeOverAnswer,
+        GrantAnswer, GrantAsk, GrantNotice, GrantRefusal, TakeOverAnswer,
     },
     refusal::{Refusal, RefusalCode},
     units::{Timestamp, TokenCount},
@@ -250,29 +247,6 @@
         Some(due)
     }
 
-    /// Summaries of the owned engines, for dissemination.
-    pub fn summaries(&self, now: Timestamp) -> Vec<EngineSummary> {
-        self.rows
-            .iter()
-            .map(|(engine, row)| row.summary(now, engine))
-            .collect()
-    }
-
-    /// State of the takeover of an engine, if this instance owns it.
-    pub fn takeover(&self, engine: &UpstreamId) -> Option<TakeoverState> {
-        self.rows.get(engine).map(|row| row.state)
-    }
-
-    /// Account of an engine, if this instance owns it.
-    pub fn ledger(&self, engine: &UpstreamId) -> Option<&EngineLedger> {
-        self.rows.get(engine).map(|row| &row.ledger)
-    }
-
-    /// Cold limit of an engine, if this instance owns it.
-    pub fn cold_limit(&self, engine: &UpstreamId) -> Option<&ColdLimit> {
-        self.rows.get(engine).map(|row| &row.cold)
-    }
-
     /// Lets an engine that loaded a model begin at the lowest step.
     pub fn reset_cold(&mut self, engine: &UpstreamId) {
         if let Some(row) = self.rows.get_mut(engine) {
--- a/lib/src/owner/tables.rs
+++ b/lib/src/owner/tables.rs
@@ -1,12 +1,14 @@
-//! What queries read of the owned engines.
+//! What gossip, queries and tests read of the owned engines.
 
 use std::time::Duration;
 
 use super::{OwnerTable, TakeoverState};
 use crate::{
     admission::QueueLine,
+    cold_start::ColdLimit,
     ids::{RequestId, UpstreamId},
-    ledger::Hold,
+    ledger::{EngineLedger, Hold},
+    peer_api::EngineSummary,
     units::{Incarnation, Timestamp, TokenCount},
 };
 
@@ -32,6 +34,29 @@
 }
 
 impl OwnerTable {
+    /// Summaries of the owned engines, for dissemination.
+    pub fn summaries(&self, now: Timestamp) -> Vec<EngineSummary> {
+        self.rows
+            .iter()
+            .map(|(engine, row)| row.summary(now, engine))
+            .collect()
+    }
+
+    /// State of the takeover of an engine, if this instance owns it.
+    pub fn takeover(&self, engine: &UpstreamId) -> Option<TakeoverState> {
+        self.rows.get(engine).map(|row| row.state)
+    }
+
+    /// Account of an engine, if this instance owns it.
+    pub fn ledger(&self, engine: &UpstreamId) -> Option<&EngineLedger> {
+        self.rows.get(engine).map(|row| &row.ledger)
+    }
+
+    /// Cold limit of an engine, if this instance owns it.
+    pub fn cold_limit(&self, engine: &UpstreamId) -> Option<&ColdLimit> {
+        self.rows.get(engine).map(|row| &row.cold)
+    }
+
     /// Account of an engine, if this instance owns it.
     pub fn line(
         &self,
