--- a/lib/src/cold_start.rs
+++ b/lib/src/cold_start.rs
@@ -4,14 +4,16 @@
 //! may go cold without warning. The limit starts at the lowest step. It rises
 //! by one step (twice the concurrency and memory) after as many good ends as
 //! the step allows requests at once, but not before the engine has worked for
-//! some time on the step, because many tiny requests prove little. It falls to
-//! the lowest step at once on a new incarnation, on repeated errors or on
-//! latency far above the prediction. Requests that already run keep their
-//! places.
+//! some time on the step, because many tiny requests prove little. A report of
+//! the full rate does not shorten that time: with it, an engine that went cold
+//! two seconds after the fleet had started fell over. The limit falls to the
+//! lowest step at once on a new incarnation, on a report of a low rate, on
+//! repeated errors or on latency far above the prediction. Requests that
+//! already run keep their places.
 
 use std::time::Duration;
 
-use crate::units::{Timestamp, TokenCount};
+use crate::units::{Timestamp, TokenCount, TokenRate};
 
 /// Requests at once at the lowest step. A second owner may add one more.
 const FIRST_REQUESTS: u32 = 1;
@@ -25,6 +27,8 @@
 const SLOW_FLOOR: Duration = Duration::from_secs(1);
 /// Slow first parts or errors in a row that mean that the engine is cold.
 const BAD_IN_A_ROW: u32 = 2;
+/// Share of its warm rate, in percent, below which an engine is cold.
+const COLD_PERCENT: u64 = 50;
 /// Highest step; by then the limit is beyond any engine's size.
 const LAST_STEP: u32 = 12;
 
@@ -86,6 +90,14 @@
         self.busy_from = busy.then_some(now);
     }
 
+    /// Takes in the rate that the engine reports, beside that when warm.
+    pub fn reported(&mut self, rate: TokenRate, warm: TokenRate) {
+        let percent = rate.get().saturating_mul(100);
+        if percent < warm.get().saturating_mul(COLD_PERCENT) {
+            self.reset();
+        }
+    }
+
     /// Takes a good end in.
     pub fn finished(&mut self) {
         self.bad = 0;
