--- a/lib/src/core/log_routing.rs
+++ b/lib/src/core/log_routing.rs
@@ -11,7 +11,9 @@
         CallAction, CallAsker, CallEvent, EntryAction, EntryCall, EntryEvent,
         stream_name,
     },
+    config_reader::ConfigReader,
     ids::InstanceId,
+    membership::MemberTable,
     order_desk::{DeskAction, DeskEvent, DeskView},
     peer_api::{ClaimAsk, PeerMessage, SettleNotice},
     refusal::RunState,
@@ -149,13 +151,7 @@
         now: Timestamp,
         output: &mut TickOutput,
     ) {
-        let fleet = self.reader.state().clone();
-        let view = DeskView {
-            fleet: &fleet,
-            members: &self.members,
-            ready: self.reader.is_ready(),
-            log_answers: self.reader.log_answers(),
-        };
+        let view = desk_view(&self.reader, &self.members);
         let actions = self.desk.tick(now, view);
         self.route_desk(now, actions, output);
     }
@@ -166,13 +162,7 @@
         event: DeskEvent,
         output: &mut TickOutput,
     ) {
-        let fleet = self.reader.state().clone();
-        let view = DeskView {
-            fleet: &fleet,
-            members: &self.members,
-            ready: self.reader.is_ready(),
-            log_answers: self.reader.log_answers(),
-        };
+        let view = desk_view(&self.reader, &self.members);
         let actions = self.desk.handle(now, event, view);
         self.route_desk(now, actions, output);
     }
@@ -205,3 +195,16 @@
         }
     }
 }
+
+/// What the order desk may read.
+fn desk_view<'a>(
+    reader: &'a ConfigReader,
+    members: &'a MemberTable,
+) -> DeskView<'a> {
+    DeskView {
+        fleet: reader.state(),
+        members,
+        ready: reader.is_ready(),
+        log_answers: reader.log_answers(),
+    }
+}
--- a/lib/src/core/serving_core.rs
+++ b/lib/src/core/serving_core.rs
@@ -6,7 +6,7 @@
     CallNumber, CoreAction, CoreEvent, CoreSetup, InboundNumber,
     InstanceReadiness, PublishedView,
     query_routing::QueryDesk,
-    request_routing::AskRoute,
+    request_routing::{AskRoute, fleet_view},
     routing::{CallPurpose, TickOutput},
     upstream_reader::UpstreamReader,
 };
@@ -298,16 +298,7 @@
 
     /// What placement and accounting may read.
     pub(super) fn view(&self, now: Timestamp) -> FleetView<'_> {
-        FleetView {
-            own: &self.setup.instance,
-            own_domain: &self.setup.domain,
-            fleet: self.reader.state(),
-            upstreams: self.upstreams.table(),
-            owners: self.ownership.owners(),
-            live_instances: self.members.live_count(),
-            fresh: self.reader.is_ready() && self.freshness.is_fresh(now),
-            may_own: self.members.may_own(now),
-        }
+        fleet_view!(self, now)
     }
 
     fn publish(&mut self, now: Timestamp, output: &mut TickOutput) {
