--- a/cli/src/commands.rs
+++ b/cli/src/commands.rs
@@ -4,20 +4,25 @@
 
 pub mod check_config;
 pub mod config;
+pub mod gateway;
 pub mod order;
 pub mod query;
 pub mod serve;
 
 use std::{path::Path, process::ExitCode};
 
-use borageline_lib::settings::{
-    InstanceSettings, SettingOverride, SettingsFaults, load_with, schema,
+use borageline_lib::{
+    gateway::wire::GatewayWire,
+    settings::{
+        InstanceSettings, SettingOverride, SettingsFaults, load_with, schema,
+    },
 };
 use bpaf::{Bpaf, Parser, long};
 
 use self::{
     check_config::{CheckConfigOptions, check_config_options},
     config::{ConfigOptions, config_options},
+    gateway::{GatewayOptions, gateway_options},
     order::{OrderOptions, order_options},
     query::{QueryOptions, query_options},
     serve::{ServeOptions, serve_options},
@@ -52,6 +57,8 @@
 pub enum CliCommand {
     /// `serve`.
     Serve(#[bpaf(external(serve_options))] ServeOptions),
+    /// `gateway`.
+    Gateway(#[bpaf(external(gateway_options))] GatewayOptions),
     /// `check-config`.
     CheckConfig(#[bpaf(external(check_config_options))] CheckConfigOptions),
     /// `config`.
@@ -63,10 +70,11 @@
 }
 
 impl CliCommand {
-    /// Runs the command.
-    pub fn run(&self) -> ExitCode {
+    /// Runs the command; a gateway speaks `wire` with its neighbours.
+    pub fn run<W: GatewayWire>(&self, wire: W) -> ExitCode {
         match self {
             Self::Serve(options) => serve::run(options),
+            Self::Gateway(options) => gateway::run(options, wire),
             Self::CheckConfig(options) => check_config::run(options).into(),
             Self::Config(options) => config::run(options).into(),
             Self::Query(options) => query::run(options).into(),
--- /dev/null
+++ b/cli/src/gateway.rs
@@ -0,0 +1,169 @@
+//! The shell around a gateway's decisions: listeners, clients and timers.
+//!
+//! Everything runs on one thread, since an instance has a fraction of a core.
+//! The core is locked for the time of one decision and never across a wait.
+
+mod beats;
+mod control;
+mod forward;
+mod front;
+mod memory;
+mod metrics;
+mod reader;
+mod reload;
+mod stream;
+
+use std::{
+    fmt::Debug,
+    io,
+    path::PathBuf,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+use borageline_lib::{
+    gateway::{
+        gateway_core::GatewayCore, gateway_settings::GatewaySettings,
+        wire::GatewayWire,
+    },
+    log_event::LogEvent,
+    units::{Incarnation, Timestamp},
+};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio_util::sync::CancellationToken;
+
+use self::metrics::GatewayMetrics;
+use crate::{http_client::HttpClient, log_decision};
+
+/// Time in which callers may still come after a planned stop has begun: the
+/// longest time that they keep an answer of the directory is five seconds,
+/// and most keep it for [`ADDRESS_KEEP`].
+const STOP_ACCEPTING_AFTER: Duration = Duration::from_millis(4_500);
+/// Part of the grace that is left for the end of the process.
+const EXIT_RESERVE: Duration = Duration::from_millis(500);
+/// Time that callers keep an answer of the directory.
+const ADDRESS_KEEP: Duration = Duration::from_secs(2);
+/// Time for a connection to an upstream: far above the round trip, and short
+/// enough to try another one within a short request's target.
+const UPSTREAM_CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time for a connection to the store.
+const STORE_CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// What all tasks of a gateway share.
+#[derive(Debug)]
+pub struct GatewayContext<W> {
+    settings: Mutex<Arc<GatewaySettings>>,
+    wire: W,
+    core: Mutex<GatewayCore>,
+    metrics: GatewayMetrics,
+    upstreams: HttpClient,
+    store: HttpClient,
+    started: Instant,
+    leaving: AtomicBool,
+    connections: AtomicU64,
+    requests: AtomicU64,
+}
+
+/// Shared context.
+pub type SharedGateway<W> = Arc<GatewayContext<W>>;
+
+impl<W: GatewayWire> GatewayContext<W> {
+    fn new(settings: GatewaySettings, wire: W) -> Self {
+        let settings = Arc::new(settings);
+        let incarnation = Incarnation::new(start_millis());
+        let core =
+            GatewayCore::new(settings.clone(), incarnation, rand::random());
+        Self {
+            settings: Mutex::new(settings),
+            wire,
+            core: Mutex::new(core),
+            metrics: GatewayMetrics::new(),
+            upstreams: HttpClient::without_reuse_within(
+                UPSTREAM_CONNECT_TIMEOUT,
+            ),
+            store: HttpClient::with_connect_timeout(STORE_CONNECT_TIMEOUT),
+            started: Instant::now(),
+            leaving: AtomicBool::new(false),
+            connections: AtomicU64::new(0),
+            requests: AtomicU64::new(0),
+        }
+    }
+
+    fn now(&self) -> Timestamp {
+        Timestamp::ZERO.after(self.started.elapsed())
+    }
+
+    fn core(&self) -> MutexGuard<'_, GatewayCore> {
+        self.core.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn settings(&self) -> Arc<GatewaySettings> {
+        self.settings
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+}
+
+fn start_millis() -> u64 {
+    // A clock before 1970 still gives a usable incarnation.
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    let millis = now.unwrap_or_default().as_millis();
+    u64::try_from(millis).unwrap_or(u64::MAX)
+}
+
+/// Runs a gateway until it is told to stop.
+pub async fn run_gateway<W: GatewayWire>(
+    path: PathBuf,
+    settings: GatewaySettings,
+    wire: W,
+) -> io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let context = Arc::new(GatewayContext::new(settings, wire));
+    let settings = context.settings();
+    log_decision!(
+        LogEvent::InstanceStarted,
+        { instance = settings.instance, domain = settings.failure_domain },
+        "the gateway starts at {}", settings.ip,
+    );
+    let stop = CancellationToken::new();
+    let front = front::serve(context.clone(), stop.clone())?;
+    control::serve(&context)?;
+    beats::start(&context).await?;
+    reader::start(&context);
+    reload::start(&context, path)?;
+    terminate.recv().await;
+    let grace = settings.bounds.grace();
+    let begun = Instant::now();
+    context.leaving.store(true, Ordering::Relaxed);
+    context.core().begin_stop();
+    log_decision!(
+        LogEvent::StopBegun,
+        { requests = context.requests.load(Ordering::Relaxed) },
+        "a planned stop begins; grace is {grace:?}",
+    );
+    let accept_until =
+        STOP_ACCEPTING_AFTER.min(grace.saturating_sub(EXIT_RESERVE));
+    tokio::time::sleep(accept_until).await;
+    stop.cancel();
+    let left = grace
+        .saturating_sub(EXIT_RESERVE)
+        .saturating_sub(begun.elapsed());
+    let drained = tokio::time::timeout(left, front).await.is_ok();
+    log_decision!(
+        LogEvent::StopDone,
+        {
+            drained = drained,
+            requests = context.requests.load(Ordering::Relaxed),
+        },
+        "the planned stop is over",
+    );
+    Ok(())
+}
--- /dev/null
+++ b/cli/src/gateway/beats.rs
@@ -0,0 +1,102 @@
+//! Beats between the instances, over UDP.
+
+use std::{io, sync::Arc, time::Duration};
+
+use borageline_lib::{
+    gateway::{
+        member_table::{MemberBeat, MemberChange},
+        wire::GatewayWire,
+    },
+    log_event::LogEvent,
+};
+use tokio::net::UdpSocket;
+
+use super::SharedGateway;
+use crate::{log_decision, logging};
+
+/// Largest beat.
+const BEAT_MAX_BYTES: usize = 60 << 10;
+/// Pause after a failed receive.
+const RECEIVE_PAUSE: Duration = Duration::from_millis(50);
+
+/// Opens the socket and exchanges beats until the process ends.
+pub(super) async fn start<W: GatewayWire>(
+    context: &SharedGateway<W>,
+) -> io::Result<()> {
+    let address = context.settings().peer_address();
+    let socket = Arc::new(UdpSocket::bind(address).await?);
+    tokio::spawn(send_beats(context.clone(), socket.clone()));
+    tokio::spawn(hear_beats(context.clone(), socket));
+    Ok(())
+}
+
+async fn send_beats<W: GatewayWire>(
+    context: SharedGateway<W>,
+    socket: Arc<UdpSocket>,
+) {
+    loop {
+        let now = context.now();
+        let (beat, targets, pause) = {
+            let mut core = context.core();
+            for change in core.expire_members(now) {
+                log_change(&change);
+            }
+            core.beat(now)
+        };
+        let heard = beat.heard.len() + 1;
+        let members = i64::try_from(heard).unwrap_or(i64::MAX);
+        context.metrics.members.set(members);
+        let bytes = bincode::serialize(&beat).expect("beats are plain values");
+        for target in targets {
+            if let Err(error) = socket.send_to(&bytes, target).await {
+                let text = format!("beat to {target}: {error}");
+                logging::event(LogEvent::PeerUnreachable, &text);
+            }
+        }
+        tokio::time::sleep(pause).await;
+    }
+}
+
+async fn hear_beats<W: GatewayWire>(
+    context: SharedGateway<W>,
+    socket: Arc<UdpSocket>,
+) {
+    let mut buffer = vec![0; BEAT_MAX_BYTES];
+    loop {
+        let length = match socket.recv_from(&mut buffer).await {
+            Ok((length, _)) => length,
+            Err(error) => {
+                let text = format!("receiving beats: {error}");
+                logging::event(LogEvent::PeerUnreachable, &text);
+                tokio::time::sleep(RECEIVE_PAUSE).await;
+                continue;
+            }
+        };
+        let beat: MemberBeat = match bincode::deserialize(&buffer[..length]) {
+            Ok(beat) => beat,
+            Err(error) => {
+                let text = format!("beat of {length} bytes: {error}");
+                logging::event(LogEvent::RecordSkipped, &text);
+                continue;
+            }
+        };
+        let now = context.now();
+        let change = context.core().hear(now, beat);
+        if let Some(change) = change {
+            log_change(&change);
+        }
+    }
+}
+
+fn log_change(change: &MemberChange) {
+    let (instance, state) = match change {
+        MemberChange::Joined(instance) => (instance, "joined"),
+        MemberChange::Leaving(instance) => (instance, "leaving"),
+        MemberChange::Silent(instance) => (instance, "silent"),
+    };
+    log_decision!(
+        LogEvent::MemberChanged,
+        { instance = instance, state = state },
+        "{instance} is {state}",
+    );
+}
--- /dev/null
+++ b/cli/src/gateway/forward.rs
@@ -0,0 +1,570 @@
+//! Forwards one request of a caller to upstreams.
+
+use std::{sync::Arc, time::Duration};
+
+use borageline_lib::{
+    gateway::{
+        attempt::{AttemptRecord, NextStep, SendOutcome},
+        gateway_core::{AdmittedRequest, StartedRequest},
+        routing_config::{AnswerForm, CallerIdentity, RepeatRule},
+        wire::{CallerRequest, DispatchOrder, GatewayWire, ReplyKind},
+    },
+    ids::UpstreamId,
+    log_event::LogEvent,
+    refusal::{Refusal, RefusalCode, RetryReason, RunState},
+    units::{ByteSize, Timestamp},
+};
+use bytes::Bytes;
+use http::{
+    Request, Response, Uri, request::Parts as RequestParts,
+    response::Parts as ResponseParts,
+};
+use http_body::Body as _;
+use http_body_util::{BodyExt, Either, Full, Limited};
+use hyper::body::Incoming;
+
+use super::{
+    SharedGateway,
+    front::AnswerBody,
+    memory::{FlightGuard, MemoryHold},
+    metrics::RequestEnd,
+    stream,
+};
+use crate::{
+    http_client::{CallTarget, HttpFault},
+    log_decision,
+};
+
+/// Time for a request whose caller names none and that has no route yet.
+const DEFAULT_PATIENCE: Duration = Duration::from_secs(15);
+/// Targets that the first send of a repeatable call may take.
+const FIRST_SEND_TARGETS: f64 = 2.5;
+/// Largest answer that is read as a whole.
+const WHOLE_ANSWER_MAX: ByteSize = ByteSize::new(16 << 20);
+
+/// A request of a caller that was admitted.
+#[derive(Debug)]
+pub(super) struct CallerAttempt<W: GatewayWire> {
+    pub(super) context: SharedGateway<W>,
+    pub(super) head: RequestParts,
+    pub(super) body: Option<Bytes>,
+    pub(super) request: CallerRequest,
+    pub(super) admitted: AdmittedRequest,
+    pub(super) record: AttemptRecord,
+    pub(super) arrival: Timestamp,
+    excluded: Vec<UpstreamId>,
+    sends: u32,
+    ended: bool,
+}
+
+/// A reply that is under way.
+#[derive(Debug)]
+pub(super) struct LiveReply<W: GatewayWire> {
+    pub(super) head: ResponseParts,
+    pub(super) body: Incoming,
+    pub(super) upstream: UpstreamId,
+    pub(super) flight: FlightGuard<W>,
+    pub(super) expected: Duration,
+}
+
+/// Why a send brought no reply.
+#[derive(Debug)]
+pub(super) enum SendEnd {
+    /// It was not made.
+    Refused(Refusal),
+    /// It ended without an answer.
+    Ended(RunState, SendOutcome),
+}
+
+/// Answers a caller's request.
+pub(super) async fn forward<W: GatewayWire>(
+    context: &SharedGateway<W>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let arrival = context.now();
+    let (head, body) = request.into_parts();
+    let caller = match context.wire.read_request(&head) {
+        Ok(caller) => caller,
+        Err(fault) => {
+            let text = fault.to_string();
+            let refusal = Refusal::new(RefusalCode::Malformed, text);
+            return reject(context, None, &refusal);
+        }
+    };
+    let body = match read_body(context, &caller, body).await {
+        Ok(body) => body,
+        Err(refusal) => return reject(context, Some(&caller), &refusal),
+    };
+    let now = context.now();
+    let path = head.uri.path();
+    let admitted = {
+        let key = caller.key.as_deref();
+        context.core().admit(now, &caller.host, path, key)
+    };
+    let admitted = match admitted {
+        Ok(admitted) => admitted,
+        Err(refusal) => return reject(context, Some(&caller), &refusal),
+    };
+    let patience = caller.patience.unwrap_or(admitted.route.timeout);
+    let deadline = arrival.after(patience.min(admitted.route.timeout));
+    let record = AttemptRecord::new(&admitted.route, deadline);
+    let attempt = CallerAttempt {
+        context: context.clone(),
+        head,
+        body,
+        request: caller,
+        admitted,
+        record,
+        arrival,
+        excluded: Vec::new(),
+        sends: 0,
+        ended: false,
+    };
+    match attempt.admitted.route.form {
+        AnswerForm::Whole => attempt.answer_whole().await,
+        AnswerForm::Events => stream::answer_events(attempt).await,
+    }
+}
+
+/// Reads a body as a whole, so that it can be sent more than once.
+async fn read_body<W: GatewayWire>(
+    context: &SharedGateway<W>,
+    caller: &CallerRequest,
+    body: Incoming,
+) -> Result<Option<Bytes>, Refusal> {
+    if body.is_end_stream() {
+        return Ok(None);
+    }
+    let limits = context.core().config().map(|config| config.limits);
+    let limit = limits.unwrap_or_default().body;
+    let limit = usize::try_from(limit.get()).unwrap_or(usize::MAX);
+    let wait = caller.patience.unwrap_or(DEFAULT_PATIENCE);
+    let read = Limited::new(body, limit).collect();
+    match tokio::time::timeout(wait, read).await {
+        Ok(Ok(body)) => Ok(Some(body.to_bytes())),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            let text = format!("the body is larger than {limit} bytes");
+            Err(Refusal::new(RefusalCode::BodyTooLarge, text))
+        }
+        Ok(Err(error)) => {
+            let text = format!("the body broke off: {error}");
+            Err(Refusal::new(RefusalCode::Malformed, text))
+        }
+        Err(_) => {
+            let text = format!("the body did not arrive in {wait:?}");
+            Err(Refusal::new(RefusalCode::SlowSender, text))
+        }
+    }
+}
+
+/// Answers with a refusal of a request that was not admitted.
+fn reject<W: GatewayWire>(
+    context: &SharedGateway<W>,
+    caller: Option<&CallerRequest>,
+    refusal: &Refusal,
+) -> Response<AnswerBody> {
+    let attempt = caller.and_then(|caller| caller.attempt.as_ref());
+    let core = context.core();
+    let version = core.config().map(|config| config.version);
+    drop(core);
+    log_decision!(
+        LogEvent::RequestRejected,
+        {
+            request = attempt.map_or("-", |attempt| attempt.as_str()),
+            code = refusal.code,
+            config_version = version.unwrap_or_default(),
+        },
+        "{refusal}",
+    );
+    context.metrics.count_refusal(refusal.code);
+    context.metrics.count_end(RequestEnd::Refused);
+    context.wire.refusal(attempt, refusal).map(whole)
+}
+
+fn whole(body: Bytes) -> AnswerBody {
+    Either::Left(Full::new(body))
+}
+
+impl<W: GatewayWire> CallerAttempt<W> {
+    /// Id of the attempt, for the log.
+    pub(super) fn id(&self) -> &str {
+        self.request.attempt.as_ref().map_or("-", |id| id.as_str())
+    }
+
+    /// Time until the attempt's deadline.
+    pub(super) fn time_left(&self) -> Duration {
+        self.record.deadline().since(self.context.now())
+    }
+
+    /// Time since the request arrived.
+    pub(super) fn elapsed(&self) -> Duration {
+        self.context.now().since(self.arrival)
+    }
+
+    /// Logs and counts the end of the request.
+    pub(super) fn end(&mut self, end: RequestEnd, text: &str) {
+        self.ended = true;
+        self.context.metrics.count_end(end);
+        log_decision!(
+            LogEvent::RequestFinished,
+            {
+                request = self.id(),
+                route = self.admitted.route.name,
+                outcome = end.as_str(),
+                sends = self.sends,
+                elapsed_ms = self.elapsed().as_millis(),
+            },
+            "{text}",
+        );
+    }
+
+    /// Ends the request with a refusal or failure.
+    pub(super) fn refuse(&mut self, refusal: Refusal) -> Response<AnswerBody> {
+        let refusal = match self.record.run_state() {
+            RunState::NotRun => refusal,
+            state => {
+                // Only a request that has not run may be called refused.
+                let code = match refusal.code {
+                    RefusalCode::DeadlineExceeded => refusal.code,
+                    _ => RefusalCode::UpstreamFailed,
+                };
+                Refusal::new(code, refusal.message).with_run_state(state)
+            }
+        };
+        self.context.metrics.count_refusal(refusal.code);
+        self.end(RequestEnd::Refused, &refusal.to_string());
+        let attempt = self.request.attempt.as_ref();
+        self.context.wire.refusal(attempt, &refusal).map(whole)
+    }
+
+    /// The refusal after a send that ended without an answer.
+    pub(super) fn failure(&self, outcome: SendOutcome) -> Refusal {
+        if self.time_left() == Duration::ZERO {
+            let text = "the deadline has passed";
+            return Refusal::new(RefusalCode::DeadlineExceeded, text);
+        }
+        let text = format!("the last upstream ended with {outcome:?}");
+        let mut core = self.context.core();
+        core.unavailable(RefusalCode::NoCapacity, &text)
+    }
+
+    /// Sends the request to an upstream and waits for the head of the reply.
+    pub(super) async fn send(
+        &mut self,
+        resume_after: Option<u64>,
+        wait: Duration,
+    ) -> Result<LiveReply<W>, SendEnd> {
+        let now = self.context.now();
+        let placed = self.context.core().place(
+            now,
+            &self.admitted.service,
+            self.request.work,
+            &self.excluded,
+        );
+        let started = placed.map_err(SendEnd::Refused)?;
+        let mut flight = FlightGuard::new(self.context.clone(), started.flight);
+        self.log_placed(&started);
+        let hold =
+            MemoryHold::reserve(&self.context, &started, self.time_left())
+                .await;
+        let hold = match hold {
+            Ok(hold) => hold,
+            Err(refusal) => return Err(SendEnd::Refused(refusal)),
+        };
+        let helpers = hold.helpers();
+        flight.keep(hold);
+        let order = DispatchOrder {
+            upstream: started.entry.id.clone(),
+            time_left: self.time_left(),
+            workspace: match &self.admitted.identity {
+                CallerIdentity::Workspace(space) => Some(space.name.clone()),
+                _ => None,
+            },
+            rank: self.admitted.rank(),
+            resume_after,
+            helpers,
+            body_length: self.body.as_ref().map(Bytes::len),
+        };
+        let before = self.record.run_state();
+        self.record.begin_send();
+        self.sends += 1;
+        let target = CallTarget {
+            step: "forward",
+            peer: started.entry.address,
+            timeout: wait.min(self.time_left()),
+        };
+        let request = self.upstream_request(&order, &started);
+        let sent = self.context.upstreams.send(target, request).await;
+        let upstream = started.entry.id.clone();
+        let (head, body) = match sent {
+            Ok(response) => response.into_parts(),
+            Err(fault) => {
+                let outcome = match &fault {
+                    HttpFault::Refused { .. } => SendOutcome::NotConnected,
+                    _ => SendOutcome::Lost,
+                };
+                let text = fault.to_string();
+                self.note_failed(&upstream, outcome, &text);
+                return Err(SendEnd::Ended(before, outcome));
+            }
+        };
+        let attempt = self.request.attempt.as_ref();
+        let outcome = match self.context.wire.read_reply(attempt, &head) {
+            ReplyKind::Answer => None,
+            ReplyKind::Failure => {
+                self.context.core().upstream_erred(&upstream);
+                None
+            }
+            ReplyKind::Declined => Some(SendOutcome::Declined),
+            ReplyKind::Misdirected => Some(SendOutcome::Misdirected),
+            ReplyKind::Foreign => Some(SendOutcome::Lost),
+        };
+        if let Some(outcome) = outcome {
+            let text = format!("the reply has status {}", head.status);
+            self.note_failed(&upstream, outcome, &text);
+            return Err(SendEnd::Ended(before, outcome));
+        }
+        Ok(LiveReply {
+            head,
+            body,
+            upstream,
+            flight,
+            expected: started.expected,
+        })
+    }
+
+    fn upstream_request(
+        &self,
+        order: &DispatchOrder,
+        started: &StartedRequest,
+    ) -> Request<Full<Bytes>> {
+        let head = self.context.wire.dispatch(&self.head, order);
+        let body = self.body.clone().unwrap_or_default();
+        let mut request = head.map(|()| Full::new(body));
+        let mut parts = self.head.uri.clone().into_parts();
+        parts.scheme = Some(http::uri::Scheme::HTTP);
+        let address = started.entry.address.to_string();
+        parts.authority =
+            Some(address.parse().expect("a socket address is an authority"));
+        *request.uri_mut() = Uri::from_parts(parts)
+            .expect("a path with an authority makes a URI");
+        request
+    }
+
+    fn log_placed(&self, started: &StartedRequest) {
+        log_decision!(
+            LogEvent::RequestPlaced,
+            {
+                request = self.id(),
+                route = self.admitted.route.name,
+                config_version = self.admitted.version,
+                upstream = started.entry.id,
+                entry_age_ms = started.entry_age.as_millis(),
+                helpers = started.helpers.len(),
+                expected_ms = started.expected.as_millis(),
+                time_left_ms = self.time_left().as_millis(),
+            },
+            "send {} to {}", self.sends + 1, started.entry.address,
+        );
+    }
+
+    /// Notes towards the upstream and in the log how a send failed.
+    pub(super) fn note_failed(
+        &mut self,
+        upstream: &UpstreamId,
+        outcome: SendOutcome,
+        text: &str,
+    ) {
+        let now = self.context.now();
+        let mut core = self.context.core();
+        let avoided = match outcome {
+            SendOutcome::Declined | SendOutcome::Failed => {
+                core.upstream_erred(upstream);
+                Duration::ZERO
+            }
+            _ => core.upstream_failed(now, upstream),
+        };
+        drop(core);
+        self.excluded.push(upstream.clone());
+        log_decision!(
+            LogEvent::SendFailed,
+            {
+                request = self.id(),
+                upstream = upstream,
+                outcome = format_args!("{outcome:?}"),
+                avoided_ms = avoided.as_millis(),
+                elapsed_ms = self.elapsed().as_millis(),
+            },
+            "{text}",
+        );
+    }
+
+    /// Whether the request may be sent once more after a failed send.
+    pub(super) fn may_resend(
+        &mut self,
+        before: RunState,
+        outcome: SendOutcome,
+    ) -> bool {
+        let now = self.context.now();
+        match self.record.finish_send(now, before, outcome) {
+            NextStep::End(_) => false,
+            NextStep::Resend { budgeted } => {
+                let service = &self.admitted.service;
+                let allowed =
+                    !budgeted || self.context.core().spend_retry(now, service);
+                if allowed {
+                    let reason = retry_reason(outcome);
+                    self.context.metrics.count_retry(reason);
+                }
+                allowed
+            }
+        }
+    }
+
+    /// Answers with one whole body.
+    async fn answer_whole(mut self) -> Response<AnswerBody> {
+        loop {
+            let wait = self.whole_wait();
+            let reply = match self.send(None, wait).await {
+                Ok(reply) => reply,
+                Err(SendEnd::Refused(refusal)) => {
+                    return self.refuse(refusal);
+                }
+                Err(SendEnd::Ended(before, outcome)) => {
+                    if self.may_resend(before, outcome) {
+                        continue;
+                    }
+                    let refusal = self.failure(outcome);
+                    return self.refuse(refusal);
+                }
+            };
+            match self.read_whole(reply).await {
+                Ok(response) => return response,
+                Err(outcome) => {
+                    let before = self.record.run_state();
+                    if !self.may_resend(before, outcome) {
+                        let refusal = self.failure(outcome);
+                        return self.refuse(refusal);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Time for the head of a whole answer.
+    fn whole_wait(&self) -> Duration {
+        let first = self.sends == 0
+            && self.admitted.route.repeat == RepeatRule::Idempotent
+            && self.admitted.route.sends > 1;
+        let left = self.time_left();
+        if first {
+            let target = self.admitted.route.target;
+            left.min(target.mul_f64(FIRST_SEND_TARGETS))
+        } else {
+            left
+        }
+    }
+
+    /// Reads the rest of a whole answer and passes it on.
+    pub(super) async fn read_whole(
+        &mut self,
+        reply: LiveReply<W>,
+    ) -> Result<Response<AnswerBody>, SendOutcome> {
+        let LiveReply {
+            head,
+            body,
+            upstream,
+            flight,
+            ..
+        } = reply;
+        let limit = usize::try_from(WHOLE_ANSWER_MAX.get());
+        let body = Limited::new(body, limit.unwrap_or(usize::MAX)).collect();
+        let read = tokio::time::timeout(self.time_left(), body).await;
+        let text = match read {
+            Ok(Ok(body)) if self.context.wire.is_whole_answer(&head) => {
+                drop(flight);
+                return self.pass_on(&head, &upstream, body.to_bytes());
+            }
+            Ok(Ok(_)) => "the answer is not marked as the upstream's".into(),
+            Ok(Err(error)) => format!("the answer broke off: {error}"),
+            Err(_) => "the answer was not complete in time".into(),
+        };
+        self.note_failed(&upstream, SendOutcome::Lost, &text);
+        Err(SendOutcome::Lost)
+    }
+
+    fn pass_on(
+        &mut self,
+        head: &ResponseParts,
+        upstream: &UpstreamId,
+        body: Bytes,
+    ) -> Result<Response<AnswerBody>, SendOutcome> {
+        let failed = head.status.is_server_error();
+        if failed
+            && self.admitted.route.repeat == RepeatRule::Idempotent
+            && self.could_resend()
+        {
+            let text = format!("the upstream failed with {}", head.status);
+            self.note_failed(upstream, SendOutcome::Failed, &text);
+            return Err(SendOutcome::Failed);
+        }
+        let end = if failed {
+            RequestEnd::UpstreamFailure
+        } else {
+            self.context.core().upstream_served(upstream);
+            RequestEnd::Answered
+        };
+        let time = self.elapsed();
+        self.context.metrics.record_latency("whole", time);
+        let text = format!("status {} of {upstream}", head.status);
+        self.end(end, &text);
+        let mut response = Response::new(whole(body));
+        *response.status_mut() = head.status;
+        *response.headers_mut() = self.context.wire.answer_headers(head);
+        Ok(response)
+    }
+
+    /// Whether a failure of the upstream would be followed by another send;
+    /// otherwise it is passed on as it is.
+    fn could_resend(&self) -> bool {
+        let mut record = self.record.clone();
+        let now = self.context.now();
+        let before = record.run_state();
+        let step = record.finish_send(now, before, SendOutcome::Failed);
+        matches!(step, NextStep::Resend { .. })
+    }
+}
+
+impl<W: GatewayWire> Drop for CallerAttempt<W> {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.context.metrics.count_end(RequestEnd::CallerLeft);
+            log_decision!(
+                LogEvent::CallerLeft,
+                {
+                    request = self.id(),
+                    route = self.admitted.route.name,
+                    sends = self.sends,
+                    elapsed_ms = self.elapsed().as_millis(),
+                },
+                "the caller closed its connection",
+            );
+        }
+    }
+}
+
+fn retry_reason(outcome: SendOutcome) -> RetryReason {
+    match outcome {
+        SendOutcome::NotConnected => RetryReason::ConnectFailed,
+        SendOutcome::Declined => RetryReason::EngineOvercommitted,
+        SendOutcome::Misdirected => RetryReason::UpstreamLeaving,
+        SendOutcome::Failed | SendOutcome::Lost => {
+            RetryReason::FailedBeforeFirstPart
+        }
+    }
+}
+
+/// Id under which memory is reserved for an attempt.
+pub(super) fn reservation_id(started: &StartedRequest, nonce: u64) -> Arc<str> {
+    format!("{:x}-{nonce:x}", started.flight.get()).into()
+}
--- /dev/null
+++ b/cli/src/gateway/front.rs
@@ -0,0 +1,170 @@
+//! The listener for callers.
+
+use std::{
+    convert::Infallible,
+    future::Future,
+    io,
+    pin::Pin,
+    sync::{Arc, atomic::Ordering},
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use borageline_lib::{gateway::wire::GatewayWire, log_event::LogEvent};
+use bytes::Bytes;
+use http::{HeaderValue, Request, Response, header};
+use http_body::{Body, Frame};
+use http_body_util::{Either, Full};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::{
+    rt::{TokioIo, TokioTimer},
+    server::graceful::{GracefulShutdown, Watcher},
+};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::mpsc,
+};
+use tokio_util::sync::CancellationToken;
+
+use super::{SharedGateway, forward};
+use crate::{logging, server::bind_callers};
+
+/// Pause after a failed accept, which mostly means that no file descriptor is
+/// free.
+pub(super) const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Bytes that hyper buffers on one connection.
+const CONNECTION_BUFFER_BYTES: usize = 64 << 10;
+
+/// Body of an answer.
+pub(super) type AnswerBody = Either<Full<Bytes>, EventBody>;
+
+/// Body whose parts come through a bounded queue.
+#[derive(Debug)]
+pub(super) struct EventBody(pub(super) mpsc::Receiver<io::Result<Bytes>>);
+
+impl Body for EventBody {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        let part = self.0.poll_recv(context);
+        part.map(|part| part.map(|part| part.map(Frame::data)))
+    }
+}
+
+/// Opens the listener and serves it until `stop` is cancelled; the future
+/// that is returned ends when the last connection has ended.
+pub(super) fn serve<W: GatewayWire>(
+    context: SharedGateway<W>,
+    stop: CancellationToken,
+) -> io::Result<impl Future<Output = ()>> {
+    let address = context.settings().listen.front;
+    let listener = address.map(bind_callers).transpose()?;
+    let task = tokio::spawn(async move {
+        let graceful = GracefulShutdown::new();
+        if let Some(listener) = listener {
+            accept(&context, listener, &stop, &graceful).await;
+        }
+        graceful.shutdown().await;
+    });
+    Ok(async move {
+        if let Err(error) = task.await {
+            logging::event(LogEvent::AcceptFailed, &error.to_string());
+        }
+    })
+}
+
+async fn accept<W: GatewayWire>(
+    context: &SharedGateway<W>,
+    listener: TcpListener,
+    stop: &CancellationToken,
+    graceful: &GracefulShutdown,
+) {
+    loop {
+        let accepted = tokio::select! {
+            biased;
+            () = stop.cancelled() => return,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                let open = context.connections.load(Ordering::Relaxed);
+                if open >= context.settings().connections_max() {
+                    // Closing at once tells the caller that nothing was read.
+                    drop(stream);
+                    continue;
+                }
+                let context = context.clone();
+                let watcher = graceful.watcher();
+                tokio::spawn(serve_connection(context, stream, watcher));
+            }
+            Err(error) => {
+                logging::event(LogEvent::AcceptFailed, &error.to_string());
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection<W: GatewayWire>(
+    context: SharedGateway<W>,
+    stream: TcpStream,
+    watcher: Watcher,
+) {
+    if let Err(error) = stream.set_nodelay(true) {
+        // The connection is gone already.
+        logging::event(LogEvent::CallerConnectionFailed, &error.to_string());
+        return;
+    }
+    let open = context.connections.fetch_add(1, Ordering::Relaxed) + 1;
+    context
+        .metrics
+        .connections
+        .set(i64::try_from(open).unwrap_or(i64::MAX));
+    let limits = context.core().config().map(|config| config.limits);
+    let idle = limits.unwrap_or_default().idle_timeout;
+    let served = context.clone();
+    let service = service_fn(move |request| answer(served.clone(), request));
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        // The timer also runs while a connection is idle.
+        .header_read_timeout(idle)
+        .max_buf_size(CONNECTION_BUFFER_BYTES)
+        .serve_connection(TokioIo::new(stream), service);
+    if let Err(error) = watcher.watch(connection).await {
+        // Callers break connections at will.
+        logging::event(LogEvent::CallerConnectionFailed, &error.to_string());
+    }
+    let open = context.connections.fetch_sub(1, Ordering::Relaxed) - 1;
+    context
+        .metrics
+        .connections
+        .set(i64::try_from(open).unwrap_or(i64::MAX));
+}
+
+async fn answer<W: GatewayWire>(
+    context: SharedGateway<W>,
+    request: Request<Incoming>,
+) -> Result<Response<AnswerBody>, Infallible> {
+    context.requests.fetch_add(1, Ordering::Relaxed);
+    let guard = RequestCount(Arc::clone(&context));
+    let mut response = forward::forward(&context, request).await;
+    drop(guard);
+    if context.is_leaving() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    Ok(response)
+}
+
+/// Counts a request until its head has been answered.
+struct RequestCount<W: GatewayWire>(SharedGateway<W>);
+
+impl<W: GatewayWire> Drop for RequestCount<W> {
+    fn drop(&mut self) {
+        self.0.requests.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/cli/src/gateway/metrics.rs
@@ -0,0 +1,175 @@
+//! Counters and latency histograms of a gateway.
+
+use std::time::Duration;
+
+use borageline_lib::refusal::{RefusalCode, RetryReason};
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Registry,
+    TextEncoder, core::Collector,
+};
+
+use crate::metrics::{counters, gauge};
+
+/// Bounds of the time to an answer or its first event, in seconds.
+const LATENCY_BOUNDS: &[f64] = &[
+    0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 3.0, 5.0, 10.0, 15.0,
+];
+
+/// How a request ended, as a label.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum RequestEnd {
+    /// The whole answer was passed on.
+    Answered,
+    /// The upstream's failure was passed on.
+    UpstreamFailure,
+    /// It was refused or has failed.
+    Refused,
+    /// The answer was broken off.
+    BrokenOff,
+    /// The caller left.
+    CallerLeft,
+}
+
+impl RequestEnd {
+    const ALL: [Self; 5] = [
+        Self::Answered,
+        Self::UpstreamFailure,
+        Self::Refused,
+        Self::BrokenOff,
+        Self::CallerLeft,
+    ];
+
+    pub(super) const fn as_str(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::UpstreamFailure => "upstream_failure",
+            Self::Refused => "refused",
+            Self::BrokenOff => "broken_off",
+            Self::CallerLeft => "caller_left",
+        }
+    }
+}
+
+/// Metrics of one gateway.
+#[derive(Debug)]
+pub(super) struct GatewayMetrics {
+    registry: Registry,
+    ends: IntCounterVec,
+    refusals: IntCounterVec,
+    retries: IntCounterVec,
+    latency: HistogramVec,
+    store_calls: IntCounterVec,
+    pub(super) connections: IntGauge,
+    pub(super) config_version: IntGauge,
+    pub(super) members: IntGauge,
+}
+
+impl GatewayMetrics {
+    pub(super) fn new() -> Self {
+        let metrics = Self {
+            registry: Registry::new(),
+            ends: counters(
+                "borageline_gateway_requests_total",
+                "requests by how they ended",
+                "end",
+            ),
+            refusals: counters(
+                "borageline_gateway_refusals_total",
+                "refusals by code",
+                "code",
+            ),
+            retries: counters(
+                "borageline_gateway_retries_total",
+                "sends beyond a request's first, by reason",
+                "reason",
+            ),
+            latency: latency(),
+            store_calls: counters(
+                "borageline_gateway_store_calls_total",
+                "calls to the platform's store by outcome",
+                "outcome",
+            ),
+            connections: gauge(
+                "borageline_gateway_connections",
+                "open connections from callers",
+            ),
+            config_version: gauge(
+                "borageline_gateway_config_version",
+                "version of the desired state in force",
+            ),
+            members: gauge(
+                "borageline_gateway_members",
+                "instances heard, this one included",
+            ),
+        };
+        metrics.register_all();
+        metrics
+    }
+
+    fn register_all(&self) {
+        self.register(&self.ends);
+        self.register(&self.refusals);
+        self.register(&self.retries);
+        self.register(&self.latency);
+        self.register(&self.store_calls);
+        self.register(&self.connections);
+        self.register(&self.config_version);
+        self.register(&self.members);
+        for end in RequestEnd::ALL {
+            self.ends.with_label_values(&[end.as_str()]);
+        }
+        for code in RefusalCode::ALL {
+            self.refusals.with_label_values(&[code.as_str()]);
+        }
+        for reason in RetryReason::ALL {
+            self.retries.with_label_values(&[reason.as_str()]);
+        }
+        for outcome in ["answered", "failed"] {
+            self.store_calls.with_label_values(&[outcome]);
+        }
+    }
+
+    fn register<C: Collector + Clone + 'static>(&self, collector: &C) {
+        self.registry
+            .register(Box::new(collector.clone()))
+            .expect("names of metrics differ");
+    }
+
+    pub(super) fn count_end(&self, end: RequestEnd) {
+        self.ends.with_label_values(&[end.as_str()]).inc();
+    }
+
+    pub(super) fn count_refusal(&self, code: RefusalCode) {
+        self.refusals.with_label_values(&[code.as_str()]).inc();
+    }
+
+    pub(super) fn count_retry(&self, reason: RetryReason) {
+        self.retries.with_label_values(&[reason.as_str()]).inc();
+    }
+
+    pub(super) fn count_store_call(&self, answered: bool) {
+        let outcome = if answered { "answered" } else { "failed" };
+        self.store_calls.with_label_values(&[outcome]).inc();
+    }
+
+    /// Records the time to an answer or its first event.
+    pub(super) fn record_latency(&self, form: &'static str, time: Duration) {
+        let histogram = self.latency.with_label_values(&[form]);
+        histogram.observe(time.as_secs_f64());
+    }
+
+    pub(super) fn render(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        TextEncoder::new()
+            .encode(&self.registry.gather(), &mut text)
+            .expect("a vector takes all text");
+        text
+    }
+}
+
+fn latency() -> HistogramVec {
+    let name = "borageline_gateway_latency_seconds";
+    let help = "time to an answer or its first event, by form";
+    let opts = HistogramOpts::new(name, help).buckets(LATENCY_BOUNDS.to_vec());
+    HistogramVec::new(opts, &["form"]).expect("name and label are valid")
+}
--- /dev/null
+++ b/cli/src/gateway/stream.rs
@@ -0,0 +1,352 @@
+//! Streams of events, over one or more upstreams.
+//!
+//! Only whole events are passed on. If an upstream breaks off, the stream
+//! goes on at another one after the last event that the caller has.
+
+use std::{io, time::Duration};
+
+use borageline_lib::{
+    gateway::{
+        attempt::SendOutcome, stream_cursor::StreamCursor, wire::GatewayWire,
+    },
+    refusal::{Refusal, RefusalCode},
+};
+use bytes::Bytes;
+use http::{Response, header, response::Parts as ResponseParts};
+use http_body_util::{BodyExt, Either};
+use tokio::sync::mpsc;
+
+use super::{
+    forward::{CallerAttempt, LiveReply, SendEnd},
+    front::{AnswerBody, EventBody},
+    metrics::RequestEnd,
+};
+
+/// Events that may wait for a slow caller.
+const EVENT_QUEUE: usize = 128;
+/// Targets in which the first event of a stream must come while it can still
+/// be sent elsewhere.
+const FIRST_EVENT_TARGETS: f64 = 3.0;
+/// Expected pauses after which a stream is taken to be stuck.
+const STUCK_GAPS: u32 = 5;
+/// Shortest silence after which a stream is taken to be stuck; an engine
+/// that waits for one that has died goes on or breaks off within 1.5 s.
+const STUCK_MIN: Duration = Duration::from_millis(1_800);
+
+/// How far one upstream has brought a stream.
+enum StreamStep {
+    /// Whole events.
+    Events(Vec<Bytes>),
+    /// The stream is complete.
+    Complete,
+    /// It has broken off or is stuck.
+    Broken(String),
+    /// The caller has left.
+    CallerLeft,
+    /// The deadline has passed.
+    Overdue,
+}
+
+/// Answers with a stream of events.
+pub(super) async fn answer_events<W: GatewayWire>(
+    mut attempt: CallerAttempt<W>,
+) -> Response<AnswerBody> {
+    let mut cursor = StreamCursor::new(attempt.request.resume_after);
+    loop {
+        let wait = first_wait(&attempt);
+        let begun = attempt.context.now();
+        let resume = cursor.last_id();
+        let reply = match attempt.send(resume, wait).await {
+            Ok(reply) => reply,
+            Err(SendEnd::Refused(refusal)) => return attempt.refuse(refusal),
+            Err(SendEnd::Ended(before, outcome)) => {
+                if attempt.may_resend(before, outcome) {
+                    continue;
+                }
+                let refusal = attempt.failure(outcome);
+                return attempt.refuse(refusal);
+            }
+        };
+        if !reply.head.status.is_success() {
+            match attempt.read_whole(reply).await {
+                Ok(response) => return response,
+                Err(outcome) => {
+                    let before = attempt.record.run_state();
+                    if attempt.may_resend(before, outcome) {
+                        continue;
+                    }
+                    let refusal = attempt.failure(outcome);
+                    return attempt.refuse(refusal);
+                }
+            }
+        }
+        if !attempt.context.wire.is_whole_answer(&reply.head) {
+            let text = "the stream is not marked as the upstream's";
+            attempt.note_failed(&reply.upstream, SendOutcome::Lost, text);
+            let before = attempt.record.run_state();
+            if attempt.may_resend(before, SendOutcome::Lost) {
+                continue;
+            }
+            let refusal = attempt.failure(SendOutcome::Lost);
+            return attempt.refuse(refusal);
+        }
+        let mut reply = reply;
+        let used = attempt.context.now().since(begun);
+        let expected = reply.expected * 2;
+        let limit = wait.saturating_sub(used).max(expected);
+        let step = next_step(&attempt, &mut cursor, &mut reply, limit, None);
+        let text = match step.await {
+            StreamStep::Events(events) => {
+                return pass_on(attempt, cursor, reply, events, false);
+            }
+            StreamStep::Complete => {
+                return pass_on(attempt, cursor, reply, Vec::new(), true);
+            }
+            StreamStep::Broken(text) => text,
+            StreamStep::Overdue | StreamStep::CallerLeft => {
+                let text = "no event came before the deadline";
+                let code = RefusalCode::DeadlineExceeded;
+                return attempt.refuse(Refusal::new(code, text));
+            }
+        };
+        attempt.note_failed(&reply.upstream, SendOutcome::Lost, &text);
+        drop(reply);
+        cursor.restart();
+        let before = attempt.record.run_state();
+        if !attempt.may_resend(before, SendOutcome::Lost) {
+            let refusal = attempt.failure(SendOutcome::Lost);
+            return attempt.refuse(refusal);
+        }
+    }
+}
+
+/// Time for the first event.
+fn first_wait<W: GatewayWire>(attempt: &CallerAttempt<W>) -> Duration {
+    let left = attempt.time_left();
+    if attempt.record.can_resend() {
+        let target = attempt.admitted.route.target;
+        left.min(target.mul_f64(FIRST_EVENT_TARGETS).max(STUCK_MIN))
+    } else {
+        left
+    }
+}
+
+/// Waits for events of an upstream.
+async fn next_step<W: GatewayWire>(
+    attempt: &CallerAttempt<W>,
+    cursor: &mut StreamCursor,
+    reply: &mut LiveReply<W>,
+    limit: Duration,
+    caller: Option<&mpsc::Sender<io::Result<Bytes>>>,
+) -> StreamStep {
+    let left = attempt.time_left();
+    let deadline = tokio::time::sleep(left);
+    tokio::pin!(deadline);
+    let silence = tokio::time::sleep(limit.min(left));
+    tokio::pin!(silence);
+    loop {
+        let mut events = Vec::new();
+        loop {
+            match cursor.next_event() {
+                Ok(Some(event)) => events.push(event.bytes),
+                Ok(None) => break,
+                Err(fault) => {
+                    return StreamStep::Broken(format!("{fault:?}"));
+                }
+            }
+        }
+        if !events.is_empty() {
+            return StreamStep::Events(events);
+        }
+        let frame = tokio::select! {
+            biased;
+            () = caller_left(caller) => return StreamStep::CallerLeft,
+            frame = reply.body.frame() => frame,
+            () = &mut deadline => return StreamStep::Overdue,
+            () = &mut silence => {
+                return StreamStep::Broken(format!("silent for {limit:?}"));
+            }
+        };
+        match frame {
+            Some(Ok(frame)) => {
+                if let Some(bytes) = frame.data_ref() {
+                    cursor.push(bytes);
+                }
+            }
+            Some(Err(error)) => {
+                return StreamStep::Broken(format!("broke off: {error}"));
+            }
+            None if cursor.is_inside_event() => {
+                return StreamStep::Broken("ended inside an event".into());
+            }
+            None => return StreamStep::Complete,
+        }
+    }
+}
+
+async fn caller_left(caller: Option<&mpsc::Sender<io::Result<Bytes>>>) {
+    match caller {
+        Some(caller) => caller.closed().await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Passes a stream on whose first events have come.
+fn pass_on<W: GatewayWire>(
+    attempt: CallerAttempt<W>,
+    cursor: StreamCursor,
+    reply: LiveReply<W>,
+    events: Vec<Bytes>,
+    complete: bool,
+) -> Response<AnswerBody> {
+    let time = attempt.elapsed();
+    attempt.context.metrics.record_latency("events", time);
+    let (sender, receiver) = mpsc::channel(EVENT_QUEUE);
+    let response = respond(&attempt, &reply.head, receiver);
+    reply.flight.first_event();
+    let run = StreamRun {
+        attempt,
+        cursor,
+        sender,
+    };
+    tokio::spawn(run.pump(reply, events, complete));
+    response
+}
+
+fn respond<W: GatewayWire>(
+    attempt: &CallerAttempt<W>,
+    head: &ResponseParts,
+    receiver: mpsc::Receiver<io::Result<Bytes>>,
+) -> Response<AnswerBody> {
+    let mut response = Response::new(Either::Right(EventBody(receiver)));
+    *response.status_mut() = head.status;
+    let mut headers = attempt.context.wire.answer_headers(head);
+    // Another upstream may write the rest.
+    headers.remove(header::CONTENT_LENGTH);
+    *response.headers_mut() = headers;
+    response
+}
+
+/// A stream whose head the caller has.
+struct StreamRun<W: GatewayWire> {
+    attempt: CallerAttempt<W>,
+    cursor: StreamCursor,
+    sender: mpsc::Sender<io::Result<Bytes>>,
+}
+
+impl<W: GatewayWire> StreamRun<W> {
+    async fn pump(
+        mut self,
+        mut reply: LiveReply<W>,
+        mut events: Vec<Bytes>,
+        mut complete: bool,
+    ) {
+        loop {
+            for event in events.drain(..) {
+                if self.sender.send(Ok(event)).await.is_err() {
+                    return;
+                }
+            }
+            if complete {
+                self.finish(&reply);
+                return;
+            }
+            let gap = self.attempt.admitted.route.gap * STUCK_GAPS;
+            let limit = if self.attempt.record.can_resend() {
+                gap.max(STUCK_MIN)
+            } else {
+                self.attempt.time_left()
+            };
+            let step = next_step(
+                &self.attempt,
+                &mut self.cursor,
+                &mut reply,
+                limit,
+                Some(&self.sender),
+            );
+            match step.await {
+                StreamStep::Events(next) => events = next,
+                StreamStep::Complete => complete = true,
+                StreamStep::CallerLeft => return,
+                StreamStep::Overdue => {
+                    self.break_off("the deadline has passed").await;
+                    return;
+                }
+                StreamStep::Broken(text) => {
+                    match self.resume(reply, &text).await {
+                        Some(next) => reply = next,
+                        None => return,
+                    }
+                }
+            }
+        }
+    }
+
+    fn finish(&mut self, reply: &LiveReply<W>) {
+        let context = self.attempt.context.clone();
+        context.core().upstream_served(&reply.upstream);
+        let text =
+            format!("{} events, {}", self.cursor.events(), reply.upstream);
+        self.attempt.end(RequestEnd::Answered, &text);
+    }
+
+    async fn break_off(&mut self, text: &str) {
+        self.attempt.end(RequestEnd::BrokenOff, text);
+        let error = io::Error::other("the stream was broken off");
+        // A caller that has left needs no error.
+        let _ = self.sender.send(Err(error)).await;
+    }
+
+    /// Goes on at another upstream after one has broken off.
+    async fn resume(
+        &mut self,
+        reply: LiveReply<W>,
+        text: &str,
+    ) -> Option<LiveReply<W>> {
+        self.attempt
+            .note_failed(&reply.upstream, SendOutcome::Lost, text);
+        drop(reply);
+        self.cursor.restart();
+        let mut before = self.attempt.record.run_state();
+        let mut outcome = SendOutcome::Lost;
+        loop {
+            let resumable = self.cursor.last_id().is_some();
+            if !resumable || !self.attempt.may_resend(before, outcome) {
+                self.break_off("the stream cannot be resumed").await;
+                return None;
+            }
+            let wait = self.attempt.time_left();
+            let resume = self.cursor.last_id();
+            let sent = tokio::select! {
+                () = self.sender.closed() => return None,
+                sent = self.attempt.send(resume, wait) => sent,
+            };
+            match sent {
+                Ok(reply)
+                    if reply.head.status.is_success()
+                        && self
+                            .attempt
+                            .context
+                            .wire
+                            .is_whole_answer(&reply.head) =>
+                {
+                    return Some(reply);
+                }
+                Ok(reply) => {
+                    let text = format!("status {}", reply.head.status);
+                    before = self.attempt.record.run_state();
+                    outcome = SendOutcome::Failed;
+                    self.attempt.note_failed(&reply.upstream, outcome, &text);
+                }
+                Err(SendEnd::Refused(refusal)) => {
+                    self.break_off(&refusal.to_string()).await;
+                    return None;
+                }
+                Err(SendEnd::Ended(state, end)) => {
+                    before = state;
+                    outcome = end;
+                }
+            }
+        }
+    }
+}
--- a/cli/src/http_client.rs
+++ b/cli/src/http_client.rs
@@ -35,6 +35,16 @@
 /// Shorter than the idle time after which common servers close a connection.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Silence after which the system probes a connection. A machine without
+/// power or behind a partition shows only by unanswered probes.
+const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
+/// Pause between two probes.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+/// Unanswered probes after which a connection is broken.
+const KEEPALIVE_RETRIES: u32 = 2;
+/// Time for the other side to acknowledge what was written.
+const USER_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// Why an HTTP call failed.
 #[derive(Clone, Debug, PartialEq)]
 pub enum HttpFault {
@@ -190,10 +200,20 @@
         Self::build(0, false, CONNECT_TIMEOUT)
     }
 
+    /// Like [`Self::without_reuse`], with a time for the connection.
+    pub fn without_reuse_within(connect: Duration) -> Self {
+        Self::build(0, false, connect)
+    }
+
     fn build(idle: usize, repeats: bool, connect: Duration) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(connect));
         connector.set_nodelay(true);
+        connector.set_keepalive(Some(KEEPALIVE_IDLE));
+        connector.set_keepalive_interval(Some(KEEPALIVE_INTERVAL));
+        connector.set_keepalive_retries(Some(KEEPALIVE_RETRIES));
+        #[cfg(target_os = "linux")]
+        connector.set_tcp_user_timeout(Some(USER_TIMEOUT));
         let client = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
--- a/cli/src/lib.rs
+++ b/cli/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod credentials;
 pub mod driver;
 pub mod engine_client;
+pub mod gateway;
 pub mod http_client;
 pub mod logging;
 pub mod metrics;
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -3,6 +3,7 @@
 use std::process::ExitCode;
 
 use borageline::commands::{ExitReason, cli_command};
+use borageline_platform::PlatformWire;
 use bpaf::{Args, Parser};
 
 /// Width of help texts.
@@ -14,7 +15,7 @@
         .descr("Serving layer between callers and language-model engines")
         .version(env!("CARGO_PKG_VERSION"));
     match parser.run_inner(Args::current_args()) {
-        Ok(command) => command.run(),
+        Ok(command) => command.run(PlatformWire),
         Err(failure) => {
             failure.print_message(HELP_WIDTH);
             match failure.exit_code() {
--- a/cli/src/metrics.rs
+++ b/cli/src/metrics.rs
@@ -206,7 +206,7 @@
     }
 }
 
-fn counters(name: &str, help: &str, label: &str) -> IntCounterVec {
+pub(crate) fn counters(name: &str, help: &str, label: &str) -> IntCounterVec {
     IntCounterVec::new(Opts::new(name, help), &[label])
         .expect("name and label are valid")
 }
@@ -215,7 +215,7 @@
     IntCounter::new(name, help).expect("name is valid")
 }
 
-fn gauge(name: &str, help: &str) -> IntGauge {
+pub(crate) fn gauge(name: &str, help: &str) -> IntGauge {
     IntGauge::new(name, help).expect("name is valid")
 }
 
--- /dev/null
+++ b/lib/src/gateway.rs
@@ -0,0 +1,28 @@
+//! Serving on a platform that keeps the desired state and the list of
+//! upstreams.
+//!
+//! The gateway answers callers that bring their own attempt ids, deadlines
+//! and prompt sizes. All its decisions are made on the instance that the
+//! caller is connected to, from its own requests in flight and from what the
+//! other instances report of theirs. Nothing on a request's path waits for
+//! the platform or for another instance. `docs/design/platform.md` compares
+//! this with the grants of [`crate::owner`].
+//!
+//! Sockets, clocks and tasks belong to the binary. How requests, replies and
+//! records are spelled belongs to an implementation of the traits in
+//! [`wire`].
+
+pub mod attempt;
+pub mod cost_model;
+pub mod dispatch_rate;
+pub mod gateway_core;
+pub mod gateway_settings;
+pub mod load_board;
+pub mod member_table;
+pub mod memory_plan;
+pub mod placement;
+pub mod retry_window;
+pub mod routing_config;
+pub mod stream_cursor;
+pub mod upstream_table;
+pub mod wire;
--- /dev/null
+++ b/lib/src/gateway/gateway_core.rs
@@ -0,0 +1,443 @@
+//! The state of one gateway instance and the decisions made from it.
+//!
+//! Each method takes the time. The binary calls them between its waits, so
+//! that no decision sees half of a change.
+
+use std::{
+    collections::BTreeMap,
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::{
+    dispatch_rate::DispatchRate,
+    gateway_settings::GatewaySettings,
+    load_board::{FlightId, LoadBoard},
+    member_table::{BEAT_VERSION, MemberBeat, MemberChange, MemberTable},
+    placement::{PlacedRequest, PlacementView, PromptWork},
+    retry_window::RetryWindow,
+    routing_config::{CallerIdentity, ConfigVersion, RouteSpec, RoutingConfig},
+    upstream_table::{UpstreamChange, UpstreamEntry, UpstreamTable},
+};
+use crate::{
+    ids::{DomainId, ServiceName, UpstreamId},
+    refusal::{Refusal, RefusalCode},
+    units::{Incarnation, Timestamp},
+};
+
+/// Shortest wait that a refused caller is told.
+const RETRY_AFTER_MIN: Duration = Duration::from_millis(250);
+/// Range over which the returns of refused callers are spread.
+const RETRY_AFTER_SPREAD: Duration = Duration::from_millis(1_000);
+/// Part of the bound on a cold upstream that is used.
+const COLD_SHARE: f64 = 0.8;
+
+/// What a request is allowed to do.
+#[derive(Clone, Debug, PartialEq)]
+pub struct AdmittedRequest {
+    /// Route.
+    pub route: Arc<RouteSpec>,
+    /// Service that takes it.
+    pub service: ServiceName,
+    /// Who sends it.
+    pub identity: CallerIdentity,
+    /// Version that decided it.
+    pub version: ConfigVersion,
+}
+
+impl AdmittedRequest {
+    /// Rank of the request.
+    pub fn rank(&self) -> u8 {
+        let own = match &self.identity {
+            CallerIdentity::Workspace(workspace) => workspace.rank,
+            _ => None,
+        };
+        own.unwrap_or(self.route.rank)
+    }
+}
+
+/// A request with its place.
+#[derive(Clone, Debug, PartialEq)]
+pub struct StartedRequest {
+    /// Entry of the upstream that answers.
+    pub entry: UpstreamEntry,
+    /// Entries of the engines that help, with the memory to reserve.
+    pub helpers: Vec<(UpstreamEntry, crate::units::TokenCount)>,
+    /// Entry on the load board.
+    pub flight: FlightId,
+    /// Time to the first event that the load suggests.
+    pub expected: Duration,
+    /// Age of the list entry that the choice rests on.
+    pub entry_age: Duration,
+}
+
+/// State of one instance.
+#[derive(Debug)]
+pub struct GatewayCore {
+    settings: Arc<GatewaySettings>,
+    incarnation: Incarnation,
+    config: Option<Arc<RoutingConfig>>,
+    listed: bool,
+    serving: bool,
+    upstreams: UpstreamTable,
+    board: LoadBoard,
+    retries: BTreeMap<ServiceName, RetryWindow>,
+    rates: BTreeMap<UpstreamId, DispatchRate>,
+    members: MemberTable,
+    rng: ChaCha8Rng,
+}
+
+impl GatewayCore {
+    /// An instance that knows nothing yet.
+    pub fn new(
+        settings: Arc<GatewaySettings>,
+        incarnation: Incarnation,
+        seed: u64,
+    ) -> Self {
+        let mut members = MemberTable::default();
+        for seed in &settings.seeds {
+            members.add_contact(seed.ip());
+        }
+        Self {
+            settings,
+            incarnation,
+            config: None,
+            listed: false,
+            serving: true,
+            upstreams: UpstreamTable::default(),
+            board: LoadBoard::default(),
+            retries: BTreeMap::new(),
+            rates: BTreeMap::new(),
+            members,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+        }
+    }
+
+    /// Takes over changed settings.
+    pub fn apply_settings(&mut self, settings: Arc<GatewaySettings>) {
+        for seed in &settings.seeds {
+            if seed.ip() != settings.ip {
+                self.members.add_contact(seed.ip());
+            }
+        }
+        self.settings = settings;
+    }
+
+    /// Desired state in force.
+    pub fn config(&self) -> Option<&Arc<RoutingConfig>> {
+        self.config.as_ref()
+    }
+
+    /// Applies a desired state; false if it is not newer.
+    pub fn apply_config(&mut self, config: RoutingConfig) -> bool {
+        let version = self.config.as_ref().map(|config| config.version);
+        if version.is_some_and(|version| version >= config.version) {
+            return false;
+        }
+        self.config = Some(Arc::new(config));
+        true
+    }
+
+    /// Closes or reopens a failure domain; true if that changes anything.
+    pub fn set_closed(&mut self, domain: DomainId, closed: bool) -> bool {
+        self.upstreams.set_closed(domain, closed)
+    }
+
+    /// Closes exactly these failure domains; returns what has changed.
+    pub fn replace_closed(
+        &mut self,
+        closed: &[DomainId],
+    ) -> Vec<(DomainId, bool)> {
+        let before = self.upstreams.closed().clone();
+        let mut changes = Vec::new();
+        for domain in before.iter().filter(|domain| !closed.contains(domain)) {
+            self.upstreams.set_closed(domain.clone(), false);
+            changes.push((domain.clone(), false));
+        }
+        for domain in closed {
+            if self.upstreams.set_closed(domain.clone(), true) {
+                changes.push((domain.clone(), true));
+            }
+        }
+        changes
+    }
+
+    /// Replaces the list of upstreams.
+    pub fn replace_upstreams(
+        &mut self,
+        now: Timestamp,
+        entries: Vec<UpstreamEntry>,
+    ) {
+        self.listed = true;
+        self.upstreams.replace(now, entries);
+    }
+
+    /// Applies one change of the list of upstreams.
+    pub fn apply_upstream(&mut self, now: Timestamp, change: UpstreamChange) {
+        self.upstreams.apply(now, change);
+    }
+
+    /// Notes that the store answers again after an outage.
+    pub fn store_returned(&mut self, now: Timestamp) {
+        self.upstreams.store_returned(now);
+    }
+
+    /// The upstreams.
+    pub fn upstreams(&self) -> &UpstreamTable {
+        &self.upstreams
+    }
+
+    /// The load board.
+    pub fn board(&self) -> &LoadBoard {
+        &self.board
+    }
+
+    /// Whether the instance can serve callers.
+    pub fn is_ready(&self) -> bool {
+        self.serving && self.config.is_some() && self.listed
+    }
+
+    /// Notes that a planned stop has begun.
+    pub fn begin_stop(&mut self) {
+        self.serving = false;
+    }
+
+    /// Decides whether a request is allowed, and which service takes it.
+    pub fn admit(
+        &mut self,
+        now: Timestamp,
+        host: &str,
+        path: &str,
+        key: Option<&str>,
+    ) -> Result<AdmittedRequest, Refusal> {
+        let Some(config) = self.config.clone() else {
+            let text = "the desired state has not been read yet";
+            return Err(self.unavailable(RefusalCode::NotReady, text));
+        };
+        let Some(route) = config.find_route(host, path) else {
+            let text = format!("no route for {path} on {host}");
+            return Err(Refusal::new(RefusalCode::UnknownPath, text));
+        };
+        let identity = config.identify(&route, key);
+        if identity == CallerIdentity::Unknown {
+            let text = "the key is missing or belongs to no workspace";
+            return Err(Refusal::new(RefusalCode::Unauthenticated, text));
+        }
+        let draw = self.rng.random::<f64>();
+        let Some(service) = route.pick_service(draw).cloned() else {
+            let text = format!("route {} has no service", route.name);
+            return Err(self.unavailable(RefusalCode::NoUpstream, &text));
+        };
+        let bound = self.settings.bounds.retry_bound();
+        let window = self.retries.entry(service.clone()).or_default();
+        window.count_request(now, &bound);
+        Ok(AdmittedRequest {
+            route,
+            service,
+            identity,
+            version: config.version,
+        })
+    }
+
+    /// Chooses upstreams for a request and counts it there.
+    pub fn place(
+        &mut self,
+        now: Timestamp,
+        service: &ServiceName,
+        work: Option<PromptWork>,
+        excluded: &[UpstreamId],
+    ) -> Result<StartedRequest, Refusal> {
+        self.upstreams.expire(now);
+        let Some(spec) = self
+            .config
+            .as_ref()
+            .and_then(|config| config.find_service(service))
+            .cloned()
+        else {
+            let text = format!("service {service} is not configured");
+            return Err(self.unavailable(RefusalCode::NoUpstream, &text));
+        };
+        let sharers = self.members.sharers(now);
+        let bounds = &self.settings.bounds;
+        let cold_bound = (spec.cold_rate * bounds.cold_factor
+            + bounds.cold_slack)
+            * COLD_SHARE;
+        let rates = &mut self.rates;
+        let mut rows = self.upstreams.candidates(now, service, excluded);
+        if spec.cold_rate > 0.0 {
+            let any_warm = rows.iter().any(|row| !row.is_cold(now));
+            rows.retain(|row| {
+                let id = row.entry.id.clone();
+                let rate = rates.entry(id).or_default();
+                let cold = row.is_cold(now);
+                // A cold upstream helps only if there is nothing better.
+                (!cold || !any_warm) && rate.allows(now, cold_bound, sharers)
+            });
+        }
+        let loads = self.board.total(now);
+        let view = PlacementView {
+            now,
+            domain: &self.settings.failure_domain,
+            rows,
+            loads: &loads,
+        };
+        let placed = match (&spec.engine, work) {
+            (Some(engine), Some(work)) => {
+                view.place_prompt(engine, work, &mut self.rng)
+            }
+            _ => view.place_call(&mut self.rng),
+        };
+        let Some(placed) = placed else {
+            let text = format!("no upstream of {service} can take the request");
+            return Err(self.unavailable(RefusalCode::NoCapacity, &text));
+        };
+        Ok(self.start(now, placed))
+    }
+
+    fn start(
+        &mut self,
+        now: Timestamp,
+        placed: PlacedRequest,
+    ) -> StartedRequest {
+        let row = |id: &UpstreamId| {
+            self.upstreams
+                .get(id)
+                .expect("a chosen upstream is in the table")
+        };
+        let first = row(&placed.upstream);
+        let entry_age = now.since(first.read_at);
+        let entry = first.entry.clone();
+        let helpers = placed
+            .helpers
+            .iter()
+            .map(|part| (row(&part.upstream).entry.clone(), part.reserve))
+            .collect();
+        self.rates.entry(entry.id.clone()).or_default().count(now);
+        let flight = self.board.start(placed.flight);
+        StartedRequest {
+            entry,
+            helpers,
+            flight,
+            expected: placed.expected,
+            entry_age,
+        }
+    }
+
+    /// Notes the first event of an answer.
+    pub fn first_event(&mut self, flight: FlightId) {
+        self.board.first_event(flight);
+    }
+
+    /// Notes the end of a send.
+    pub fn finish(&mut self, flight: FlightId) {
+        self.board.finish(flight);
+    }
+
+    /// Notes that an upstream served a request.
+    pub fn upstream_served(&mut self, id: &UpstreamId) {
+        self.upstreams.served(id);
+    }
+
+    /// Notes that an upstream failed; returns how long it is avoided.
+    pub fn upstream_failed(
+        &mut self,
+        now: Timestamp,
+        id: &UpstreamId,
+    ) -> Duration {
+        self.upstreams.failed(now, id)
+    }
+
+    /// Notes an error that an upstream answered with.
+    pub fn upstream_erred(&mut self, id: &UpstreamId) {
+        self.upstreams.erred(id);
+    }
+
+    /// Whether the retry budget allows one more send to a service.
+    pub fn spend_retry(
+        &mut self,
+        now: Timestamp,
+        service: &ServiceName,
+    ) -> bool {
+        let bound = self.settings.bounds.retry_bound();
+        let sharers = self.members.sharers(now);
+        let window = self.retries.entry(service.clone()).or_default();
+        window.spend(now, &bound, sharers)
+    }
+
+    /// A refusal that asks the caller to come back.
+    pub fn unavailable(&mut self, code: RefusalCode, text: &str) -> Refusal {
+        let spread = RETRY_AFTER_SPREAD.mul_f64(self.rng.random::<f64>());
+        Refusal::new(code, text).with_retry_after(RETRY_AFTER_MIN + spread)
+    }
+
+    /// Adds a machine on which an instance may run.
+    pub fn add_contact(&mut self, ip: IpAddr) {
+        if ip != self.settings.ip {
+            self.members.add_contact(ip);
+        }
+    }
+
+    /// The beat to send, where to, and the pause until the next.
+    pub fn beat(
+        &mut self,
+        now: Timestamp,
+    ) -> (MemberBeat, Vec<SocketAddr>, Duration) {
+        let own = self.settings.ip;
+        let beat = MemberBeat {
+            version: BEAT_VERSION,
+            instance: self.settings.instance.clone(),
+            incarnation: self.incarnation,
+            domain: self.settings.failure_domain.clone(),
+            ip: own,
+            serving: self.is_ready(),
+            heard: self.members.heard(now),
+            loads: self.board.own(now),
+        };
+        let targets = self.members.targets(now, own);
+        let targets = targets
+            .into_iter()
+            .map(|ip| self.settings.peer_address_of(ip))
+            .collect();
+        (beat, targets, self.members.beat_pause(now))
+    }
+
+    /// Takes the beat of another instance.
+    pub fn hear(
+        &mut self,
+        now: Timestamp,
+        beat: MemberBeat,
+    ) -> Option<MemberChange> {
+        if beat.version != BEAT_VERSION || beat.ip == self.settings.ip {
+            return None;
+        }
+        let change = self.members.hear(now, self.settings.ip, &beat);
+        self.board.report(now, beat.instance, beat.loads);
+        change
+    }
+
+    /// Notes instances that have become silent.
+    pub fn expire_members(&mut self, now: Timestamp) -> Vec<MemberChange> {
+        let changes = self.members.expire(now);
+        for change in &changes {
+            if let MemberChange::Silent(instance) = change {
+                self.board.forget(instance);
+            }
+        }
+        changes
+    }
+
+    /// Machines that callers may use, this one first if it serves.
+    pub fn serving_machines(&self, now: Timestamp) -> Vec<IpAddr> {
+        let mut machines = Vec::new();
+        if self.is_ready() {
+            machines.push(self.settings.ip);
+        }
+        let domain = &self.settings.failure_domain;
+        machines.extend(self.members.serving(now, domain));
+        machines
+    }
+}
--- /dev/null
+++ b/lib/src/gateway/load_board.rs
@@ -0,0 +1,182 @@
+//! What the requests in flight ask of each upstream.
+//!
+//! An instance knows its own requests exactly and learns those of the others
+//! from their reports, a fraction of a second late. Together they are the
+//! load of the upstreams, since all work comes through the instances.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use crate::{
+    ids::{InstanceId, UpstreamId},
+    quantity_type,
+    units::{Timestamp, TokenCount},
+    value_type,
+};
+
+quantity_type! {
+    /// Number of a request in flight, unique within the process.
+    FlightId, ""
+}
+
+/// Age at which a report of another instance no longer counts.
+pub const REPORT_MAX_AGE: Duration = Duration::from_secs(3);
+
+value_type! {
+    /// Load of one upstream.
+    #[derive(Copy, Default)]
+    pub struct UpstreamLoad {
+        /// Requests of which no engine reads the prompt for long.
+        pub short: u32,
+        /// Requests with long prompts.
+        pub long: u32,
+        /// Reading that is not finished, in milliseconds.
+        pub reading_ms: u32,
+        /// Memory of the requests, in tokens.
+        pub tokens: u64,
+    }
+}
+
+impl UpstreamLoad {
+    /// Requests in flight.
+    pub fn requests(&self) -> u32 {
+        self.short + self.long
+    }
+
+    /// Reading that is not finished.
+    pub fn reading(&self) -> Duration {
+        Duration::from_millis(self.reading_ms.into())
+    }
+
+    fn add(&mut self, other: &Self) {
+        self.short += other.short;
+        self.long += other.long;
+        self.reading_ms = self.reading_ms.saturating_add(other.reading_ms);
+        self.tokens = self.tokens.saturating_add(other.tokens);
+    }
+}
+
+/// Part of a request that one upstream carries.
+#[derive(Clone, Debug, PartialEq)]
+pub struct FlightPart {
+    /// Upstream.
+    pub upstream: UpstreamId,
+    /// Time to read its part of the prompt.
+    pub read: Duration,
+    /// Memory that it holds for the request.
+    pub tokens: TokenCount,
+}
+
+/// One request in flight.
+#[derive(Clone, Debug, PartialEq)]
+pub struct FlightEntry {
+    /// Whether its prompt is long to read.
+    pub long: bool,
+    /// Parts; the first is the upstream that answers.
+    pub parts: Vec<FlightPart>,
+    /// When all parts are expected to be read.
+    pub read_by: Timestamp,
+    /// Whether the first event has come.
+    pub reading: bool,
+}
+
+#[derive(Clone, Debug)]
+struct PeerLoads {
+    at: Timestamp,
+    loads: BTreeMap<UpstreamId, UpstreamLoad>,
+}
+
+/// Load of all upstreams.
+#[derive(Clone, Debug, Default)]
+pub struct LoadBoard {
+    flights: BTreeMap<FlightId, FlightEntry>,
+    peers: BTreeMap<InstanceId, PeerLoads>,
+    last: u64,
+}
+
+impl LoadBoard {
+    /// Adds a request.
+    pub fn start(&mut self, entry: FlightEntry) -> FlightId {
+        self.last += 1;
+        let id = FlightId::new(self.last);
+        self.flights.insert(id, entry);
+        id
+    }
+
+    /// Notes that the prompt of a request is read.
+    pub fn first_event(&mut self, id: FlightId) {
+        if let Some(entry) = self.flights.get_mut(&id) {
+            entry.reading = false;
+        }
+    }
+
+    /// Removes a request.
+    pub fn finish(&mut self, id: FlightId) {
+        self.flights.remove(&id);
+    }
+
+    /// Requests in flight on this instance.
+    pub fn flights(&self) -> usize {
+        self.flights.len()
+    }
+
+    /// Loads that this instance causes.
+    pub fn own(&self, now: Timestamp) -> BTreeMap<UpstreamId, UpstreamLoad> {
+        let mut loads = BTreeMap::<_, UpstreamLoad>::new();
+        for entry in self.flights.values() {
+            for (index, part) in entry.parts.iter().enumerate() {
+                let load = loads.entry(part.upstream.clone()).or_default();
+                load.add(&part_load(now, entry, part, index == 0));
+            }
+        }
+        loads
+    }
+
+    /// Replaces what another instance has reported.
+    pub fn report(
+        &mut self,
+        now: Timestamp,
+        peer: InstanceId,
+        loads: BTreeMap<UpstreamId, UpstreamLoad>,
+    ) {
+        self.peers.insert(peer, PeerLoads { at: now, loads });
+    }
+
+    /// Forgets an instance that is gone.
+    pub fn forget(&mut self, peer: &InstanceId) {
+        self.peers.remove(peer);
+    }
+
+    /// Load of all upstreams, from all instances.
+    pub fn total(&self, now: Timestamp) -> BTreeMap<UpstreamId, UpstreamLoad> {
+        let mut total = self.own(now);
+        for peer in self.peers.values() {
+            let age = now.since(peer.at);
+            if age > REPORT_MAX_AGE {
+                continue;
+            }
+            let age = u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
+            for (id, load) in &peer.loads {
+                let mut load = *load;
+                load.reading_ms = load.reading_ms.saturating_sub(age);
+                total.entry(id.clone()).or_default().add(&load);
+            }
+        }
+        total
+    }
+}
+
+fn part_load(
+    now: Timestamp,
+    entry: &FlightEntry,
+    part: &FlightPart,
+    answers: bool,
+) -> UpstreamLoad {
+    let left = entry.read_by.since(now).min(part.read);
+    let reading = if entry.reading { left } else { Duration::ZERO };
+    UpstreamLoad {
+        short: u32::from(answers && !entry.long),
+        long: u32::from(answers && entry.long),
+        reading_ms: u32::try_from(reading.as_millis()).unwrap_or(u32::MAX),
+        tokens: part.tokens.get(),
+    }
+}
--- /dev/null
+++ b/lib/src/gateway/upstream_table.rs
@@ -0,0 +1,263 @@
+//! The upstreams that the platform lists, and what was seen of them.
+//!
+//! The list is followed record by record. After an outage of the store an
+//! entry that is missing may still come back, so that its removal waits for
+//! [`RETURN_GRACE`]. An upstream that fails requests is avoided for a while
+//! where others can take its place; it is never given up while the list has
+//! it.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::Duration,
+};
+
+use crate::{
+    ids::{DomainId, ServiceName, UpstreamId},
+    units::{Incarnation, Timestamp},
+};
+
+/// Time in which entries that lapsed in an outage of the store come back.
+pub const RETURN_GRACE: Duration = Duration::from_millis(2_500);
+/// First time for which an upstream that failed is avoided.
+const AVOID_FIRST: Duration = Duration::from_millis(500);
+/// Longest time for which an upstream that failed is avoided.
+const AVOID_MAX: Duration = Duration::from_secs(4);
+/// Weight of the newest outcome in the failure share.
+const FAILURE_WEIGHT: f64 = 0.2;
+/// Failure share, above the mean of the service, of an upstream to avoid.
+const FAILURE_EXCESS: f64 = 0.2;
+
+/// Whether an upstream takes new requests, as it says itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UpstreamState {
+    /// It takes new requests.
+    Ready,
+    /// It finishes what it has and leaves.
+    Draining,
+}
+
+/// One entry of the list.
+#[derive(Clone, Debug, PartialEq)]
+pub struct UpstreamEntry {
+    /// Id of the upstream.
+    pub id: UpstreamId,
+    /// Service that it belongs to.
+    pub service: ServiceName,
+    /// Address for requests.
+    pub address: SocketAddr,
+    /// Failure domain.
+    pub domain: DomainId,
+    /// Whether it takes new requests.
+    pub state: UpstreamState,
+    /// How much longer it stays cold.
+    pub cold_for: Duration,
+    /// Requests that it runs at the same time.
+    pub slots: u32,
+    /// Start of its process; a new one knows nothing of the one before.
+    pub incarnation: Incarnation,
+}
+
+/// A change of the list.
+#[derive(Clone, Debug, PartialEq)]
+pub enum UpstreamChange {
+    /// A new or newer entry.
+    Set(UpstreamEntry),
+    /// The upstream is gone, or its entry names none that can be used.
+    Removed(UpstreamId),
+}
+
+/// One upstream and what was seen of it.
+#[derive(Clone, Debug)]
+pub struct UpstreamRow {
+    /// Newest entry.
+    pub entry: UpstreamEntry,
+    /// When the newest entry was read.
+    pub read_at: Timestamp,
+    cold_until: Timestamp,
+    removed_at: Option<Timestamp>,
+    failures: u32,
+    failure_share: f64,
+    avoid_until: Timestamp,
+}
+
+impl UpstreamRow {
+    fn new(now: Timestamp, entry: UpstreamEntry) -> Self {
+        Self {
+            cold_until: now.after(entry.cold_for),
+            entry,
+            read_at: now,
+            removed_at: None,
+            failures: 0,
+            failure_share: 0.0,
+            avoid_until: Timestamp::ZERO,
+        }
+    }
+
+    /// Whether it is cold.
+    pub fn is_cold(&self, now: Timestamp) -> bool {
+        now < self.cold_until
+    }
+
+    /// Whether it failed lately.
+    pub fn is_avoided(&self, now: Timestamp) -> bool {
+        now < self.avoid_until
+    }
+
+    /// Share of its newest requests that failed.
+    pub fn failure_share(&self) -> f64 {
+        self.failure_share
+    }
+}
+
+/// All upstreams.
+#[derive(Clone, Debug, Default)]
+pub struct UpstreamTable {
+    rows: BTreeMap<UpstreamId, UpstreamRow>,
+    closed: BTreeSet<DomainId>,
+    store_back_at: Option<Timestamp>,
+}
+
+impl UpstreamTable {
+    /// Notes that the store answers again after an outage.
+    pub fn store_returned(&mut self, now: Timestamp) {
+        self.store_back_at = Some(now);
+    }
+
+    /// Applies one change.
+    pub fn apply(&mut self, now: Timestamp, change: UpstreamChange) {
+        match change {
+            UpstreamChange::Set(entry) => self.set(now, entry),
+            UpstreamChange::Removed(id) => self.remove(now, &id),
+        }
+    }
+
+    /// Replaces the whole list.
+    pub fn replace(&mut self, now: Timestamp, entries: Vec<UpstreamEntry>) {
+        let ids: BTreeSet<_> =
+            entries.iter().map(|entry| entry.id.clone()).collect();
+        for entry in entries {
+            self.set(now, entry);
+        }
+        let missing = self.rows.keys().filter(|id| !ids.contains(*id));
+        let missing: Vec<_> = missing.cloned().collect();
+        for id in missing {
+            self.remove(now, &id);
+        }
+    }
+
+    fn set(&mut self, now: Timestamp, entry: UpstreamEntry) {
+        match self.rows.get_mut(&entry.id) {
+            Some(row) if row.entry.incarnation == entry.incarnation => {
+                row.cold_until = now.after(entry.cold_for);
+                row.entry = entry;
+                row.read_at = now;
+                row.removed_at = None;
+            }
+            _ => {
+                let id = entry.id.clone();
+                self.rows.insert(id, UpstreamRow::new(now, entry));
+            }
+        }
+    }
+
+    fn remove(&mut self, now: Timestamp, id: &UpstreamId) {
+        let back = self.store_back_at;
+        let graced = back.is_some_and(|at| now.since(at) < RETURN_GRACE);
+        if !graced {
+            self.rows.remove(id);
+        } else if let Some(row) = self.rows.get_mut(id) {
+            row.removed_at.get_or_insert(now);
+        }
+    }
+
+    /// Drops entries that did not come back in time.
+    pub fn expire(&mut self, now: Timestamp) {
+        self.rows.retain(|_, row| {
+            row.removed_at.is_none_or(|at| now.since(at) < RETURN_GRACE)
+        });
+    }
+
+    /// Closes or reopens a failure domain; true if that changes anything.
+    pub fn set_closed(&mut self, domain: DomainId, closed: bool) -> bool {
+        if closed {
+            self.closed.insert(domain)
+        } else {
+            self.closed.remove(&domain)
+        }
+    }
+
+    /// Closed failure domains.
+    pub fn closed(&self) -> &BTreeSet<DomainId> {
+        &self.closed
+    }
+
+    /// One upstream.
+    pub fn get(&self, id: &UpstreamId) -> Option<&UpstreamRow> {
+        self.rows.get(id)
+    }
+
+    /// All upstreams.
+    pub fn rows(&self) -> impl Iterator<Item = &UpstreamRow> {
+        self.rows.values()
+    }
+
+    /// Upstreams of a service that may receive a request. Those that failed
+    /// lately are left out while others remain.
+    pub fn candidates(
+        &self,
+        now: Timestamp,
+        service: &ServiceName,
+        excluded: &[UpstreamId],
+    ) -> Vec<&UpstreamRow> {
+        let open: Vec<_> = self
+            .rows
+            .values()
+            .filter(|row| {
+                row.entry.service == *service
+                    && row.entry.state == UpstreamState::Ready
+                    && !self.closed.contains(&row.entry.domain)
+                    && !excluded.contains(&row.entry.id)
+            })
+            .collect();
+        let sum: f64 = open.iter().map(|row| row.failure_share).sum();
+        let limit = sum / open.len().max(1) as f64 + FAILURE_EXCESS;
+        let sound: Vec<_> = open
+            .iter()
+            .copied()
+            .filter(|row| !row.is_avoided(now) && row.failure_share <= limit)
+            .collect();
+        if sound.is_empty() { open } else { sound }
+    }
+
+    /// Notes that an upstream has served a request.
+    pub fn served(&mut self, id: &UpstreamId) {
+        if let Some(row) = self.rows.get_mut(id) {
+            row.failures = 0;
+            row.failure_share *= 1.0 - FAILURE_WEIGHT;
+            row.avoid_until = Timestamp::ZERO;
+        }
+    }
+
+    /// Notes that an upstream has failed a request; returns for how long it
+    /// is avoided.
+    pub fn failed(&mut self, now: Timestamp, id: &UpstreamId) -> Duration {
+        let Some(row) = self.rows.get_mut(id) else {
+            return Duration::ZERO;
+        };
+        let doubled = AVOID_FIRST.saturating_mul(1 << row.failures.min(8));
+        let wait = doubled.min(AVOID_MAX);
+        row.failures += 1;
+        row.failure_share += FAILURE_WEIGHT * (1.0 - row.failure_share);
+        row.avoid_until = now.after(wait);
+        wait
+    }
+
+    /// Notes that an upstream answered with an error of its own, which says
+    /// little of the next request.
+    pub fn erred(&mut self, id: &UpstreamId) {
+        if let Some(row) = self.rows.get_mut(id) {
+            row.failure_share += FAILURE_WEIGHT * (1.0 - row.failure_share);
+        }
+    }
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod explain;
 pub mod fleet;
 pub mod freshness;
+pub mod gateway;
 pub mod ids;
 pub mod ledger;
 pub mod limits;
--- a/lib/src/log_event.rs
+++ b/lib/src/log_event.rs
@@ -95,4 +95,36 @@
     CallReleased = 500, "call_released", Info;
     /// The outcome of a call could not be recorded.
     OutcomeUnrecorded = 501, "outcome_unrecorded", Error;
+    /// A request was sent to an upstream.
+    RequestPlaced = 600, "request_placed", Info;
+    /// A request has ended.
+    RequestFinished = 601, "request_finished", Info;
+    /// A send to an upstream ended without an answer.
+    SendFailed = 602, "send_failed", Warn;
+    /// A request was refused without being sent.
+    RequestRejected = 603, "request_rejected", Info;
+    /// A caller left before its answer was complete.
+    CallerLeft = 604, "caller_left", Info;
+    /// An order about an engine's memory was refused or not answered.
+    MemoryOrderFailed = 605, "memory_order_failed", Warn;
+    /// A caller's connection failed.
+    CallerConnectionFailed = 606, "caller_connection_failed", Debug;
+    /// An upstream was listed, has changed or is gone.
+    UpstreamChanged = 610, "upstream_changed", Info;
+    /// An upstream that failed is avoided for a time.
+    UpstreamAvoided = 611, "upstream_avoided", Warn;
+    /// A failure domain was closed or reopened.
+    DomainChanged = 612, "domain_changed", Info;
+    /// The platform's store does not answer.
+    StoreLost = 620, "store_lost", Warn;
+    /// The platform's store answers again.
+    StoreRegained = 621, "store_regained", Info;
+    /// A topic is read anew, since records are gone or were missed.
+    TopicReread = 622, "topic_reread", Info;
+    /// The settings file has changed.
+    SettingsReloaded = 630, "settings_reloaded", Info;
+    /// The changed settings file is wrong; the last settings stay.
+    SettingsRejected = 631, "settings_rejected", Error;
+    /// Log lines were left out, since there were too many.
+    LogLinesDropped = 632, "log_lines_dropped", Warn;
 }
