upstreams: leave out removed entries while their return is awaited

Change: removed entries are used in the grace only if most of the service is missing, and the grace ends 1.9 s after the store's return; a stop takes requests for 2.9 s.

--- a/cli/src/gateway.rs
+++ b/cli/src/gateway.rs
@@ -38,10 +38,10 @@
 use self::metrics::GatewayMetrics;
 use crate::{http_client::HttpClient, log_decision};
 
-/// Time in which callers may still come after a planned stop has begun: the
-/// longest time that they keep an answer of the directory is five seconds,
-/// and most keep it for [`ADDRESS_KEEP`].
-const STOP_ACCEPTING_AFTER: Duration = Duration::from_millis(4_500);
+/// Time in which callers may still come after a planned stop has begun. Most
+/// callers have asked the directory again by then ([`ADDRESS_KEEP`]); what
+/// comes later might not end within the grace.
+const STOP_ACCEPTING_AFTER: Duration = Duration::from_millis(2_900);
 /// Part of the grace that is left for the end of the process.
 const EXIT_RESERVE: Duration = Duration::from_millis(500);
 /// Time that callers keep an answer of the directory.
--- a/cli/src/gateway/stream.rs
+++ b/cli/src/gateway/stream.rs
@@ -10,6 +10,7 @@
         attempt::SendOutcome, stream_cursor::StreamCursor, wire::GatewayWire,
     },
     refusal::{Refusal, RefusalCode},
+    units::Timestamp,
 };
 use bytes::Bytes;
 use http::{Response, header, response::Parts as ResponseParts};
@@ -205,6 +206,9 @@
     let response = respond(&attempt, &reply.head, receiver);
     reply.flight.first_event();
     let run = StreamRun {
+        last_event: attempt.context.now(),
+        longest_gap: Duration::ZERO,
+        first_event: time,
         attempt,
         cursor,
         sender,
@@ -232,6 +236,9 @@
     attempt: CallerAttempt<W>,
     cursor: StreamCursor,
     sender: mpsc::Sender<io::Result<Bytes>>,
+    first_event: Duration,
+    last_event: Timestamp,
+    longest_gap: Duration,
 }
 
 impl<W: GatewayWire> StreamRun<W> {
@@ -265,7 +272,10 @@
                 Some(&self.sender),
             );
             match step.await {
-                StreamStep::Events(next) => events = next,
+                StreamStep::Events(next) => {
+                    self.note_gap();
+                    events = next;
+                }
                 StreamStep::Complete => complete = true,
                 StreamStep::CallerLeft => return,
                 StreamStep::Overdue => {
@@ -282,11 +292,23 @@
         }
     }
 
+    fn note_gap(&mut self) {
+        let now = self.attempt.context.now();
+        let gap = now.since(self.last_event);
+        self.longest_gap = self.longest_gap.max(gap);
+        self.last_event = now;
+    }
+
     fn finish(&mut self, reply: &LiveReply<W>) {
         let context = self.attempt.context.clone();
         context.core().upstream_served(&reply.upstream);
-        let text =
-            format!("{} events, {}", self.cursor.events(), reply.upstream);
+        let text = format!(
+            "{} events of {}, first after {} ms, longest pause {} ms",
+            self.cursor.events(),
+            reply.upstream,
+            self.first_event.as_millis(),
+            self.longest_gap.as_millis(),
+        );
         self.attempt.end(RequestEnd::Answered, &text);
     }
 
--- a/lib/src/gateway/upstream_table.rs
+++ b/lib/src/gateway/upstream_table.rs
@@ -1,8 +1,9 @@
 //! The upstreams that the platform lists, and what was seen of them.
 //!
-//! The list is followed record by record. After an outage of the store an
-//! entry that is missing may still come back, so that its removal waits for
-//! [`RETURN_GRACE`]. An upstream that fails requests is avoided for a while
+//! The list is followed record by record. Entries that lapsed in an outage of
+//! the store come back within [`RETURN_GRACE`] of its return. Until then a
+//! removed entry is kept, but used only if most of its service is missing: a
+//! few missing entries are upstreams that leave. An upstream that fails requests is avoided for a while
 //! where others can take its place; it is never given up while the list has
 //! it.
 
@@ -18,7 +19,7 @@
 };
 
 /// Time in which entries that lapsed in an outage of the store come back.
-pub const RETURN_GRACE: Duration = Duration::from_millis(2_500);
+pub const RETURN_GRACE: Duration = Duration::from_millis(1_900);
 /// First time for which an upstream that failed is avoided.
 const AVOID_FIRST: Duration = Duration::from_millis(500);
 /// Longest time for which an upstream that failed is avoided.
@@ -75,7 +76,7 @@
     /// When the newest entry was read.
     pub read_at: Timestamp,
     cold_until: Timestamp,
-    removed_at: Option<Timestamp>,
+    absent: bool,
     failures: u32,
     failure_share: f64,
     avoid_until: Timestamp,
@@ -87,7 +88,7 @@
             cold_until: now.after(entry.cold_for),
             entry,
             read_at: now,
-            removed_at: None,
+            absent: false,
             failures: 0,
             failure_share: 0.0,
             avoid_until: Timestamp::ZERO,
@@ -152,7 +153,7 @@
                 row.cold_until = now.after(entry.cold_for);
                 row.entry = entry;
                 row.read_at = now;
-                row.removed_at = None;
+                row.absent = false;
             }
             _ => {
                 let id = entry.id.clone();
@@ -162,20 +163,23 @@
     }
 
     fn remove(&mut self, now: Timestamp, id: &UpstreamId) {
-        let back = self.store_back_at;
-        let graced = back.is_some_and(|at| now.since(at) < RETURN_GRACE);
-        if !graced {
+        if !self.in_grace(now) {
             self.rows.remove(id);
         } else if let Some(row) = self.rows.get_mut(id) {
-            row.removed_at.get_or_insert(now);
+            row.absent = true;
         }
     }
 
+    fn in_grace(&self, now: Timestamp) -> bool {
+        self.store_back_at
+            .is_some_and(|at| now.since(at) < RETURN_GRACE)
+    }
+
     /// Drops entries that did not come back in time.
     pub fn expire(&mut self, now: Timestamp) {
-        self.rows.retain(|_, row| {
-            row.removed_at.is_none_or(|at| now.since(at) < RETURN_GRACE)
-        });
+        if !self.in_grace(now) {
+            self.rows.retain(|_, row| !row.absent);
+        }
     }
 
     /// Closes or reopens a failure domain; true if that changes anything.
@@ -220,6 +224,12 @@
                     && !excluded.contains(&row.entry.id)
             })
             .collect();
+        let absent = open.iter().filter(|row| row.absent).count();
+        let open: Vec<_> = if absent * 2 > open.len() {
+            open
+        } else {
+            open.into_iter().filter(|row| !row.absent).collect()
+        };
         let sum: f64 = open.iter().map(|row| row.failure_share).sum();
         let limit = sum / open.len().max(1) as f64 + FAILURE_EXCESS;
         let sound: Vec<_> = open
