placement: keep the writers of long prompts together

Change: long prompts only go where no short request runs, a third of these engines write the answers, reading that is late still counts, long placements are told to the other instances at once, and the wait for a first event grows with what the load suggests.

--- a/cli/src/gateway.rs
+++ b/cli/src/gateway.rs
@@ -32,7 +32,10 @@
     log_event::LogEvent,
     units::{Incarnation, Timestamp},
 };
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::{
+    signal::unix::{SignalKind, signal},
+    sync::Notify,
+};
 use tokio_util::sync::CancellationToken;
 
 use self::metrics::GatewayMetrics;
@@ -65,6 +68,7 @@
     leaving: AtomicBool,
     connections: AtomicU64,
     requests: AtomicU64,
+    news: Notify,
 }
 
 /// Shared context.
@@ -89,6 +93,7 @@
             leaving: AtomicBool::new(false),
             connections: AtomicU64::new(0),
             requests: AtomicU64::new(0),
+            news: Notify::new(),
         }
     }
 
--- a/cli/src/gateway/beats.rs
+++ b/cli/src/gateway/beats.rs
@@ -16,6 +16,8 @@
 
 /// Largest beat.
 const BEAT_MAX_BYTES: usize = 60 << 10;
+/// Time that the news of a long prompt wait for more.
+const NEWS_PAUSE: Duration = Duration::from_millis(5);
 /// Pause after a failed receive.
 const RECEIVE_PAUSE: Duration = Duration::from_millis(50);
 
@@ -53,7 +55,13 @@
                 logging::event(LogEvent::PeerUnreachable, &text);
             }
         }
-        tokio::time::sleep(pause).await;
+        tokio::select! {
+            () = tokio::time::sleep(pause) => {}
+            () = context.news.notified() => {
+                // Requests that come together share a beat.
+                tokio::time::sleep(NEWS_PAUSE).await;
+            }
+        }
     }
 }
 
--- a/cli/src/gateway/forward.rs
+++ b/cli/src/gateway/forward.rs
@@ -252,7 +252,7 @@
     pub(super) async fn send(
         &mut self,
         resume_after: Option<u64>,
-        wait: Duration,
+        wait: impl Fn(Duration) -> Duration,
     ) -> Result<LiveReply<W>, SendEnd> {
         let now = self.context.now();
         let placed = self.context.core().place(
@@ -264,6 +264,9 @@
         let started = placed.map_err(SendEnd::Refused)?;
         let mut flight = FlightGuard::new(self.context.clone(), started.flight);
         self.log_placed(&started);
+        if started.is_news {
+            self.context.news.notify_one();
+        }
         let hold =
             MemoryHold::reserve(&self.context, &started, self.time_left())
                 .await;
@@ -291,7 +294,7 @@
         let target = CallTarget {
             step: "forward",
             peer: started.entry.address,
-            timeout: wait.min(self.time_left()),
+            timeout: wait(started.expected).min(self.time_left()),
         };
         let request = self.upstream_request(&order, &started);
         let sent = self.context.upstreams.send(target, request).await;
@@ -425,7 +428,7 @@
     async fn answer_whole(mut self) -> Response<AnswerBody> {
         loop {
             let wait = self.whole_wait();
-            let reply = match self.send(None, wait).await {
+            let reply = match self.send(None, |_| wait).await {
                 Ok(reply) => reply,
                 Err(SendEnd::Refused(refusal)) => {
                     return self.refuse(refusal);
--- a/cli/src/gateway/stream.rs
+++ b/cli/src/gateway/stream.rs
@@ -57,7 +57,7 @@
         let wait = first_wait(&attempt);
         let begun = attempt.context.now();
         let resume = cursor.last_id();
-        let reply = match attempt.send(resume, wait).await {
+        let reply = match attempt.send(resume, &wait).await {
             Ok(reply) => reply,
             Err(SendEnd::Refused(refusal)) => return attempt.refuse(refusal),
             Err(SendEnd::Ended(before, outcome)) => {
@@ -93,8 +93,7 @@
         }
         let mut reply = reply;
         let used = attempt.context.now().since(begun);
-        let expected = reply.expected * 2;
-        let limit = wait.saturating_sub(used).max(expected);
+        let limit = wait(reply.expected).saturating_sub(used);
         let step = next_step(&attempt, &mut cursor, &mut reply, limit, None);
         let text = match step.await {
             StreamStep::Events(events) => {
@@ -121,14 +120,20 @@
     }
 }
 
-/// Time for the first event.
-fn first_wait<W: GatewayWire>(attempt: &CallerAttempt<W>) -> Duration {
+/// Time for the first event, by the time that the load suggests.
+fn first_wait<W: GatewayWire>(
+    attempt: &CallerAttempt<W>,
+) -> impl Fn(Duration) -> Duration + use<W> {
     let left = attempt.time_left();
-    if attempt.record.can_resend() {
-        let target = attempt.admitted.route.target;
-        left.min(target.mul_f64(FIRST_EVENT_TARGETS).max(STUCK_MIN))
-    } else {
-        left
+    let resend = attempt.record.can_resend();
+    let target = attempt.admitted.route.target;
+    move |expected| {
+        let wait = (target + expected).mul_f64(FIRST_EVENT_TARGETS);
+        if resend {
+            left.min(wait.max(STUCK_MIN))
+        } else {
+            left
+        }
     }
 }
 
@@ -341,7 +346,7 @@
             let resume = self.cursor.last_id();
             let sent = tokio::select! {
                 () = self.sender.closed() => return None,
-                sent = self.attempt.send(resume, wait) => sent,
+                sent = self.attempt.send(resume, |_| wait) => sent,
             };
             match sent {
                 Ok(reply)
--- a/lib/src/gateway/gateway_core.rs
+++ b/lib/src/gateway/gateway_core.rs
@@ -71,6 +71,8 @@
     pub flight: FlightId,
     /// Time to the first event that the load suggests.
     pub expected: Duration,
+    /// Whether other instances should hear of it at once.
+    pub is_news: bool,
     /// Age of the list entry that the choice rests on.
     pub entry_age: Duration,
 }
@@ -317,12 +319,14 @@
             .map(|part| (row(&part.upstream).entry.clone(), part.reserve))
             .collect();
         self.rates.entry(entry.id.clone()).or_default().count(now);
+        let is_news = placed.flight.long;
         let flight = self.board.start(placed.flight);
         StartedRequest {
             entry,
             helpers,
             flight,
             expected: placed.expected,
+            is_news,
             entry_age,
         }
     }
--- a/lib/src/gateway/load_board.rs
+++ b/lib/src/gateway/load_board.rs
@@ -18,6 +18,8 @@
     FlightId, ""
 }
 
+/// Share of a part's reading that counts until the first event has come.
+const LATE_SHARE: f64 = 0.2;
 /// Age at which a report of another instance no longer counts.
 pub const REPORT_MAX_AGE: Duration = Duration::from_secs(3);
 
@@ -62,6 +64,8 @@
     pub upstream: UpstreamId,
     /// Time to read its part of the prompt.
     pub read: Duration,
+    /// When it is expected to have read its part.
+    pub read_by: Timestamp,
     /// Memory that it holds for the request.
     pub tokens: TokenCount,
 }
@@ -73,9 +77,7 @@
     pub long: bool,
     /// Parts; the first is the upstream that answers.
     pub parts: Vec<FlightPart>,
-    /// When all parts are expected to be read.
-    pub read_by: Timestamp,
-    /// Whether the first event has come.
+    /// Whether its first event has not come yet.
     pub reading: bool,
 }
 
@@ -171,8 +173,14 @@
     part: &FlightPart,
     answers: bool,
 ) -> UpstreamLoad {
-    let left = entry.read_by.since(now).min(part.read);
-    let reading = if entry.reading { left } else { Duration::ZERO };
+    let left = part.read_by.since(now).min(part.read);
+    // Before the first event, some part is late if none seems left.
+    let least = part.read.mul_f64(LATE_SHARE);
+    let reading = if entry.reading {
+        left.max(least)
+    } else {
+        Duration::ZERO
+    };
     UpstreamLoad {
         short: u32::from(answers && !entry.long),
         long: u32::from(answers && entry.long),
--- a/lib/src/gateway/placement.rs
+++ b/lib/src/gateway/placement.rs
@@ -8,7 +8,7 @@
 //! short requests, without messages. The load pattern that this answers is a
 //! flood of short prompts that follows a flood of long ones, and the reverse.
 
-use std::{cmp::Reverse, collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, time::Duration};
 
 use rand::Rng;
 use xxhash_rust::xxh3::xxh3_64;
@@ -36,6 +36,8 @@
 const LONG_RESERVE: usize = 2;
 /// Reading time of one part of a long prompt.
 const PART_READ: Duration = Duration::from_millis(250);
+/// One of so many engines for long prompts writes their answers.
+const WRITER_SHARE: usize = 3;
 /// Most helpers of one request.
 const HELPERS_MAX: usize = 16;
 /// Context that a short request is taken to have.
@@ -174,25 +176,30 @@
         Some(placed)
     }
 
-    fn place_long(
-        &self,
-        engine: &EngineModel,
-        work: PromptWork,
-    ) -> Option<PlacedRequest> {
+    /// Engines for a long prompt, those to use first at the front: without
+    /// short requests, and beyond those that short requests fill.
+    fn long_pool(&self) -> Vec<&UpstreamRow> {
         let rows = self.ordered();
         let front = self.short_engines();
-        // Engines without short requests, then the others from the far end.
-        let mut pool: Vec<_> = rows
+        let apart: Vec<_> = rows
             .iter()
             .enumerate()
-            .map(|(rank, row)| {
-                let load = self.load(row);
-                let shared = rank < front && load.short > 0;
-                ((shared, load.reading_ms, Reverse(rank)), *row)
-            })
+            .filter(|(rank, row)| *rank >= front && self.load(row).short == 0)
+            .map(|(_, row)| *row)
             .collect();
-        pool.sort_by_key(|(key, _)| *key);
-        let apart = pool.iter().filter(|(key, _)| !key.0).count();
+        if !apart.is_empty() {
+            return apart;
+        }
+        let behind = rows.len().saturating_sub(front).max(1);
+        rows.into_iter().rev().take(behind).rev().collect()
+    }
+
+    fn place_long(
+        &self,
+        engine: &EngineModel,
+        work: PromptWork,
+    ) -> Option<PlacedRequest> {
+        let pool = self.long_pool();
         let read = engine.read_time(work.prompt);
         let parts = read.as_secs_f64() / PART_READ.as_secs_f64();
         let wanted = (parts.ceil() as usize).clamp(1, HELPERS_MAX + 1);
@@ -201,17 +208,33 @@
             let used = TokenCount::new(self.load(row).tokens);
             capacity.saturating_sub(used)
         };
-        let mut count = wanted.min(apart.max(1));
+        let need = work.prompt.saturating_add(work.output);
+        // Writers are kept together, so that most engines only read: a pass
+        // with a writer costs the time of a whole stride.
+        let writers = pool.len().div_ceil(WRITER_SHARE).max(1);
+        let first = pool
+            .iter()
+            .take(writers)
+            .filter(|row| room(row) >= need)
+            .min_by_key(|row| self.load(row).reading_ms)
+            .or_else(|| pool.iter().max_by_key(|row| room(row)))?;
+        let mut readers: Vec<_> = pool
+            .iter()
+            .enumerate()
+            .filter(|(_, row)| row.entry.id != first.entry.id)
+            .map(|(rank, row)| {
+                let load = self.load(row);
+                ((load.reading_ms, rank < writers, rank), *row)
+            })
+            .collect();
+        readers.sort_by_key(|(key, _)| *key);
+        let most = readers.len().min(HELPERS_MAX);
+        let mut count = (wanted - 1).min(most);
         loop {
-            let chosen: Vec<_> =
-                pool.iter().take(count).map(|(_, row)| *row).collect();
-            let first = *chosen
+            let helpers: Vec<_> = readers
                 .iter()
-                .max_by_key(|row| (room(row), Reverse(self.load(row).long)))?;
-            let helpers: Vec<_> = chosen
-                .iter()
-                .filter(|row| row.entry.id != first.entry.id)
-                .map(|row| EngineRoom {
+                .take(count)
+                .map(|(_, row)| EngineRoom {
                     upstream: row.entry.id.clone(),
                     free: room(row),
                 })
@@ -226,7 +249,7 @@
                     self.joint(engine, work, first, &helpers, &reserve),
                 );
             }
-            if count >= pool.len().min(HELPERS_MAX + 1) {
+            if count >= most {
                 return None;
             }
             count += 1;
@@ -242,40 +265,41 @@
         reserve: &BTreeMap<UpstreamId, TokenCount>,
     ) -> PlacedRequest {
         let count = helpers.len() as u32 + 1;
-        let part = engine.read_time(work.prompt) / count;
+        let read = engine.read_time(work.prompt) / count;
         let held: TokenCount = reserve.values().copied().sum();
         let need = work.prompt.saturating_add(work.output);
-        let mut longest = self.load(first).reading();
-        let mut parts = vec![FlightPart {
-            upstream: first.entry.id.clone(),
-            read: part,
-            tokens: need.saturating_sub(held),
-        }];
+        let mut longest = Duration::ZERO;
+        let mut part = |upstream: &UpstreamId, tokens| {
+            let load = self.loads.get(upstream).copied().unwrap_or_default();
+            let done = load.reading() + read;
+            longest = longest.max(done);
+            FlightPart {
+                upstream: upstream.clone(),
+                read,
+                read_by: self.now.after(done),
+                tokens,
+            }
+        };
+        let own = need.saturating_sub(held);
+        let mut parts = vec![part(&first.entry.id, own)];
         let mut named = Vec::new();
         for room in helpers {
-            let load = self.loads.get(&room.upstream).copied();
-            longest = longest.max(load.unwrap_or_default().reading());
             let tokens =
                 reserve.get(&room.upstream).copied().unwrap_or_default();
-            parts.push(FlightPart {
-                upstream: room.upstream.clone(),
-                read: part,
-                tokens,
-            });
+            parts.push(part(&room.upstream, tokens));
             named.push(HelperPart {
                 upstream: room.upstream.clone(),
                 reserve: tokens,
             });
         }
         let writers = self.load(first).requests() + 1;
-        let expected = longest + part + engine.write_pass(writers, work.prompt);
+        let expected = longest + engine.write_pass(writers, work.prompt);
         PlacedRequest {
             upstream: first.entry.id.clone(),
             helpers: named,
             flight: FlightEntry {
                 long: true,
                 parts,
-                read_by: self.now.after(longest + part),
                 reading: true,
             },
             expected,
@@ -299,9 +323,9 @@
             parts: vec![FlightPart {
                 upstream: upstream.clone(),
                 read,
+                read_by: now.after(read_by),
                 tokens,
             }],
-            read_by: now.after(read_by),
             reading: part.is_some(),
         },
         expected: read_by,
