placement: hold long prompts back by their size and the engines' backlog

Cause: engines read parts for others before their own prompts, so that an engine that answered and helped got its own part done last (first events after 5 to 10 s); prompts sent while few engines were free stayed on these.

Change: engines that answer do not help; a gate starts a prompt the earlier the less it has to read, and refuses what callers would give up.

--- a/cli/src/gateway/forward.rs
+++ b/cli/src/gateway/forward.rs
@@ -5,7 +5,9 @@
 use borageline_lib::{
     gateway::{
         attempt::{AttemptRecord, NextStep, SendOutcome},
-        gateway_core::{AdmittedRequest, StartedRequest},
+        gateway_core::{
+            AdmittedRequest, NotPlaced, PlaceRequest, StartedRequest,
+        },
         routing_config::{AnswerForm, CallerIdentity, RepeatRule},
         wire::{CallerRequest, DispatchOrder, GatewayWire, ReplyKind},
     },
@@ -254,14 +256,7 @@
         resume_after: Option<u64>,
         wait: impl Fn(Duration) -> Duration,
     ) -> Result<LiveReply<W>, SendEnd> {
-        let now = self.context.now();
-        let placed = self.context.core().place(
-            now,
-            &self.admitted.service,
-            self.request.work,
-            &self.excluded,
-        );
-        let started = placed.map_err(SendEnd::Refused)?;
+        let started = self.place().await.map_err(SendEnd::Refused)?;
         let mut flight = FlightGuard::new(self.context.clone(), started.flight);
         self.log_placed(&started);
         if started.is_news {
@@ -336,6 +331,29 @@
         })
     }
 
+    /// Waits for a place.
+    async fn place(&self) -> Result<StartedRequest, Refusal> {
+        loop {
+            let request = PlaceRequest {
+                admitted: &self.admitted,
+                work: self.request.work,
+                excluded: &self.excluded,
+                waited: self.elapsed(),
+                time_left: self.time_left(),
+            };
+            let now = self.context.now();
+            let placed = self.context.core().place(now, &request);
+            match placed {
+                Ok(started) => return Ok(started),
+                Err(NotPlaced::Refused(refusal)) => return Err(refusal),
+                Err(NotPlaced::Hold(pause)) => {
+                    let spread = 0.75 + 0.5 * rand::random::<f64>();
+                    tokio::time::sleep(pause.mul_f64(spread)).await;
+                }
+            }
+        }
+    }
+
     fn upstream_request(
         &self,
         order: &DispatchOrder,
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -13,6 +13,7 @@
 //! [`wire`].
 
 pub mod attempt;
+pub mod backlog_gate;
 pub mod cost_model;
 pub mod dispatch_rate;
 pub mod gateway_core;
--- a/lib/src/gateway/gateway_core.rs
+++ b/lib/src/gateway/gateway_core.rs
@@ -14,6 +14,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::{
+    backlog_gate::{GateInputs, GateVerdict, judge},
     dispatch_rate::DispatchRate,
     gateway_settings::GatewaySettings,
     load_board::{FlightId, LoadBoard},
@@ -60,6 +61,30 @@
     }
 }
 
+/// A request that is to be sent.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PlaceRequest<'a> {
+    /// What was admitted.
+    pub admitted: &'a AdmittedRequest,
+    /// Size of the prompt, if it has one.
+    pub work: Option<PromptWork>,
+    /// Upstreams that failed it.
+    pub excluded: &'a [UpstreamId],
+    /// Time since its arrival.
+    pub waited: Duration,
+    /// Time until its deadline.
+    pub time_left: Duration,
+}
+
+/// Why a request is not sent.
+#[derive(Clone, Debug, PartialEq)]
+pub enum NotPlaced {
+    /// It should be tried again after a pause.
+    Hold(Duration),
+    /// It cannot be served.
+    Refused(Refusal),
+}
+
 /// A request with its place.
 #[derive(Clone, Debug, PartialEq)]
 pub struct StartedRequest {
@@ -249,11 +274,10 @@
     pub fn place(
         &mut self,
         now: Timestamp,
-        service: &ServiceName,
-        work: Option<PromptWork>,
-        excluded: &[UpstreamId],
-    ) -> Result<StartedRequest, Refusal> {
+        request: &PlaceRequest<'_>,
+    ) -> Result<StartedRequest, NotPlaced> {
         self.upstreams.expire(now);
+        let service = &request.admitted.service;
         let Some(spec) = self
             .config
             .as_ref()
@@ -261,7 +285,7 @@
             .cloned()
         else {
             let text = format!("service {service} is not configured");
-            return Err(self.unavailable(RefusalCode::NoUpstream, &text));
+            return Err(self.no_place(RefusalCode::NoUpstream, &text));
         };
         let sharers = self.members.sharers(now);
         let bounds = &self.settings.bounds;
@@ -269,7 +293,8 @@
             + bounds.cold_slack)
             * COLD_SHARE;
         let rates = &mut self.rates;
-        let mut rows = self.upstreams.candidates(now, service, excluded);
+        let mut rows =
+            self.upstreams.candidates(now, service, request.excluded);
         if spec.cold_rate > 0.0 {
             let any_warm = rows.iter().any(|row| !row.is_cold(now));
             rows.retain(|row| {
@@ -287,7 +312,7 @@
             rows,
             loads: &loads,
         };
-        let placed = match (&spec.engine, work) {
+        let placed = match (&spec.engine, request.work) {
             (Some(engine), Some(work)) => {
                 view.place_prompt(engine, work, &mut self.rng)
             }
@@ -295,11 +320,54 @@
         };
         let Some(placed) = placed else {
             let text = format!("no upstream of {service} can take the request");
-            return Err(self.unavailable(RefusalCode::NoCapacity, &text));
+            return Err(self.no_place(RefusalCode::NoCapacity, &text));
         };
+        if let (true, Some(engine), Some(work)) =
+            (placed.flight.long, &spec.engine, request.work)
+        {
+            let read = engine.read_time(work.prompt);
+            self.pass_gate(request, &placed, read)?;
+        }
         Ok(self.start(now, placed))
     }
 
+    /// Holds or refuses a long prompt that should not start now.
+    fn pass_gate(
+        &mut self,
+        request: &PlaceRequest<'_>,
+        placed: &PlacedRequest,
+        read: Duration,
+    ) -> Result<(), NotPlaced> {
+        let route = &request.admitted.route;
+        let inputs = GateInputs {
+            read,
+            backlog: placed.backlog,
+            expected: placed.expected,
+            waited: request.waited,
+            target: route.target,
+            patience: route.first_event_patience(),
+        };
+        match judge(&inputs) {
+            GateVerdict::Start => Ok(()),
+            GateVerdict::Hold(pause) if pause < request.time_left => {
+                Err(NotPlaced::Hold(pause))
+            }
+            GateVerdict::Hold(_) | GateVerdict::Refuse => {
+                let text = format!(
+                    "the first event would come after {:?}; the engines have \
+                     {:?} to read",
+                    request.waited + placed.expected,
+                    placed.backlog,
+                );
+                Err(self.no_place(RefusalCode::NoCapacity, &text))
+            }
+        }
+    }
+
+    fn no_place(&mut self, code: RefusalCode, text: &str) -> NotPlaced {
+        NotPlaced::Refused(self.unavailable(code, text))
+    }
+
     fn start(
         &mut self,
         now: Timestamp,
--- a/lib/src/gateway/placement.rs
+++ b/lib/src/gateway/placement.rs
@@ -28,7 +28,7 @@
 /// exceeds the shortest pause that callers of short requests accept.
 pub const LONG_READ: Duration = Duration::from_millis(180);
 /// Short requests that one engine carries before another one is used.
-const SHORT_PER_ENGINE: u32 = 8;
+const SHORT_PER_ENGINE: u32 = 12;
 /// Engines for short requests besides those that the count asks for, so that
 /// a burst within one report interval finds room.
 const SHORT_SPARE: usize = 1;
@@ -36,8 +36,10 @@
 const LONG_RESERVE: usize = 2;
 /// Reading time of one part of a long prompt.
 const PART_READ: Duration = Duration::from_millis(250);
-/// One of so many engines for long prompts writes their answers.
-const WRITER_SHARE: usize = 3;
+/// One of so many engines for long prompts writes their answers. Engines read
+/// parts for others before their own prompts, so that an engine that answers
+/// does not help.
+const WRITER_SHARE: usize = 5;
 /// Most helpers of one request.
 const HELPERS_MAX: usize = 16;
 /// Context that a short request is taken to have.
@@ -74,6 +76,8 @@
     pub flight: FlightEntry,
     /// Time to the first event that the load suggests.
     pub expected: Duration,
+    /// Mean reading that the engines for long prompts have before them.
+    pub backlog: Duration,
 }
 
 /// Loads and rows from which an upstream is chosen.
@@ -221,13 +225,19 @@
         let mut readers: Vec<_> = pool
             .iter()
             .enumerate()
+            .skip(writers)
             .filter(|(_, row)| row.entry.id != first.entry.id)
-            .map(|(rank, row)| {
-                let load = self.load(row);
-                ((load.reading_ms, rank < writers, rank), *row)
-            })
+            .map(|(rank, row)| ((self.load(row).reading_ms, rank), *row))
             .collect();
         readers.sort_by_key(|(key, _)| *key);
+        let backlog: Duration = readers
+            .iter()
+            .map(|(_, row)| self.load(row).reading())
+            .sum();
+        let backlog = match u32::try_from(readers.len()) {
+            Ok(0) | Err(_) => self.load(first).reading(),
+            Ok(count) => backlog / count,
+        };
         let most = readers.len().min(HELPERS_MAX);
         let mut count = (wanted - 1).min(most);
         loop {
@@ -245,9 +255,10 @@
                     .into_iter()
                     .map(|part| (part.upstream, part.tokens))
                     .collect();
-                return Some(
-                    self.joint(engine, work, first, &helpers, &reserve),
-                );
+                let mut placed =
+                    self.joint(engine, work, first, &helpers, &reserve);
+                placed.backlog = backlog;
+                return Some(placed);
             }
             if count >= most {
                 return None;
@@ -303,6 +314,7 @@
                 reading: true,
             },
             expected,
+            backlog: Duration::ZERO,
         }
     }
 }
@@ -329,5 +341,6 @@
             reading: part.is_some(),
         },
         expected: read_by,
+        backlog: Duration::ZERO,
     }
 }
--- a/lib/src/gateway/routing_config.rs
+++ b/lib/src/gateway/routing_config.rs
@@ -73,7 +73,20 @@
     pub anonymous: bool,
 }
 
+/// Shortest silence after which callers give a stream up.
+const PATIENCE_MIN: Duration = Duration::from_secs(2);
+/// Targets, and pauses, after which callers give a stream up.
+const PATIENCE_TARGETS: u32 = 4;
+const PATIENCE_GAPS: u32 = 8;
+
 impl RouteSpec {
+    /// Silence after which callers give a stream of this route up.
+    pub fn first_event_patience(&self) -> Duration {
+        let targets = self.target * PATIENCE_TARGETS;
+        let gaps = self.gap * PATIENCE_GAPS;
+        PATIENCE_MIN.max(targets).max(gaps).min(self.timeout)
+    }
+
     /// Picks a service by weight; `draw` is at least 0 and below 1.
     pub fn pick_service(&self, draw: f64) -> Option<&ServiceName> {
         let total: u32 = self.services.iter().map(|share| share.weight).sum();
