--- a/cli/src/gateway/forward.rs
+++ b/cli/src/gateway/forward.rs
@@ -28,7 +28,7 @@
 use super::{
     SharedGateway,
     front::AnswerBody,
-    memory::{FlightGuard, MemoryHold},
+    memory::{FlightGuard, HeldPrompt, MemoryHold},
     metrics::RequestEnd,
     stream,
 };
@@ -333,6 +333,7 @@
 
     /// Waits for a place.
     async fn place(&self) -> Result<StartedRequest, Refusal> {
+        let mut held = None;
         loop {
             let request = PlaceRequest {
                 admitted: &self.admitted,
@@ -346,7 +347,10 @@
             match placed {
                 Ok(started) => return Ok(started),
                 Err(NotPlaced::Refused(refusal)) => return Err(refusal),
-                Err(NotPlaced::Hold(pause)) => {
+                Err(NotPlaced::Hold { pause, read }) => {
+                    held.get_or_insert_with(|| {
+                        HeldPrompt::new(self.context.clone(), read)
+                    });
                     let spread = 0.75 + 0.5 * rand::random::<f64>();
                     tokio::time::sleep(pause.mul_f64(spread)).await;
                 }
--- a/cli/src/gateway/memory.rs
+++ b/cli/src/gateway/memory.rs
@@ -274,3 +274,24 @@
         self.context.core().finish(self.flight);
     }
 }
+
+/// A prompt that is held back, for as long as it is.
+#[derive(Debug)]
+pub(super) struct HeldPrompt<W: GatewayWire> {
+    context: SharedGateway<W>,
+    read: Duration,
+}
+
+impl<W: GatewayWire> HeldPrompt<W> {
+    pub(super) fn new(context: SharedGateway<W>, read: Duration) -> Self {
+        context.core().hold(read);
+        context.news.notify_one();
+        Self { context, read }
+    }
+}
+
+impl<W: GatewayWire> Drop for HeldPrompt<W> {
+    fn drop(&mut self) {
+        self.context.core().unhold(self.read);
+    }
+}
--- a/lib/src/gateway/gateway_core.rs
+++ b/lib/src/gateway/gateway_core.rs
@@ -80,7 +80,12 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum NotPlaced {
     /// It should be tried again after a pause.
-    Hold(Duration),
+    Hold {
+        /// Pause.
+        pause: Duration,
+        /// Time to read the prompt, on one engine.
+        read: Duration,
+    },
     /// It cannot be served.
     Refused(Refusal),
 }
@@ -311,6 +316,7 @@
             domain: &self.settings.failure_domain,
             rows,
             loads: &loads,
+            held: self.board.held(now),
         };
         let placed = match (&spec.engine, request.work) {
             (Some(engine), Some(work)) => {
@@ -350,7 +356,7 @@
         match judge(&inputs) {
             GateVerdict::Start => Ok(()),
             GateVerdict::Hold(pause) if pause < request.time_left => {
-                Err(NotPlaced::Hold(pause))
+                Err(NotPlaced::Hold { pause, read })
             }
             GateVerdict::Hold(_) | GateVerdict::Refuse => {
                 let text = format!(
@@ -387,7 +393,7 @@
             .map(|part| (row(&part.upstream).entry.clone(), part.reserve))
             .collect();
         self.rates.entry(entry.id.clone()).or_default().count(now);
-        let is_news = placed.flight.long;
+        let is_news = placed.flight.reading;
         let flight = self.board.start(placed.flight);
         StartedRequest {
             entry,
@@ -399,6 +405,16 @@
         }
     }
 
+    /// Notes a long prompt that is held back, by its reading time.
+    pub fn hold(&mut self, read: Duration) {
+        self.board.hold(read);
+    }
+
+    /// Notes that a long prompt is no longer held back.
+    pub fn unhold(&mut self, read: Duration) {
+        self.board.unhold(read);
+    }
+
     /// Notes the first event of an answer.
     pub fn first_event(&mut self, flight: FlightId) {
         self.board.first_event(flight);
@@ -468,6 +484,8 @@
             serving: self.is_ready(),
             heard: self.members.heard(now),
             loads: self.board.own(now),
+            held_ms: u64::try_from(self.board.own_held().as_millis())
+                .unwrap_or(u64::MAX),
         };
         let targets = self.members.targets(now, own);
         let targets = targets
@@ -487,7 +505,8 @@
             return None;
         }
         let change = self.members.hear(now, self.settings.ip, &beat);
-        self.board.report(now, beat.instance, beat.loads);
+        let held = Duration::from_millis(beat.held_ms);
+        self.board.report(now, beat.instance, beat.loads, held);
         change
     }
 
--- a/lib/src/gateway/load_board.rs
+++ b/lib/src/gateway/load_board.rs
@@ -31,6 +31,8 @@
         pub short: u32,
         /// Requests with long prompts.
         pub long: u32,
+        /// Requests with long prompts whose first event it has not made yet.
+        pub unread: u32,
         /// Reading that is not finished, in milliseconds.
         pub reading_ms: u32,
         /// Memory of the requests, in tokens.
@@ -52,6 +54,7 @@
     fn add(&mut self, other: &Self) {
         self.short += other.short;
         self.long += other.long;
+        self.unread += other.unread;
         self.reading_ms = self.reading_ms.saturating_add(other.reading_ms);
         self.tokens = self.tokens.saturating_add(other.tokens);
     }
@@ -85,6 +88,7 @@
 struct PeerLoads {
     at: Timestamp,
     loads: BTreeMap<UpstreamId, UpstreamLoad>,
+    held: Duration,
 }
 
 /// Load of all upstreams.
@@ -92,6 +96,7 @@
 pub struct LoadBoard {
     flights: BTreeMap<FlightId, FlightEntry>,
     peers: BTreeMap<InstanceId, PeerLoads>,
+    held: Duration,
     last: u64,
 }
 
@@ -139,8 +144,36 @@
         now: Timestamp,
         peer: InstanceId,
         loads: BTreeMap<UpstreamId, UpstreamLoad>,
+        held: Duration,
     ) {
-        self.peers.insert(peer, PeerLoads { at: now, loads });
+        let loads = PeerLoads {
+            at: now,
+            loads,
+            held,
+        };
+        self.peers.insert(peer, loads);
+    }
+
+    /// Notes a long prompt that is held back, by its reading time.
+    pub fn hold(&mut self, read: Duration) {
+        self.held += read;
+    }
+
+    /// Notes that a long prompt is no longer held back.
+    pub fn unhold(&mut self, read: Duration) {
+        self.held = self.held.saturating_sub(read);
+    }
+
+    /// Reading of the prompts that this instance holds back.
+    pub fn own_held(&self) -> Duration {
+        self.held
+    }
+
+    /// Reading of the prompts that all instances hold back.
+    pub fn held(&self, now: Timestamp) -> Duration {
+        let peers = self.peers.values();
+        let recent = peers.filter(|peer| now.since(peer.at) <= REPORT_MAX_AGE);
+        self.held + recent.map(|peer| peer.held).sum::<Duration>()
     }
 
     /// Forgets an instance that is gone.
@@ -184,6 +217,7 @@
     UpstreamLoad {
         short: u32::from(answers && !entry.long),
         long: u32::from(answers && entry.long),
+        unread: u32::from(answers && entry.long && entry.reading),
         reading_ms: u32::try_from(reading.as_millis()).unwrap_or(u32::MAX),
         tokens: part.tokens.get(),
     }
--- a/lib/src/gateway/member_table.rs
+++ b/lib/src/gateway/member_table.rs
@@ -52,6 +52,8 @@
         pub heard: Vec<IpAddr>,
         /// Load that its requests cause.
         pub loads: BTreeMap<UpstreamId, UpstreamLoad>,
+        /// Reading of the prompts that it holds back, in milliseconds.
+        pub held_ms: u64,
     }
 }
 
--- a/lib/src/gateway/placement.rs
+++ b/lib/src/gateway/placement.rs
@@ -29,6 +29,10 @@
 pub const LONG_READ: Duration = Duration::from_millis(180);
 /// Short requests that one engine carries before another one is used.
 const SHORT_PER_ENGINE: u32 = 12;
+/// Long prompts whose answers one engine writes well.
+const LONG_PER_ENGINE: u32 = 4;
+/// Longest pass that callers of short requests do not notice.
+const PAUSE_MAX: Duration = Duration::from_millis(220);
 /// Engines for short requests besides those that the count asks for, so that
 /// a burst within one report interval finds room.
 const SHORT_SPARE: usize = 1;
@@ -91,6 +95,8 @@
     pub rows: Vec<&'a UpstreamRow>,
     /// Load of the upstreams.
     pub loads: &'a BTreeMap<UpstreamId, UpstreamLoad>,
+    /// Reading of the long prompts that are held back.
+    pub held: Duration,
 }
 
 impl PlacementView<'_> {
@@ -137,12 +143,26 @@
         rows
     }
 
-    /// Engines at the front of the order that are for short requests.
+    /// Engines at the front of the order that are for short requests: all
+    /// that long prompts leave, and as many as short requests need.
     fn short_engines(&self) -> usize {
-        let short: u32 = self.rows.iter().map(|row| self.load(row).short).sum();
+        let loads: Vec<_> =
+            self.rows.iter().map(|row| self.load(row)).collect();
+        let short: u32 = loads.iter().map(|load| load.short).sum();
         let needed = (short + 1).div_ceil(SHORT_PER_ENGINE) as usize;
-        let most = self.rows.len().saturating_sub(LONG_RESERVE).max(1);
-        (needed + SHORT_SPARE).min(most)
+        let long: u32 = loads.iter().map(|load| load.long).sum();
+        let unread: Duration = loads
+            .iter()
+            .filter(|load| load.short == 0)
+            .map(UpstreamLoad::reading)
+            .sum();
+        let demand = (unread + self.held).as_secs_f64();
+        let reading = (demand / PART_READ.as_secs_f64()).ceil() as usize;
+        let writing = long.div_ceil(LONG_PER_ENGINE) as usize;
+        let count = self.rows.len();
+        let most = count.saturating_sub(LONG_RESERVE).max(1);
+        let spare = count.saturating_sub(reading + writing);
+        (needed + SHORT_SPARE).max(spare).min(most)
     }
 
     fn place_short(
@@ -160,6 +180,14 @@
             let pass = engine
                 .write_pass(load.requests() + 1, TokenCount::new(context));
             let mut wait = load.reading() + read + pass;
+            if load.requests() > 0 {
+                // A pass is under way.
+                wait += pass / 2;
+            }
+            if load.requests() > 0 && load.reading() + read + pass > PAUSE_MAX {
+                // The pass would delay all that write there.
+                wait += PAUSE_MAX;
+            }
             if load.requests() >= engine.slots {
                 // The request waits for a place.
                 wait += pass * (load.requests() + 1 - engine.slots);
@@ -180,8 +208,8 @@
         Some(placed)
     }
 
-    /// Engines for a long prompt, those to use first at the front: without
-    /// short requests, and beyond those that short requests fill.
+    /// Engines for long prompts: without short requests, and beyond those
+    /// that short requests fill. The last of them answer, whatever the number.
     fn long_pool(&self) -> Vec<&UpstreamRow> {
         let rows = self.ordered();
         let front = self.short_engines();
@@ -218,15 +246,18 @@
         let writers = pool.len().div_ceil(WRITER_SHARE).max(1);
         let first = pool
             .iter()
+            .rev()
             .take(writers)
             .filter(|row| room(row) >= need)
             .min_by_key(|row| self.load(row).reading_ms)
             .or_else(|| pool.iter().max_by_key(|row| room(row)))?;
         let mut readers: Vec<_> = pool
             .iter()
+            .take(pool.len() - writers)
             .enumerate()
-            .skip(writers)
-            .filter(|(_, row)| row.entry.id != first.entry.id)
+            .filter(|(_, row)| {
+                row.entry.id != first.entry.id && self.load(row).unread == 0
+            })
             .map(|(rank, row)| ((self.load(row).reading_ms, rank), *row))
             .collect();
         readers.sort_by_key(|(key, _)| *key);
