placement: engines for long prompts follow the reading that arrives

Cause: with engines divided by the backlog alone, single long prompts moved engines between uses, and each arrival in a flood found them taken by short requests again.

Change: instances tell each other the reading that arrived within four seconds; engines for long prompts follow it.

--- a/cli/src/gateway/forward.rs
+++ b/cli/src/gateway/forward.rs
@@ -338,6 +338,7 @@
             let request = PlaceRequest {
                 admitted: &self.admitted,
                 work: self.request.work,
+                is_new: self.sends == 0 && held.is_none(),
                 excluded: &self.excluded,
                 waited: self.elapsed(),
                 time_left: self.time_left(),
@@ -386,6 +387,9 @@
                 upstream = started.entry.id,
                 entry_age_ms = started.entry_age.as_millis(),
                 helpers = started.helpers.len(),
+                helper_ids = helper_ids(started),
+                backlog_ms = started.backlog.as_millis(),
+                prompt = self.request.work.map_or(0, |work| work.prompt.get()),
                 expected_ms = started.expected.as_millis(),
                 time_left_ms = self.time_left().as_millis(),
             },
@@ -589,6 +593,11 @@
     }
 }
 
+fn helper_ids(started: &StartedRequest) -> String {
+    let ids = started.helpers.iter().map(|(entry, _)| entry.id.as_str());
+    ids.collect::<Vec<_>>().join(" ")
+}
+
 /// Id under which memory is reserved for an attempt.
 pub(super) fn reservation_id(started: &StartedRequest, nonce: u64) -> Arc<str> {
     format!("{:x}-{nonce:x}", started.flight.get()).into()
--- a/lib/src/gateway/gateway_core.rs
+++ b/lib/src/gateway/gateway_core.rs
@@ -19,7 +19,7 @@
     gateway_settings::GatewaySettings,
     load_board::{FlightId, LoadBoard},
     member_table::{BEAT_VERSION, MemberBeat, MemberChange, MemberTable},
-    placement::{PlacedRequest, PlacementView, PromptWork},
+    placement::{LONG_READ, PlacedRequest, PlacementView, PromptWork},
     retry_window::RetryWindow,
     routing_config::{CallerIdentity, ConfigVersion, RouteSpec, RoutingConfig},
     upstream_table::{UpstreamChange, UpstreamEntry, UpstreamTable},
@@ -68,6 +68,8 @@
     pub admitted: &'a AdmittedRequest,
     /// Size of the prompt, if it has one.
     pub work: Option<PromptWork>,
+    /// Whether it asks for a place for the first time.
+    pub is_new: bool,
     /// Upstreams that failed it.
     pub excluded: &'a [UpstreamId],
     /// Time since its arrival.
@@ -101,6 +103,8 @@
     pub flight: FlightId,
     /// Time to the first event that the load suggests.
     pub expected: Duration,
+    /// Mean reading that the engines for long prompts had before them.
+    pub backlog: Duration,
     /// Whether other instances should hear of it at once.
     pub is_news: bool,
     /// Age of the list entry that the choice rests on.
@@ -310,13 +314,21 @@
                 (!cold || !any_warm) && rate.allows(now, cold_bound, sharers)
             });
         }
+        if let (true, Some(engine), Some(work)) =
+            (request.is_new, &spec.engine, request.work)
+        {
+            let read = engine.read_time(work.prompt);
+            if read > LONG_READ {
+                self.board.arrive(now, read);
+            }
+        }
         let loads = self.board.total(now);
         let view = PlacementView {
             now,
             domain: &self.settings.failure_domain,
             rows,
             loads: &loads,
-            held: self.board.held(now),
+            demand: self.board.demand(now),
         };
         let placed = match (&spec.engine, request.work) {
             (Some(engine), Some(work)) => {
@@ -400,6 +412,7 @@
             helpers,
             flight,
             expected: placed.expected,
+            backlog: placed.backlog,
             is_news,
             entry_age,
         }
@@ -484,8 +497,7 @@
             serving: self.is_ready(),
             heard: self.members.heard(now),
             loads: self.board.own(now),
-            held_ms: u64::try_from(self.board.own_held().as_millis())
-                .unwrap_or(u64::MAX),
+            demand: self.board.own_demand(now),
         };
         let targets = self.members.targets(now, own);
         let targets = targets
@@ -505,8 +517,8 @@
             return None;
         }
         let change = self.members.hear(now, self.settings.ip, &beat);
-        let held = Duration::from_millis(beat.held_ms);
-        self.board.report(now, beat.instance, beat.loads, held);
+        self.board
+            .report(now, beat.instance, beat.loads, beat.demand);
         change
     }
 
--- a/lib/src/gateway/load_board.rs
+++ b/lib/src/gateway/load_board.rs
@@ -4,7 +4,10 @@
 //! from their reports, a fraction of a second late. Together they are the
 //! load of the upstreams, since all work comes through the instances.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
 
 use crate::{
     ids::{InstanceId, UpstreamId},
@@ -18,6 +21,9 @@
     FlightId, ""
 }
 
+/// Time over which the demand for reading is averaged: a flood shows within a
+/// second, and single prompts do not move engines between uses.
+pub const DEMAND_WINDOW: Duration = Duration::from_millis(4_000);
 /// Share of a part's reading that counts until the first event has come.
 const LATE_SHARE: f64 = 0.2;
 /// Age at which a report of another instance no longer counts.
@@ -40,6 +46,24 @@
     }
 }
 
+value_type! {
+    /// Reading that long prompts ask for, in milliseconds on one engine.
+    #[derive(Copy, Default)]
+    pub struct LongDemand {
+        /// Of the prompts that are held back.
+        pub held_ms: u64,
+        /// Of the prompts that came within [`DEMAND_WINDOW`].
+        pub arrived_ms: u64,
+    }
+}
+
+impl LongDemand {
+    /// Engines that are busy with what arrives.
+    pub fn arriving_engines(&self) -> f64 {
+        self.arrived_ms as f64 / DEMAND_WINDOW.as_millis() as f64
+    }
+}
+
 impl UpstreamLoad {
     /// Requests in flight.
     pub fn requests(&self) -> u32 {
@@ -88,7 +112,7 @@
 struct PeerLoads {
     at: Timestamp,
     loads: BTreeMap<UpstreamId, UpstreamLoad>,
-    held: Duration,
+    demand: LongDemand,
 }
 
 /// Load of all upstreams.
@@ -97,6 +121,7 @@
     flights: BTreeMap<FlightId, FlightEntry>,
     peers: BTreeMap<InstanceId, PeerLoads>,
     held: Duration,
+    arrivals: VecDeque<(Timestamp, Duration)>,
     last: u64,
 }
 
@@ -144,16 +169,28 @@
         now: Timestamp,
         peer: InstanceId,
         loads: BTreeMap<UpstreamId, UpstreamLoad>,
-        held: Duration,
+        demand: LongDemand,
     ) {
         let loads = PeerLoads {
             at: now,
             loads,
-            held,
+            demand,
         };
         self.peers.insert(peer, loads);
     }
 
+    /// Notes the arrival of a long prompt, by its reading time.
+    pub fn arrive(&mut self, now: Timestamp, read: Duration) {
+        self.arrivals.push_back((now, read));
+        while self
+            .arrivals
+            .front()
+            .is_some_and(|(at, _)| now.since(*at) > DEMAND_WINDOW)
+        {
+            self.arrivals.pop_front();
+        }
+    }
+
     /// Notes a long prompt that is held back, by its reading time.
     pub fn hold(&mut self, read: Duration) {
         self.held += read;
@@ -164,16 +201,28 @@
         self.held = self.held.saturating_sub(read);
     }
 
-    /// Reading of the prompts that this instance holds back.
-    pub fn own_held(&self) -> Duration {
-        self.held
+    /// Reading that this instance's callers ask for.
+    pub fn own_demand(&self, now: Timestamp) -> LongDemand {
+        let recent = self
+            .arrivals
+            .iter()
+            .filter(|(at, _)| now.since(*at) <= DEMAND_WINDOW);
+        LongDemand {
+            held_ms: millis(self.held),
+            arrived_ms: millis(recent.map(|(_, read)| *read).sum()),
+        }
     }
 
-    /// Reading of the prompts that all instances hold back.
-    pub fn held(&self, now: Timestamp) -> Duration {
-        let peers = self.peers.values();
-        let recent = peers.filter(|peer| now.since(peer.at) <= REPORT_MAX_AGE);
-        self.held + recent.map(|peer| peer.held).sum::<Duration>()
+    /// Reading that the callers of all instances ask for.
+    pub fn demand(&self, now: Timestamp) -> LongDemand {
+        let mut demand = self.own_demand(now);
+        for peer in self.peers.values() {
+            if now.since(peer.at) <= REPORT_MAX_AGE {
+                demand.held_ms += peer.demand.held_ms;
+                demand.arrived_ms += peer.demand.arrived_ms;
+            }
+        }
+        demand
     }
 
     /// Forgets an instance that is gone.
@@ -222,3 +271,7 @@
         tokens: part.tokens.get(),
     }
 }
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/lib/src/gateway/member_table.rs
+++ b/lib/src/gateway/member_table.rs
@@ -15,7 +15,7 @@
     value_type,
 };
 
-use super::load_board::UpstreamLoad;
+use super::load_board::{LongDemand, UpstreamLoad};
 
 /// Silence after which a member is no longer named to callers.
 pub const SILENT_AFTER: Duration = Duration::from_millis(2_000);
@@ -52,8 +52,8 @@
         pub heard: Vec<IpAddr>,
         /// Load that its requests cause.
         pub loads: BTreeMap<UpstreamId, UpstreamLoad>,
-        /// Reading of the prompts that it holds back, in milliseconds.
-        pub held_ms: u64,
+        /// Reading that its callers ask for.
+        pub demand: LongDemand,
     }
 }
 
--- a/lib/src/gateway/placement.rs
+++ b/lib/src/gateway/placement.rs
@@ -15,7 +15,7 @@
 
 use super::{
     cost_model::EngineModel,
-    load_board::{FlightEntry, FlightPart, UpstreamLoad},
+    load_board::{FlightEntry, FlightPart, LongDemand, UpstreamLoad},
     memory_plan::{EngineRoom, divide, usable},
     upstream_table::UpstreamRow,
 };
@@ -31,6 +31,12 @@
 const SHORT_PER_ENGINE: u32 = 12;
 /// Long prompts whose answers one engine writes well.
 const LONG_PER_ENGINE: u32 = 4;
+/// Time in which the engines for long prompts should read what is before them.
+const BACKLOG_TIME: Duration = Duration::from_millis(800);
+/// Share of their time that engines for long prompts read.
+const LONG_USE: f64 = 0.75;
+/// Short requests with which an engine may still read long prompts.
+const SHORT_LEFT: u32 = 1;
 /// Longest pass that callers of short requests do not notice.
 const PAUSE_MAX: Duration = Duration::from_millis(220);
 /// Engines for short requests besides those that the count asks for, so that
@@ -95,8 +101,8 @@
     pub rows: Vec<&'a UpstreamRow>,
     /// Load of the upstreams.
     pub loads: &'a BTreeMap<UpstreamId, UpstreamLoad>,
-    /// Reading of the long prompts that are held back.
-    pub held: Duration,
+    /// Reading that long prompts ask for.
+    pub demand: LongDemand,
 }
 
 impl PlacementView<'_> {
@@ -151,13 +157,12 @@
         let short: u32 = loads.iter().map(|load| load.short).sum();
         let needed = (short + 1).div_ceil(SHORT_PER_ENGINE) as usize;
         let long: u32 = loads.iter().map(|load| load.long).sum();
-        let unread: Duration = loads
-            .iter()
-            .filter(|load| load.short == 0)
-            .map(UpstreamLoad::reading)
-            .sum();
-        let demand = (unread + self.held).as_secs_f64();
-        let reading = (demand / PART_READ.as_secs_f64()).ceil() as usize;
+        let unread: Duration = loads.iter().map(UpstreamLoad::reading).sum();
+        let held = Duration::from_millis(self.demand.held_ms);
+        let backlog =
+            (unread + held).as_secs_f64() / BACKLOG_TIME.as_secs_f64();
+        let arriving = self.demand.arriving_engines() / LONG_USE;
+        let reading = backlog.max(arriving).ceil() as usize;
         let writing = long.div_ceil(LONG_PER_ENGINE) as usize;
         let count = self.rows.len();
         let most = count.saturating_sub(LONG_RESERVE).max(1);
@@ -208,7 +213,7 @@
         Some(placed)
     }
 
-    /// Engines for long prompts: without short requests, and beyond those
+    /// Engines for long prompts: with few short requests, and beyond those
     /// that short requests fill. The last of them answer, whatever the number.
     fn long_pool(&self) -> Vec<&UpstreamRow> {
         let rows = self.ordered();
@@ -216,7 +221,9 @@
         let apart: Vec<_> = rows
             .iter()
             .enumerate()
-            .filter(|(rank, row)| *rank >= front && self.load(row).short == 0)
+            .filter(|(rank, row)| {
+                *rank >= front && self.load(row).short <= SHORT_LEFT
+            })
             .map(|(_, row)| *row)
             .collect();
         if !apart.is_empty() {
