--- a/lib/tests/gateway/world.rs
+++ b/lib/tests/gateway/world.rs
@@ -20,23 +20,23 @@
     units::{Incarnation, Timestamp, TokenCount},
 };
 
-pub fn id<T: std::str::FromStr>(text: &str) -> T
+pub(crate) fn id<T: std::str::FromStr>(text: &str) -> T
 where
     T::Err: std::fmt::Debug,
 {
     text.parse().expect("test ids are valid")
 }
 
-pub fn at(millis: u64) -> Timestamp {
+pub(crate) fn at(millis: u64) -> Timestamp {
     Timestamp::new(millis * 1_000)
 }
 
-pub fn ms(millis: u64) -> Duration {
+pub(crate) fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
 
 /// An engine of about the speed that the users' engines have.
-pub fn engine() -> EngineModel {
+pub(crate) fn engine() -> EngineModel {
     EngineModel {
         slots: 16,
         memory: TokenCount::new(315_000),
@@ -49,14 +49,14 @@
     }
 }
 
-pub fn work(prompt: u64) -> PromptWork {
+pub(crate) fn work(prompt: u64) -> PromptWork {
     PromptWork {
         prompt: TokenCount::new(prompt),
         output: TokenCount::new(1_700),
     }
 }
 
-pub fn entry(name: &str) -> UpstreamEntry {
+pub(crate) fn entry(name: &str) -> UpstreamEntry {
     UpstreamEntry {
         id: id(name),
         service: id("models"),
@@ -69,7 +69,7 @@
     }
 }
 
-pub fn route(repeat: RepeatRule, sends: u32) -> RouteSpec {
+pub(crate) fn route(repeat: RepeatRule, sends: u32) -> RouteSpec {
     RouteSpec {
         name: "route".into(),
         host: "host.example".into(),
@@ -89,7 +89,7 @@
     }
 }
 
-pub fn config(version: u64) -> RoutingConfig {
+pub(crate) fn config(version: u64) -> RoutingConfig {
     let workspace = WorkspaceSpec {
         name: id("workspace-a"),
         rank: None,
@@ -104,7 +104,7 @@
         .with_workspace(workspace, [Arc::from("key-a")])
 }
 
-pub const SETTINGS: &str = r#"{
+pub(crate) const SETTINGS: &str = r#"{
   // Settings of one instance.
   "instance": "entry-1",
   "failure_domain": "domain-a",
@@ -123,12 +123,12 @@
   }
 }"#;
 
-pub fn settings() -> GatewaySettings {
+pub(crate) fn settings() -> GatewaySettings {
     GatewaySettings::parse(SETTINGS).expect("test settings are valid")
 }
 
 /// A core that knows a desired state and `count` engines.
-pub fn core(count: usize) -> GatewayCore {
+pub(crate) fn core(count: usize) -> GatewayCore {
     let settings = Arc::new(settings());
     let mut core = GatewayCore::new(settings, Incarnation::new(1), 7);
     core.apply_config(config(1));
@@ -137,12 +137,15 @@
     core
 }
 
-pub fn admitted(core: &mut GatewayCore, now: Timestamp) -> AdmittedRequest {
+pub(crate) fn admitted(
+    core: &mut GatewayCore,
+    now: Timestamp,
+) -> AdmittedRequest {
     core.admit(now, "host.example", "/a/x", Some("key-a"))
         .expect("route and key are configured")
 }
 
-pub fn ask(admitted: &AdmittedRequest, prompt: u64) -> PlaceRequest<'_> {
+pub(crate) fn ask(admitted: &AdmittedRequest, prompt: u64) -> PlaceRequest<'_> {
     PlaceRequest {
         admitted,
         work: Some(work(prompt)),
@@ -154,7 +157,7 @@
     }
 }
 
-pub fn beat(name: &str, ip: [u8; 4]) -> MemberBeat {
+pub(crate) fn beat(name: &str, ip: [u8; 4]) -> MemberBeat {
     MemberBeat {
         version: BEAT_VERSION,
         instance: id(name),
--- a/testutils/src/client.rs
+++ b/testutils/src/client.rs
@@ -109,10 +109,13 @@
     let handshake = http1::handshake(TokioIo::new(stream)).await;
     let (mut sender, connection) = handshake.map_err(ClientError::Transport)?;
     tokio::spawn(connection);
-    let mut builder = Request::builder()
-        .method(method)
-        .uri(path)
-        .header(header::HOST, address.to_string());
+    let mut builder = Request::builder().method(method).uri(path);
+    if headers
+        .iter()
+        .all(|(name, _)| *name != header::HOST.as_str())
+    {
+        builder = builder.header(header::HOST, address.to_string());
+    }
     for (name, value) in headers {
         builder = builder.header(*name, *value);
     }
