--- a/lib/src/log_event.rs
+++ b/lib/src/log_event.rs
@@ -111,8 +111,6 @@
     CallerConnectionFailed = 606, "caller_connection_failed", Debug;
     /// An upstream was listed, has changed or is gone.
     UpstreamChanged = 610, "upstream_changed", Info;
-    /// An upstream that failed is avoided for a time.
-    UpstreamAvoided = 611, "upstream_avoided", Warn;
     /// A failure domain was closed or reopened.
     DomainChanged = 612, "domain_changed", Info;
     /// The platform's store does not answer.
