gateway: one accept loop, bounds from the settings, bounded bodies

Cause: a newcomer would find the accept loop twice, settings that nothing read, and bodies of requests that no bound held.

An unused setting is removed.

--- a/cli/src/gateway.rs
+++ b/cli/src/gateway.rs
@@ -7,6 +7,7 @@
 mod control;
 mod forward;
 mod front;
+mod listener;
 mod memory;
 mod metrics;
 mod reader;
@@ -68,6 +69,7 @@
     leaving: AtomicBool,
     connections: AtomicU64,
     requests: AtomicU64,
+    body_bytes: AtomicU64,
     news: Notify,
 }
 
@@ -93,6 +95,7 @@
             leaving: AtomicBool::new(false),
             connections: AtomicU64::new(0),
             requests: AtomicU64::new(0),
+            body_bytes: AtomicU64::new(0),
             news: Notify::new(),
         }
     }
--- a/cli/src/gateway/control.rs
+++ b/cli/src/gateway/control.rs
@@ -8,9 +8,10 @@
 use http_body_util::Full;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
 
-use super::{ADDRESS_KEEP, SharedGateway};
+use super::{ADDRESS_KEEP, SharedGateway, listener::accept_each};
 use crate::{logging, server::bind_callers};
 
 /// Most addresses in one answer of the directory.
@@ -48,35 +49,30 @@
     context: SharedGateway<W>,
     listener: TcpListener,
 ) {
-    loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                logging::event(LogEvent::AcceptFailed, &error.to_string());
-                tokio::time::sleep(super::front::ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
-        let context = context.clone();
-        tokio::spawn(async move {
-            let settings = context.core().config().map(|it| it.limits);
-            let idle = settings.unwrap_or_default().idle_timeout;
-            let service = service_fn(move |request| {
-                let answer = answer(&context, &request);
-                async move { Ok::<_, Infallible>(answer) }
-            });
-            let served = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(idle)
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
-            if let Err(error) = served {
-                logging::event(
-                    LogEvent::CallerConnectionFailed,
-                    &error.to_string(),
-                );
-            }
-        });
+    // These listeners serve until the process ends.
+    let stop = CancellationToken::new();
+    let connection = |stream| Some(serve_connection(context.clone(), stream));
+    accept_each(listener, &stop, connection).await;
+}
+
+async fn serve_connection<W: GatewayWire>(
+    context: SharedGateway<W>,
+    stream: TcpStream,
+) {
+    let limits = context.core().config().map(|config| config.limits);
+    let idle = limits.unwrap_or_default().idle_timeout;
+    let service = service_fn(move |request| {
+        let answer = answer(&context, &request);
+        async move { Ok::<_, Infallible>(answer) }
+    });
+    let served = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle)
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+    if let Err(error) = served {
+        let text = error.to_string();
+        logging::event(LogEvent::CallerConnectionFailed, &text);
     }
 }
 
--- a/cli/src/gateway/forward.rs
+++ b/cli/src/gateway/forward.rs
@@ -1,6 +1,9 @@
 //! Forwards one request of a caller to upstreams.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use borageline_lib::{
     gateway::{
@@ -49,7 +52,7 @@
 pub(super) struct CallerAttempt<W: GatewayWire> {
     pub(super) context: SharedGateway<W>,
     pub(super) head: RequestParts,
-    pub(super) body: Option<Bytes>,
+    pub(super) body: Option<HeldBody<W>>,
     pub(super) request: CallerRequest,
     pub(super) admitted: AdmittedRequest,
     pub(super) record: AttemptRecord,
@@ -133,7 +136,7 @@
     context: &SharedGateway<W>,
     caller: &CallerRequest,
     body: Incoming,
-) -> Result<Option<Bytes>, Refusal> {
+) -> Result<Option<HeldBody<W>>, Refusal> {
     if body.is_end_stream() {
         return Ok(None);
     }
@@ -143,7 +146,7 @@
     let wait = caller.patience.unwrap_or(DEFAULT_PATIENCE);
     let read = Limited::new(body, limit).collect();
     match tokio::time::timeout(wait, read).await {
-        Ok(Ok(body)) => Ok(Some(body.to_bytes())),
+        Ok(Ok(body)) => HeldBody::new(context, body.to_bytes()).map(Some),
         Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
             let text = format!("the body is larger than {limit} bytes");
             Err(Refusal::new(RefusalCode::BodyTooLarge, text))
@@ -159,6 +162,38 @@
     }
 }
 
+/// A request's body, counted as long as it is held.
+#[derive(Debug)]
+pub(super) struct HeldBody<W: GatewayWire> {
+    context: SharedGateway<W>,
+    bytes: Bytes,
+}
+
+impl<W: GatewayWire> HeldBody<W> {
+    fn new(context: &SharedGateway<W>, bytes: Bytes) -> Result<Self, Refusal> {
+        let length = bytes.len() as u64;
+        let held = context.body_bytes.fetch_add(length, Ordering::Relaxed);
+        let body = Self {
+            context: context.clone(),
+            bytes,
+        };
+        let limit = context.settings().body_bytes_max().get();
+        if held + length > limit {
+            let text = format!("request bodies hold {held} bytes already");
+            let mut core = context.core();
+            return Err(core.unavailable(RefusalCode::Overloaded, &text));
+        }
+        Ok(body)
+    }
+}
+
+impl<W: GatewayWire> Drop for HeldBody<W> {
+    fn drop(&mut self) {
+        let length = self.bytes.len() as u64;
+        self.context.body_bytes.fetch_sub(length, Ordering::Relaxed);
+    }
+}
+
 /// Answers with a refusal of a request that was not admitted.
 fn reject<W: GatewayWire>(
     context: &SharedGateway<W>,
@@ -284,7 +319,7 @@
             rank: self.admitted.rank(),
             resume_after,
             helpers,
-            body_length: self.body.as_ref().map(Bytes::len),
+            body_length: self.body.as_ref().map(|body| body.bytes.len()),
         };
         let before = self.record.run_state();
         self.record.begin_send();
@@ -369,7 +404,8 @@
         started: &StartedRequest,
     ) -> Request<Full<Bytes>> {
         let head = self.context.wire.dispatch(&self.head, order);
-        let body = self.body.clone().unwrap_or_default();
+        let body = self.body.as_ref().map(|body| body.bytes.clone());
+        let body = body.unwrap_or_default();
         let mut request = head.map(|()| Full::new(body));
         let mut parts = self.head.uri.clone().into_parts();
         parts.scheme = Some(http::uri::Scheme::HTTP);
--- a/cli/src/gateway/front.rs
+++ b/cli/src/gateway/front.rs
@@ -7,7 +7,6 @@
     pin::Pin,
     sync::{Arc, atomic::Ordering},
     task::{Context, Poll},
-    time::Duration,
 };
 
 use borageline_lib::{gateway::wire::GatewayWire, log_event::LogEvent};
@@ -20,18 +19,12 @@
     rt::{TokioIo, TokioTimer},
     server::graceful::{GracefulShutdown, Watcher},
 };
-use tokio::{
-    net::{TcpListener, TcpStream},
-    sync::mpsc,
-};
+use tokio::{net::TcpStream, sync::mpsc};
 use tokio_util::sync::CancellationToken;
 
-use super::{SharedGateway, forward};
+use super::{SharedGateway, forward, listener::accept_each};
 use crate::{logging, server::bind_callers};
 
-/// Pause after a failed accept, which mostly means that no file descriptor is
-/// free.
-pub(super) const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Bytes that hyper buffers on one connection.
 const CONNECTION_BUFFER_BYTES: usize = 64 << 10;
 
@@ -66,7 +59,14 @@
     let task = tokio::spawn(async move {
         let graceful = GracefulShutdown::new();
         if let Some(listener) = listener {
-            accept(&context, listener, &stop, &graceful).await;
+            accept_each(listener, &stop, |stream| {
+                let open = context.connections.load(Ordering::Relaxed);
+                // Closing at once tells the caller that nothing was read.
+                let free = open < context.settings().connections_max();
+                let watcher = graceful.watcher();
+                free.then(|| serve_connection(context.clone(), stream, watcher))
+            })
+            .await;
         }
         graceful.shutdown().await;
     });
@@ -77,38 +77,6 @@
     })
 }
 
-async fn accept<W: GatewayWire>(
-    context: &SharedGateway<W>,
-    listener: TcpListener,
-    stop: &CancellationToken,
-    graceful: &GracefulShutdown,
-) {
-    loop {
-        let accepted = tokio::select! {
-            biased;
-            () = stop.cancelled() => return,
-            accepted = listener.accept() => accepted,
-        };
-        match accepted {
-            Ok((stream, _)) => {
-                let open = context.connections.load(Ordering::Relaxed);
-                if open >= context.settings().connections_max() {
-                    // Closing at once tells the caller that nothing was read.
-                    drop(stream);
-                    continue;
-                }
-                let context = context.clone();
-                let watcher = graceful.watcher();
-                tokio::spawn(serve_connection(context, stream, watcher));
-            }
-            Err(error) => {
-                logging::event(LogEvent::AcceptFailed, &error.to_string());
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
-}
-
 async fn serve_connection<W: GatewayWire>(
     context: SharedGateway<W>,
     stream: TcpStream,
--- a/cli/src/gateway/memory.rs
+++ b/cli/src/gateway/memory.rs
@@ -166,7 +166,7 @@
     let order = MemoryOrder::Reserve {
         id: memory.id.clone(),
         tokens: memory.tokens,
-        hold: HOLD,
+        hold: HOLD.min(context.settings().bounds.longest_hold()),
     };
     give(context, memory, &order).await
 }
--- a/cli/src/gateway/reader.rs
+++ b/cli/src/gateway/reader.rs
@@ -27,14 +27,15 @@
     log_decision, logging,
 };
 
-/// Pause between two reads of the upstreams: half of the time in which a
-/// leaving upstream must be known.
-const UPSTREAM_PAUSE: Duration = Duration::from_millis(900);
+/// Share of the time in which a leaving upstream must be known after which
+/// the upstreams are read again, so that one read may fail.
+const UPSTREAM_SHARE: f64 = 0.45;
 /// Pause between two reads of the desired state while it changes.
 const CONTROL_PAUSE: Duration = Duration::from_millis(250);
-/// Time that the store may wait for a change of the desired state. A store
-/// that went silent is noticed after this and [`ANSWER_TIME`].
-const CONTROL_WAIT: Duration = Duration::from_millis(1_500);
+/// Share of the time in which a desired state must be in force that the store
+/// may wait for a change. A store that went silent is noticed after this and
+/// [`ANSWER_TIME`].
+const CONTROL_SHARE: f64 = 0.75;
 /// Time for an answer of the store.
 const ANSWER_TIME: Duration = Duration::from_millis(1_000);
 /// First pause after a failed call.
@@ -135,7 +136,10 @@
 
     fn pause(&self) -> Duration {
         match self.topic {
-            StoreTopic::Upstreams => UPSTREAM_PAUSE,
+            StoreTopic::Upstreams => {
+                let bounds = self.context.settings().bounds;
+                bounds.drain().mul_f64(UPSTREAM_SHARE)
+            }
             _ => CONTROL_PAUSE,
         }
     }
@@ -175,7 +179,10 @@
         let wait = match self.topic {
             // Reports come all the time; the pause sets the pace.
             StoreTopic::Upstreams => Duration::ZERO,
-            _ => CONTROL_WAIT,
+            _ => {
+                let bounds = self.context.settings().bounds;
+                bounds.config().mul_f64(CONTROL_SHARE)
+            }
         };
         let request = self.context.wire.tail(self.topic, from, wait);
         let (status, body) =
--- a/lib/src/gateway/gateway_settings.rs
+++ b/lib/src/gateway/gateway_settings.rs
@@ -65,6 +65,26 @@
         }
     }
 
+    /// Time in which a leaving upstream must be known.
+    pub fn drain(&self) -> Duration {
+        Duration::from_millis(self.drain_ms)
+    }
+
+    /// Time in which a new desired state must be in force.
+    pub fn config(&self) -> Duration {
+        Duration::from_millis(self.config_ms)
+    }
+
+    /// Longest time that callers may keep a list of addresses.
+    pub fn address_keep(&self) -> Duration {
+        Duration::from_secs_f64(self.address_ttl_s)
+    }
+
+    /// Longest time that memory of an engine may be reserved.
+    pub fn longest_hold(&self) -> Duration {
+        Duration::from_millis(self.hold_ms)
+    }
+
     /// Time between SIGTERM and SIGKILL.
     pub fn grace(&self) -> Duration {
         Duration::from_secs_f64(self.grace_s)
@@ -89,8 +109,6 @@
     pub seeds: Vec<SocketAddr>,
     /// Address of the platform's store.
     pub store: SocketAddr,
-    /// Time between two reports of an upstream to the store, in ms.
-    pub report_interval_ms: u64,
     /// Memory that the process may use, in megabytes.
     pub memory_mb: u64,
     /// Sockets and pipes that the process may have open.
--- a/lib/tests/gateway/world.rs
+++ b/lib/tests/gateway/world.rs
@@ -113,7 +113,6 @@
   "peer_ports": [7000, 7010],
   "seeds": ["127.0.0.2:1"],
   "store": "127.0.0.1:9001",
-  "report_interval_ms": 1200,
   "memory_mb": 260,
   "descriptors": 4100,
   "bounds": {
