attempt: an upstream that was not reached does not use up a send

Cause: a call with one send was refused when the connection to its upstream failed, although nothing had been sent and another upstream could take it; seen when reading the record as a newcomer.

Measured: the new test failed before the change.

--- a/lib/src/gateway/attempt.rs
+++ b/lib/src/gateway/attempt.rs
@@ -36,10 +36,10 @@
 /// What to do after a send ended without an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NextStep {
-    /// Send to another upstream; counts as a repeat towards the service if
-    /// the first send reached one.
+    /// Send to another upstream.
     Resend {
-        /// Whether the retry budget has to allow it.
+        /// Whether the retry budget has to allow it: the send that ended has
+        /// reached an upstream.
         budgeted: bool,
     },
     /// End the attempt.
@@ -95,8 +95,8 @@
         }
     }
 
-    /// Notes how a send ended. `sent` says whether [`Self::begin_send`] was
-    /// called for it, `clean` the state before it.
+    /// Notes how a send ended; `before` is the state from before
+    /// [`Self::begin_send`].
     pub fn finish_send(
         &mut self,
         now: Timestamp,
@@ -108,20 +108,18 @@
         } else if outcome == SendOutcome::Failed {
             self.state = RunState::Ran;
         }
-        if outcome == SendOutcome::Misdirected {
+        let reached = !matches!(
+            outcome,
+            SendOutcome::NotConnected | SendOutcome::Misdirected
+        );
+        if !reached {
+            if self.misses_left == 0 {
+                return NextStep::End(self.state);
+            }
+            self.misses_left -= 1;
             // The upstream that was meant never saw the request.
             self.sends_left += 1;
         }
-        let reached = match outcome {
-            SendOutcome::NotConnected | SendOutcome::Misdirected => {
-                if self.misses_left == 0 {
-                    return NextStep::End(self.state);
-                }
-                self.misses_left -= 1;
-                false
-            }
-            _ => true,
-        };
         let late = self.deadline <= now.after(RESEND_MIN);
         let repeatable = self.state == RunState::NotRun
             || self.repeat == RepeatRule::Idempotent;
--- a/lib/tests/gateway/test_attempt.rs
+++ b/lib/tests/gateway/test_attempt.rs
@@ -112,6 +112,19 @@
         .expect("no history exceeds the route's sends");
 }
 
+/// Guards against a call that is refused because its only upstream could not
+/// be reached, although another one could take it.
+#[test]
+fn test_attempt_unreached_upstream_is_no_send() {
+    let route = route(RepeatRule::AtMostOnce, 1);
+    let mut record = AttemptRecord::new(&route, at(10_000));
+    let before = record.run_state();
+    record.begin_send();
+    let step = record.finish_send(at(5), before, SendOutcome::NotConnected);
+    assert_eq!(step, NextStep::Resend { budgeted: false });
+    assert_eq!(record.run_state(), RunState::NotRun);
+}
+
 /// Guards against a send that can no longer end before the deadline.
 #[test]
 fn test_attempt_ends_at_deadline() {
