placement: smaller backlogs at the gate, engines by what arrives

Change: the gate looks at the backlog of the engines that the prompt would use, with a third of the former limits that grow with the wait; engines for short requests also follow the reading that arrived within a second. The test of the gate states the new limits and checks the wait as well.

--- a/lib/src/gateway/backlog_gate.rs
+++ b/lib/src/gateway/backlog_gate.rs
@@ -1,8 +1,8 @@
 //! When a long prompt may start to be read.
 //!
 //! In a flood of long prompts the engines have more to read than time. A
-//! prompt that waits here can be overtaken by shorter ones, one that waits at
-//! an engine cannot. The larger a prompt, the emptier the engines must be
+//! prompt that waits here can be overtaken by shorter ones; at an engine, newer
+//! parts go before older ones, whatever their size. The larger a prompt, the emptier the engines must be
 //! before it starts, so that the time goes to those that earn most for it. A
 //! prompt whose target cannot be met any more gives way to those that can
 //! still meet theirs. The load pattern that this answers is a flood of prompts
@@ -11,15 +11,17 @@
 use std::time::Duration;
 
 /// Backlog at which a prompt of [`USUAL_READ`] may start.
-const USUAL_BACKLOG: Duration = Duration::from_millis(700);
+const USUAL_BACKLOG: Duration = Duration::from_millis(200);
 /// Reading time of a usual long prompt, on one engine.
 const USUAL_READ: Duration = Duration::from_millis(3_000);
 /// Largest backlog at which a prompt may start.
-const BACKLOG_MAX: Duration = Duration::from_millis(2_000);
+const BACKLOG_MAX: Duration = Duration::from_millis(700);
 /// Smallest backlog that holds a prompt back; less is noise of the reports.
-const BACKLOG_MIN: Duration = Duration::from_millis(80);
+const BACKLOG_MIN: Duration = Duration::from_millis(60);
+/// Wait that doubles the backlog at which a prompt may start.
+const AGE_UNIT: Duration = Duration::from_millis(1_000);
 /// Backlog at which a prompt whose target is missed may start.
-const LATE_BACKLOG: Duration = Duration::from_millis(250);
+const LATE_BACKLOG: Duration = Duration::from_millis(150);
 /// Pause between two looks at the backlog.
 const HOLD_PAUSE: Duration = Duration::from_millis(40);
 
@@ -58,8 +60,9 @@
         return GateVerdict::Refuse;
     }
     let size = USUAL_READ.as_secs_f64() / inputs.read.as_secs_f64().max(1e-3);
+    let age = 1.0 + inputs.waited.as_secs_f64() / AGE_UNIT.as_secs_f64();
     let limit = USUAL_BACKLOG
-        .mul_f64(size.min(1e3))
+        .mul_f64(size.min(1e3) * age)
         .clamp(BACKLOG_MIN, BACKLOG_MAX);
     let limit = if first_event > inputs.target {
         limit.min(LATE_BACKLOG)
--- a/lib/src/gateway/gateway_core.rs
+++ b/lib/src/gateway/gateway_core.rs
@@ -320,9 +320,7 @@
             (request.is_new, &spec.engine, request.work)
         {
             let read = engine.read_time(work.prompt);
-            if read > LONG_READ {
-                self.board.arrive(now, read);
-            }
+            self.board.arrive(now, read > LONG_READ, read);
         }
         let loads = self.board.total(now);
         let view = PlacementView {
--- a/lib/src/gateway/load_board.rs
+++ b/lib/src/gateway/load_board.rs
@@ -21,9 +21,11 @@
     FlightId, ""
 }
 
-/// Time over which the demand for reading is averaged: a flood shows within a
-/// second, and single prompts do not move engines between uses.
+/// Time over which the demand of long prompts is averaged: a flood shows within
+/// a second, and single prompts do not move engines between uses.
 pub const DEMAND_WINDOW: Duration = Duration::from_millis(4_000);
+/// Time over which the demand of other prompts is averaged: they come often.
+pub const SHORT_WINDOW: Duration = Duration::from_millis(1_000);
 /// Share of a part's reading that counts until the first event has come.
 const LATE_SHARE: f64 = 0.2;
 /// Age at which a report of another instance no longer counts.
@@ -47,20 +49,49 @@
 }
 
 value_type! {
-    /// Reading that long prompts ask for, in milliseconds on one engine.
+    /// Reading that prompts ask for, in milliseconds on one engine.
     #[derive(Copy, Default)]
-    pub struct LongDemand {
-        /// Of the prompts that are held back.
+    pub struct ReadDemand {
+        /// Of the long prompts that are held back.
         pub held_ms: u64,
-        /// Of the prompts that came within [`DEMAND_WINDOW`].
-        pub arrived_ms: u64,
+        /// Of the long prompts that came within [`DEMAND_WINDOW`].
+        pub long_ms: u64,
+        /// Of the other prompts that came within [`SHORT_WINDOW`].
+        pub short_ms: u64,
     }
 }
 
-impl LongDemand {
-    /// Engines that are busy with what arrives.
-    pub fn arriving_engines(&self) -> f64 {
-        self.arrived_ms as f64 / DEMAND_WINDOW.as_millis() as f64
+impl ReadDemand {
+    /// Engines that are busy with the long prompts that arrive.
+    pub fn long_engines(&self) -> f64 {
+        self.long_ms as f64 / DEMAND_WINDOW.as_millis() as f64
+    }
+
+    /// Engines that are busy with the other prompts that arrive.
+    pub fn short_engines(&self) -> f64 {
+        self.short_ms as f64 / SHORT_WINDOW.as_millis() as f64
+    }
+}
+
+/// Reading times of the prompts that came within a time.
+#[derive(Clone, Debug, Default)]
+struct ReadWindow(VecDeque<(Timestamp, Duration)>);
+
+impl ReadWindow {
+    fn add(&mut self, now: Timestamp, read: Duration, window: Duration) {
+        self.0.push_back((now, read));
+        while self
+            .0
+            .front()
+            .is_some_and(|(at, _)| now.since(*at) > window)
+        {
+            self.0.pop_front();
+        }
+    }
+
+    fn sum(&self, now: Timestamp, window: Duration) -> Duration {
+        let recent = self.0.iter().filter(|(at, _)| now.since(*at) <= window);
+        recent.map(|(_, read)| *read).sum()
     }
 }
 
@@ -112,7 +143,7 @@
 struct PeerLoads {
     at: Timestamp,
     loads: BTreeMap<UpstreamId, UpstreamLoad>,
-    demand: LongDemand,
+    demand: ReadDemand,
 }
 
 /// Load of all upstreams.
@@ -121,7 +152,8 @@
     flights: BTreeMap<FlightId, FlightEntry>,
     peers: BTreeMap<InstanceId, PeerLoads>,
     held: Duration,
-    arrivals: VecDeque<(Timestamp, Duration)>,
+    long_arrivals: ReadWindow,
+    short_arrivals: ReadWindow,
     last: u64,
 }
 
@@ -169,7 +201,7 @@
         now: Timestamp,
         peer: InstanceId,
         loads: BTreeMap<UpstreamId, UpstreamLoad>,
-        demand: LongDemand,
+        demand: ReadDemand,
     ) {
         let loads = PeerLoads {
             at: now,
@@ -179,15 +211,12 @@
         self.peers.insert(peer, loads);
     }
 
-    /// Notes the arrival of a long prompt, by its reading time.
-    pub fn arrive(&mut self, now: Timestamp, read: Duration) {
-        self.arrivals.push_back((now, read));
-        while self
-            .arrivals
-            .front()
-            .is_some_and(|(at, _)| now.since(*at) > DEMAND_WINDOW)
-        {
-            self.arrivals.pop_front();
+    /// Notes the arrival of a prompt, by its reading time.
+    pub fn arrive(&mut self, now: Timestamp, long: bool, read: Duration) {
+        if long {
+            self.long_arrivals.add(now, read, DEMAND_WINDOW);
+        } else {
+            self.short_arrivals.add(now, read, SHORT_WINDOW);
         }
     }
 
@@ -202,24 +231,22 @@
     }
 
     /// Reading that this instance's callers ask for.
-    pub fn own_demand(&self, now: Timestamp) -> LongDemand {
-        let recent = self
-            .arrivals
-            .iter()
-            .filter(|(at, _)| now.since(*at) <= DEMAND_WINDOW);
-        LongDemand {
+    pub fn own_demand(&self, now: Timestamp) -> ReadDemand {
+        ReadDemand {
             held_ms: millis(self.held),
-            arrived_ms: millis(recent.map(|(_, read)| *read).sum()),
+            long_ms: millis(self.long_arrivals.sum(now, DEMAND_WINDOW)),
+            short_ms: millis(self.short_arrivals.sum(now, SHORT_WINDOW)),
         }
     }
 
     /// Reading that the callers of all instances ask for.
-    pub fn demand(&self, now: Timestamp) -> LongDemand {
+    pub fn demand(&self, now: Timestamp) -> ReadDemand {
         let mut demand = self.own_demand(now);
         for peer in self.peers.values() {
             if now.since(peer.at) <= REPORT_MAX_AGE {
                 demand.held_ms += peer.demand.held_ms;
-                demand.arrived_ms += peer.demand.arrived_ms;
+                demand.long_ms += peer.demand.long_ms;
+                demand.short_ms += peer.demand.short_ms;
             }
         }
         demand
--- a/lib/src/gateway/member_table.rs
+++ b/lib/src/gateway/member_table.rs
@@ -15,7 +15,7 @@
     value_type,
 };
 
-use super::load_board::{LongDemand, UpstreamLoad};
+use super::load_board::{ReadDemand, UpstreamLoad};
 
 /// Silence after which a member is no longer named to callers.
 pub const SILENT_AFTER: Duration = Duration::from_millis(2_000);
@@ -53,7 +53,7 @@
         /// Load that its requests cause.
         pub loads: BTreeMap<UpstreamId, UpstreamLoad>,
         /// Reading that its callers ask for.
-        pub demand: LongDemand,
+        pub demand: ReadDemand,
     }
 }
 
--- a/lib/src/gateway/placement.rs
+++ b/lib/src/gateway/placement.rs
@@ -15,7 +15,7 @@
 
 use super::{
     cost_model::EngineModel,
-    load_board::{FlightEntry, FlightPart, LongDemand, UpstreamLoad},
+    load_board::{FlightEntry, FlightPart, ReadDemand, UpstreamLoad},
     memory_plan::{EngineRoom, divide, usable},
     upstream_table::UpstreamRow,
 };
@@ -35,6 +35,8 @@
 const BACKLOG_TIME: Duration = Duration::from_millis(800);
 /// Share of their time that engines for long prompts read.
 const LONG_USE: f64 = 0.75;
+/// Share of their time that engines for short requests read.
+const SHORT_USE: f64 = 0.3;
 /// Short requests with which an engine may still read long prompts.
 const SHORT_LEFT: u32 = 1;
 /// Longest pass that callers of short requests do not notice.
@@ -88,7 +90,7 @@
     pub flight: FlightEntry,
     /// Time to the first event that the load suggests.
     pub expected: Duration,
-    /// Mean reading that the engines for long prompts have before them.
+    /// Mean reading that its engines have before them.
     pub backlog: Duration,
 }
 
@@ -103,8 +105,8 @@
     pub rows: Vec<&'a UpstreamRow>,
     /// Load of the upstreams.
     pub loads: &'a BTreeMap<UpstreamId, UpstreamLoad>,
-    /// Reading that long prompts ask for.
-    pub demand: LongDemand,
+    /// Reading that prompts ask for.
+    pub demand: ReadDemand,
 }
 
 impl PlacementView<'_> {
@@ -161,7 +163,7 @@
         let held = Duration::from_millis(self.demand.held_ms);
         let backlog =
             (unread + held).as_secs_f64() / BACKLOG_TIME.as_secs_f64();
-        let arriving = self.demand.arriving_engines() / LONG_USE;
+        let arriving = self.demand.long_engines() / LONG_USE;
         let reading = backlog.max(arriving).ceil() as usize;
         let writing = long.div_ceil(LONG_PER_ENGINE) as usize;
         let count = self.rows.len();
@@ -176,7 +178,10 @@
     /// Engines at the front of the order that short requests need.
     fn short_needed(&self) -> usize {
         let short: u32 = self.rows.iter().map(|row| self.load(row).short).sum();
-        let needed = (short + 1).div_ceil(SHORT_PER_ENGINE) as usize;
+        let writing = (short + 1).div_ceil(SHORT_PER_ENGINE) as usize;
+        // A flood shows in what arrives before it shows in what runs.
+        let arriving = self.demand.short_engines() / SHORT_USE;
+        let needed = writing.max(arriving.ceil() as usize);
         let most = self.rows.len().saturating_sub(LONG_RESERVE).max(1);
         (needed + SHORT_SPARE).min(most)
     }
@@ -279,14 +284,6 @@
             .map(|(rank, row)| ((self.load(row).reading_ms, rank), *row))
             .collect();
         readers.sort_by_key(|(key, _)| *key);
-        let backlog: Duration = readers
-            .iter()
-            .map(|(_, row)| self.load(row).reading())
-            .sum();
-        let backlog = match u32::try_from(readers.len()) {
-            Ok(0) | Err(_) => self.load(first).reading(),
-            Ok(count) => backlog / count,
-        };
         let most = readers.len().min(HELPERS_MAX);
         let mut count = (wanted - 1).min(most);
         loop {
@@ -304,10 +301,9 @@
                     .into_iter()
                     .map(|part| (part.upstream, part.tokens))
                     .collect();
-                let mut placed =
-                    self.joint(engine, work, first, &helpers, &reserve);
-                placed.backlog = backlog;
-                return Some(placed);
+                return Some(
+                    self.joint(engine, work, first, &helpers, &reserve),
+                );
             }
             if count >= most {
                 return None;
@@ -329,10 +325,12 @@
         let held: TokenCount = reserve.values().copied().sum();
         let need = work.prompt.saturating_add(work.output);
         let mut longest = Duration::ZERO;
+        let mut before = Duration::ZERO;
         let mut part = |upstream: &UpstreamId, tokens| {
             let load = self.loads.get(upstream).copied().unwrap_or_default();
             let done = load.reading() + read;
             longest = longest.max(done);
+            before += load.reading();
             FlightPart {
                 upstream: upstream.clone(),
                 read,
@@ -363,7 +361,7 @@
                 reading: true,
             },
             expected,
-            backlog: Duration::ZERO,
+            backlog: before / count,
         }
     }
 }
--- a/lib/tests/gateway/test_placement.rs
+++ b/lib/tests/gateway/test_placement.rs
@@ -6,7 +6,7 @@
     gateway::{
         backlog_gate::{GateInputs, GateVerdict, judge},
         gateway_core::{GatewayCore, NotPlaced, StartedRequest},
-        load_board::{LongDemand, UpstreamLoad},
+        load_board::{ReadDemand, UpstreamLoad},
         memory_plan::{EngineRoom, divide},
     },
     ids::UpstreamId,
@@ -109,9 +109,10 @@
 fn test_placement_follows_demand_for_reading() {
     let mut busy = core(18);
     let mut other = beat("entry-3", [127, 0, 0, 3]);
-    other.demand = LongDemand {
+    other.demand = ReadDemand {
         held_ms: 10_000,
-        arrived_ms: 50_000,
+        long_ms: 50_000,
+        short_ms: 0,
     };
     busy.hear(at(0), other);
     let engines = |core: &mut GatewayCore| {
@@ -143,11 +144,13 @@
 /// giant prompt that starts before smaller ones that can still be in time.
 #[test]
 fn test_gate_lets_smaller_prompts_overtake() {
-    assert_eq!(judge(&inputs(1_000, 1_500, 0)), GateVerdict::Start);
-    assert_eq!(judge(&inputs(3_000, 500, 0)), GateVerdict::Start);
-    let giant = judge(&inputs(20_000, 500, 0));
+    assert_eq!(judge(&inputs(1_000, 500, 0)), GateVerdict::Start);
+    assert_eq!(judge(&inputs(3_000, 150, 0)), GateVerdict::Start);
+    let giant = judge(&inputs(20_000, 150, 0));
     assert!(matches!(giant, GateVerdict::Hold(_)), "{giant:?}");
     assert_eq!(judge(&inputs(20_000, 50, 0)), GateVerdict::Start);
+    // Waiting makes up for size.
+    assert_eq!(judge(&inputs(3_000, 300, 1_000)), GateVerdict::Start);
 }
 
 /// Guards against a prompt that waits until its caller has given up, in
--- a/lib/tests/gateway/world.rs
+++ b/lib/tests/gateway/world.rs
@@ -7,7 +7,7 @@
         cost_model::EngineModel,
         gateway_core::{AdmittedRequest, GatewayCore, PlaceRequest},
         gateway_settings::GatewaySettings,
-        load_board::LongDemand,
+        load_board::ReadDemand,
         member_table::{BEAT_VERSION, MemberBeat},
         placement::PromptWork,
         routing_config::{
@@ -166,6 +166,6 @@
         serving: true,
         heard: Vec::new(),
         loads: BTreeMap::<UpstreamId, _>::new(),
-        demand: LongDemand::default(),
+        demand: ReadDemand::default(),
     }
 }
