load board: count the parts of a long prompt until its first event

Ruled out: beats that come late (each placement saw the ones before it).

Change: a part of a long prompt counts whole until the first event of its request, so that first events steer what is placed next.

--- a/lib/src/gateway/load_board.rs
+++ b/lib/src/gateway/load_board.rs
@@ -26,8 +26,11 @@
 pub const DEMAND_WINDOW: Duration = Duration::from_millis(4_000);
 /// Time over which the demand of other prompts is averaged: they come often.
 pub const SHORT_WINDOW: Duration = Duration::from_millis(1_000);
-/// Share of a part's reading that counts until the first event has come.
-const LATE_SHARE: f64 = 0.2;
+/// Share of a short prompt's reading that counts until its first event.
+const SHORT_LATE_SHARE: f64 = 0.2;
+/// Share of a long prompt's part that counts until its first event. Engines
+/// read in an order of their own, so that only the event shows the part done.
+const LONG_LATE_SHARE: f64 = 1.0;
 /// Age at which a report of another instance no longer counts.
 pub const REPORT_MAX_AGE: Duration = Duration::from_secs(3);
 
@@ -284,7 +287,12 @@
 ) -> UpstreamLoad {
     let left = part.read_by.since(now).min(part.read);
     // Before the first event, some part is late if none seems left.
-    let least = part.read.mul_f64(LATE_SHARE);
+    let share = if entry.long {
+        LONG_LATE_SHARE
+    } else {
+        SHORT_LATE_SHARE
+    };
+    let least = part.read.mul_f64(share);
     let reading = if entry.reading {
         left.max(least)
     } else {
--- a/lib/tests/gateway/test_placement.rs
+++ b/lib/tests/gateway/test_placement.rs
@@ -227,3 +227,21 @@
     request.is_resumed = true;
     assert!(core.place(at(1), &request).is_ok());
 }
+
+/// Load pattern: a flood of long prompts. Guards against engines that count
+/// as free because a long prompt should be read by now, although its first
+/// event has not come: short requests sent there waited 400 ms for a pass.
+#[test]
+fn test_board_counts_late_reading_until_first_event() {
+    let mut core = core(4);
+    let placed = started(&mut core, at(0), 154_000);
+    let reading = |core: &GatewayCore, now| {
+        let loads = core.board().total(now);
+        loads.values().map(|load| load.reading_ms).max()
+    };
+    let part = reading(&core, at(0));
+    assert!(part > Some(500), "{part:?}");
+    assert_eq!(reading(&core, at(60_000)), part);
+    core.first_event(placed.flight);
+    assert_eq!(reading(&core, at(60_000)), Some(0));
+}
