--- a/cli/src/commands.rs
+++ b/cli/src/commands.rs
@@ -70,7 +70,7 @@
 }
 
 impl CliCommand {
-    /// Runs the command; a gateway speaks `wire` with its neighbours.
+    /// Runs the command; a gateway exchanges messages in the form of `wire`.
     pub fn run<W: GatewayWire>(&self, wire: W) -> ExitCode {
         match self {
             Self::Serve(options) => serve::run(options),
--- a/cli/src/gateway.rs
+++ b/cli/src/gateway.rs
@@ -4,6 +4,7 @@
 //! The core is locked for the time of one decision and never across a wait.
 
 mod beats;
+mod body;
 mod control;
 mod forward;
 mod front;
--- /dev/null
+++ b/cli/src/gateway/body.rs
@@ -0,0 +1,92 @@
+//! Bodies of requests, which are held so that they can be sent again.
+//!
+//! All bodies together hold a bounded part of the memory.
+
+use std::{sync::atomic::Ordering, time::Duration};
+
+use borageline_lib::{
+    gateway::wire::{CallerRequest, GatewayWire},
+    refusal::{Refusal, RefusalCode},
+};
+use bytes::Bytes;
+use http_body::Body as _;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+
+use super::SharedGateway;
+
+/// Time for a body whose caller names none.
+const DEFAULT_PATIENCE: Duration = Duration::from_secs(15);
+
+/// Reads a body as a whole, so that it can be sent more than once.
+pub(super) async fn read_body<W: GatewayWire>(
+    context: &SharedGateway<W>,
+    caller: &CallerRequest,
+    body: Incoming,
+) -> Result<Option<HeldBody<W>>, Refusal> {
+    if body.is_end_stream() {
+        return Ok(None);
+    }
+    let limits = context.core().config().map(|config| config.limits);
+    let limit = limits.unwrap_or_default().body;
+    let limit = usize::try_from(limit.get()).unwrap_or(usize::MAX);
+    let wait = caller.patience.unwrap_or(DEFAULT_PATIENCE);
+    let read = Limited::new(body, limit).collect();
+    match tokio::time::timeout(wait, read).await {
+        Ok(Ok(body)) => HeldBody::new(context, body.to_bytes()).map(Some),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            let text = format!("the body is larger than {limit} bytes");
+            Err(Refusal::new(RefusalCode::BodyTooLarge, text))
+        }
+        Ok(Err(error)) => {
+            let text = format!("the body broke off: {error}");
+            Err(Refusal::new(RefusalCode::Malformed, text))
+        }
+        Err(_) => {
+            let text = format!("the body did not arrive in {wait:?}");
+            Err(Refusal::new(RefusalCode::SlowSender, text))
+        }
+    }
+}
+
+/// A request's body, counted as long as it is held.
+#[derive(Debug)]
+pub(super) struct HeldBody<W: GatewayWire> {
+    context: SharedGateway<W>,
+    bytes: Bytes,
+}
+
+impl<W: GatewayWire> HeldBody<W> {
+    fn new(context: &SharedGateway<W>, bytes: Bytes) -> Result<Self, Refusal> {
+        let length = bytes.len() as u64;
+        let held = context.body_bytes.fetch_add(length, Ordering::Relaxed);
+        let body = Self {
+            context: context.clone(),
+            bytes,
+        };
+        let limit = context.settings().body_bytes_max().get();
+        if held + length > limit {
+            let text = format!("request bodies hold {held} bytes already");
+            let mut core = context.core();
+            return Err(core.unavailable(RefusalCode::Overloaded, &text));
+        }
+        Ok(body)
+    }
+
+    /// The bytes.
+    pub(super) fn bytes(&self) -> Bytes {
+        self.bytes.clone()
+    }
+
+    /// Number of bytes.
+    pub(super) fn len(&self) -> usize {
+        self.bytes.len()
+    }
+}
+
+impl<W: GatewayWire> Drop for HeldBody<W> {
+    fn drop(&mut self) {
+        let length = self.bytes.len() as u64;
+        self.context.body_bytes.fetch_sub(length, Ordering::Relaxed);
+    }
+}
--- a/cli/src/gateway/forward.rs
+++ b/cli/src/gateway/forward.rs
@@ -1,9 +1,6 @@
 //! Forwards one request of a caller to upstreams.
 
-use std::{
-    sync::{Arc, atomic::Ordering},
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
 use borageline_lib::{
     gateway::{
@@ -24,12 +21,12 @@
     Request, Response, Uri, request::Parts as RequestParts,
     response::Parts as ResponseParts,
 };
-use http_body::Body as _;
 use http_body_util::{BodyExt, Either, Full, Limited};
 use hyper::body::Incoming;
 
 use super::{
     SharedGateway,
+    body::{HeldBody, read_body},
     front::AnswerBody,
     memory::{FlightGuard, HeldPrompt, MemoryHold},
     metrics::RequestEnd,
@@ -40,8 +37,6 @@
     log_decision,
 };
 
-/// Time for a request whose caller names none and that has no route yet.
-const DEFAULT_PATIENCE: Duration = Duration::from_secs(15);
 /// Targets that the first send of a repeatable call may take.
 const FIRST_SEND_TARGETS: f64 = 2.5;
 /// Largest answer that is read as a whole.
@@ -131,69 +126,6 @@
     }
 }
 
-/// Reads a body as a whole, so that it can be sent more than once.
-async fn read_body<W: GatewayWire>(
-    context: &SharedGateway<W>,
-    caller: &CallerRequest,
-    body: Incoming,
-) -> Result<Option<HeldBody<W>>, Refusal> {
-    if body.is_end_stream() {
-        return Ok(None);
-    }
-    let limits = context.core().config().map(|config| config.limits);
-    let limit = limits.unwrap_or_default().body;
-    let limit = usize::try_from(limit.get()).unwrap_or(usize::MAX);
-    let wait = caller.patience.unwrap_or(DEFAULT_PATIENCE);
-    let read = Limited::new(body, limit).collect();
-    match tokio::time::timeout(wait, read).await {
-        Ok(Ok(body)) => HeldBody::new(context, body.to_bytes()).map(Some),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            let text = format!("the body is larger than {limit} bytes");
-            Err(Refusal::new(RefusalCode::BodyTooLarge, text))
-        }
-        Ok(Err(error)) => {
-            let text = format!("the body broke off: {error}");
-            Err(Refusal::new(RefusalCode::Malformed, text))
-        }
-        Err(_) => {
-            let text = format!("the body did not arrive in {wait:?}");
-            Err(Refusal::new(RefusalCode::SlowSender, text))
-        }
-    }
-}
-
-/// A request's body, counted as long as it is held.
-#[derive(Debug)]
-pub(super) struct HeldBody<W: GatewayWire> {
-    context: SharedGateway<W>,
-    bytes: Bytes,
-}
-
-impl<W: GatewayWire> HeldBody<W> {
-    fn new(context: &SharedGateway<W>, bytes: Bytes) -> Result<Self, Refusal> {
-        let length = bytes.len() as u64;
-        let held = context.body_bytes.fetch_add(length, Ordering::Relaxed);
-        let body = Self {
-            context: context.clone(),
-            bytes,
-        };
-        let limit = context.settings().body_bytes_max().get();
-        if held + length > limit {
-            let text = format!("request bodies hold {held} bytes already");
-            let mut core = context.core();
-            return Err(core.unavailable(RefusalCode::Overloaded, &text));
-        }
-        Ok(body)
-    }
-}
-
-impl<W: GatewayWire> Drop for HeldBody<W> {
-    fn drop(&mut self) {
-        let length = self.bytes.len() as u64;
-        self.context.body_bytes.fetch_sub(length, Ordering::Relaxed);
-    }
-}
-
 /// Answers with a refusal of a request that was not admitted.
 fn reject<W: GatewayWire>(
     context: &SharedGateway<W>,
@@ -319,7 +251,7 @@
             rank: self.admitted.rank(),
             resume_after,
             helpers,
-            body_length: self.body.as_ref().map(|body| body.bytes.len()),
+            body_length: self.body.as_ref().map(|body| body.len()),
         };
         let before = self.record.run_state();
         self.record.begin_send();
@@ -404,7 +336,7 @@
         started: &StartedRequest,
     ) -> Request<Full<Bytes>> {
         let head = self.context.wire.dispatch(&self.head, order);
-        let body = self.body.as_ref().map(|body| body.bytes.clone());
+        let body = self.body.as_ref().map(|body| body.bytes());
         let body = body.unwrap_or_default();
         let mut request = head.map(|()| Full::new(body));
         let mut parts = self.head.uri.clone().into_parts();
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -8,9 +8,9 @@
 //! the platform or for another instance. `docs/design/platform.md` compares
 //! this with the grants of [`crate::owner`].
 //!
-//! Sockets, clocks and tasks belong to the binary. How requests, replies and
-//! records are spelled belongs to an implementation of the traits in
-//! [`wire`].
+//! Sockets, clocks and tasks belong to the binary. The form of
+//! requests, replies and records belongs to an implementation of the traits
+//! in [`wire`].
 
 pub mod attempt;
 pub mod backlog_gate;
--- a/lib/src/gateway/wire.rs
+++ b/lib/src/gateway/wire.rs
@@ -1,4 +1,4 @@
-//! How the gateway's neighbours spell what they say.
+//! Messages exchanged with callers, upstreams and the platform's store.
 //!
 //! The traits turn the heads of HTTP messages and the records of the store
 //! into types of the product and back. Implementations decide nothing and
@@ -278,7 +278,7 @@
     ) -> Response<Bytes>;
 }
 
-/// All that the gateway's neighbours say.
+/// All messages of a gateway.
 pub trait GatewayWire:
     CallerWire
     + UpstreamWire
