driver: publish the view before the answers of the same tick

The core's tick returns the answer to the order and the new view, and the driver carried them out in that order, so that the caller's next request on another thread could find the old view.

Change: a new view is published first. The new test failed to build before, and states the order; the failed one is unchanged.

--- a/cli/src/driver.rs
+++ b/cli/src/driver.rs
@@ -109,7 +109,7 @@
         loop {
             let now = clock.now();
             let actions = self.core.tick(now, std::mem::take(&mut batch));
-            for action in actions {
+            for action in publish_first(actions) {
                 self.carry_out(action);
             }
             // After the actions, so that whoever finds the core awake also
@@ -168,6 +168,13 @@
     }
 }
 
+/// Puts the new view before the answers of the same tick, so that whoever
+/// gets an answer finds its effect in the view.
+pub fn publish_first(mut actions: Vec<CoreAction>) -> Vec<CoreAction> {
+    actions.sort_by_key(|action| !matches!(action, CoreAction::Publish(_)));
+    actions
+}
+
 impl DriverClients {
     async fn call(
         self,
--- a/cli/tests/test_serve/test_operators.rs
+++ b/cli/tests/test_serve/test_operators.rs
@@ -1,8 +1,11 @@
 //! Queries and orders in words, with three instances in front of stand-ins.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use borageline::{credentials::key_digest, metrics::ServerMetrics};
+use borageline::{
+    credentials::key_digest, driver::publish_first, metrics::ServerMetrics,
+};
+use borageline_lib::core::{CoreAction, PublishedView};
 use borageline_testutils::{fault::Fault, http_server::Standin};
 use serde_json::{Value, json};
 use tokio::runtime::{Builder, Runtime};
@@ -303,6 +306,18 @@
     );
 }
 
+/// Guards against an answer to an order that comes before its effect can be
+/// seen: a key that an order had removed was accepted once, under load, in
+/// `test_roles_of_query_and_order`.
+#[test]
+fn test_view_is_published_before_answers() {
+    let view = Arc::new(PublishedView::default());
+    let actions = vec![CoreAction::ReadList, CoreAction::Publish(view.clone())];
+    let ordered = publish_first(actions);
+    assert!(matches!(ordered[0], CoreAction::Publish(_)), "{ordered:?}");
+    assert!(matches!(ordered[1], CoreAction::ReadList), "{ordered:?}");
+}
+
 /// Guards against a page that names metrics, codes or reasons that do not
 /// exist, and against metrics that it leaves out.
 #[tokio::test]
