gateway: let one instance of a failure domain read the store for the others

Instances that start while the store is away answered 503 until it was back, though others knew the desired state.

In failure domains of four instances or more the first in the order of addresses reads the store, and the others read its copy, which says how old it is. A silent reader or a copy too old is passed over, and the store is read at once, so that no bound rests on the reader. A starting instance falls back to any instance's copy. Beats name eight members in turn.

Ruled out: longer pauses between reads (the time in which a leaving upstream must be known allows no more than 0.45 of it), and waiting reads of the upstreams (reports come all the time).

--- a/cli/src/gateway.rs
+++ b/cli/src/gateway.rs
@@ -12,6 +12,8 @@
 mod memory;
 mod metrics;
 mod reader;
+mod records;
+mod relay;
 mod reload;
 mod stream;
 
@@ -28,15 +30,16 @@
 
 use borageline_lib::{
     gateway::{
-        gateway_core::GatewayCore, gateway_settings::GatewaySettings,
-        wire::GatewayWire,
+        gateway_core::GatewayCore,
+        gateway_settings::GatewaySettings,
+        wire::{GatewayWire, StoreTopic},
     },
     log_event::LogEvent,
     units::{Incarnation, Timestamp},
 };
 use tokio::{
     signal::unix::{SignalKind, signal},
-    sync::Notify,
+    sync::{Notify, watch},
 };
 use tokio_util::sync::CancellationToken;
 
@@ -57,6 +60,9 @@
 /// Time for a connection to the store.
 const STORE_CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Time for a connection to another instance: far above the round trip.
+const PEER_CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// What all tasks of a gateway share.
 #[derive(Debug)]
 pub struct GatewayContext<W> {
@@ -66,6 +72,8 @@
     metrics: GatewayMetrics,
     upstreams: HttpClient,
     store: HttpClient,
+    peers: HttpClient,
+    copies: watch::Sender<()>,
     started: Instant,
     leaving: AtomicBool,
     connections: AtomicU64,
@@ -92,6 +100,8 @@
                 UPSTREAM_CONNECT_TIMEOUT,
             ),
             store: HttpClient::with_connect_timeout(STORE_CONNECT_TIMEOUT),
+            peers: HttpClient::with_connect_timeout(PEER_CONNECT_TIMEOUT),
+            copies: watch::Sender::new(()),
             started: Instant::now(),
             leaving: AtomicBool::new(false),
             connections: AtomicU64::new(0),
@@ -116,6 +126,14 @@
             .clone()
     }
 
+    /// Wakes instances that wait for a record of this one's copy.
+    fn tell_copies(&self, topic: StoreTopic) {
+        // Reads of other topics do not wait.
+        if topic == StoreTopic::Control {
+            self.copies.send_replace(());
+        }
+    }
+
     fn is_leaving(&self) -> bool {
         self.leaving.load(Ordering::Relaxed)
     }
@@ -146,6 +164,7 @@
     let front = front::serve(context.clone(), stop.clone())?;
     control::serve(&context)?;
     beats::start(&context).await?;
+    relay::serve(&context)?;
     reader::start(&context);
     reload::start(&context, path)?;
     terminate.recv().await;
--- a/cli/src/gateway/reader.rs
+++ b/cli/src/gateway/reader.rs
@@ -1,41 +1,34 @@
 //! Follows the topics of the platform's store.
 //!
-//! Each topic is read once in full and then by its tail. When records are
-//! gone before they were read, or the store was away, it is read in full
-//! again.
+//! Each topic is read once in full and then by its tail, from the store or
+//! from the instance that reads for the failure domain. When records are gone
+//! before they were read, it is read in full again.
 
-use std::time::Duration;
+use std::{net::IpAddr, time::Duration};
 
 use borageline_lib::{
     gateway::{
-        upstream_table::{UpstreamChange, UpstreamEntry},
-        wire::{
-            ControlRecord, GatewayWire, KeyedRecord, NewestPage, StoreTopic,
-            TailPage,
-        },
+        read_duty::{ReadPace, ReadSource},
+        topic_mirror::TopicCopy,
+        wire::{GatewayWire, KeyedRecord, NewestPage, StoreTopic, TailPage},
     },
-    ids::DomainId,
     log_event::LogEvent,
     units::{LogOffset, Timestamp},
 };
 use bytes::Bytes;
 use http::{Request, StatusCode};
 
-use super::{SharedGateway, memory::addressed};
+use super::{
+    SharedGateway,
+    memory::addressed,
+    records::RecordSink,
+    relay::{self, CopyQuery},
+};
 use crate::{
     http_client::{CallTarget, HttpFault, read_whole},
     log_decision, logging,
 };
 
-/// Share of the time in which a leaving upstream must be known after which
-/// the upstreams are read again, so that one read may fail.
-const UPSTREAM_SHARE: f64 = 0.45;
-/// Pause between two reads of the desired state while it changes.
-const CONTROL_PAUSE: Duration = Duration::from_millis(250);
-/// Share of the time in which a desired state must be in force that the store
-/// may wait for a change. A store that went silent is noticed after this and
-/// [`ANSWER_TIME`].
-const CONTROL_SHARE: f64 = 0.75;
 /// Time for an answer of the store.
 const ANSWER_TIME: Duration = Duration::from_millis(1_000);
 /// First pause after a failed call.
@@ -99,7 +92,9 @@
 struct TopicReader<W> {
     context: SharedGateway<W>,
     topic: StoreTopic,
+    sink: RecordSink<W>,
     next: Option<LogOffset>,
+    source: Option<ReadSource>,
     failed_since: Option<Timestamp>,
     failures: u32,
 }
@@ -107,9 +102,11 @@
 impl<W: GatewayWire> TopicReader<W> {
     fn new(context: SharedGateway<W>, topic: StoreTopic) -> Self {
         Self {
+            sink: RecordSink::new(context.clone(), topic),
             context,
             topic,
             next: None,
+            source: None,
             failed_since: None,
             failures: 0,
         }
@@ -118,30 +115,66 @@
     async fn follow(mut self) {
         loop {
             let begun = self.context.now();
-            let result = match self.next {
-                None => self.read_all().await,
-                Some(from) => self.read_tail(from).await,
+            let bounds = self.context.settings().bounds;
+            let source = self.choose_source();
+            let pace = ReadPace::new(self.topic, &bounds, source);
+            let result = match source {
+                ReadSource::Store { .. } => self.read_store(pace.wait).await,
+                ReadSource::Peer(ip) => match self.read_copy(ip, pace).await {
+                    Ok(()) => Ok(()),
+                    Err(reason) => {
+                        self.note_rejected(ip, &reason);
+                        self.read_store(Duration::ZERO).await
+                    }
+                },
             };
             let pause = match result {
                 Ok(()) => {
                     self.note_answered();
                     let used = self.context.now().since(begun);
-                    self.pause().saturating_sub(used)
+                    pace.pause.saturating_sub(used)
+                }
+                Err(fault) => {
+                    let pause = self.note_failed(&fault);
+                    if self.next.is_none() {
+                        self.begin_with_copy().await;
+                    }
+                    pause
                 }
-                Err(fault) => self.note_failed(&fault),
             };
             tokio::time::sleep(pause).await;
         }
     }
 
-    fn pause(&self) -> Duration {
-        match self.topic {
-            StoreTopic::Upstreams => {
-                let bounds = self.context.settings().bounds;
-                bounds.drain().mul_f64(UPSTREAM_SHARE)
-            }
-            _ => CONTROL_PAUSE,
+    fn choose_source(&mut self) -> ReadSource {
+        let now = self.context.now();
+        let source = match self.next {
+            // A copy may be of any age; the store is asked first.
+            None => ReadSource::Store { shared: false },
+            Some(_) => self.context.core().read_source(now),
+        };
+        if self.source != Some(source) {
+            self.source = Some(source);
+            log_decision!(
+                LogEvent::ReadSourceChanged,
+                {
+                    topic = self.topic,
+                    source = format_args!("{source:?}"),
+                },
+                "the topic is read from another place",
+            );
         }
+        source
+    }
+
+    fn note_rejected(&self, ip: IpAddr, reason: &str) {
+        let now = self.context.now();
+        self.context.core().pass_over(now, ip);
+        log_decision!(
+            LogEvent::CopyRejected,
+            { topic = self.topic, peer = ip },
+            "{reason}",
+        );
     }
 
     fn note_answered(&mut self) {
@@ -153,7 +186,7 @@
         log_decision!(
             LogEvent::StoreRegained,
             {
-                topic = format_args!("{:?}", self.topic),
+                topic = self.topic,
                 away_ms = now.since(since).as_millis(),
             },
             "the store answers again",
@@ -166,7 +199,7 @@
             self.failed_since = Some(now);
             log_decision!(
                 LogEvent::StoreLost,
-                { topic = format_args!("{:?}", self.topic) },
+                { topic = self.topic },
                 "{fault}",
             );
         }
@@ -175,15 +208,136 @@
         pause.min(RETRY_MAX)
     }
 
-    async fn read_tail(&mut self, from: LogOffset) -> Result<(), ReadFault> {
-        let wait = match self.topic {
-            // Reports come all the time; the pause sets the pace.
-            StoreTopic::Upstreams => Duration::ZERO,
-            _ => {
-                let bounds = self.context.settings().bounds;
-                bounds.config().mul_f64(CONTROL_SHARE)
-            }
+    /// Notes the first answer after an outage, before its records are used.
+    fn note_returned(&self) {
+        if self.failed_since.is_some() {
+            let now = self.context.now();
+            let mut core = self.context.core();
+            core.store_returned(now);
+            core.mirror(self.topic).store_returned(now);
+        }
+    }
+
+    /// Reads another instance's copy; the error says why it cannot be used.
+    async fn read_copy(
+        &mut self,
+        ip: IpAddr,
+        pace: ReadPace,
+    ) -> Result<(), String> {
+        let query = CopyQuery {
+            topic: self.topic,
+            from: self.next,
+            wait: pace.wait,
+        };
+        let begun = self.context.now();
+        let timeout = pace.wait + pace.peer_answer;
+        let copy = relay::fetch(&self.context, ip, query, timeout)
+            .await
+            .map_err(|fault| fault.to_string())?;
+        match copy.age() {
+            Some(age) if age <= pace.age_max => {}
+            Some(age) => return Err(format!("the copy is {age:?} old")),
+            None => return Err("the copy's age is unknown".into()),
+        }
+        self.take_copy(begun, pace.wait, &copy);
+        Ok(())
+    }
+
+    /// Begins with any instance's copy, of any age, while the store is away.
+    async fn begin_with_copy(&mut self) {
+        let begun = self.context.now();
+        let Some(ip) = self.context.core().any_serving(begun) else {
+            return;
+        };
+        let query = CopyQuery {
+            topic: self.topic,
+            from: None,
+            wait: Duration::ZERO,
         };
+        match relay::fetch(&self.context, ip, query, ANSWER_TIME).await {
+            Ok(copy) => {
+                log_decision!(
+                    LogEvent::TopicReread,
+                    {
+                        topic = self.topic,
+                        peer = ip,
+                        age_ms = format_args!("{:?}", copy.age_ms),
+                    },
+                    "the store is away; another instance's copy is used",
+                );
+                self.take_copy(begun, Duration::ZERO, &copy);
+            }
+            Err(fault) => self.note_rejected(ip, &fault.to_string()),
+        }
+    }
+
+    fn take_copy(
+        &mut self,
+        begun: Timestamp,
+        wait: Duration,
+        copy: &TopicCopy,
+    ) {
+        let now = self.context.now();
+        let asked = begun.after(wait.min(now.since(begun)));
+        let read_at = copy.age().and_then(|age| asked.before(age));
+        {
+            let mut core = self.context.core();
+            // The store's outage counts here, too, though this instance may
+            // not have noticed it.
+            let returned = copy.returned_ms.map(Duration::from_millis);
+            if let Some(at) = returned.and_then(|ago| now.before(ago)) {
+                core.store_returned(at);
+                core.mirror(self.topic).store_returned(at);
+            }
+        }
+        if copy.whole {
+            self.replace(read_at, &copy.records, copy.next);
+        } else {
+            self.extend(read_at, &copy.records, copy.next);
+        }
+    }
+
+    fn replace(
+        &mut self,
+        read_at: Option<Timestamp>,
+        records: &[KeyedRecord],
+        next: LogOffset,
+    ) {
+        self.sink.replace(records);
+        self.next = Some(next);
+        let mut core = self.context.core();
+        core.mirror(self.topic).replace(read_at, records, next);
+        drop(core);
+        self.context.tell_copies(self.topic);
+    }
+
+    fn extend(
+        &mut self,
+        read_at: Option<Timestamp>,
+        records: &[KeyedRecord],
+        next: LogOffset,
+    ) {
+        self.sink.apply(records);
+        self.next = Some(next);
+        let mut core = self.context.core();
+        core.mirror(self.topic).extend(read_at, records, next);
+        drop(core);
+        self.context.tell_copies(self.topic);
+    }
+
+    async fn read_store(&mut self, wait: Duration) -> Result<(), ReadFault> {
+        match self.next {
+            None => self.read_all().await,
+            Some(from) => self.read_tail(from, wait).await,
+        }
+    }
+
+    async fn read_tail(
+        &mut self,
+        from: LogOffset,
+        wait: Duration,
+    ) -> Result<(), ReadFault> {
+        let begun = self.context.now();
         let request = self.context.wire.tail(self.topic, from, wait);
         let (status, body) =
             call(&self.context, request, wait + ANSWER_TIME).await?;
@@ -197,21 +351,16 @@
             .map_err(ReadFault::Form)?;
         match page {
             TailPage::Records { records, next } => {
-                if self.failed_since.is_some() {
-                    let now = self.context.now();
-                    self.context.core().store_returned(now);
-                }
-                self.apply(&records);
-                self.next = Some(next);
+                self.note_returned();
+                let used = self.context.now().since(begun);
+                let read_at = begun.after(used.min(wait));
+                self.extend(Some(read_at), &records, next);
                 Ok(())
             }
             TailPage::Gap => {
                 log_decision!(
                     LogEvent::TopicReread,
-                    {
-                        topic = format_args!("{:?}", self.topic),
-                        from = from,
-                    },
+                    { topic = self.topic, from = from },
                     "records were dropped before they were read",
                 );
                 self.read_all().await
@@ -221,6 +370,7 @@
 
     /// Reads the newest record of each key.
     async fn read_all(&mut self) -> Result<(), ReadFault> {
+        let begun = self.context.now();
         let mut records = Vec::new();
         let mut end = None;
         for _ in 0..PAGES_MAX {
@@ -235,12 +385,9 @@
                 break;
             }
         }
-        if self.failed_since.is_some() {
-            let now = self.context.now();
-            self.context.core().store_returned(now);
-        }
-        self.replace(&records);
-        self.next = end;
+        self.note_returned();
+        let next = end.unwrap_or_default();
+        self.replace(Some(begun), &records, next);
         Ok(())
     }
 
@@ -257,146 +404,6 @@
             .read_newest(&body)
             .map_err(ReadFault::Form)
     }
-
-    fn replace(&self, records: &[KeyedRecord]) {
-        match self.topic {
-            StoreTopic::Control => {
-                let closed = self.apply_control(records);
-                let changes = self.context.core().replace_closed(&closed);
-                for (domain, closed) in changes {
-                    log_domain(&domain, closed);
-                }
-            }
-            StoreTopic::Upstreams => {
-                let mut entries = Vec::<UpstreamEntry>::new();
-                for record in records {
-                    match self.read_upstream(record) {
-                        Some(UpstreamChange::Set(entry)) => {
-                            entries.push(entry);
-                        }
-                        Some(UpstreamChange::Removed(_)) | None => {}
-                    }
-                }
-                let now = self.context.now();
-                log_decision!(
-                    LogEvent::UpstreamChanged,
-                    { upstreams = entries.len() },
-                    "the list of upstreams was read in full",
-                );
-                self.context.core().replace_upstreams(now, entries);
-            }
-            StoreTopic::Instances => {}
-        }
-    }
-
-    fn apply(&self, records: &[KeyedRecord]) {
-        match self.topic {
-            StoreTopic::Control => {
-                self.apply_control(records);
-            }
-            StoreTopic::Upstreams => {
-                for record in records {
-                    if let Some(change) = self.read_upstream(record) {
-                        self.apply_upstream(change);
-                    }
-                }
-            }
-            StoreTopic::Instances => {}
-        }
-    }
-
-    /// Applies records of the operator; returns the domains they close.
-    fn apply_control(&self, records: &[KeyedRecord]) -> Vec<DomainId> {
-        let mut closed = Vec::new();
-        // Only the newest of several desired states counts.
-        let mut newest = None;
-        for record in records {
-            match self.context.wire.read_control(record) {
-                Ok(ControlRecord::Config(config)) => newest = Some(config),
-                Ok(ControlRecord::CloseDomain(domain)) => {
-                    self.set_closed(&domain, true);
-                    closed.push(domain);
-                }
-                Ok(ControlRecord::OpenDomain(domain)) => {
-                    self.set_closed(&domain, false);
-                }
-                Ok(ControlRecord::Other) => {}
-                Err(fault) => log_decision!(
-                    LogEvent::RecordSkipped,
-                    { key = record.key },
-                    "{fault}",
-                ),
-            }
-        }
-        if let Some(config) = newest {
-            let version = config.version;
-            let routes = config.route_count();
-            if self.context.core().apply_config(*config) {
-                let gauge = i64::try_from(version.get()).unwrap_or(i64::MAX);
-                self.context.metrics.config_version.set(gauge);
-                log_decision!(
-                    LogEvent::ConfigurationApplied,
-                    { config_version = version, routes = routes },
-                    "version {version} is in force",
-                );
-            }
-        }
-        closed
-    }
-
-    fn set_closed(&self, domain: &DomainId, closed: bool) {
-        if self.context.core().set_closed(domain.clone(), closed) {
-            log_domain(domain, closed);
-        }
-    }
-
-    fn read_upstream(&self, record: &KeyedRecord) -> Option<UpstreamChange> {
-        match self.context.wire.read_upstream(record) {
-            Ok(change) => Some(change),
-            Err(fault) => {
-                log_decision!(
-                    LogEvent::RecordSkipped,
-                    { key = record.key },
-                    "{fault}",
-                );
-                // An entry that cannot be read names no upstream to use.
-                let id = record.key.parse().ok()?;
-                Some(UpstreamChange::Removed(id))
-            }
-        }
-    }
-
-    fn apply_upstream(&self, change: UpstreamChange) {
-        let now = self.context.now();
-        let mut core = self.context.core();
-        let (id, state) = match &change {
-            UpstreamChange::Set(entry) => (entry.id.clone(), Some(entry.state)),
-            UpstreamChange::Removed(id) => (id.clone(), None),
-        };
-        let before = core.upstreams().get(&id).map(|row| row.entry.state);
-        core.apply_upstream(now, change);
-        drop(core);
-        if before != state {
-            log_decision!(
-                LogEvent::UpstreamChanged,
-                {
-                    upstream = id,
-                    before = format_args!("{before:?}"),
-                    state = format_args!("{state:?}"),
-                },
-                "the list's entry of {id} has changed",
-            );
-        }
-    }
-}
-
-fn log_domain(domain: &DomainId, closed: bool) {
-    log_decision!(
-        LogEvent::DomainChanged,
-        { domain = domain, closed = closed },
-        "the failure domain was {}",
-        if closed { "closed" } else { "reopened" },
-    );
 }
 
 /// Writes this instance's record and reads those of the others.
--- /dev/null
+++ b/cli/src/gateway/records.rs
@@ -0,0 +1,170 @@
+//! Takes over records of the store's topics.
+//!
+//! A record that cannot be read is logged and changes nothing, except that an
+//! upstream whose entry cannot be read is not used.
+
+use borageline_lib::{
+    gateway::{
+        upstream_table::{UpstreamChange, UpstreamEntry},
+        wire::{ControlRecord, GatewayWire, KeyedRecord, StoreTopic},
+    },
+    ids::DomainId,
+    log_event::LogEvent,
+};
+
+use super::SharedGateway;
+use crate::log_decision;
+
+/// Takes over records of one topic.
+pub(super) struct RecordSink<W> {
+    context: SharedGateway<W>,
+    topic: StoreTopic,
+}
+
+impl<W: GatewayWire> RecordSink<W> {
+    pub(super) fn new(context: SharedGateway<W>, topic: StoreTopic) -> Self {
+        Self { context, topic }
+    }
+
+    /// Takes over the newest record of each key.
+    pub(super) fn replace(&self, records: &[KeyedRecord]) {
+        match self.topic {
+            StoreTopic::Control => {
+                let closed = self.apply_control(records);
+                let changes = self.context.core().replace_closed(&closed);
+                for (domain, closed) in changes {
+                    log_domain(&domain, closed);
+                }
+            }
+            StoreTopic::Upstreams => {
+                let mut entries = Vec::<UpstreamEntry>::new();
+                for record in records {
+                    match self.read_upstream(record) {
+                        Some(UpstreamChange::Set(entry)) => {
+                            entries.push(entry);
+                        }
+                        Some(UpstreamChange::Removed(_)) | None => {}
+                    }
+                }
+                let now = self.context.now();
+                log_decision!(
+                    LogEvent::UpstreamChanged,
+                    { upstreams = entries.len() },
+                    "the list of upstreams was read in full",
+                );
+                self.context.core().replace_upstreams(now, entries);
+            }
+            StoreTopic::Instances => {}
+        }
+    }
+
+    /// Takes over records that follow those before.
+    pub(super) fn apply(&self, records: &[KeyedRecord]) {
+        match self.topic {
+            StoreTopic::Control => {
+                self.apply_control(records);
+            }
+            StoreTopic::Upstreams => {
+                for record in records {
+                    if let Some(change) = self.read_upstream(record) {
+                        self.apply_upstream(change);
+                    }
+                }
+            }
+            StoreTopic::Instances => {}
+        }
+    }
+
+    /// Applies records of the operator; returns the domains they close.
+    fn apply_control(&self, records: &[KeyedRecord]) -> Vec<DomainId> {
+        let mut closed = Vec::new();
+        // Only the newest of several desired states counts.
+        let mut newest = None;
+        for record in records {
+            match self.context.wire.read_control(record) {
+                Ok(ControlRecord::Config(config)) => newest = Some(config),
+                Ok(ControlRecord::CloseDomain(domain)) => {
+                    self.set_closed(&domain, true);
+                    closed.push(domain);
+                }
+                Ok(ControlRecord::OpenDomain(domain)) => {
+                    self.set_closed(&domain, false);
+                }
+                Ok(ControlRecord::Other) => {}
+                Err(fault) => log_decision!(
+                    LogEvent::RecordSkipped,
+                    { key = record.key },
+                    "{fault}",
+                ),
+            }
+        }
+        if let Some(config) = newest {
+            let version = config.version;
+            let routes = config.route_count();
+            if self.context.core().apply_config(*config) {
+                let gauge = i64::try_from(version.get()).unwrap_or(i64::MAX);
+                self.context.metrics.config_version.set(gauge);
+                log_decision!(
+                    LogEvent::ConfigurationApplied,
+                    { config_version = version, routes = routes },
+                    "version {version} is in force",
+                );
+            }
+        }
+        closed
+    }
+
+    fn set_closed(&self, domain: &DomainId, closed: bool) {
+        if self.context.core().set_closed(domain.clone(), closed) {
+            log_domain(domain, closed);
+        }
+    }
+
+    fn read_upstream(&self, record: &KeyedRecord) -> Option<UpstreamChange> {
+        match self.context.wire.read_upstream(record) {
+            Ok(change) => Some(change),
+            Err(fault) => {
+                log_decision!(
+                    LogEvent::RecordSkipped,
+                    { key = record.key },
+                    "{fault}",
+                );
+                // An entry that cannot be read names no upstream to use.
+                let id = record.key.parse().ok()?;
+                Some(UpstreamChange::Removed(id))
+            }
+        }
+    }
+
+    fn apply_upstream(&self, change: UpstreamChange) {
+        let now = self.context.now();
+        let mut core = self.context.core();
+        let (id, state) = match &change {
+            UpstreamChange::Set(entry) => (entry.id.clone(), Some(entry.state)),
+            UpstreamChange::Removed(id) => (id.clone(), None),
+        };
+        let before = core.upstreams().get(&id).map(|row| row.entry.state);
+        core.apply_upstream(now, change);
+        drop(core);
+        if before != state {
+            log_decision!(
+                LogEvent::UpstreamChanged,
+                {
+                    upstream = id,
+                    before = format_args!("{before:?}"),
+                    state = format_args!("{state:?}"),
+                },
+                "the list's entry of {id} has changed",
+            );
+        }
+    }
+}
+
+fn log_domain(domain: &DomainId, closed: bool) {
+    log_decision!(
+        LogEvent::DomainChanged,
+        { domain = domain, closed = closed },
+        "the failure domain was {}",
+        if closed { "closed" } else { "reopened" },
+    );
+}
--- /dev/null
+++ b/cli/src/gateway/relay.rs
@@ -0,0 +1,201 @@
+//! Copies of the store's topics, passed from instance to instance.
+//!
+//! `GET /topics/TOPIC/FROM/WAIT_MS` at the first peer port returns a
+//! [`TopicCopy`] in bincode: the records from offset FROM on, or the newest of
+//! each key for `all`. With a wait, the answer comes as soon as there is a
+//! record. An instance that has read nothing yet answers 503.
+
+use std::{convert::Infallible, fmt::Display, io, net::IpAddr, time::Duration};
+
+use borageline_lib::{
+    gateway::{
+        topic_mirror::{COPY_VERSION, TopicCopy},
+        wire::{GatewayWire, StoreTopic},
+    },
+    log_event::LogEvent,
+    units::LogOffset,
+};
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
+
+use super::{SharedGateway, listener::accept_each};
+use crate::{
+    http_client::{CallTarget, HttpFault, plain_request, read_whole},
+    logging,
+    server::bind_callers,
+};
+
+/// First part of the paths.
+const PATH_PREFIX: &str = "/topics/";
+/// Stands for the newest record of each key in place of an offset.
+const FROM_START: &str = "all";
+/// Longest wait for a record; readers ask again after it.
+const WAIT_MAX: Duration = Duration::from_secs(5);
+/// Time in which the other instances ask again on a kept connection.
+const IDLE_MAX: Duration = Duration::from_secs(10);
+
+/// Why another instance's copy was not read.
+#[derive(Debug)]
+pub(super) enum CopyFault {
+    Call(HttpFault),
+    Status(StatusCode),
+    Form(bincode::Error),
+    Version(u8),
+}
+
+impl Display for CopyFault {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Call(fault) => write!(formatter, "{fault}"),
+            Self::Status(status) => write!(formatter, "status {status}"),
+            Self::Form(error) => write!(formatter, "malformed copy: {error}"),
+            Self::Version(version) => {
+                write!(formatter, "copy of version {version}")
+            }
+        }
+    }
+}
+
+/// What to read from another instance.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct CopyQuery {
+    pub(super) topic: StoreTopic,
+    pub(super) from: Option<LogOffset>,
+    pub(super) wait: Duration,
+}
+
+impl CopyQuery {
+    fn path(&self) -> String {
+        let topic = self.topic;
+        let from = self
+            .from
+            .map_or_else(|| FROM_START.into(), |from| from.to_string());
+        let wait = self.wait.as_millis();
+        format!("{PATH_PREFIX}{topic}/{from}/{wait}")
+    }
+
+    fn parse(path: &str) -> Option<Self> {
+        let mut parts = path.strip_prefix(PATH_PREFIX)?.split('/');
+        let topic = parts.next()?.parse().ok()?;
+        let from = match parts.next()? {
+            FROM_START => None,
+            offset => Some(offset.parse().ok()?),
+        };
+        let wait = Duration::from_millis(parts.next()?.parse().ok()?);
+        parts.next().is_none().then_some(Self {
+            topic,
+            from,
+            wait: wait.min(WAIT_MAX),
+        })
+    }
+}
+
+/// Reads the copy of another instance.
+pub(super) async fn fetch<W: GatewayWire>(
+    context: &SharedGateway<W>,
+    ip: IpAddr,
+    query: CopyQuery,
+    timeout: Duration,
+) -> Result<TopicCopy, CopyFault> {
+    let peer = context.settings().peer_address_of(ip);
+    let target = CallTarget {
+        step: "copy of a topic",
+        peer,
+        timeout,
+    };
+    let request = plain_request(Method::GET, peer, &query.path());
+    let called = async {
+        let response = context.peers.send(target, request).await?;
+        let status = response.status();
+        let body = read_whole(target, response.into_body()).await?;
+        Ok((status, body))
+    };
+    let (status, body) = called.await.map_err(CopyFault::Call)?;
+    if status != StatusCode::OK {
+        return Err(CopyFault::Status(status));
+    }
+    let copy: TopicCopy =
+        bincode::deserialize(&body).map_err(CopyFault::Form)?;
+    if copy.version != COPY_VERSION {
+        return Err(CopyFault::Version(copy.version));
+    }
+    Ok(copy)
+}
+
+/// Opens the listener and answers until the process ends.
+pub(super) fn serve<W: GatewayWire>(
+    context: &SharedGateway<W>,
+) -> io::Result<()> {
+    let listener = bind_callers(context.settings().peer_address())?;
+    tokio::spawn(accept(context.clone(), listener));
+    Ok(())
+}
+
+async fn accept<W: GatewayWire>(
+    context: SharedGateway<W>,
+    listener: TcpListener,
+) {
+    // Others may read until the process ends.
+    let stop = CancellationToken::new();
+    let connection = |stream| Some(serve_connection(context.clone(), stream));
+    accept_each(listener, &stop, connection).await;
+}
+
+async fn serve_connection<W: GatewayWire>(
+    context: SharedGateway<W>,
+    stream: TcpStream,
+) {
+    let service = service_fn(move |request| {
+        let context = context.clone();
+        async move { Ok::<_, Infallible>(answer(&context, request).await) }
+    });
+    let served = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(IDLE_MAX)
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+    if let Err(error) = served {
+        let text = format!("copy of a topic: {error}");
+        logging::event(LogEvent::CallerConnectionFailed, &text);
+    }
+}
+
+async fn answer<W: GatewayWire>(
+    context: &SharedGateway<W>,
+    request: Request<Incoming>,
+) -> Response<Full<Bytes>> {
+    let Some(query) = CopyQuery::parse(request.uri().path()) else {
+        return status(StatusCode::NOT_FOUND);
+    };
+    // Made before the first look, so that no record is missed between.
+    let mut changes = context.copies.subscribe();
+    let waited = async {
+        let is_new = |context: &SharedGateway<W>| {
+            context.core().mirror(query.topic).next() > query.from
+        };
+        while !is_new(context) && changes.changed().await.is_ok() {}
+    };
+    // The end of the wait is no error: the copy's age is news, too.
+    let _ = tokio::time::timeout(query.wait, waited).await;
+    let now = context.now();
+    let copy = context.core().mirror(query.topic).read(now, query.from);
+    match copy {
+        Some(copy) => {
+            let bytes =
+                bincode::serialize(&copy).expect("copies are plain values");
+            Response::new(Full::new(bytes.into()))
+        }
+        None => status(StatusCode::SERVICE_UNAVAILABLE),
+    }
+}
+
+fn status(status: StatusCode) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = status;
+    response
+}
--- a/lib/src/gateway/gateway_core.rs
+++ b/lib/src/gateway/gateway_core.rs
@@ -10,7 +10,7 @@
     time::Duration,
 };
 
-use rand::{Rng, SeedableRng};
+use rand::{Rng, SeedableRng, seq::IndexedRandom};
 use rand_chacha::ChaCha8Rng;
 
 use super::{
@@ -20,9 +20,12 @@
     load_board::{FlightId, LoadBoard},
     member_table::{BEAT_VERSION, MemberBeat, MemberChange, MemberTable},
     placement::{LONG_READ, PlacedRequest, PlacementView, PromptWork},
+    read_duty::{ReadDuty, ReadSource},
     retry_window::RetryWindow,
     routing_config::{CallerIdentity, ConfigVersion, RouteSpec, RoutingConfig},
+    topic_mirror::TopicMirror,
     upstream_table::{UpstreamChange, UpstreamEntry, UpstreamTable},
+    wire::StoreTopic,
 };
 use crate::{
     ids::{DomainId, ServiceName, UpstreamId},
@@ -126,6 +129,8 @@
     retries: BTreeMap<ServiceName, RetryWindow>,
     rates: BTreeMap<UpstreamId, DispatchRate>,
     members: MemberTable,
+    mirrors: BTreeMap<StoreTopic, TopicMirror>,
+    duty: ReadDuty,
     rng: ChaCha8Rng,
 }
 
@@ -151,6 +156,8 @@
             retries: BTreeMap::new(),
             rates: BTreeMap::new(),
             members,
+            mirrors: BTreeMap::new(),
+            duty: ReadDuty::default(),
             rng: ChaCha8Rng::seed_from_u64(seed),
         }
     }
@@ -224,6 +231,30 @@
         self.upstreams.store_returned(now);
     }
 
+    /// Copy of a topic, for other instances.
+    pub fn mirror(&mut self, topic: StoreTopic) -> &mut TopicMirror {
+        self.mirrors.entry(topic).or_default()
+    }
+
+    /// Where to read a topic next.
+    pub fn read_source(&self, now: Timestamp) -> ReadSource {
+        let domain = &self.settings.failure_domain;
+        let neighbours = self.members.neighbours(now, domain);
+        self.duty.source(now, self.settings.ip, &neighbours)
+    }
+
+    /// Notes an instance whose copy of a topic cannot be used for now.
+    pub fn pass_over(&mut self, now: Timestamp, ip: IpAddr) {
+        self.duty.pass_over(now, ip);
+    }
+
+    /// Some instance that serves, to begin with its copy of a topic.
+    pub fn any_serving(&mut self, now: Timestamp) -> Option<IpAddr> {
+        let domain = &self.settings.failure_domain;
+        let serving = self.members.serving(now, domain);
+        serving.choose(&mut self.rng).copied()
+    }
+
     /// The upstreams.
     pub fn upstreams(&self) -> &UpstreamTable {
         &self.upstreams
@@ -504,7 +535,7 @@
             domain: self.settings.failure_domain.clone(),
             ip: own,
             serving: self.is_ready(),
-            heard: self.members.heard(now),
+            heard: self.members.name_some(now),
             loads: self.board.own(now),
             demand: self.board.own_demand(now),
         };
--- a/lib/src/gateway/member_table.rs
+++ b/lib/src/gateway/member_table.rs
@@ -30,6 +30,9 @@
 const BEAT_PAUSE_MAX: Duration = Duration::from_millis(600);
 /// Pause between two tries of an address from which nothing was heard.
 const PROBE_PAUSE: Duration = Duration::from_millis(1_000);
+/// Members that one beat names. Each beat names the next ones, so that the
+/// size of a beat does not grow with the fleet.
+const NAMED_MAX: usize = 8;
 /// Version of the beats.
 pub const BEAT_VERSION: u8 = 1;
 
@@ -48,7 +51,7 @@
         pub ip: IpAddr,
         /// Whether it takes new callers.
         pub serving: bool,
-        /// Machines of the members that it hears.
+        /// Machines of some of the members that it hears, in turn.
         pub heard: Vec<IpAddr>,
         /// Load that its requests cause.
         pub loads: BTreeMap<UpstreamId, UpstreamLoad>,
@@ -84,6 +87,8 @@
     /// Addresses to try, with the time of the last try.
     contacts: BTreeMap<IpAddr, Option<Timestamp>>,
     silent: Vec<IpAddr>,
+    /// Last member that a beat has named.
+    named: Option<IpAddr>,
 }
 
 impl MemberTable {
@@ -156,6 +161,27 @@
             .collect()
     }
 
+    /// Machines of the members that the next beat names.
+    pub fn name_some(&mut self, now: Timestamp) -> Vec<IpAddr> {
+        let heard = self.heard(now);
+        let after = self.named;
+        let start = heard.partition_point(|ip| Some(*ip) <= after);
+        let (before, rest) = heard.split_at(start);
+        let named: Vec<_> =
+            rest.iter().chain(before).take(NAMED_MAX).copied().collect();
+        self.named = named.last().copied();
+        named
+    }
+
+    /// Machines of the members of a failure domain that take new callers.
+    pub fn neighbours(&self, now: Timestamp, domain: &DomainId) -> Vec<IpAddr> {
+        let rows = self.rows.iter().filter(|(_, row)| {
+            let heard = now.since(row.heard_at) <= SILENT_AFTER;
+            row.serving && heard && row.domain == *domain
+        });
+        rows.map(|(ip, _)| *ip).collect()
+    }
+
     /// Machines of members that take new callers, those of `domain` first.
     pub fn serving(&self, now: Timestamp, domain: &DomainId) -> Vec<IpAddr> {
         let mut rows: Vec<_> = self
--- /dev/null
+++ b/lib/src/gateway/topic_mirror.rs
@@ -0,0 +1,199 @@
+//! A copy of one topic of the store, for other instances to read.
+//!
+//! An instance that follows a topic keeps the newest record of each key and
+//! the records it has read last. Others of its failure domain read from this
+//! copy instead of the store, and an instance that starts while the store is
+//! away begins with it. A copy says how long ago its records were read from
+//! the store, over however many instances they came.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+
+use super::wire::KeyedRecord;
+use crate::{
+    units::{LogOffset, Timestamp},
+    value_type,
+};
+
+/// Version of [`TopicCopy`].
+pub const COPY_VERSION: u8 = 1;
+/// Bytes of recent records that are kept. A reader that is further behind
+/// receives the newest record of each key.
+const RECENT_BYTES: usize = 1 << 20;
+
+value_type! {
+    /// Answer to an instance that reads the copy.
+    pub struct TopicCopy {
+        /// Version of the message.
+        pub version: u8,
+        /// Time since the records were read from the store, in milliseconds;
+        /// absent if they may be older than the sender.
+        pub age_ms: Option<u64>,
+        /// Time since the store came back to the sender, in milliseconds.
+        pub returned_ms: Option<u64>,
+        /// Whether the records are the newest of all keys, not the latest.
+        pub whole: bool,
+        /// Records.
+        pub records: Vec<KeyedRecord>,
+        /// Offset after the last record.
+        pub next: LogOffset,
+    }
+}
+
+impl TopicCopy {
+    /// Time since the records were read from the store.
+    pub fn age(&self) -> Option<Duration> {
+        self.age_ms.map(Duration::from_millis)
+    }
+}
+
+#[derive(Clone, Debug)]
+struct RecordBatch {
+    from: LogOffset,
+    next: LogOffset,
+    records: Vec<KeyedRecord>,
+    bytes: usize,
+}
+
+/// Copy of one topic.
+#[derive(Clone, Debug, Default)]
+pub struct TopicMirror {
+    newest: BTreeMap<Arc<str>, Bytes>,
+    recent: VecDeque<RecordBatch>,
+    recent_bytes: usize,
+    next: Option<LogOffset>,
+    read_at: Option<Timestamp>,
+    returned_at: Option<Timestamp>,
+}
+
+impl TopicMirror {
+    /// Replaces the copy by the newest records of the topic.
+    pub fn replace(
+        &mut self,
+        read_at: Option<Timestamp>,
+        records: &[KeyedRecord],
+        next: LogOffset,
+    ) {
+        self.newest.clear();
+        self.recent.clear();
+        self.recent_bytes = 0;
+        self.keep_newest(records);
+        self.next = Some(next);
+        self.read_at = read_at;
+    }
+
+    /// Adds records that follow the copy.
+    pub fn extend(
+        &mut self,
+        read_at: Option<Timestamp>,
+        records: &[KeyedRecord],
+        next: LogOffset,
+    ) {
+        self.read_at = read_at;
+        let from = self.next.unwrap_or(next);
+        if next <= from {
+            return;
+        }
+        self.keep_newest(records);
+        let bytes = records.iter().map(record_bytes).sum();
+        self.recent_bytes += bytes;
+        self.recent.push_back(RecordBatch {
+            from,
+            next,
+            records: records.to_vec(),
+            bytes,
+        });
+        while self.recent_bytes > RECENT_BYTES {
+            let Some(oldest) = self.recent.pop_front() else {
+                break;
+            };
+            self.recent_bytes -= oldest.bytes;
+        }
+        self.next = Some(next);
+    }
+
+    fn keep_newest(&mut self, records: &[KeyedRecord]) {
+        for record in records {
+            match &record.value {
+                Some(value) => {
+                    self.newest.insert(record.key.clone(), value.clone());
+                }
+                None => {
+                    self.newest.remove(&record.key);
+                }
+            }
+        }
+    }
+
+    /// Notes that the store answers again after an outage.
+    pub fn store_returned(&mut self, at: Timestamp) {
+        self.returned_at = Some(at);
+    }
+
+    /// Offset after the last record; absent before the first read.
+    pub fn next(&self) -> Option<LogOffset> {
+        self.next
+    }
+
+    /// Time since the records were read from the store.
+    pub fn age(&self, now: Timestamp) -> Option<Duration> {
+        self.read_at.map(|at| now.since(at))
+    }
+
+    /// Records from an offset on, or the newest of each key where those are
+    /// no longer held; `None` before the first read.
+    pub fn read(
+        &self,
+        now: Timestamp,
+        from: Option<LogOffset>,
+    ) -> Option<TopicCopy> {
+        let next = self.next?;
+        let mut copy = TopicCopy {
+            version: COPY_VERSION,
+            age_ms: self.age(now).map(millis),
+            returned_ms: self.returned_at.map(|at| millis(now.since(at))),
+            whole: false,
+            records: Vec::new(),
+            next,
+        };
+        // A reader may be ahead, since it has read the store itself.
+        if let Some(from) = from.filter(|from| *from >= next) {
+            copy.next = from;
+            return Some(copy);
+        }
+        let oldest = self.recent.front().map(|batch| batch.from);
+        match from.filter(|from| oldest.is_some_and(|oldest| oldest <= *from)) {
+            Some(from) => {
+                let later = self.recent.iter().filter(|it| it.next > from);
+                let records = later.flat_map(|batch| &batch.records);
+                copy.records = records.cloned().collect();
+            }
+            None => {
+                copy.whole = true;
+                let newest = self.newest.iter().map(|(key, value)| {
+                    let value = Some(value.clone());
+                    KeyedRecord {
+                        key: key.clone(),
+                        value,
+                    }
+                });
+                copy.records = newest.collect();
+            }
+        }
+        Some(copy)
+    }
+}
+
+fn record_bytes(record: &KeyedRecord) -> usize {
+    let value = record.value.as_ref().map_or(0, Bytes::len);
+    record.key.len() + value
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/lib/src/gateway/wire.rs
+++ b/lib/src/gateway/wire.rs
@@ -4,7 +4,13 @@
 //! into types of the product and back. Implementations decide nothing and
 //! keep nothing.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    fmt::{Display, Formatter},
+    net::SocketAddr,
+    str::FromStr,
+    sync::Arc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::{
@@ -21,6 +27,7 @@
     ids::{DomainId, UpstreamId, WorkspaceId},
     refusal::Refusal,
     units::{LogOffset, TokenCount},
+    value_type,
 };
 
 id_type! {
@@ -109,13 +116,48 @@
     Instances,
 }
 
-/// One record of a topic; without a value it removes its key.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct KeyedRecord {
-    /// Key.
-    pub key: Arc<str>,
-    /// Value.
-    pub value: Option<Bytes>,
+impl StoreTopic {
+    /// All topics.
+    pub const ALL: [Self; 3] =
+        [Self::Control, Self::Upstreams, Self::Instances];
+
+    /// Name in paths and log lines.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Control => "control",
+            Self::Upstreams => "upstreams",
+            Self::Instances => "instances",
+        }
+    }
+}
+
+impl Display for StoreTopic {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str(self.as_str())
+    }
+}
+
+impl FromStr for StoreTopic {
+    type Err = WireFault;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let found = Self::ALL.into_iter().find(|it| it.as_str() == text);
+        found.ok_or_else(|| WireFault {
+            step: "topic",
+            message: format!("no topic is called {text:?}").into(),
+        })
+    }
+}
+
+value_type! {
+    /// One record of a topic; without a value it removes its key.
+    #[derive(Eq)]
+    pub struct KeyedRecord {
+        /// Key.
+        pub key: Arc<str>,
+        /// Value.
+        pub value: Option<Bytes>,
+    }
 }
 
 /// Part of the list of the newest records of a topic.
@@ -165,8 +207,8 @@
     pub message: Arc<str>,
 }
 
-impl std::fmt::Display for WireFault {
-    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+impl Display for WireFault {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> std::fmt::Result {
         write!(formatter, "{}: {}", self.step, self.message)
     }
 }
--- a/lib/src/log_event.rs
+++ b/lib/src/log_event.rs
@@ -119,6 +119,10 @@
     StoreRegained = 621, "store_regained", Info;
     /// A topic is read anew, since records are gone or were missed.
     TopicReread = 622, "topic_reread", Info;
+    /// A topic is read from another place: the store or another instance.
+    ReadSourceChanged = 623, "read_source_changed", Info;
+    /// Another instance's copy of a topic cannot be used.
+    CopyRejected = 624, "copy_rejected", Warn;
     /// The settings file has changed.
     SettingsReloaded = 630, "settings_reloaded", Info;
     /// The changed settings file is wrong; the last settings stay.
--- a/lib/tests/gateway/main.rs
+++ b/lib/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod test_attempt;
 mod test_config;
+mod test_copies;
 mod test_members;
 mod test_placement;
 mod test_stream;
--- /dev/null
+++ b/lib/tests/gateway/test_copies.rs
@@ -0,0 +1,175 @@
+//! Copies of the store's topics, and who reads the store.
+
+use std::net::IpAddr;
+
+use borageline_lib::{
+    gateway::{
+        read_duty::{PASSED_OVER, ReadDuty, ReadPace, ReadSource},
+        topic_mirror::TopicMirror,
+        wire::{KeyedRecord, StoreTopic},
+    },
+    units::LogOffset,
+};
+use rstest::rstest;
+
+use crate::world::{at, beat, core, ms, settings};
+
+fn record(key: &str, value: &str) -> KeyedRecord {
+    KeyedRecord {
+        key: key.into(),
+        value: (!value.is_empty()).then(|| value.as_bytes().to_vec().into()),
+    }
+}
+
+fn offset(value: u64) -> LogOffset {
+    LogOffset::new(value)
+}
+
+fn machine(last: u8) -> IpAddr {
+    [10, 1, 0, last].into()
+}
+
+/// A copy that was read in full at 10 and then by its tail.
+fn mirror() -> TopicMirror {
+    let mut mirror = TopicMirror::default();
+    let all = [record("a", "1"), record("b", "1")];
+    mirror.replace(Some(at(100)), &all, offset(10));
+    mirror.extend(Some(at(200)), &[record("a", "2")], offset(11));
+    let removal = [record("b", ""), record("c", "1")];
+    mirror.extend(Some(at(300)), &removal, offset(13));
+    mirror
+}
+
+/// Guards against a reader that misses records or receives them out of order.
+#[rstest]
+#[case::all(None, true, &["a=2", "c=1"])]
+#[case::dropped(Some(9), true, &["a=2", "c=1"])]
+#[case::first(Some(10), false, &["a=2", "b=", "c=1"])]
+#[case::inside(Some(12), false, &["b=", "c=1"])]
+#[case::end(Some(13), false, &[])]
+fn test_copy_is_read_from(
+    #[case] from: Option<u64>,
+    #[case] whole: bool,
+    #[case] expected: &[&str],
+) {
+    let copy = mirror().read(at(350), from.map(offset)).expect("was read");
+    let records: Vec<_> = copy
+        .records
+        .iter()
+        .map(|it| {
+            let value = it.value.as_deref().unwrap_or_default();
+            format!("{}={}", it.key, String::from_utf8_lossy(value))
+        })
+        .collect();
+    assert_eq!(records, expected);
+    assert_eq!((copy.whole, copy.next), (whole, offset(13)));
+    assert_eq!(copy.age(), Some(ms(50)));
+}
+
+/// Guards against an instance that goes back to what its reader knows.
+#[test]
+fn test_copy_behind_its_reader_says_nothing() {
+    let copy = mirror().read(at(350), Some(offset(20))).expect("was read");
+    assert_eq!((copy.records.len(), copy.next), (0, offset(20)));
+    assert_eq!(TopicMirror::default().read(at(350), None), None);
+}
+
+/// Guards against copies that grow without bound.
+#[test]
+fn test_copy_forgets_old_records() {
+    let mut mirror = mirror();
+    let large = "x".repeat(300 << 10);
+    for next in 14..20 {
+        let records = [record("large", &large)];
+        mirror.extend(Some(at(400)), &records, offset(next));
+    }
+    let late = mirror.read(at(400), Some(offset(13))).expect("was read");
+    assert_eq!((late.whole, late.records.len()), (true, 3));
+    let near = mirror.read(at(400), Some(offset(18))).expect("was read");
+    assert_eq!((near.whole, near.records.len()), (false, 1));
+}
+
+/// Guards against a copy of unknown age that passes for a new one.
+#[test]
+fn test_copy_without_a_time_has_no_age() {
+    let mut mirror = TopicMirror::default();
+    mirror.replace(None, &[record("a", "1")], offset(1));
+    let copy = mirror.read(at(5_000), None).expect("was read");
+    assert_eq!(copy.age(), None);
+}
+
+/// Guards against a fleet in which every instance calls the store, and
+/// against one in which nobody does.
+#[rstest]
+#[case::few(2, 3, ReadSource::Store { shared: false })]
+#[case::reader(1, 4, ReadSource::Store { shared: true })]
+#[case::other(3, 4, ReadSource::Peer(machine(1)))]
+fn test_duty_is_with_one(
+    #[case] own: u8,
+    #[case] instances: u8,
+    #[case] expected: ReadSource,
+) {
+    let others: Vec<_> = (1..=instances)
+        .filter(|it| *it != own)
+        .map(machine)
+        .collect();
+    let source = ReadDuty::default().source(at(0), machine(own), &others);
+    assert_eq!(source, expected);
+}
+
+/// Guards against instances that stay with a reader that failed.
+#[test]
+fn test_duty_passes_over_failed_readers() {
+    let others = [1, 2, 4].map(machine);
+    let mut duty = ReadDuty::default();
+    duty.pass_over(at(0), machine(1));
+    let source = |duty: &ReadDuty, now| duty.source(now, machine(3), &others);
+    let second = ReadSource::Peer(machine(2));
+    assert_eq!(source(&duty, at(10)), second);
+    duty.pass_over(at(20), machine(2));
+    let own = ReadSource::Store { shared: true };
+    assert_eq!(source(&duty, at(30)), own);
+    let later = at(0).after(PASSED_OVER);
+    let first = ReadSource::Peer(machine(1));
+    assert_eq!(source(&duty, later), first);
+}
+
+/// Guards against bounds that a failed reader makes the others miss: the
+/// record comes just after the last good copy, and the next reads fail.
+#[rstest]
+#[case::upstreams(StoreTopic::Upstreams, 2_000)]
+#[case::control(StoreTopic::Control, 2_000)]
+fn test_pace_leaves_time_after_a_failed_reader(
+    #[case] topic: StoreTopic,
+    #[case] bound: u64,
+) {
+    let bounds = settings().bounds;
+    let pace = ReadPace::new(topic, &bounds, ReadSource::Peer(machine(1)));
+    // A copy of the greatest age that is used, a pause, and a read that is
+    // not answered; then the store is read, for which some time is left.
+    let worst = pace.age_max + pace.pause + pace.wait + pace.peer_answer;
+    assert!(worst < ms(bound * 9 / 10), "{worst:?}");
+}
+
+/// Guards against a stopping instance that the others read from until it is
+/// gone, and against readers in another failure domain.
+#[test]
+fn test_duty_moves_from_stopping_instances() {
+    let mut core = core(1);
+    let mut far = beat("far", [127, 0, 0, 9]);
+    far.domain = "domain-b".parse().expect("id is valid");
+    core.hear(at(0), far);
+    for last in 2..6 {
+        core.hear(at(0), beat(&format!("near-{last}"), [127, 0, 0, last]));
+    }
+    // This instance has the lowest address.
+    let own = ReadSource::Store { shared: true };
+    assert_eq!(core.read_source(at(10)), own);
+    for last in 2..4 {
+        let mut leaving = beat(&format!("near-{last}"), [127, 0, 0, last]);
+        leaving.serving = false;
+        core.hear(at(20), leaving);
+    }
+    let alone = ReadSource::Store { shared: false };
+    assert_eq!(core.read_source(at(30)), alone);
+}
--- a/lib/tests/gateway/test_members.rs
+++ b/lib/tests/gateway/test_members.rs
@@ -67,3 +67,21 @@
     assert_eq!(table.targets(at(100), OWN.into()).len(), 1);
     assert_eq!(table.targets(at(1_500), OWN.into()).len(), 2);
 }
+
+/// Guards against beats that grow with the fleet, and against members that no
+/// beat names.
+#[test]
+fn test_members_are_named_in_turn() {
+    let mut table = MemberTable::default();
+    for last in 1..=20 {
+        let other = beat(&format!("entry-{last}"), [127, 0, 1, last]);
+        table.hear(at(0), OWN.into(), &other);
+    }
+    let mut named = std::collections::BTreeSet::new();
+    for _ in 0..3 {
+        let some = table.name_some(at(100));
+        assert_eq!(some.len(), 8);
+        named.extend(some);
+    }
+    assert_eq!(named.len(), 20);
+}
