gateway: count sends that another upstream declined, and leave its row alone

Cause: a third of the engines came back under new ids at their addresses; their old entries stay listed for seconds, each send to one was answered 421, cost nothing of the retry budget, and kept the upstream out for 500 ms only, on each of 84 instances by itself.

Sends count in the budget unless no connection was made. An upstream is not used once another one, started later, is listed at its address, or has answered there; its own next report brings it back.

Ruled out: a stale copy of the list (the entries were in the store), and declined sends (budgeted before).

--- a/cli/src/gateway/forward.rs
+++ b/cli/src/gateway/forward.rs
@@ -383,6 +383,10 @@
                 core.upstream_erred(upstream);
                 Duration::ZERO
             }
+            SendOutcome::Misdirected => {
+                core.upstream_displaced(upstream);
+                Duration::ZERO
+            }
             _ => core.upstream_failed(now, upstream),
         };
         drop(core);
--- a/lib/src/gateway/attempt.rs
+++ b/lib/src/gateway/attempt.rs
@@ -39,7 +39,7 @@
     /// Send to another upstream.
     Resend {
         /// Whether the retry budget has to allow it: the send that ended has
-        /// reached an upstream.
+        /// reached some upstream.
         budgeted: bool,
     },
     /// End the attempt.
@@ -108,11 +108,11 @@
         } else if outcome == SendOutcome::Failed {
             self.state = RunState::Ran;
         }
-        let reached = !matches!(
+        let meant = !matches!(
             outcome,
             SendOutcome::NotConnected | SendOutcome::Misdirected
         );
-        if !reached {
+        if !meant {
             if self.misses_left == 0 {
                 return NextStep::End(self.state);
             }
@@ -126,7 +126,9 @@
         if late || !repeatable || self.sends_left == 0 {
             return NextStep::End(self.state);
         }
-        NextStep::Resend { budgeted: reached }
+        // What reached another upstream counts there, too.
+        let budgeted = outcome != SendOutcome::NotConnected;
+        NextStep::Resend { budgeted }
     }
 
     /// Whether the attempt may be sent once more if a send that has begun
--- a/lib/src/gateway/gateway_core.rs
+++ b/lib/src/gateway/gateway_core.rs
@@ -484,6 +484,11 @@
         self.upstreams.failed(now, id)
     }
 
+    /// Notes that another upstream has answered at an upstream's address.
+    pub fn upstream_displaced(&mut self, id: &UpstreamId) {
+        self.upstreams.displaced(id);
+    }
+
     /// Notes an error that an upstream answered with.
     pub fn upstream_erred(&mut self, id: &UpstreamId) {
         self.upstreams.erred(id);
--- a/lib/src/gateway/upstream_table.rs
+++ b/lib/src/gateway/upstream_table.rs
@@ -3,9 +3,10 @@
 //! The list is followed record by record. Entries that lapsed in an outage of
 //! the store come back within [`RETURN_GRACE`] of its return. Until then a
 //! removed entry is kept, but used only if most of its service is missing: a
-//! few missing entries are upstreams that leave. An upstream that fails requests is avoided for a while
-//! where others can take its place; it is never given up while the list has
-//! it.
+//! few missing entries are upstreams that leave. An upstream that fails
+//! requests is avoided for a while where others can take its place; it is
+//! never given up while the list has it. One at whose address another has
+//! started since is not used: its entry stays for some seconds.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -77,6 +78,8 @@
     pub read_at: Timestamp,
     cold_until: Timestamp,
     absent: bool,
+    /// Whether another upstream has its address.
+    displaced: bool,
     failures: u32,
     failure_share: f64,
     avoid_until: Timestamp,
@@ -89,6 +92,7 @@
             entry,
             read_at: now,
             absent: false,
+            displaced: false,
             failures: 0,
             failure_share: 0.0,
             avoid_until: Timestamp::ZERO,
@@ -148,6 +152,23 @@
     }
 
     fn set(&mut self, now: Timestamp, entry: UpstreamEntry) {
+        let mut displaced = false;
+        for row in self.rows.values_mut() {
+            let other = &row.entry;
+            if other.address != entry.address || other.id == entry.id {
+                continue;
+            }
+            row.displaced |= other.incarnation < entry.incarnation;
+            displaced |= other.incarnation > entry.incarnation;
+        }
+        let id = entry.id.clone();
+        self.put(now, entry);
+        if let Some(row) = self.rows.get_mut(&id) {
+            row.displaced = displaced;
+        }
+    }
+
+    fn put(&mut self, now: Timestamp, entry: UpstreamEntry) {
         match self.rows.get_mut(&entry.id) {
             Some(row) if row.entry.incarnation == entry.incarnation => {
                 row.cold_until = now.after(entry.cold_for);
@@ -220,6 +241,7 @@
             .filter(|row| {
                 row.entry.service == *service
                     && row.entry.state == UpstreamState::Ready
+                    && !row.displaced
                     && !self.closed.contains(&row.entry.domain)
                     && !excluded.contains(&row.entry.id)
             })
@@ -263,6 +285,13 @@
         wait
     }
 
+    /// Notes that another upstream has answered at an upstream's address.
+    pub fn displaced(&mut self, id: &UpstreamId) {
+        if let Some(row) = self.rows.get_mut(id) {
+            row.displaced = true;
+        }
+    }
+
     /// Notes that an upstream answered with an error of its own, which says
     /// little of the next request.
     pub fn erred(&mut self, id: &UpstreamId) {
--- a/lib/tests/gateway/test_attempt.rs
+++ b/lib/tests/gateway/test_attempt.rs
@@ -125,6 +125,25 @@
     assert_eq!(record.run_state(), RunState::NotRun);
 }
 
+/// Guards against repeats that the retry budget does not see: an upstream
+/// that answers for another one counts what arrives there (found by a hunt:
+/// BUDGET on fa-numeracion-grown, trouble-1 seed 839071169291).
+#[rstest]
+#[case::no_connection(SendOutcome::NotConnected, false)]
+#[case::another_upstream(SendOutcome::Misdirected, true)]
+#[case::declined(SendOutcome::Declined, true)]
+fn test_attempt_counts_what_reached_an_upstream(
+    #[case] outcome: SendOutcome,
+    #[case] budgeted: bool,
+) {
+    let route = route(RepeatRule::Idempotent, 2);
+    let mut record = AttemptRecord::new(&route, at(10_000));
+    let before = record.run_state();
+    record.begin_send();
+    let step = record.finish_send(at(10), before, outcome);
+    assert_eq!(step, NextStep::Resend { budgeted });
+}
+
 /// Guards against a send that can no longer end before the deadline.
 #[test]
 fn test_attempt_ends_at_deadline() {
--- a/lib/tests/gateway/test_upstreams.rs
+++ b/lib/tests/gateway/test_upstreams.rs
@@ -91,3 +91,36 @@
     table.apply(at(50), UpstreamChange::Set(restarted));
     assert_eq!(names(&table, at(100)), ["i-0", "i-1"]);
 }
+
+/// Guards against requests to upstreams whose machines were restarted under
+/// new ids: each answers that it is another one, and the repeats exhaust the
+/// retry budget (found by a hunt: BUDGET on fa-numeracion-grown, trouble-1
+/// seed 839071169291).
+#[test]
+fn test_upstreams_replaced_at_their_address_get_nothing() {
+    let mut table = UpstreamTable::default();
+    let mut old = entry("i-old");
+    old.address = "127.0.0.1:9100".parse().expect("address is valid");
+    table.replace(at(0), vec![old.clone(), entry("i-other")]);
+    let mut new = old.clone();
+    new.id = id("i-new");
+    new.incarnation = Incarnation::new(2);
+    table.apply(at(100), UpstreamChange::Set(new));
+    assert_eq!(names(&table, at(100)), ["i-new", "i-other"]);
+    // A late report of the one before changes nothing.
+    table.apply(at(200), UpstreamChange::Set(old));
+    assert_eq!(names(&table, at(200)), ["i-new", "i-other"]);
+}
+
+/// Guards against an upstream that is tried again and again though another
+/// one answers at its address; its next report shows that it is back.
+#[test]
+fn test_upstreams_displaced_get_nothing_until_they_report() {
+    let mut table = table(2);
+    table.displaced(&id("i-0"));
+    assert_eq!(names(&table, at(60_000)), ["i-1"]);
+    table.displaced(&id("i-1"));
+    assert!(names(&table, at(60_000)).is_empty());
+    table.apply(at(61_000), UpstreamChange::Set(entry("i-0")));
+    assert_eq!(names(&table, at(61_000)), ["i-0"]);
+}
--- a/lib/tests/gateway/world.rs
+++ b/lib/tests/gateway/world.rs
@@ -1,6 +1,11 @@
 //! Values that the tests of the gateway share.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeMap,
+    net::{Ipv4Addr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
 
 use borageline_lib::{
     gateway::{
@@ -60,7 +65,7 @@
     UpstreamEntry {
         id: id(name),
         service: id("models"),
-        address: "127.0.0.1:9000".parse().expect("address is valid"),
+        address: SocketAddr::from((Ipv4Addr::LOCALHOST, port_of(name))),
         domain: id("domain-a"),
         state: UpstreamState::Ready,
         cold_for: Duration::ZERO,
@@ -69,6 +74,14 @@
     }
 }
 
+/// A port for each name that the tests use.
+fn port_of(name: &str) -> u16 {
+    let port = name.bytes().fold(9_000, |port: u32, byte| {
+        (port * 31 + u32::from(byte)) % 30_011
+    });
+    u16::try_from(port).expect("ports are below 30,011")
+}
+
 pub(crate) fn route(repeat: RepeatRule, sends: u32) -> RouteSpec {
     RouteSpec {
         name: "route".into(),
