--- a/testutils/src/process.rs
+++ b/testutils/src/process.rs
@@ -28,6 +28,8 @@
     Stop,
     /// Lets it go on.
     Continue,
+    /// Tells it that its settings have changed.
+    HangUp,
 }
 
 impl ChildSignal {
@@ -36,6 +38,7 @@
             Self::Terminate => "-TERM",
             Self::Stop => "-STOP",
             Self::Continue => "-CONT",
+            Self::HangUp => "-HUP",
         }
     }
 }
@@ -149,7 +152,9 @@
         if status.success() {
             return match signal {
                 ChildSignal::Stop => self.wait_stopped(),
-                ChildSignal::Terminate | ChildSignal::Continue => Ok(()),
+                ChildSignal::Terminate
+                | ChildSignal::Continue
+                | ChildSignal::HangUp => Ok(()),
             };
         }
         let text =
