gateway: keep the latest return of the store

Since copies of topics tell when the store came back to their reader, an instance could replace its own later time by an earlier one and drop entries that may still return. Found by reading the change, not on a run. The later time is kept; test_upstreams_keep_the_latest_return_of_the_store failed before.

--- a/lib/src/gateway/topic_mirror.rs
+++ b/lib/src/gateway/topic_mirror.rs
@@ -132,7 +132,7 @@
 
     /// Notes that the store answers again after an outage.
     pub fn store_returned(&mut self, at: Timestamp) {
-        self.returned_at = Some(at);
+        self.returned_at = self.returned_at.max(Some(at));
     }
 
     /// Offset after the last record; absent before the first read.
--- a/lib/src/gateway/upstream_table.rs
+++ b/lib/src/gateway/upstream_table.rs
@@ -124,9 +124,10 @@
 }
 
 impl UpstreamTable {
-    /// Notes that the store answers again after an outage.
-    pub fn store_returned(&mut self, now: Timestamp) {
-        self.store_back_at = Some(now);
+    /// Notes that the store has answered again after an outage.
+    pub fn store_returned(&mut self, at: Timestamp) {
+        // Other instances may have noticed it earlier, and of an outage before.
+        self.store_back_at = self.store_back_at.max(Some(at));
     }
 
     /// Applies one change.
--- a/lib/tests/gateway/test_upstreams.rs
+++ b/lib/tests/gateway/test_upstreams.rs
@@ -36,6 +36,17 @@
     assert!(table.get(&id("i-1")).is_none());
 }
 
+/// Guards against a grace that is cut short by another instance's news of an
+/// earlier return of the store.
+#[test]
+fn test_upstreams_keep_the_latest_return_of_the_store() {
+    let mut table = table(4);
+    table.store_returned(at(5_000));
+    table.store_returned(at(1_000));
+    table.replace(at(5_100), vec![entry("i-0")]);
+    assert_eq!(names(&table, at(5_200)).len(), 4);
+}
+
 /// Guards against a service without upstreams when all entries lapsed in an
 /// outage of the store.
 #[test]
