platform: test the bound of the log

docs/OPERATIONS.md states 200 lines a second and 600 at once, and that writing never waits; neither had a test.

--- a/testutils/src/process.rs
+++ b/testutils/src/process.rs
@@ -78,6 +78,16 @@
         Ok(Self { child, output })
     }
 
+    /// Starts a command whose standard output nobody reads.
+    pub fn start_unread(mut command: Command) -> io::Result<Self> {
+        command.stdin(Stdio::null()).stdout(Stdio::piped());
+        Ok(Self {
+            // Keeps the pipe open.
+            child: command.spawn()?,
+            output: Arc::default(),
+        })
+    }
+
     /// Process id.
     pub fn id(&self) -> u32 {
         self.child.id()
