gateway: one listener for short calls, and refusals that name their cause

"neighbours" is "others" and serving_in.

"no upstream can take the request" did not tell a lack of memory from a lack of upstreams; the refusal names the memory now.

test_placement_refusal_names_its_cause was written with the change, not seen to fail before it.

--- a/cli/src/gateway/control.rs
+++ b/cli/src/gateway/control.rs
@@ -1,17 +1,18 @@
 //! The small listeners: directory, readiness and metrics.
 
-use std::{convert::Infallible, io, net::SocketAddr};
+use std::{io, net::SocketAddr};
 
 use borageline_lib::{gateway::wire::GatewayWire, log_event::LogEvent};
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
-use hyper::{body::Incoming, server::conn::http1, service::service_fn};
-use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::{TcpListener, TcpStream};
-use tokio_util::sync::CancellationToken;
+use hyper::body::Incoming;
+use tokio::net::TcpListener;
 
-use super::{ADDRESS_KEEP, SharedGateway, listener::accept_each};
+use super::{
+    ADDRESS_KEEP, SharedGateway,
+    listener::{empty_answer, serve_calls},
+};
 use crate::{logging, server::bind_callers};
 
 /// Most addresses in one answer of the directory.
@@ -49,31 +50,15 @@
     context: SharedGateway<W>,
     listener: TcpListener,
 ) {
-    // These listeners serve until the process ends.
-    let stop = CancellationToken::new();
-    let connection = |stream| Some(serve_connection(context.clone(), stream));
-    accept_each(listener, &stop, connection).await;
-}
-
-async fn serve_connection<W: GatewayWire>(
-    context: SharedGateway<W>,
-    stream: TcpStream,
-) {
-    let limits = context.core().config().map(|config| config.limits);
-    let idle = limits.unwrap_or_default().idle_timeout;
-    let service = service_fn(move |request| {
-        let answer = answer(&context, &request);
-        async move { Ok::<_, Infallible>(answer) }
-    });
-    let served = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(idle)
-        .serve_connection(TokioIo::new(stream), service)
-        .await;
-    if let Err(error) = served {
-        let text = error.to_string();
-        logging::event(LogEvent::CallerConnectionFailed, &text);
-    }
+    let known = context.clone();
+    let idle = move || {
+        let limits = known.core().config().map(|config| config.limits);
+        limits.unwrap_or_default().idle_timeout
+    };
+    serve_calls(listener, idle, move |request| {
+        std::future::ready(answer(&context, &request))
+    })
+    .await;
 }
 
 fn answer<W: GatewayWire>(
@@ -88,7 +73,7 @@
     }
     if context.wire.is_ready_check(&head) {
         let ready = context.core().is_ready();
-        return status(if ready {
+        return empty_answer(if ready {
             StatusCode::OK
         } else {
             StatusCode::SERVICE_UNAVAILABLE
@@ -97,7 +82,7 @@
     if head.uri.path() == METRICS_PATH {
         return Response::new(Full::new(context.metrics.render().into()));
     }
-    status(StatusCode::NOT_FOUND)
+    empty_answer(StatusCode::NOT_FOUND)
 }
 
 fn addresses<W: GatewayWire>(
@@ -106,12 +91,12 @@
     let now = context.now();
     let settings = context.settings();
     let Some(front) = settings.listen.front else {
-        return status(StatusCode::SERVICE_UNAVAILABLE);
+        return empty_answer(StatusCode::SERVICE_UNAVAILABLE);
     };
     let mut machines = context.core().serving_machines(now);
     machines.truncate(ADDRESSES_MAX);
     if machines.is_empty() {
-        return status(StatusCode::SERVICE_UNAVAILABLE);
+        return empty_answer(StatusCode::SERVICE_UNAVAILABLE);
     }
     // All machines listen for callers on the same port.
     let addresses: Vec<_> = machines
@@ -123,9 +108,3 @@
         .addresses(&addresses, ADDRESS_KEEP)
         .map(Full::new)
 }
-
-fn status(status: StatusCode) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::default());
-    *response.status_mut() = status;
-    response
-}
--- a/cli/src/gateway/listener.rs
+++ b/cli/src/gateway/listener.rs
@@ -1,8 +1,13 @@
-//! Accepts connections.
+//! Accepts connections, and serves those of other callers than the users'.
 
-use std::{future::Future, time::Duration};
+use std::{convert::Infallible, future::Future, time::Duration};
 
 use borageline_lib::log_event::LogEvent;
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
@@ -39,3 +44,40 @@
         }
     }
 }
+
+/// Answers short calls until the process ends. Connections may be idle for
+/// the time that `idle` returns when they are made.
+pub(super) async fn serve_calls<A>(
+    listener: TcpListener,
+    idle: impl Fn() -> Duration,
+    answer: impl Fn(Request<Incoming>) -> A + Clone + Send + 'static,
+) where
+    A: Future<Output = Response<Full<Bytes>>> + Send + 'static,
+{
+    let stop = CancellationToken::new();
+    accept_each(listener, &stop, |stream| {
+        let answer = answer.clone();
+        let service = service_fn(move |request| {
+            let answered = answer(request);
+            async move { Ok::<_, Infallible>(answered.await) }
+        });
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(idle())
+            .serve_connection(TokioIo::new(stream), service);
+        Some(async move {
+            if let Err(error) = connection.await {
+                let text = error.to_string();
+                logging::event(LogEvent::CallerConnectionFailed, &text);
+            }
+        })
+    })
+    .await;
+}
+
+/// An answer without a body.
+pub(super) fn empty_answer(status: StatusCode) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = status;
+    response
+}
--- a/cli/src/gateway/reader.rs
+++ b/cli/src/gateway/reader.rs
@@ -118,10 +118,14 @@
             let bounds = self.context.settings().bounds;
             let source = self.choose_source();
             let pace = ReadPace::new(self.topic, &bounds, source);
+            let mut from = "store";
             let result = match source {
                 ReadSource::Store { .. } => self.read_store(pace.wait).await,
                 ReadSource::Peer(ip) => match self.read_copy(ip, pace).await {
-                    Ok(()) => Ok(()),
+                    Ok(()) => {
+                        from = "copy";
+                        Ok(())
+                    }
                     Err(reason) => {
                         self.note_rejected(ip, &reason);
                         self.read_store(Duration::ZERO).await
@@ -130,7 +134,7 @@
             };
             let pause = match result {
                 Ok(()) => {
-                    self.note_answered();
+                    self.note_answered(from);
                     let used = self.context.now().since(begun);
                     pace.pause.saturating_sub(used)
                 }
@@ -177,7 +181,8 @@
         );
     }
 
-    fn note_answered(&mut self) {
+    /// Notes that the topic was read, from the store or from a copy.
+    fn note_answered(&mut self, from: &str) {
         self.failures = 0;
         let Some(since) = self.failed_since.take() else {
             return;
@@ -187,9 +192,10 @@
             LogEvent::StoreRegained,
             {
                 topic = self.topic,
+                from = from,
                 away_ms = now.since(since).as_millis(),
             },
-            "the store answers again",
+            "the topic is read again",
         );
     }
 
--- a/cli/src/gateway/relay.rs
+++ b/cli/src/gateway/relay.rs
@@ -5,28 +5,26 @@
 //! each key for `all`. With a wait, the answer comes as soon as there is a
 //! record. An instance that has read nothing yet answers 503.
 
-use std::{convert::Infallible, fmt::Display, io, net::IpAddr, time::Duration};
+use std::{fmt::Display, io, net::IpAddr, time::Duration};
 
 use borageline_lib::{
     gateway::{
         topic_mirror::{COPY_VERSION, TopicCopy},
         wire::{GatewayWire, StoreTopic},
     },
-    log_event::LogEvent,
     units::LogOffset,
 };
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::Full;
-use hyper::{body::Incoming, server::conn::http1, service::service_fn};
-use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::{TcpListener, TcpStream};
-use tokio_util::sync::CancellationToken;
+use hyper::body::Incoming;
 
-use super::{SharedGateway, listener::accept_each};
+use super::{
+    SharedGateway,
+    listener::{empty_answer, serve_calls},
+};
 use crate::{
     http_client::{CallTarget, HttpFault, plain_request, read_whole},
-    logging,
     server::bind_callers,
 };
 
@@ -132,45 +130,25 @@
     context: &SharedGateway<W>,
 ) -> io::Result<()> {
     let listener = bind_callers(context.settings().peer_address())?;
-    tokio::spawn(accept(context.clone(), listener));
+    let context = context.clone();
+    let served = serve_calls(
+        listener,
+        || IDLE_MAX,
+        move |request| {
+            let context = context.clone();
+            async move { answer(&context, request).await }
+        },
+    );
+    tokio::spawn(served);
     Ok(())
 }
 
-async fn accept<W: GatewayWire>(
-    context: SharedGateway<W>,
-    listener: TcpListener,
-) {
-    // Others may read until the process ends.
-    let stop = CancellationToken::new();
-    let connection = |stream| Some(serve_connection(context.clone(), stream));
-    accept_each(listener, &stop, connection).await;
-}
-
-async fn serve_connection<W: GatewayWire>(
-    context: SharedGateway<W>,
-    stream: TcpStream,
-) {
-    let service = service_fn(move |request| {
-        let context = context.clone();
-        async move { Ok::<_, Infallible>(answer(&context, request).await) }
-    });
-    let served = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(IDLE_MAX)
-        .serve_connection(TokioIo::new(stream), service)
-        .await;
-    if let Err(error) = served {
-        let text = format!("copy of a topic: {error}");
-        logging::event(LogEvent::CallerConnectionFailed, &text);
-    }
-}
-
 async fn answer<W: GatewayWire>(
     context: &SharedGateway<W>,
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
     let Some(query) = CopyQuery::parse(request.uri().path()) else {
-        return status(StatusCode::NOT_FOUND);
+        return empty_answer(StatusCode::NOT_FOUND);
     };
     // Made before the first look, so that no record is missed between.
     let mut changes = context.copies.subscribe();
@@ -190,12 +168,6 @@
                 bincode::serialize(&copy).expect("copies are plain values");
             Response::new(Full::new(bytes.into()))
         }
-        None => status(StatusCode::SERVICE_UNAVAILABLE),
+        None => empty_answer(StatusCode::SERVICE_UNAVAILABLE),
     }
 }
-
-fn status(status: StatusCode) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::default());
-    *response.status_mut() = status;
-    response
-}
--- a/lib/src/gateway/gateway_core.rs
+++ b/lib/src/gateway/gateway_core.rs
@@ -239,8 +239,8 @@
     /// Where to read a topic next.
     pub fn read_source(&self, now: Timestamp) -> ReadSource {
         let domain = &self.settings.failure_domain;
-        let neighbours = self.members.neighbours(now, domain);
-        self.duty.source(now, self.settings.ip, &neighbours)
+        let others = self.members.serving_in(now, domain);
+        self.duty.source(now, self.settings.ip, &others)
     }
 
     /// Notes an instance whose copy of a topic cannot be used for now.
@@ -368,7 +368,17 @@
             _ => view.place_call(&mut self.rng),
         };
         let Some(placed) = placed else {
-            let text = format!("no upstream of {service} can take the request");
+            let text = if view.rows.is_empty() {
+                format!("no upstream of {service} can take the request")
+            } else {
+                // With engines to choose from, only memory is missing.
+                let prompt = request.work.map(|work| work.prompt);
+                format!(
+                    "the engines of {service} for long prompts have no memory \
+                     for a prompt of {}",
+                    prompt.unwrap_or_default(),
+                )
+            };
             return Err(self.no_place(RefusalCode::NoCapacity, &text));
         };
         let gated = placed.flight.long && !request.is_resumed;
--- a/lib/src/gateway/member_table.rs
+++ b/lib/src/gateway/member_table.rs
@@ -174,7 +174,7 @@
     }
 
     /// Machines of the members of a failure domain that take new callers.
-    pub fn neighbours(&self, now: Timestamp, domain: &DomainId) -> Vec<IpAddr> {
+    pub fn serving_in(&self, now: Timestamp, domain: &DomainId) -> Vec<IpAddr> {
         let rows = self.rows.iter().filter(|(_, row)| {
             let heard = now.since(row.heard_at) <= SILENT_AFTER;
             row.serving && heard && row.domain == *domain
--- a/lib/src/gateway/read_duty.rs
+++ b/lib/src/gateway/read_duty.rs
@@ -110,12 +110,12 @@
         &self,
         now: Timestamp,
         own: IpAddr,
-        neighbours: &[IpAddr],
+        others: &[IpAddr],
     ) -> ReadSource {
-        if neighbours.len() + 1 < SHARED_FROM {
+        if others.len() + 1 < SHARED_FROM {
             return ReadSource::Store { shared: false };
         }
-        let reader = neighbours
+        let reader = others
             .iter()
             .filter(|ip| !self.is_passed_over(now, **ip))
             .min();
--- a/lib/src/log_event.rs
+++ b/lib/src/log_event.rs
@@ -115,7 +115,7 @@
     DomainChanged = 612, "domain_changed", Info;
     /// The platform's store does not answer.
     StoreLost = 620, "store_lost", Warn;
-    /// The platform's store answers again.
+    /// A topic is read again after the store was away.
     StoreRegained = 621, "store_regained", Info;
     /// A topic is read anew, since records are gone or were missed.
     TopicReread = 622, "topic_reread", Info;
--- a/lib/tests/gateway/test_placement.rs
+++ b/lib/tests/gateway/test_placement.rs
@@ -14,6 +14,8 @@
     units::{Timestamp, TokenCount},
 };
 
+use rstest::rstest;
+
 use crate::world::{admitted, ask, at, beat, core, engine, id, ms};
 
 fn place(
@@ -245,3 +247,31 @@
     core.first_event(placed.flight);
     assert_eq!(reading(&core, at(60_000)), Some(0));
 }
+
+/// Guards against refusals that do not tell a lack of memory from a lack of
+/// upstreams: on-call engineers have only the text.
+#[rstest]
+#[case::memory(2, "have no memory for a prompt of 100000 tokens")]
+#[case::upstreams(0, "no upstream of models can take the request")]
+fn test_placement_refusal_names_its_cause(
+    #[case] engines: usize,
+    #[case] expected: &str,
+) {
+    let mut core = core(engines);
+    let mut other = beat("entry-3", [127, 0, 0, 3]);
+    for index in 0..engines {
+        let load = UpstreamLoad {
+            long: 1,
+            tokens: 280_000,
+            ..UpstreamLoad::default()
+        };
+        other.loads.insert(id(&format!("i-{index}")), load);
+    }
+    core.hear(at(0), other);
+    match place(&mut core, at(10), 100_000) {
+        Err(NotPlaced::Refused(refusal)) => {
+            assert!(refusal.message.ends_with(expected), "{refusal}");
+        }
+        other => panic!("{other:?}"),
+    }
+}
