--- a/cli/src/gateway/forward.rs
+++ b/cli/src/gateway/forward.rs
@@ -307,7 +307,10 @@
         };
         if let Some(outcome) = outcome {
             let text = format!("the reply has status {}", head.status);
-            self.record_failed_send(&upstream, outcome, &text);
+            match self.failed_helper(&upstream, outcome, &head) {
+                Some(helper) => self.record_failed_helper(&helper, &upstream),
+                None => self.record_failed_send(&upstream, outcome, &text),
+            }
             return Err(SendError::Ended(before, outcome));
         }
         Ok(UpstreamReply {
@@ -391,6 +394,46 @@
     pub(super) fn record_failed_send(
         &mut self,
         upstream: &UpstreamId,
+    /// Helper because of which an upstream declined the request; `None` if the
+    /// upstream itself was the cause.
+    fn failed_helper(
+        &self,
+        upstream: &UpstreamId,
+        outcome: SendOutcome,
+        head: &ResponseParts,
+    ) -> Option<UpstreamId> {
+        if outcome != SendOutcome::Declined {
+            return None;
+        }
+        let address = self.context.wire.declining_peer(head)?;
+        let service = &self.admitted.service;
+        let found = self.context.core().upstream_at(service, address)?;
+        (found != *upstream).then_some(found)
+    }
+
+    /// Records that a helper failed; the upstream that declined the request
+    /// for that reason stays usable.
+    fn record_failed_helper(
+        &mut self,
+        helper: &UpstreamId,
+        upstream: &UpstreamId,
+    ) {
+        let now = self.context.now();
+        let avoided = self.context.core().record_failure(now, helper);
+        self.excluded.push(helper.clone());
+        log_decision!(
+            LogEvent::SendFailed,
+            {
+                request = self.id(),
+                upstream = helper,
+                outcome = format_args!("{:?}", SendOutcome::Declined),
+                avoided_ms = avoided.as_millis(),
+                elapsed_ms = self.elapsed().as_millis(),
+            },
+            "{upstream} declined since the helper {helper} failed",
+        );
+    }
+
         outcome: SendOutcome,
         text: &str,
     ) {
--- a/lib/src/gateway/gateway_core.rs
+++ b/lib/src/gateway/gateway_core.rs
@@ -602,6 +602,16 @@
         let targets = targets
             .into_iter()
             .map(|ip| self.settings.peer_address_of(ip))
+    /// Upstream of a service that is listed at an address; `None` if there is
+    /// none.
+    pub fn upstream_at(
+        &self,
+        service: &ServiceName,
+        address: SocketAddr,
+    ) -> Option<UpstreamId> {
+        self.upstreams.find_at(service, address)
+    }
+
             .collect();
         (heartbeat, targets, self.members.heartbeat_interval(now))
     }
--- a/lib/src/gateway/upstream_table.rs
+++ b/lib/src/gateway/upstream_table.rs
@@ -244,6 +244,21 @@
         self.upstreams.values()
     }
 
+    /// Upstream of a service that is listed at an address; `None` if there is
+    /// none.
+    pub fn find_at(
+        &self,
+        service: &ServiceName,
+        address: SocketAddr,
+    ) -> Option<UpstreamId> {
+        let found = self.upstreams.values().find(|upstream| {
+            upstream.entry.service == *service
+                && upstream.entry.address == address
+                && !upstream.displaced
+        });
+        found.map(|upstream| upstream.entry.id.clone())
+    }
+
     /// Upstreams of a service that may receive a request: ready, in an open
     /// failure domain and not in `excluded`. Those that failed recently are
     /// left out unless no others remain.
--- a/lib/src/gateway/wire.rs
+++ b/lib/src/gateway/wire.rs
@@ -257,6 +257,10 @@
         head: &ResponseParts,
     ) -> ReplyKind;
 
+    /// Address of the upstream because of which a request did not run, if the
+    /// reply names one; it may be a helper of the upstream that replied.
+    fn declining_peer(&self, head: &ResponseParts) -> Option<SocketAddr>;
+
     /// Whether the reply is marked as produced by the upstream itself, so that
     /// it may be forwarded as it is.
     fn is_authentic_answer(&self, head: &ResponseParts) -> bool;
