gateway: let long prompts wait for memory within their target

Ruled out: prompts larger than all engines together.

A wait for memory does not count as prefill demand, which would move engines from short requests. A repeatable request that failed on the only upstream left may be sent to it again.

--- a/cli/src/gateway/forward.rs
+++ b/cli/src/gateway/forward.rs
@@ -55,6 +55,8 @@
     pub(super) arrival: Timestamp,
     /// Upstreams that failed the request.
     excluded: Vec<UpstreamId>,
+    /// Upstreams on which the request failed after it may have started.
+    tried: Vec<UpstreamId>,
     /// Sends made so far.
     sends: u32,
     /// Whether the end was recorded; otherwise the caller has left.
@@ -122,6 +124,7 @@
         record,
         arrival,
         excluded: Vec::new(),
+        tried: Vec::new(),
         sends: 0,
         ended: false,
     };
@@ -332,6 +335,7 @@
                 is_resumed,
                 is_new: self.sends == 0 && deferred.is_none(),
                 excluded: &self.excluded,
+                tried: &self.tried,
                 waited: self.elapsed(),
                 time_left: self.time_left(),
             };
@@ -451,7 +455,11 @@
             _ => core.record_failure(now, upstream),
         };
         drop(core);
-        self.excluded.push(upstream.clone());
+        if outcome.proves_not_run() {
+            self.excluded.push(upstream.clone());
+        } else {
+            self.tried.push(upstream.clone());
+        }
         log_decision!(
             LogEvent::SendFailed,
             {
--- a/lib/src/gateway/gateway_core.rs
+++ b/lib/src/gateway/gateway_core.rs
@@ -16,12 +16,16 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::{
+    cost_model::EngineProfile,
     dispatch_rate::DispatchRate,
     gateway_settings::GatewaySettings,
     load_table::{InFlightId, LoadTable},
     member_table::{HEARTBEAT_VERSION, Heartbeat, MemberChange, MemberTable},
-    placement::{LONG_PREFILL_MIN, Placement, PlacementInputs, PromptSize},
-    prefill_gate::{GateDecision, GateInputs, evaluate_gate},
+    placement::{
+        LONG_PREFILL_MIN, Placement, PlacementInputs, PromptSize,
+        shared_prefill_min,
+    },
+    prefill_gate::{GateDecision, GateInputs, RECHECK_INTERVAL, evaluate_gate},
     reader_selection::{ReadSource, ReaderSelector},
     retry_budget::ServiceRetryBudget,
     routing_config::{CallerIdentity, ConfigVersion, RouteSpec, RoutingConfig},
@@ -85,6 +89,9 @@
     /// Upstreams that failed this request.
     pub excluded: &'a [UpstreamId],
     /// Time since the request arrived.
+    /// Upstreams on which this request failed; they are used again only if no
+    /// other remains.
+    pub tried: &'a [UpstreamId],
     pub waited: Duration,
     /// Time until the request's deadline.
     pub time_left: Duration,
@@ -386,6 +393,10 @@
             domain: &self.settings.failure_domain,
             candidates,
             loads: &loads,
+        let untried = |id: &UpstreamId| !request.tried.contains(id);
+        if candidates.iter().any(|it| untried(&it.entry.id)) {
+            candidates.retain(|it| untried(&it.entry.id));
+        }
             demand: self.load_table.total_demand(now),
         };
         let placed = match (&spec.engine, request.size) {
@@ -395,19 +406,13 @@
             _ => inputs.place_plain(&mut self.rng),
         };
         let Some(placed) = placed else {
-            let text = if inputs.candidates.is_empty() {
-                format!("no upstream of {service} can take the request")
-            } else {
-                // With candidates available, only a lack of KV cache prevents
-                // a placement.
-                let prompt = request.size.map(|size| size.prompt);
-                format!(
-                    "the engines of {service} for long prompts have no memory \
-                     for a prompt of {}",
-                    prompt.unwrap_or_default(),
-                )
+            let prompt = match (&spec.engine, request.size) {
+                (Some(engine), Some(size)) if !inputs.candidates.is_empty() => {
+                    Some((engine, size))
+                }
+                _ => None,
             };
-            return Err(self.not_placed(RefusalCode::NoCapacity, &text));
+            return Err(self.no_placement(request, prompt));
         };
         let gated = placed.in_flight.long && !request.is_resumed;
         if let (true, Some(engine), Some(size)) =
@@ -480,6 +485,38 @@
                 )
             })
             .collect();
+    /// Result of a placement that found no upstream. `prompt` holds the
+    /// engines' profile and the size of a prompt for which only KV cache is
+    /// missing: it waits for memory as long as it can still meet its target.
+    fn no_placement(
+        &mut self,
+        request: &PlacementRequest<'_>,
+        prompt: Option<(&EngineProfile, PromptSize)>,
+    ) -> NotPlaced {
+        let service = &request.admitted.service;
+        let Some((engine, size)) = prompt else {
+            let text = format!("no upstream of {service} can take the request");
+            return self.not_placed(RefusalCode::NoCapacity, &text);
+        };
+        let prefill = engine.prefill_time(size.prompt);
+        let wait_max = request.admitted.route.latency_target;
+        let first_event = request.waited + shared_prefill_min(prefill);
+        if first_event <= wait_max
+            && first_event < request.waited + request.time_left
+        {
+            return NotPlaced::Defer {
+                pause: RECHECK_INTERVAL,
+                prefill: Duration::ZERO,
+            };
+        }
+        let text = format!(
+            "the engines of {service} for long prompts have no memory for a \
+             prompt of {}",
+            size.prompt,
+        );
+        self.not_placed(RefusalCode::NoCapacity, &text)
+    }
+
         self.dispatch_rates
             .entry(entry.id.clone())
             .or_default()
--- a/lib/src/gateway/placement.rs
+++ b/lib/src/gateway/placement.rs
@@ -307,84 +307,108 @@
 
     /// Chooses the engine that answers a long prompt, and helpers for its
     /// prefill: as many as shares of about [`SHARE_PREFILL_TARGET`] need, and
-    /// more if the KV cache does not fit otherwise.
+    /// more if the KV cache does not fit otherwise. If the helpers have too
+    /// little free KV cache, the other engines of the pool help as well.
     fn place_long(
         &self,
         engine: &EngineProfile,
         size: PromptSize,
     ) -> Option<Placement> {
         let pool = self.long_pool();
-        let prefill = engine.prefill_time(size.prompt);
-        let share_count =
-            prefill.as_secs_f64() / SHARE_PREFILL_TARGET.as_secs_f64();
-        let wanted = (share_count.ceil() as usize).clamp(1, HELPERS_MAX + 1);
-        let capacity = usable_kv(engine.kv_capacity);
-        let free = |candidate: &TrackedUpstream| {
-            let used = TokenCount::new(self.load(candidate).kv_tokens);
-            capacity.saturating_sub(used)
-        };
         let need = size.prompt.saturating_add(size.output_max);
+        let capacity = usable_kv(engine.kv_capacity);
         // Answers are decoded on few engines, so that most engines only
         // prefill: a pass with a decoding request takes the time of all its
         // decode steps.
         let decoders = pool.len().div_ceil(ENGINES_PER_DECODER).max(1);
+        let roomiest =
+            *pool.iter().max_by_key(|it| self.free_kv(it, capacity))?;
         let answering = pool
             .iter()
             .rev()
             .take(decoders)
-            .filter(|candidate| free(candidate) >= need)
+            .filter(|candidate| self.free_kv(candidate, capacity) >= need)
             .min_by_key(|candidate| self.load(candidate).prefill_left_ms)
-            .or_else(|| pool.iter().max_by_key(|candidate| free(candidate)))?;
-        let mut prefillers: Vec<_> = pool
-            .iter()
-            .take(pool.len() - decoders)
-            .enumerate()
-            .filter(|(_, candidate)| {
-                candidate.entry.id != answering.entry.id
-                    && self.load(candidate).long_in_prefill == 0
-            })
-            .map(|(rank, candidate)| {
-                ((self.load(candidate).prefill_left_ms, rank), *candidate)
+            .map_or(roomiest, |candidate| *candidate);
+        let prefillers = pool[..pool.len() - decoders].iter().copied();
+        let prefillers = prefillers
+            .filter(|candidate| self.load(candidate).long_in_prefill == 0);
+        let prefillers = self.by_prefill_left(prefillers, answering);
+        self.place_shares(engine, size, answering, &prefillers)
+            .or_else(|| {
+                let others = pool.iter().copied();
+                let others = self.by_prefill_left(others, roomiest);
+                self.place_shares(engine, size, roomiest, &others)
             })
+    }
+
+    /// KV cache of an engine that no request uses, of the `capacity` that long
+    /// prompts may use.
+    fn free_kv(
+        &self,
+        candidate: &TrackedUpstream,
+        capacity: TokenCount,
+    ) -> TokenCount {
+        let used = TokenCount::new(self.load(candidate).kv_tokens);
+        capacity.saturating_sub(used)
+    }
+
+    /// Engines other than `answering`, those with the least prefill left
+    /// first.
+    fn by_prefill_left<'b>(
+        &self,
+        engines: impl Iterator<Item = &'b TrackedUpstream>,
+        answering: &TrackedUpstream,
+    ) -> Vec<&'b TrackedUpstream> {
+        let mut engines: Vec<_> = engines
+            .filter(|candidate| candidate.entry.id != answering.entry.id)
             .collect();
-        prefillers.sort_by_key(|(key, _)| *key);
+        engines.sort_by_key(|candidate| self.load(candidate).prefill_left_ms);
+        engines
+    }
+
+    /// Places a long prompt on `answering` and the first of `prefillers`.
+    /// `None` if their free KV cache does not suffice.
+    fn place_shares(
+        &self,
+        engine: &EngineProfile,
+        size: PromptSize,
+        answering: &TrackedUpstream,
+        prefillers: &[&TrackedUpstream],
+    ) -> Option<Placement> {
+        let capacity = usable_kv(engine.kv_capacity);
+        let prefill = engine.prefill_time(size.prompt);
+        let share_count =
+            prefill.as_secs_f64() / SHARE_PREFILL_TARGET.as_secs_f64();
+        let wanted = (share_count.ceil() as usize).clamp(1, HELPERS_MAX + 1);
         let max_count = prefillers.len().min(HELPERS_MAX);
-        let mut count = (wanted - 1).min(max_count);
-        loop {
-            let helpers: Vec<_> = prefillers
+        let min_count = (wanted - 1).min(max_count);
+        (min_count..=max_count).find_map(|count| {
+            let helpers: Vec<_> = prefillers[..count]
                 .iter()
-                .take(count)
-                .map(|(_, candidate)| EngineCapacity {
+                .map(|candidate| EngineCapacity {
                     upstream: candidate.entry.id.clone(),
-                    free: free(candidate),
+                    free: self.free_kv(candidate, capacity),
                 })
                 .collect();
             let reservations = split_kv(
                 size.prompt,
                 size.output_max,
-                free(answering),
+                self.free_kv(answering, capacity),
                 &helpers,
-            );
-            if let Some(reservations) = reservations {
-                let kv_reservations = reservations
-                    .into_iter()
-                    .map(|reservation| {
-                        (reservation.upstream, reservation.tokens)
-                    })
-                    .collect();
-                return Some(self.shared_placement(
-                    engine,
-                    size,
-                    answering,
-                    &helpers,
-                    &kv_reservations,
-                ));
-            }
-            if count >= max_count {
-                return None;
-            }
-            count += 1;
-        }
+            )?;
+            let kv_reservations = reservations
+                .into_iter()
+                .map(|reservation| (reservation.upstream, reservation.tokens))
+                .collect();
+            Some(self.shared_placement(
+                engine,
+                size,
+                answering,
+                &helpers,
+                &kv_reservations,
+            ))
+        })
     }
 
     /// Placement on the answering engine and its helpers, each with an equal
@@ -445,6 +469,12 @@
     }
 }
 
+/// Shortest time in which engines can prefill a prompt together, given its
+/// prefill time on one of them.
+pub fn shared_prefill_min(prefill: Duration) -> Duration {
+    prefill / (HELPERS_MAX as u32 + 1)
+}
+
 /// Placement on one upstream. `prompt_cost` holds the prefill time and the KV
 /// cache in tokens; `None` for a request without prompt size.
 fn single_placement(
--- a/lib/src/gateway/prefill_gate.rs
+++ b/lib/src/gateway/prefill_gate.rs
@@ -26,7 +26,7 @@
 /// Largest backlog at which a prompt that misses its target may start.
 const LATE_BACKLOG_MAX: Duration = Duration::from_millis(150);
 /// Pause before a deferred prompt is evaluated again.
-const RECHECK_INTERVAL: Duration = Duration::from_millis(40);
+pub const RECHECK_INTERVAL: Duration = Duration::from_millis(40);
 
 /// Load of the engines and state of the prompt to evaluate.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/lib/tests/gateway/fixtures.rs
+++ b/lib/tests/gateway/fixtures.rs
@@ -167,6 +167,7 @@
         is_resumed: false,
         is_new: true,
         excluded: &[],
+        tried: &[],
         waited: Duration::ZERO,
         time_left: ms(10_000),
     }
--- a/lib/tests/gateway/test_placement.rs
+++ b/lib/tests/gateway/test_placement.rs
@@ -106,7 +106,7 @@
         };
         other.loads.insert(id(name), load);
     }
-    core.receive_heartbeat(at(0), other);
+    core.receive_heartbeat(at(0), other, None);
     let placed = started(&mut core, at(10), 5_000);
     assert_eq!(placed.entry.id, id("i-2"));
 }
@@ -122,7 +122,7 @@
         long_ms: 50_000,
         short_ms: 0,
     };
-    busy.receive_heartbeat(at(0), other);
+    busy.receive_heartbeat(at(0), other, None);
     let engines = |core: &mut GatewayCore| {
         let mut engines: Vec<_> = (0..40)
             .map(|index| started(core, at(10 + index), 2_000).entry.id)
@@ -269,6 +269,65 @@
     assert_eq!(prefill_left(&core, at(60_000)), Some(0));
 }
 
+/// Fills the KV cache of all engines of a core except for `free` tokens of
+/// each, with long prompts of another instance.
+fn fill_memory(core: &mut GatewayCore, engines: usize, free: u64) {
+    let mut other = heartbeat("entry-3", [127, 0, 0, 3]);
+    for index in 0..engines {
+        let load = UpstreamLoad {
+            long: 1,
+            long_in_prefill: 1,
+            kv_tokens: engine().kv_capacity.get() / 100 * 92 - free,
+            ..UpstreamLoad::default()
+        };
+        other.loads.insert(id(&format!("i-{index}")), load);
+    }
+    core.receive_heartbeat(at(0), other, None);
+}
+
+/// Load pattern: a flood of long prompts that fills the engines' memory.
+/// Guards against a refusal of a prompt that could meet its target once
+/// memory is free, and against one that waits although it cannot.
+#[test]
+fn test_placement_waits_for_memory_within_target() {
+    let mut core = core(6);
+    fill_memory(&mut core, 6, 1_000);
+    let admitted = admitted(&mut core, at(10));
+    let mut request = placement_request(&admitted, 100_000);
+    let waits = core.place(at(10), &request);
+    assert!(matches!(waits, Err(NotPlaced::Defer { .. })), "{waits:?}");
+    request.waited = ms(300);
+    let late = core.place(at(10), &request);
+    assert!(matches!(late, Err(NotPlaced::Refused(_))), "{late:?}");
+}
+
+/// Load pattern: long prompts on every engine. Guards against a refusal for
+/// lack of memory while engines that prefill or decode for others have enough.
+#[test]
+fn test_placement_uses_memory_of_busy_engines() {
+    let mut core = core(6);
+    fill_memory(&mut core, 6, 60_000);
+    let placed = started(&mut core, at(10), 150_000);
+    let reserved: TokenCount =
+        placed.helpers.iter().map(|(_, tokens)| *tokens).sum();
+    assert!(reserved >= TokenCount::new(150_000 - 60_000), "{reserved}");
+}
+
+/// Load pattern: one upstream is left of a service. Guards against a
+/// repeatable request that is refused although the upstream that failed it
+/// once could serve it.
+#[test]
+fn test_placement_returns_to_the_only_upstream() {
+    let mut core = core(1);
+    let admitted = admitted(&mut core, at(0));
+    let tried = [id("i-0")];
+    let mut request = placement_request(&admitted, 5_000);
+    request.tried = &tried;
+    assert!(core.place(at(0), &request).is_ok());
+    request.excluded = &tried;
+    assert!(core.place(at(0), &request).is_err());
+}
+
 /// Guards against refusals that do not distinguish a lack of KV cache from a
 /// lack of upstreams; the message is all that on-call engineers have.
 #[rstest]
@@ -288,8 +347,12 @@
         };
         other.loads.insert(id(&format!("i-{index}")), load);
     }
-    core.receive_heartbeat(at(0), other);
-    match place(&mut core, at(10), 100_000) {
+    core.receive_heartbeat(at(0), other, None);
+    let admitted = admitted(&mut core, at(10));
+    let mut request = placement_request(&admitted, 100_000);
+    // Before its target, a prompt waits for memory.
+    request.waited = ms(300);
+    match core.place(at(10), &request) {
         Err(NotPlaced::Refused(refusal)) => {
             assert!(refusal.message.ends_with(expected), "{refusal}");
         }
