gateway: relay heartbeats within failure domains and share suspects

Change: outside its own failure domain, a heartbeat goes to one member of each domain of more than three, a different one each time, which relays it there at once. A sequence number drops late copies. An instance that leaves informs all members itself. The new data follows the heartbeat in its datagram: older builds ignore it and are never chosen as relays, newer ones read heartbeats without it.

The same data names upstreams that the sender avoids. An upstream that two other instances avoid is left out, so that a dark engine is not discovered once by each of 95 instances; reports against most of a service are ignored.

--- a/cli/src/gateway/forward.rs
+++ b/cli/src/gateway/forward.rs
@@ -53,7 +53,7 @@
     pub(super) admitted: AdmittedRequest,
     pub(super) record: AttemptRecord,
     pub(super) arrival: Timestamp,
-    /// Upstreams that failed the request.
+    /// Upstreams that must not get the request again.
     excluded: Vec<UpstreamId>,
     /// Upstreams on which the request failed after it may have started.
     tried: Vec<UpstreamId>,
@@ -394,10 +394,6 @@
         );
     }
 
-    /// Records how a send failed, in the upstream's status and in the log.
-    pub(super) fn record_failed_send(
-        &mut self,
-        upstream: &UpstreamId,
     /// Helper because of which an upstream declined the request; `None` if the
     /// upstream itself was the cause.
     fn failed_helper(
@@ -438,6 +434,10 @@
         );
     }
 
+    /// Records how a send failed, in the upstream's status and in the log.
+    pub(super) fn record_failed_send(
+        &mut self,
+        upstream: &UpstreamId,
         outcome: SendOutcome,
         text: &str,
     ) {
--- a/cli/src/gateway/heartbeats.rs
+++ b/cli/src/gateway/heartbeats.rs
@@ -1,9 +1,10 @@
 //! Exchanges heartbeats between the instances, over UDP.
 
-use std::{io, sync::Arc, time::Duration};
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use borageline_lib::{
     gateway::{
+        heartbeat_relay::HeartbeatTrailer,
         member_table::{Heartbeat, MemberChange},
         wire::GatewayWire,
     },
@@ -40,26 +41,29 @@
 ) {
     loop {
         let now = context.now();
-        let (heartbeat, targets, pause) = {
+        let plan = {
             let mut core = context.core();
             for change in core.expire_members(now) {
                 log_change(&change);
             }
             core.next_heartbeat(now)
         };
-        let alive = heartbeat.alive.len() + 1;
-        let members = i64::try_from(alive).unwrap_or(i64::MAX);
-        context.metrics.members.set(members);
-        let bytes = bincode::serialize(&heartbeat)
-            .expect("heartbeats contain only plain values");
-        for target in targets {
-            if let Err(error) = socket.send_to(&bytes, target).await {
-                let text = format!("heartbeat to {target}: {error}");
-                logging::event(LogEvent::PeerUnreachable, &text);
-            }
-        }
+        let alive = context.core().instance_count(now);
+        context
+            .metrics
+            .members
+            .set(i64::try_from(alive).unwrap_or(i64::MAX));
+        let heartbeat = encode(&plan.heartbeat);
+        let direct = datagram(&heartbeat, &plan.trailer);
+        send_all(&socket, &direct, &plan.direct).await;
+        let trailer = HeartbeatTrailer {
+            relay: true,
+            ..plan.trailer
+        };
+        let relayed = datagram(&heartbeat, &trailer);
+        send_all(&socket, &relayed, &plan.relays).await;
         tokio::select! {
-            () = tokio::time::sleep(pause) => {}
+            () = tokio::time::sleep(plan.pause) => {}
             () = context.heartbeat_due.notified() => {
                 tokio::time::sleep(HEARTBEAT_BATCH_DELAY).await;
             }
@@ -82,9 +86,9 @@
                 continue;
             }
         };
-        let heartbeat: Heartbeat = match bincode::deserialize(&buffer[..length])
-        {
-            Ok(heartbeat) => heartbeat,
+        let bytes = &buffer[..length];
+        let received = match decode(bytes) {
+            Ok(received) => received,
             Err(error) => {
                 let text = format!("heartbeat of {length} bytes: {error}");
                 logging::event(LogEvent::RecordSkipped, &text);
@@ -92,10 +96,71 @@
             }
         };
         let now = context.now();
-        let change = context.core().receive_heartbeat(now, heartbeat);
-        if let Some(change) = change {
+        let ReceivedHeartbeat {
+            heartbeat,
+            trailer,
+            size,
+        } = received;
+        let receipt =
+            context
+                .core()
+                .receive_heartbeat(now, heartbeat, trailer.clone());
+        if let Some(change) = receipt.change {
             log_change(&change);
         }
+        if let (false, Some(trailer)) = (receipt.relay_to.is_empty(), trailer) {
+            let trailer = HeartbeatTrailer {
+                relay: false,
+                ..trailer
+            };
+            let relayed = datagram(&bytes[..size], &trailer);
+            send_all(&socket, &relayed, &receipt.relay_to).await;
+        }
+    }
+}
+
+/// Content of a datagram.
+struct ReceivedHeartbeat {
+    heartbeat: Heartbeat,
+    /// Data after the heartbeat; `None` if the sender's build sends none.
+    trailer: Option<HeartbeatTrailer>,
+    /// Size of the encoded heartbeat in bytes.
+    size: usize,
+}
+
+fn encode(heartbeat: &Heartbeat) -> Vec<u8> {
+    bincode::serialize(heartbeat).expect("heartbeats contain only plain values")
+}
+
+fn datagram(heartbeat: &[u8], trailer: &HeartbeatTrailer) -> Vec<u8> {
+    let mut bytes = heartbeat.to_vec();
+    bincode::serialize_into(&mut bytes, trailer)
+        .expect("trailers contain only plain values");
+    bytes
+}
+
+fn decode(bytes: &[u8]) -> Result<ReceivedHeartbeat, bincode::Error> {
+    // Decoding from a slice bounds every length by the size of the datagram.
+    let heartbeat: Heartbeat = bincode::deserialize(bytes)?;
+    let size = bincode::serialized_size(&heartbeat)?;
+    let size = usize::try_from(size).unwrap_or(usize::MAX);
+    let trailer = match bytes.get(size..) {
+        None | Some([]) => None,
+        Some(rest) => Some(bincode::deserialize(rest)?),
+    };
+    Ok(ReceivedHeartbeat {
+        heartbeat,
+        trailer,
+        size,
+    })
+}
+
+async fn send_all(socket: &UdpSocket, bytes: &[u8], targets: &[SocketAddr]) {
+    for target in targets {
+        if let Err(error) = socket.send_to(bytes, target).await {
+            let text = format!("heartbeat to {target}: {error}");
+            logging::event(LogEvent::PeerUnreachable, &text);
+        }
     }
 }
 
--- a/cli/src/gateway/topic_reader.rs
+++ b/cli/src/gateway/topic_reader.rs
@@ -440,7 +440,7 @@
 /// Publishes this instance's address, and reads those of the others.
 async fn register_instance<W: GatewayWire>(context: SharedGateway<W>) {
     let now = context.now();
-    let heartbeat = context.core().next_heartbeat(now).0;
+    let heartbeat = context.core().heartbeat(now);
     let record = context.wire.write_instance(&heartbeat);
     let mut pause = RETRY_DELAY_MIN;
     loop {
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -17,6 +17,7 @@
 pub mod dispatch_rate;
 pub mod gateway_core;
 pub mod gateway_settings;
+pub mod heartbeat_relay;
 pub mod kv_split;
 pub mod load_table;
 pub mod member_table;
--- a/lib/src/gateway/gateway_core.rs
+++ b/lib/src/gateway/gateway_core.rs
@@ -19,6 +19,7 @@
     cost_model::EngineProfile,
     dispatch_rate::DispatchRate,
     gateway_settings::GatewaySettings,
+    heartbeat_relay::HeartbeatTrailer,
     load_table::{InFlightId, LoadTable},
     member_table::{HEARTBEAT_VERSION, Heartbeat, MemberChange, MemberTable},
     placement::{
@@ -86,12 +87,12 @@
     /// Whether this is the request's first placement; only then it counts as
     /// demand.
     pub is_new: bool,
-    /// Upstreams that failed this request.
+    /// Upstreams that must not get this request again.
     pub excluded: &'a [UpstreamId],
-    /// Time since the request arrived.
     /// Upstreams on which this request failed; they are used again only if no
     /// other remains.
     pub tried: &'a [UpstreamId],
+    /// Time since the request arrived.
     pub waited: Duration,
     /// Time until the request's deadline.
     pub time_left: Duration,
@@ -132,6 +133,30 @@
     pub entry_age: Duration,
 }
 
+/// A heartbeat to send.
+#[derive(Clone, Debug, PartialEq)]
+pub struct HeartbeatPlan {
+    /// State of this instance.
+    pub heartbeat: Heartbeat,
+    /// Data that follows the heartbeat, for targets that do not relay it.
+    pub trailer: HeartbeatTrailer,
+    /// Addresses that get the heartbeat for themselves only.
+    pub direct: Vec<SocketAddr>,
+    /// Addresses that relay it within their failure domain.
+    pub relays: Vec<SocketAddr>,
+    /// Time until the next heartbeat.
+    pub pause: Duration,
+}
+
+/// What follows from a heartbeat of another instance.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct HeartbeatReceipt {
+    /// Change of the members.
+    pub change: Option<MemberChange>,
+    /// Addresses to which the heartbeat is to be relayed.
+    pub relay_to: Vec<SocketAddr>,
+}
+
 /// State of one instance.
 #[derive(Debug)]
 pub struct GatewayCore {
@@ -147,6 +172,8 @@
     retry_budgets: BTreeMap<ServiceName, ServiceRetryBudget>,
     dispatch_rates: BTreeMap<UpstreamId, DispatchRate>,
     members: MemberTable,
+    /// Heartbeats sent by this process.
+    heartbeats_sent: u64,
     topic_copies: BTreeMap<StoreTopic, TopicCopy>,
     reader_selector: ReaderSelector,
     rng: ChaCha8Rng,
@@ -175,6 +202,7 @@
             retry_budgets: BTreeMap::new(),
             dispatch_rates: BTreeMap::new(),
             members,
+            heartbeats_sent: 0,
             topic_copies: BTreeMap::new(),
             reader_selector: ReaderSelector::default(),
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -365,6 +393,10 @@
         let dispatch_rates = &mut self.dispatch_rates;
         let mut candidates =
             self.upstreams.candidates(now, service, request.excluded);
+        let untried = |id: &UpstreamId| !request.tried.contains(id);
+        if candidates.iter().any(|it| untried(&it.entry.id)) {
+            candidates.retain(|it| untried(&it.entry.id));
+        }
         if spec.cold_requests_per_s > 0.0 {
             let any_warm =
                 candidates.iter().any(|upstream| !upstream.is_cold(now));
@@ -393,10 +425,6 @@
             domain: &self.settings.failure_domain,
             candidates,
             loads: &loads,
-        let untried = |id: &UpstreamId| !request.tried.contains(id);
-        if candidates.iter().any(|it| untried(&it.entry.id)) {
-            candidates.retain(|it| untried(&it.entry.id));
-        }
             demand: self.load_table.total_demand(now),
         };
         let placed = match (&spec.engine, request.size) {
@@ -457,34 +485,6 @@
         }
     }
 
-    fn not_placed(&mut self, code: RefusalCode, text: &str) -> NotPlaced {
-        NotPlaced::Refused(self.retryable_refusal(code, text))
-    }
-
-    /// Counts a placed request as in flight.
-    fn start_request(
-        &mut self,
-        now: Timestamp,
-        placed: Placement,
-    ) -> StartedRequest {
-        let tracked = |id: &UpstreamId| {
-            self.upstreams
-                .get(id)
-                .expect("a chosen upstream is in the table")
-        };
-        let first = tracked(&placed.upstream);
-        let entry_age = now.since(first.read_at);
-        let entry = first.entry.clone();
-        let helpers = placed
-            .helpers
-            .iter()
-            .map(|helper| {
-                (
-                    tracked(&helper.upstream).entry.clone(),
-                    helper.kv_reservation,
-                )
-            })
-            .collect();
     /// Result of a placement that found no upstream. `prompt` holds the
     /// engines' profile and the size of a prompt for which only KV cache is
     /// missing: it waits for memory as long as it can still meet its target.
@@ -517,6 +517,34 @@
         self.not_placed(RefusalCode::NoCapacity, &text)
     }
 
+    fn not_placed(&mut self, code: RefusalCode, text: &str) -> NotPlaced {
+        NotPlaced::Refused(self.retryable_refusal(code, text))
+    }
+
+    /// Counts a placed request as in flight.
+    fn start_request(
+        &mut self,
+        now: Timestamp,
+        placed: Placement,
+    ) -> StartedRequest {
+        let tracked = |id: &UpstreamId| {
+            self.upstreams
+                .get(id)
+                .expect("a chosen upstream is in the table")
+        };
+        let first = tracked(&placed.upstream);
+        let entry_age = now.since(first.read_at);
+        let entry = first.entry.clone();
+        let helpers = placed
+            .helpers
+            .iter()
+            .map(|helper| {
+                (
+                    tracked(&helper.upstream).entry.clone(),
+                    helper.kv_reservation,
+                )
+            })
+            .collect();
         self.dispatch_rates
             .entry(entry.id.clone())
             .or_default()
@@ -574,6 +602,16 @@
         self.upstreams.mark_displaced(id);
     }
 
+    /// Upstream of a service that is listed at an address; `None` if there is
+    /// none.
+    pub fn upstream_at(
+        &self,
+        service: &ServiceName,
+        address: SocketAddr,
+    ) -> Option<UpstreamId> {
+        self.upstreams.find_at(service, address)
+    }
+
     /// Records that an upstream answered with an error.
     pub fn record_error(&mut self, id: &UpstreamId) {
         self.upstreams.record_error(id);
@@ -617,65 +655,106 @@
         }
     }
 
-    /// Returns the heartbeat to send now, its target addresses and the pause
-    /// until the next one.
-    pub fn next_heartbeat(
-        &mut self,
-        now: Timestamp,
-    ) -> (Heartbeat, Vec<SocketAddr>, Duration) {
-        let own = self.settings.ip;
-        let heartbeat = Heartbeat {
+    /// State of this instance as the others should see it.
+    pub fn heartbeat(&mut self, now: Timestamp) -> Heartbeat {
+        Heartbeat {
             version: HEARTBEAT_VERSION,
             instance: self.settings.instance.clone(),
             incarnation: self.incarnation,
             domain: self.settings.failure_domain.clone(),
-            ip: own,
+            ip: self.settings.ip,
             serving: self.is_ready(),
             alive: self.members.next_advertised(now),
             loads: self.load_table.local_loads(now),
             demand: self.load_table.local_demand(now),
-        };
-        let targets = self.members.heartbeat_targets(now, own);
-        let targets = targets
-            .into_iter()
-            .map(|ip| self.settings.peer_address_of(ip))
-    /// Upstream of a service that is listed at an address; `None` if there is
-    /// none.
-    pub fn upstream_at(
-        &self,
-        service: &ServiceName,
-        address: SocketAddr,
-    ) -> Option<UpstreamId> {
-        self.upstreams.find_at(service, address)
+        }
     }
 
-            .collect();
-        (heartbeat, targets, self.members.heartbeat_interval(now))
+    /// Number of instances: this one and the members with recent heartbeats.
+    pub fn instance_count(&self, now: Timestamp) -> usize {
+        self.members.instance_count(now)
     }
 
-    /// Applies the heartbeat of another instance; returns the change of the
-    /// members that results from it. Heartbeats of another version and this
-    /// instance's own are ignored.
+    /// Returns the heartbeat to send now, where to send it and the pause until
+    /// the next one.
+    pub fn next_heartbeat(&mut self, now: Timestamp) -> HeartbeatPlan {
+        let heartbeat = self.heartbeat(now);
+        self.heartbeats_sent += 1;
+        let sequence = self.heartbeats_sent;
+        // The relays stop relaying to an instance that leaves, so it informs
+        // the others itself.
+        let relayed = heartbeat.serving;
+        let targets = self.members.heartbeat_targets(
+            now,
+            self.settings.ip,
+            &self.settings.failure_domain,
+            sequence,
+            relayed,
+        );
+        HeartbeatPlan {
+            heartbeat,
+            trailer: HeartbeatTrailer {
+                sequence,
+                relay: false,
+                suspects: self.upstreams.avoided(now),
+            },
+            direct: self.peer_addresses(targets.direct),
+            relays: self.peer_addresses(targets.relays),
+            pause: self.members.heartbeat_interval(now),
+        }
+    }
+
+    fn peer_addresses(&self, ips: Vec<IpAddr>) -> Vec<SocketAddr> {
+        let addresses = ips.into_iter();
+        addresses
+            .map(|ip| self.settings.peer_address_of(ip))
+            .collect()
+    }
+
+    /// Applies the heartbeat of another instance. Heartbeats of another
+    /// version, outdated ones and this instance's own are ignored.
     pub fn receive_heartbeat(
         &mut self,
         now: Timestamp,
         heartbeat: Heartbeat,
-    ) -> Option<MemberChange> {
+        trailer: Option<HeartbeatTrailer>,
+    ) -> HeartbeatReceipt {
         if heartbeat.version != HEARTBEAT_VERSION
             || heartbeat.ip == self.settings.ip
+            || self.members.is_outdated(&heartbeat, trailer.as_ref())
         {
-            return None;
+            return HeartbeatReceipt::default();
         }
-        let change =
-            self.members
-                .receive_heartbeat(now, self.settings.ip, &heartbeat);
+        let relay = trailer.as_ref().is_some_and(|trailer| trailer.relay);
+        let relay_to = if relay {
+            self.relay_targets(now, heartbeat.ip)
+        } else {
+            Vec::new()
+        };
+        let change = self.members.receive_heartbeat(
+            now,
+            self.settings.ip,
+            &heartbeat,
+            trailer,
+        );
         self.load_table.set_report(
             now,
             heartbeat.instance,
             heartbeat.loads,
             heartbeat.demand,
         );
-        change
+        self.upstreams.set_suspects(self.members.suspects(now));
+        HeartbeatReceipt { change, relay_to }
+    }
+
+    /// Addresses of the members of this failure domain, without the sender of
+    /// the heartbeat to relay.
+    fn relay_targets(&self, now: Timestamp, sender: IpAddr) -> Vec<SocketAddr> {
+        let peers = self.members.heartbeat_peers(now).into_iter();
+        let targets = peers.filter(|peer| {
+            peer.domain == self.settings.failure_domain && peer.ip != sender
+        });
+        self.peer_addresses(targets.map(|peer| peer.ip).collect())
     }
 
     /// Removes instances without recent heartbeats; returns those that have
--- a/lib/src/gateway/member_table.rs
+++ b/lib/src/gateway/member_table.rs
@@ -16,7 +16,10 @@
     value_type,
 };
 
-use super::load_table::{PrefillDemand, UpstreamLoad};
+use super::{
+    heartbeat_relay::{HeartbeatPeer, HeartbeatTargets, HeartbeatTrailer},
+    load_table::{PrefillDemand, UpstreamLoad},
+};
 
 /// Time without heartbeats after which a member is no longer listed to
 /// callers.
@@ -74,6 +77,9 @@
     domain: DomainId,
     serving: bool,
     last_heartbeat_at: Timestamp,
+    /// Data that followed the last heartbeat; `None` if the member's build
+    /// sends none.
+    trailer: Option<HeartbeatTrailer>,
 }
 
 /// A change of the members.
@@ -107,6 +113,22 @@
         self.probe_addresses.entry(ip).or_default();
     }
 
+    /// Whether a heartbeat is not newer than the last one of its sender.
+    pub fn is_outdated(
+        &self,
+        heartbeat: &Heartbeat,
+        trailer: Option<&HeartbeatTrailer>,
+    ) -> bool {
+        let Some(member) = self.members.get(&heartbeat.ip) else {
+            return false;
+        };
+        let last = member.trailer.as_ref().map(|trailer| trailer.sequence);
+        let next = trailer.map(|trailer| trailer.sequence);
+        member.incarnation == heartbeat.incarnation
+            && last.is_some()
+            && next <= last
+    }
+
     /// Applies a heartbeat; returns the change that results from it. `own` is
     /// the address of this instance.
     pub fn receive_heartbeat(
@@ -114,6 +136,7 @@
         now: Timestamp,
         own: IpAddr,
         heartbeat: &Heartbeat,
+        trailer: Option<HeartbeatTrailer>,
     ) -> Option<MemberChange> {
         for ip in &heartbeat.alive {
             if *ip != own {
@@ -136,6 +159,7 @@
                 domain: heartbeat.domain.clone(),
                 serving: heartbeat.serving,
                 last_heartbeat_at: now,
+                trailer,
             },
         );
         if !known {
@@ -236,20 +260,60 @@
             .min(HEARTBEAT_INTERVAL_MAX)
     }
 
+    /// Members with recent heartbeats.
+    pub fn heartbeat_peers(&self, now: Timestamp) -> Vec<HeartbeatPeer> {
+        let members = self.members.iter().filter(|(_, member)| {
+            now.since(member.last_heartbeat_at) <= HEARTBEAT_TIMEOUT
+        });
+        members
+            .map(|(ip, member)| HeartbeatPeer {
+                ip: *ip,
+                domain: member.domain.clone(),
+                can_relay: member.trailer.is_some() && member.serving,
+            })
+            .collect()
+    }
+
+    /// Number of members with recent heartbeats that avoid each upstream.
+    pub fn suspects(&self, now: Timestamp) -> BTreeMap<UpstreamId, usize> {
+        let mut counts = BTreeMap::new();
+        for member in self.members.values() {
+            if now.since(member.last_heartbeat_at) > HEARTBEAT_TIMEOUT {
+                continue;
+            }
+            let suspects = member.trailer.iter().flat_map(|it| &it.suspects);
+            for id in suspects {
+                *counts.entry(id.clone()).or_default() += 1;
+            }
+        }
+        counts
+    }
+
     /// Addresses to which the next heartbeat is sent: those of members with
-    /// recent heartbeats, and addresses that are due for a probe.
+    /// recent heartbeats, and addresses that are due for a probe. `relayed`
+    /// says whether members of other failure domains may get it through a
+    /// relay.
     pub fn heartbeat_targets(
         &mut self,
         now: Timestamp,
         own: IpAddr,
-    ) -> Vec<IpAddr> {
-        let mut targets = self.alive(now);
+        domain: &DomainId,
+        sequence: u64,
+        relayed: bool,
+    ) -> HeartbeatTargets {
+        let peers = self.heartbeat_peers(now);
+        let mut targets = if relayed {
+            HeartbeatTargets::with_relays(&peers, domain, sequence)
+        } else {
+            HeartbeatTargets::direct_to(&peers)
+        };
         for (ip, probed_at) in &mut self.probe_addresses {
             let due =
                 probed_at.is_none_or(|at| now.since(at) >= PROBE_INTERVAL);
-            if *ip != own && due && !targets.contains(ip) {
+            let known = peers.iter().any(|peer| peer.ip == *ip);
+            if *ip != own && due && !known {
                 *probed_at = Some(now);
-                targets.push(*ip);
+                targets.direct.push(*ip);
             }
         }
         targets
--- a/lib/src/gateway/upstream_table.rs
+++ b/lib/src/gateway/upstream_table.rs
@@ -31,6 +31,9 @@
 const AVOID_MAX: Duration = Duration::from_secs(4);
 /// Weight of the newest outcome in the moving average of failures.
 const FAILURE_WEIGHT: f64 = 0.2;
+/// Other instances that must avoid an upstream before this one does; a single
+/// one may itself be cut off.
+const SUSPECTING_INSTANCES_MIN: usize = 2;
 /// Excess of an upstream's failure share over the mean of its service from
 /// which it is avoided.
 const FAILURE_EXCESS: f64 = 0.2;
@@ -131,6 +134,8 @@
     upstreams: BTreeMap<UpstreamId, TrackedUpstream>,
     closed: BTreeSet<DomainId>,
     store_recovered_at: Option<Timestamp>,
+    /// Number of other instances that avoid each upstream.
+    suspects: BTreeMap<UpstreamId, usize>,
 }
 
 impl UpstreamTable {
@@ -239,11 +244,6 @@
         self.upstreams.get(id)
     }
 
-    /// All upstreams, in the order of their ids.
-    pub fn upstreams(&self) -> impl Iterator<Item = &TrackedUpstream> {
-        self.upstreams.values()
-    }
-
     /// Upstream of a service that is listed at an address; `None` if there is
     /// none.
     pub fn find_at(
@@ -259,6 +259,11 @@
         found.map(|upstream| upstream.entry.id.clone())
     }
 
+    /// All upstreams, in the order of their ids.
+    pub fn upstreams(&self) -> impl Iterator<Item = &TrackedUpstream> {
+        self.upstreams.values()
+    }
+
     /// Upstreams of a service that may receive a request: ready, in an open
     /// failure domain and not in `excluded`. Those that failed recently are
     /// left out unless no others remain.
@@ -296,7 +301,37 @@
                 !upstream.is_avoided(now) && upstream.failure_share <= limit
             })
             .collect();
-        if healthy.is_empty() { open } else { healthy }
+        if healthy.is_empty() {
+            return open;
+        }
+        let trusted: Vec<_> = healthy
+            .iter()
+            .copied()
+            .filter(|upstream| !self.is_suspect(&upstream.entry.id))
+            .collect();
+        // Reports against most upstreams come from instances that are cut off.
+        if trusted.len() * 2 < healthy.len() {
+            healthy
+        } else {
+            trusted
+        }
+    }
+
+    /// Replaces the number of other instances that avoid each upstream.
+    pub fn set_suspects(&mut self, suspects: BTreeMap<UpstreamId, usize>) {
+        self.suspects = suspects;
+    }
+
+    fn is_suspect(&self, id: &UpstreamId) -> bool {
+        let count = self.suspects.get(id).copied().unwrap_or_default();
+        count >= SUSPECTING_INSTANCES_MIN
+    }
+
+    /// Upstreams that are avoided after a recent failure.
+    pub fn avoided(&self, now: Timestamp) -> Vec<UpstreamId> {
+        let avoided =
+            self.upstreams().filter(|upstream| upstream.is_avoided(now));
+        avoided.map(|upstream| upstream.entry.id.clone()).collect()
     }
 
     /// Records a completed request, which ends the avoidance.
--- a/lib/tests/gateway/test_members.rs
+++ b/lib/tests/gateway/test_members.rs
@@ -14,8 +14,9 @@
 #[test]
 fn test_members_silent_are_not_listed() {
     let mut core = core(1);
-    let joined = core.receive_heartbeat(at(0), heartbeat("entry-3", OTHER));
-    assert_eq!(joined, Some(MemberChange::Joined(id("entry-3"))));
+    let joined =
+        core.receive_heartbeat(at(0), heartbeat("entry-3", OTHER), None);
+    assert_eq!(joined.change, Some(MemberChange::Joined(id("entry-3"))));
     assert_eq!(core.serving_addresses(at(1_000)).len(), 2);
     assert_eq!(core.serving_addresses(at(2_500)).len(), 1);
     let changes = core.expire_members(at(2_500));
@@ -27,11 +28,11 @@
 #[test]
 fn test_members_leaving_are_not_listed() {
     let mut core = core(1);
-    core.receive_heartbeat(at(0), heartbeat("entry-3", OTHER));
+    core.receive_heartbeat(at(0), heartbeat("entry-3", OTHER), None);
     let mut leaving = heartbeat("entry-3", OTHER);
     leaving.serving = false;
-    let change = core.receive_heartbeat(at(100), leaving);
-    assert_eq!(change, Some(MemberChange::Leaving(id("entry-3"))));
+    let leaving = core.receive_heartbeat(at(100), leaving, None);
+    assert_eq!(leaving.change, Some(MemberChange::Leaving(id("entry-3"))));
     let own: std::net::IpAddr = OWN.into();
     assert_eq!(core.serving_addresses(at(200)), [own]);
     core.begin_stop();
@@ -45,11 +46,12 @@
     let mut table = MemberTable::default();
     let mut late = heartbeat("entry-3", OTHER);
     late.incarnation = Incarnation::new(9);
-    table.receive_heartbeat(at(0), OWN.into(), &late);
+    table.receive_heartbeat(at(0), OWN.into(), &late, None);
     let change = table.receive_heartbeat(
         at(100),
         OWN.into(),
         &heartbeat("entry-3", OTHER),
+        None,
     );
     assert_eq!(change, Some(MemberChange::Joined(id("entry-3"))));
 }
@@ -61,16 +63,22 @@
     let mut table = MemberTable::default();
     let mut first = heartbeat("entry-3", OTHER);
     first.alive = vec![[127, 0, 0, 4].into(), OWN.into()];
-    table.receive_heartbeat(at(0), OWN.into(), &first);
-    let mut targets = table.heartbeat_targets(at(0), OWN.into());
-    targets.sort();
+    table.receive_heartbeat(at(0), OWN.into(), &first, None);
+    let mut targets = |now| {
+        let domain = id("domain-a");
+        let targets =
+            table.heartbeat_targets(now, OWN.into(), &domain, 1, true);
+        targets.direct
+    };
+    let mut first = targets(at(0));
+    first.sort();
     let expected: Vec<std::net::IpAddr> =
         vec![OTHER.into(), [127, 0, 0, 4].into()];
-    assert_eq!(targets, expected);
+    assert_eq!(first, expected);
     // Addresses that do not answer are probed again, but not with every
     // heartbeat.
-    assert_eq!(table.heartbeat_targets(at(100), OWN.into()).len(), 1);
-    assert_eq!(table.heartbeat_targets(at(1_500), OWN.into()).len(), 2);
+    assert_eq!(targets(at(100)).len(), 1);
+    assert_eq!(targets(at(1_500)).len(), 2);
 }
 
 /// Guards against heartbeats that grow with the fleet, and against members
@@ -80,7 +88,7 @@
     let mut table = MemberTable::default();
     for last in 1..=20 {
         let other = heartbeat(&format!("entry-{last}"), [127, 0, 1, last]);
-        table.receive_heartbeat(at(0), OWN.into(), &other);
+        table.receive_heartbeat(at(0), OWN.into(), &other, None);
     }
     let mut advertised = std::collections::BTreeSet::new();
     for _ in 0..3 {
--- a/lib/tests/gateway/test_topic_copies.rs
+++ b/lib/tests/gateway/test_topic_copies.rs
@@ -176,11 +176,12 @@
     let mut core = core(1);
     let mut far = heartbeat("far", [127, 0, 0, 9]);
     far.domain = "domain-b".parse().expect("id is valid");
-    core.receive_heartbeat(at(0), far);
+    core.receive_heartbeat(at(0), far, None);
     for last in 2..6 {
         core.receive_heartbeat(
             at(0),
             heartbeat(&format!("near-{last}"), [127, 0, 0, last]),
+            None,
         );
     }
     // This instance has the lowest address.
@@ -189,7 +190,7 @@
     for last in 2..4 {
         let mut leaving = heartbeat(&format!("near-{last}"), [127, 0, 0, last]);
         leaving.serving = false;
-        core.receive_heartbeat(at(20), leaving);
+        core.receive_heartbeat(at(20), leaving, None);
     }
     let alone = ReadSource::Store { shared: false };
     assert_eq!(core.read_source(at(30)), alone);
