gateway: log what callers saw of an answer, and why it was late

Cause: request_finished gave the time of the whole answer only, so that nobody could say from a run whether a stream missed its target at the first event or by a pause, and refusals could not be counted by cause.

The command borageline-bench endings FILE prints how the requests of a run ended, by outcome, cause, prompt and phase, with ids to follow.

--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod caller;
 pub mod capacity;
+pub mod endings;
 pub mod fleet;
 pub mod load;
 pub mod measures;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -1,9 +1,16 @@
 //! Command line of the load and experiment tool.
 
-use std::{io, process::ExitCode};
+use std::{
+    fs::File,
+    io,
+    path::{Path, PathBuf},
+    process::ExitCode,
+};
 
 use borageline_bench::{
-    capacity, measures,
+    capacity,
+    endings::EndingTable,
+    measures,
     options::{MeasureOptions, measure_options},
     quickstart,
     report::MeasureReport,
@@ -28,6 +35,13 @@
         /// Print one JSON object on the last line
         json: bool,
     },
+    /// How the requests of a run ended, from the log lines of its instances
+    #[bpaf(command)]
+    Endings {
+        /// File with log lines; `-` reads standard input
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
     /// Latency that an instance adds over calling the engine directly
     #[bpaf(command)]
     Overhead(#[bpaf(external(measure_options))] MeasureOptions),
@@ -60,6 +74,7 @@
             report.print(json);
             return result;
         }
+        BenchCommand::Endings { file } => return print_endings(&file),
         BenchCommand::Overhead(options) => {
             let report = measures::overhead::run(&options).await?;
             (options, report)
@@ -93,6 +108,21 @@
     Ok(())
 }
 
+fn print_endings(file: &Path) -> io::Result<()> {
+    let table = if file == Path::new("-") {
+        EndingTable::read(io::stdin().lock())
+    } else {
+        let named = |error: io::Error| {
+            let text = format!("{}: {error}", file.display());
+            io::Error::new(error.kind(), text)
+        };
+        let input = File::open(file).map_err(named)?;
+        EndingTable::read(io::BufReader::new(input)).map_err(named)
+    }?;
+    print!("{table}");
+    Ok(())
+}
+
 /// Ends the run when the tool is told to end, so that the fleet is dropped
 /// and its processes are ended with it.
 async fn ended() -> io::Error {
--- a/cli/src/gateway/forward.rs
+++ b/cli/src/gateway/forward.rs
@@ -8,6 +8,7 @@
         gateway_core::{
             AdmittedRequest, NotPlaced, PlacementRequest, StartedRequest,
         },
+        request_timings::{AnswerLateness, RequestTimings},
         routing_config::{AnswerForm, CallerIdentity, RetrySafety},
         wire::{CallerRequest, DispatchMetadata, GatewayWire, ReplyKind},
     },
@@ -59,6 +60,7 @@
     tried: Vec<UpstreamId>,
     /// Sends made so far.
     sends: u32,
+    pub(super) timings: RequestTimings,
     /// Whether the end was recorded; otherwise the caller has left.
     ended: bool,
 }
@@ -126,6 +128,7 @@
         excluded: Vec::new(),
         tried: Vec::new(),
         sends: 0,
+        timings: RequestTimings::default(),
         ended: false,
     };
     match attempt.admitted.route.form {
@@ -182,19 +185,49 @@
     pub(super) fn record_end(&mut self, end: RequestEnd, text: &str) {
         self.ended = true;
         self.context.metrics.count_end(end);
+        let lateness = self.record_timings();
+        let route = &self.admitted.route;
+        let timings = &self.timings;
         log_decision!(
             LogEvent::RequestFinished,
             {
                 request = self.id(),
-                route = self.admitted.route.name,
+                route = route.name,
                 outcome = end.as_str(),
                 sends = self.sends,
                 elapsed_ms = self.elapsed().as_millis(),
+                prompt = self.prompt_tokens(),
+                waited_ms = timings.waited.as_millis(),
+                expected_ms = timings.expected.as_millis(),
+                helpers = timings.helpers,
+                first_event_ms = first_event_ms(timings),
+                target_ms = route.latency_target.as_millis(),
+                longest_pause_ms = timings.longest_pause.as_millis(),
+                late = lateness,
             },
             "{text}",
         );
     }
 
+    /// Adds the request's times to the metrics; returns whether it was late.
+    fn record_timings(&self) -> AnswerLateness {
+        let lateness = self.timings.lateness(&self.admitted.route);
+        let metrics = &self.context.metrics;
+        metrics.count_lateness(lateness);
+        if self.sends > 0 {
+            metrics.record_latency("waiting", self.timings.waited);
+        }
+        if self.record.is_stream() && self.timings.first_event.is_some() {
+            metrics.record_latency("pause", self.timings.longest_pause);
+        }
+        lateness
+    }
+
+    /// Size of the prompt in tokens; zero for a request without one.
+    fn prompt_tokens(&self) -> u64 {
+        self.request.size.map_or(0, |size| size.prompt.get())
+    }
+
     /// Ends the request with a refusal or failure.
     pub(super) fn refuse(&mut self, refusal: Refusal) -> Response<AnswerBody> {
         let refusal = match self.record.run_state() {
@@ -245,6 +278,11 @@
             .map_err(SendError::Refused)?;
         let mut in_flight =
             InFlightGuard::new(self.context.clone(), started.in_flight_id);
+        if self.sends == 0 {
+            self.timings.waited = self.elapsed();
+        }
+        self.timings.expected = started.time_to_first_event;
+        self.timings.helpers = started.helpers.len();
         self.log_placed(&started);
         if started.needs_heartbeat {
             self.context.heartbeat_due.notify_one();
@@ -386,7 +424,7 @@
                 helpers = started.helpers.len(),
                 helper_ids = helper_ids(started),
                 backlog_ms = started.backlog.as_millis(),
-                prompt = self.request.size.map_or(0, |size| size.prompt.get()),
+                prompt = self.prompt_tokens(),
                 expected_ms = started.time_to_first_event.as_millis(),
                 time_left_ms = self.time_left().as_millis(),
             },
@@ -593,6 +631,7 @@
             RequestEnd::Answered
         };
         let time = self.elapsed();
+        self.timings.first_event = Some(time);
         self.context.metrics.record_latency("whole", time);
         let text = format!("status {} of {upstream}", head.status);
         self.record_end(end, &text);
@@ -624,6 +663,10 @@
                     route = self.admitted.route.name,
                     sends = self.sends,
                     elapsed_ms = self.elapsed().as_millis(),
+                    prompt = self.prompt_tokens(),
+                    waited_ms = self.timings.waited.as_millis(),
+                    expected_ms = self.timings.expected.as_millis(),
+                    first_event_ms = first_event_ms(&self.timings),
                 },
                 "the caller closed its connection",
             );
@@ -642,6 +685,13 @@
     }
 }
 
+/// Time to the first event for the log; `-` if there was none.
+fn first_event_ms(timings: &RequestTimings) -> String {
+    timings
+        .first_event
+        .map_or_else(|| "-".into(), |time| time.as_millis().to_string())
+}
+
 fn helper_ids(started: &StartedRequest) -> String {
     let ids = started.helpers.iter().map(|(entry, _)| entry.id.as_str());
     ids.collect::<Vec<_>>().join(" ")
--- a/cli/src/gateway/metrics.rs
+++ b/cli/src/gateway/metrics.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use borageline_lib::refusal::{RefusalCode, RetryReason};
+use borageline_lib::{
+    gateway::request_timings::AnswerLateness,
+    refusal::{RefusalCode, RetryReason},
+};
 use prometheus::{
     Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Registry,
     TextEncoder, core::Collector,
@@ -58,6 +61,7 @@
     refusals: IntCounterVec,
     retries: IntCounterVec,
     latency: HistogramVec,
+    lateness: IntCounterVec,
     store_calls: IntCounterVec,
     pub(super) connections: IntGauge,
     pub(super) config_version: IntGauge,
@@ -84,6 +88,11 @@
                 "reason",
             ),
             latency: latency(),
+            lateness: counters(
+                "borageline_gateway_lateness_total",
+                "requests by the target that they missed first",
+                "late",
+            ),
             store_calls: counters(
                 "borageline_gateway_store_calls_total",
                 "calls to the platform's store by outcome",
@@ -111,6 +120,7 @@
         self.register(&self.refusals);
         self.register(&self.retries);
         self.register(&self.latency);
+        self.register(&self.lateness);
         self.register(&self.store_calls);
         self.register(&self.connections);
         self.register(&self.config_version);
@@ -152,7 +162,14 @@
         self.store_calls.with_label_values(&[outcome]).inc();
     }
 
-    /// Records the time to an answer or its first event.
+    pub(super) fn count_lateness(&self, lateness: AnswerLateness) {
+        let label = [lateness.as_str()];
+        self.lateness.with_label_values(&label).inc();
+    }
+
+    /// Records a time of a request: that to an answer (`whole`) or its first
+    /// event (`events`), that before the first send (`waiting`), or the
+    /// longest pause between events (`pause`).
     pub(super) fn record_latency(&self, form: &'static str, time: Duration) {
         let histogram = self.latency.with_label_values(&[form]);
         histogram.observe(time.as_secs_f64());
@@ -169,7 +186,7 @@
 
 fn latency() -> HistogramVec {
     let name = "borageline_gateway_latency_seconds";
-    let help = "time to an answer or its first event, by form";
+    let help = "times of requests, by form";
     let opts = HistogramOpts::new(name, help).buckets(LATENCY_BOUNDS.to_vec());
     HistogramVec::new(opts, &["form"]).expect("name and label are valid")
 }
--- a/cli/src/gateway/stream.rs
+++ b/cli/src/gateway/stream.rs
@@ -220,22 +220,21 @@
 /// Starts the response of a stream whose first events have arrived, and a task
 /// that forwards the rest.
 fn forward_stream<W: GatewayWire>(
-    attempt: CallerAttempt<W>,
+    mut attempt: CallerAttempt<W>,
     cursor: StreamCursor,
     reply: UpstreamReply<W>,
     events: Vec<Bytes>,
     complete: bool,
 ) -> Response<AnswerBody> {
     let time = attempt.elapsed();
+    attempt.timings.first_event = Some(time);
     attempt.context.metrics.record_latency("events", time);
     let (sender, receiver) = mpsc::channel(EVENT_QUEUE_MAX);
     let response = response_head(&attempt, &reply.head, receiver);
     reply.in_flight.record_first_event();
     let forwarder = StreamForwarder {
         last_event: attempt.context.now(),
-        longest_gap: Duration::ZERO,
         ignore_stalls: false,
-        first_event: time,
         attempt,
         cursor,
         sender,
@@ -263,10 +262,7 @@
     attempt: CallerAttempt<W>,
     cursor: StreamCursor,
     sender: mpsc::Sender<io::Result<Bytes>>,
-    /// Time from the request's arrival to the first event.
-    first_event: Duration,
     last_event: Timestamp,
-    longest_gap: Duration,
     /// Whether stalls no longer cause a fail-over.
     ignore_stalls: bool,
 }
@@ -348,20 +344,16 @@
     fn record_gap(&mut self) {
         let now = self.attempt.context.now();
         let gap = now.since(self.last_event);
-        self.longest_gap = self.longest_gap.max(gap);
+        let timings = &mut self.attempt.timings;
+        timings.longest_pause = timings.longest_pause.max(gap);
         self.last_event = now;
     }
 
     fn finish(&mut self, reply: &UpstreamReply<W>) {
         let context = self.attempt.context.clone();
         context.core().record_success(&reply.upstream);
-        let text = format!(
-            "{} events of {}, first after {} ms, longest pause {} ms",
-            self.cursor.events(),
-            reply.upstream,
-            self.first_event.as_millis(),
-            self.longest_gap.as_millis(),
-        );
+        let events = self.cursor.events();
+        let text = format!("{events} events of {}", reply.upstream);
         self.attempt.record_end(RequestEnd::Answered, &text);
     }
 
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -24,6 +24,7 @@
 pub mod placement;
 pub mod prefill_gate;
 pub mod reader_selection;
+pub mod request_timings;
 pub mod retry_budget;
 pub mod routing_config;
 pub mod stream_cursor;
