placement: derive limits from engines and routes, spread concurrent choices

All instances choose the cheapest engine from views that are some 10 to 30 ms old. Ruled out: long prompts on the same engine (in 11 % of the late ones, 12 % of those in time).

Cause 2: constants stated one deployment's engines: 12 short requests an engine (there are engines with 10 slots), shares of 250 ms, passes of 220 ms, a context of 5,000 tokens, a typical long prompt of 3 s.

Change: a short request considers a random part of the engines, one in as many as placements are made within 30 ms. EngineLimits derives the limits from the engine's slots, speed and memory and from the shortest pause that the service's routes accept; the context is what the engine holds. An engine without free slots costs more than one outside the short pool. A prompt waits for memory for half of its target; waits for the whole target ended more often without answer.

--- a/lib/src/gateway/gateway_core.rs
+++ b/lib/src/gateway/gateway_core.rs
@@ -18,18 +18,18 @@
 use super::{
     cost_model::EngineProfile,
     dispatch_rate::DispatchRate,
+    engine_limits::EngineLimits,
     gateway_settings::GatewaySettings,
     heartbeat_relay::HeartbeatTrailer,
     load_table::{InFlightId, LoadTable},
     member_table::{HEARTBEAT_VERSION, Heartbeat, MemberChange, MemberTable},
-    placement::{
-        LONG_PREFILL_MIN, Placement, PlacementInputs, PromptSize,
-        shared_prefill_min,
-    },
+    placement::{Placement, PlacementInputs, PromptSize, shared_prefill_min},
     prefill_gate::{GateDecision, GateInputs, RECHECK_INTERVAL, evaluate_gate},
     reader_selection::{ReadSource, ReaderSelector},
     retry_budget::ServiceRetryBudget,
-    routing_config::{CallerIdentity, ConfigVersion, RouteSpec, RoutingConfig},
+    routing_config::{
+        CallerIdentity, ConfigVersion, RouteSpec, RoutingConfig, ServiceSpec,
+    },
     topic_copy::TopicCopy,
     upstream_table::{UpstreamChange, UpstreamEntry, UpstreamTable},
     wire::StoreTopic,
@@ -45,6 +45,9 @@
 /// Range of the random addition to `Retry-After`, which spreads the retries of
 /// refused callers.
 const RETRY_AFTER_SPREAD: Duration = Duration::from_millis(1_000);
+/// Share of a prompt's latency target within which it may wait for memory; it
+/// needs the rest for its prefill.
+const MEMORY_WAIT_SHARE: f64 = 0.5;
 /// Share of the request limit of a cold upstream that is used.
 const COLD_SHARE: f64 = 0.8;
 
@@ -385,6 +388,7 @@
             let text = format!("service {service} is not configured");
             return Err(self.not_placed(RefusalCode::NoUpstream, &text));
         };
+        let limits = self.engine_limits(request, &spec);
         let instance_count = self.members.instance_count(now);
         let bounds = &self.settings.bounds;
         let cold_limit = (spec.cold_requests_per_s * bounds.cold_factor
@@ -415,7 +419,7 @@
             let prefill = engine.prefill_time(size.prompt);
             self.load_table.count_arrival(
                 now,
-                prefill > LONG_PREFILL_MIN,
+                prefill > limits.long_prefill_min,
                 prefill,
             );
         }
@@ -426,6 +430,7 @@
             candidates,
             loads: &loads,
             demand: self.load_table.total_demand(now),
+            limits,
         };
         let placed = match (&spec.engine, request.size) {
             (Some(engine), Some(size)) => {
@@ -447,21 +452,41 @@
             (gated, &spec.engine, request.size)
         {
             let prefill = engine.prefill_time(size.prompt);
-            self.check_gate(request, &placed, prefill)?;
+            self.check_gate(request, &placed, prefill, &limits)?;
         }
         Ok(self.start_request(now, placed))
     }
 
+    /// Limits on the load of a service's engines; without meaning for other
+    /// services.
+    fn engine_limits(
+        &self,
+        request: &PlacementRequest<'_>,
+        spec: &ServiceSpec,
+    ) -> EngineLimits {
+        let pause = self
+            .config
+            .as_ref()
+            .and_then(|config| config.shortest_pause(&spec.name))
+            .unwrap_or(request.admitted.route.gap_target);
+        let engine = spec.engine.as_ref();
+        engine.map_or_else(EngineLimits::default, |engine| {
+            EngineLimits::new(engine, pause)
+        })
+    }
+
     /// Defers or refuses a long prompt that should not start now.
     fn check_gate(
         &mut self,
         request: &PlacementRequest<'_>,
         placed: &Placement,
         prefill: Duration,
+        limits: &EngineLimits,
     ) -> Result<(), NotPlaced> {
         let route = &request.admitted.route;
         let inputs = GateInputs {
             prefill,
+            typical_prefill: limits.typical_long_prefill,
             backlog: placed.backlog,
             time_to_first_event: placed.time_to_first_event,
             waited: request.waited,
@@ -499,7 +524,8 @@
             return self.not_placed(RefusalCode::NoCapacity, &text);
         };
         let prefill = engine.prefill_time(size.prompt);
-        let wait_max = request.admitted.route.latency_target;
+        let target = request.admitted.route.latency_target;
+        let wait_max = target.mul_f64(MEMORY_WAIT_SHARE);
         let first_event = request.waited + shared_prefill_min(prefill);
         if first_event <= wait_max
             && first_event < request.waited + request.time_left
--- a/lib/src/gateway/load_table.rs
+++ b/lib/src/gateway/load_table.rs
@@ -147,7 +147,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct InFlightRequest {
     /// Whether the prompt counts as long
-    /// ([`LONG_PREFILL_MIN`](super::placement::LONG_PREFILL_MIN)).
+    /// ([`long_prefill_min`](super::engine_limits::EngineLimits::long_prefill_min)).
     pub long: bool,
     /// Shares of the request by upstream; the first one is the upstream that
     /// answers.
--- a/lib/src/gateway/placement.rs
+++ b/lib/src/gateway/placement.rs
@@ -11,11 +11,12 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use rand::Rng;
+use rand::{Rng, seq::IteratorRandom};
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{
     cost_model::EngineProfile,
+    engine_limits::EngineLimits,
     kv_split::{EngineCapacity, split_kv, usable_kv},
     load_table::{EngineShare, InFlightRequest, PrefillDemand, UpstreamLoad},
     upstream_table::TrackedUpstream,
@@ -25,12 +26,6 @@
     units::{Timestamp, TokenCount},
 };
 
-/// Prefill time above which a prompt counts as long. Together with a decode
-/// pass it exceeds the shortest gap between events that callers of short
-/// requests accept.
-pub const LONG_PREFILL_MIN: Duration = Duration::from_millis(180);
-/// Short requests that one engine serves before another one is used.
-const SHORT_PER_ENGINE: u32 = 12;
 /// Long prompts whose answers one engine decodes at an acceptable speed.
 const LONG_PER_ENGINE: u32 = 4;
 /// Time in which the long pool should complete the prefill work that waits.
@@ -41,8 +36,6 @@
 const SHORT_PREFILL_SHARE: f64 = 0.3;
 /// Most short requests on an engine of the long pool.
 const LONG_POOL_SHORT_MAX: u32 = 1;
-/// Longest pass that callers of short requests do not notice.
-const DECODE_PAUSE_MAX: Duration = Duration::from_millis(220);
 /// Short requests that share an engine without a noticeable delay, while
 /// engines are spare.
 const SHORT_PER_SPARE_ENGINE: u32 = 3;
@@ -52,16 +45,16 @@
 /// Engines kept out of the short pool as long as another engine remains for
 /// it.
 const LONG_ENGINES_MIN: usize = 2;
-/// Prefill time that one share of a long prompt should take.
-const SHARE_PREFILL_TARGET: Duration = Duration::from_millis(250);
 /// One in this many engines of the long pool decodes the answers. Engines
 /// prefill shares for others before their own prompts, so that an engine that
 /// answers must not help others.
 const ENGINES_PER_DECODER: usize = 5;
+/// Time after which a placement is known to all other instances.
+const VIEW_AGE: Duration = Duration::from_millis(30);
+/// Fewest engines among which a short request chooses.
+const ENGINES_CONSIDERED_MIN: usize = 4;
 /// Most helpers of one request.
 const HELPERS_MAX: usize = 16;
-/// Assumed context of a short request, in tokens.
-const SHORT_CONTEXT: TokenCount = TokenCount::new(5_000);
 /// Cost of a candidate in another failure domain, so that among about equal
 /// candidates one of the instance's own domain is chosen.
 const DOMAIN_COST: Duration = Duration::from_millis(2);
@@ -112,6 +105,8 @@
     pub loads: &'a BTreeMap<UpstreamId, UpstreamLoad>,
     /// Prefill demand of the callers of all instances.
     pub demand: PrefillDemand,
+    /// Limits on the load of each candidate, if they are engines.
+    pub limits: EngineLimits,
 }
 
 impl PlacementInputs<'_> {
@@ -159,7 +154,7 @@
         size: PromptSize,
         rng: &mut impl Rng,
     ) -> Option<Placement> {
-        if engine.prefill_time(size.prompt) > LONG_PREFILL_MIN {
+        if engine.prefill_time(size.prompt) > self.limits.long_prefill_min {
             self.place_long(engine, size)
         } else {
             self.place_short(engine, size, rng)
@@ -209,7 +204,8 @@
             .iter()
             .map(|candidate| self.load(candidate).short)
             .sum();
-        let decoding = (short + 1).div_ceil(SHORT_PER_ENGINE) as usize;
+        let decoding =
+            (short + 1).div_ceil(self.limits.short_requests) as usize;
         // A flood appears in the arrivals before it appears in the requests in
         // flight.
         let arriving = self.demand.short_engines() / SHORT_PREFILL_SHARE;
@@ -234,37 +230,17 @@
         let candidates = self.ordered();
         let prefill = engine.prefill_time(size.prompt);
         let short_pool = self.short_pool_size();
-        let ranked = candidates.iter().enumerate().map(|(rank, candidate)| {
-            let load = self.load(candidate);
-            let context = SHORT_CONTEXT.get() * u64::from(load.requests() + 1);
-            let pass = engine
-                .decode_pass(load.requests() + 1, TokenCount::new(context));
-            let mut wait = load.prefill_left() + prefill + pass;
-            if load.requests() > 0 {
-                // The current pass has to end first.
-                wait += pass / 2;
-            }
-            if load.requests() > 0
-                && load.prefill_left() + prefill + pass > DECODE_PAUSE_MAX
-            {
-                // The pass would delay all requests that decode on the engine.
-                wait += DECODE_PAUSE_MAX;
-            }
-            if load.requests() >= engine.slots {
-                // The request has to wait for a free slot.
-                wait += pass * (load.requests() + 1 - engine.slots);
-            }
-            // An engine outside the short pool is worth it only if it saves
-            // more time than the long prompts on it lose.
-            if rank >= short_pool {
-                wait += LONG_PREFILL_MIN;
-            }
-            let spread = pass.mul_f64(0.25 * rng.random::<f64>());
-            (
-                wait + spread + self.domain_cost(candidate),
-                wait,
-                *candidate,
-            )
+        let considered = self.considered_engines(candidates.len(), prefill);
+        let sample = candidates
+            .iter()
+            .enumerate()
+            .choose_multiple(rng, considered);
+        let ranked = sample.into_iter().map(|(rank, candidate)| {
+            let wait =
+                self.short_wait(engine, prefill, candidate, rank < short_pool);
+            let spread = prefill.mul_f64(rng.random::<f64>());
+            let cost = wait + spread + self.domain_cost(candidate);
+            (cost, wait, *candidate)
         });
         let (_, wait, candidate) = ranked.min_by_key(|(cost, ..)| *cost)?;
         let tokens = size.prompt.saturating_add(size.output_max);
@@ -282,6 +258,58 @@
         Some(placement)
     }
 
+    /// Predicted time to the first event of a short request on an engine, with
+    /// extra time for the delays that it causes to others there.
+    fn short_wait(
+        &self,
+        engine: &EngineProfile,
+        prefill: Duration,
+        candidate: &TrackedUpstream,
+        in_short_pool: bool,
+    ) -> Duration {
+        let load = self.load(candidate);
+        let context = TokenCount::new(load.kv_tokens);
+        let pass = engine.decode_pass(load.requests() + 1, context);
+        let mut wait = load.prefill_left() + prefill + pass;
+        if load.requests() > 0 {
+            // The current pass has to end first.
+            wait += pass / 2;
+        }
+        if load.requests() > 0
+            && load.prefill_left() + prefill + pass > self.limits.pass_max
+        {
+            // The pass would delay all requests that decode on the engine.
+            wait += self.limits.pass_max;
+        }
+        if load.requests() >= engine.slots {
+            // The request has to wait for a free slot, which is worse than an
+            // engine outside the short pool with free slots.
+            wait += self.limits.long_prefill_min;
+            wait += pass * (load.requests() + 1 - engine.slots);
+        }
+        if !in_short_pool {
+            // An engine outside the short pool is worth it only if it saves
+            // more time than the long prompts on it lose.
+            wait += self.limits.long_prefill_min;
+        }
+        wait
+    }
+
+    /// Number of engines, of `count`, among which a short request with this
+    /// prefill time chooses.
+    ///
+    /// Other instances place requests before they know of this one. If all
+    /// considered all engines, all would choose the same one, so each considers
+    /// a random part: that of one placement in those that are made within
+    /// [`VIEW_AGE`].
+    fn considered_engines(&self, count: usize, prefill: Duration) -> usize {
+        let per_request = prefill.as_secs_f64().max(1e-3);
+        let arrivals = self.demand.short_engines() / per_request;
+        let concurrent = 1.0 + arrivals * VIEW_AGE.as_secs_f64();
+        let considered = (count as f64 / concurrent).ceil() as usize;
+        considered.clamp(ENGINES_CONSIDERED_MIN.min(count), count)
+    }
+
     /// Engines for long prompts: those behind the short pool with few short
     /// requests or, if there are none, all engines behind it and at least the
     /// last one. The engines at the end of the order decode the answers,
@@ -306,7 +334,7 @@
     }
 
     /// Chooses the engine that answers a long prompt, and helpers for its
-    /// prefill: as many as shares of about [`SHARE_PREFILL_TARGET`] need, and
+    /// prefill: as many as shares of about [`EngineLimits::share_prefill`] need, and
     /// more if the KV cache does not fit otherwise. If the helpers have too
     /// little free KV cache, the other engines of the pool help as well.
     fn place_long(
@@ -379,7 +407,7 @@
         let capacity = usable_kv(engine.kv_capacity);
         let prefill = engine.prefill_time(size.prompt);
         let share_count =
-            prefill.as_secs_f64() / SHARE_PREFILL_TARGET.as_secs_f64();
+            prefill.as_secs_f64() / self.limits.share_prefill.as_secs_f64();
         let wanted = (share_count.ceil() as usize).clamp(1, HELPERS_MAX + 1);
         let max_count = prefillers.len().min(HELPERS_MAX);
         let min_count = (wanted - 1).min(max_count);
--- a/lib/src/gateway/prefill_gate.rs
+++ b/lib/src/gateway/prefill_gate.rs
@@ -11,11 +11,8 @@
 
 use std::time::Duration;
 
-/// Backlog up to which a prompt with a prefill time of [`REFERENCE_PREFILL`]
-/// may start.
-const REFERENCE_BACKLOG: Duration = Duration::from_millis(200);
-/// Prefill time of a typical long prompt on one engine.
-const REFERENCE_PREFILL: Duration = Duration::from_millis(3_000);
+/// Backlog up to which a typical long prompt may start.
+const TYPICAL_BACKLOG: Duration = Duration::from_millis(200);
 /// Largest backlog at which any prompt may start.
 const BACKLOG_MAX: Duration = Duration::from_millis(700);
 /// Backlog at which every prompt may start; smaller values are within the
@@ -33,6 +30,8 @@
 pub struct GateInputs {
     /// Prefill time of the whole prompt on one engine.
     pub prefill: Duration,
+    /// The same of a typical long prompt.
+    pub typical_prefill: Duration,
     /// Mean prefill time left on the engines chosen for the prompt.
     pub backlog: Duration,
     /// Predicted time from now to the first event if the prompt starts now.
@@ -63,11 +62,11 @@
     if first_event > inputs.abandon_after {
         return GateDecision::Refuse;
     }
-    let size_factor = REFERENCE_PREFILL.as_secs_f64()
+    let size_factor = inputs.typical_prefill.as_secs_f64()
         / inputs.prefill.as_secs_f64().max(1e-3);
     let wait_factor =
         1.0 + inputs.waited.as_secs_f64() / WAIT_UNIT.as_secs_f64();
-    let limit = REFERENCE_BACKLOG
+    let limit = TYPICAL_BACKLOG
         .mul_f64(size_factor.min(1e3) * wait_factor)
         .clamp(BACKLOG_MIN, BACKLOG_MAX);
     let limit = if first_event > inputs.target {
--- a/lib/src/gateway/routing_config.rs
+++ b/lib/src/gateway/routing_config.rs
@@ -159,6 +159,8 @@
     pub limits: CallerLimits,
     routes: BTreeMap<Arc<str>, BTreeMap<Arc<str>, Arc<RouteSpec>>>,
     services: BTreeMap<ServiceName, Arc<ServiceSpec>>,
+    /// Shortest pause target of the streams of each service.
+    shortest_pauses: BTreeMap<ServiceName, Duration>,
     keys: BTreeMap<Arc<str>, Arc<WorkspaceSpec>>,
     requires_keys: bool,
 }
@@ -191,6 +193,14 @@
 
     /// Adds a route; it replaces an earlier one with the same host and prefix.
     pub fn with_route(mut self, route: RouteSpec) -> Self {
+        if route.form == AnswerForm::Events {
+            for share in &route.services {
+                self.shortest_pauses
+                    .entry(share.service.clone())
+                    .and_modify(|pause| *pause = route.gap_target.min(*pause))
+                    .or_insert(route.gap_target);
+            }
+        }
         let prefixes = self.routes.entry(route.host.clone()).or_default();
         prefixes.insert(route.prefix.clone(), Arc::new(route));
         self
@@ -239,6 +249,12 @@
         self.services.get(name)
     }
 
+    /// Shortest pause between two events at which all streams of a service are
+    /// on time; `None` if it has no streams.
+    pub fn shortest_pause(&self, service: &ServiceName) -> Option<Duration> {
+        self.shortest_pauses.get(service).copied()
+    }
+
     /// All services, in the order of their names.
     pub fn services(&self) -> impl Iterator<Item = &Arc<ServiceSpec>> {
         self.services.values()
--- a/lib/tests/gateway/test_placement.rs
+++ b/lib/tests/gateway/test_placement.rs
@@ -140,6 +140,7 @@
 fn inputs(prefill: u64, backlog: u64, waited: u64) -> GateInputs {
     GateInputs {
         prefill: ms(prefill),
+        typical_prefill: ms(3_000),
         backlog: ms(backlog),
         time_to_first_event: ms(backlog + prefill / 12),
         waited: ms(waited),
