--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -15,6 +15,7 @@
 pub mod attempt;
 pub mod cost_model;
 pub mod dispatch_rate;
+pub mod engine_limits;
 pub mod gateway_core;
 pub mod gateway_settings;
 pub mod heartbeat_relay;
