--- a/cli/src/gateway/forward.rs
+++ b/cli/src/gateway/forward.rs
@@ -1,12 +1,13 @@
 //! Forwards the requests of callers to upstreams.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use borageline_lib::{
     gateway::{
         attempt::{AttemptRecord, NextStep, SendOutcome},
         gateway_core::{
             AdmittedRequest, NotPlaced, PlacementRequest, StartedRequest,
+            memory_wait_max,
         },
         request_timings::{AnswerLateness, RequestTimings},
         routing_config::{AnswerForm, CallerIdentity, RetrySafety},
@@ -41,6 +42,9 @@
 /// Timeout of the first send of a request that may be resent, in latency
 /// targets of its route.
 const FIRST_SEND_TIMEOUT_FACTOR: f64 = 2.5;
+/// Pause before a prompt is placed again after engines refused its KV cache;
+/// their reports of free memory are older than that.
+const RESERVATION_RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// Largest answer that is buffered as a whole.
 const WHOLE_ANSWER_MAX: ByteSize = ByteSize::new(16 << 20);
 
@@ -75,6 +79,14 @@
     pub(super) time_to_first_event: Duration,
 }
 
+/// Upstreams chosen for a request, its entry in the load table, and the
+/// addresses of the helpers with the ids of their reservations.
+type PlacedRequest<W> = (
+    StartedRequest,
+    InFlightGuard<W>,
+    Vec<(SocketAddr, Option<Arc<str>>)>,
+);
+
 /// Why a send brought no reply.
 #[derive(Debug)]
 pub(super) enum SendError {
@@ -272,30 +284,11 @@
         resume_after: Option<u64>,
         wait: impl Fn(Duration) -> Duration,
     ) -> Result<UpstreamReply<W>, SendError> {
-        let started = self
-            .place(resume_after != self.request.resume_after)
+        let is_resumed = resume_after != self.request.resume_after;
+        let (started, in_flight, helpers) = self
+            .place_with_memory(is_resumed)
             .await
             .map_err(SendError::Refused)?;
-        let mut in_flight =
-            InFlightGuard::new(self.context.clone(), started.in_flight_id);
-        if self.sends == 0 {
-            self.timings.waited = self.elapsed();
-        }
-        self.timings.expected = started.time_to_first_event;
-        self.timings.helpers = started.helpers.len();
-        self.log_placed(&started);
-        if started.needs_heartbeat {
-            self.context.heartbeat_due.notify_one();
-        }
-        let reservations =
-            ReservationSet::reserve(&self.context, &started, self.time_left())
-                .await;
-        let reservations = match reservations {
-            Ok(reservations) => reservations,
-            Err(refusal) => return Err(SendError::Refused(refusal)),
-        };
-        let helpers = reservations.helpers();
-        in_flight.attach(reservations);
         let metadata = DispatchMetadata {
             upstream: started.entry.id.clone(),
             time_left: self.time_left(),
@@ -363,6 +356,47 @@
         })
     }
 
+    /// Chooses upstreams and reserves KV cache on them. If engines refuse it,
+    /// places the prompt again, as long as it could wait for memory.
+    async fn place_with_memory(
+        &mut self,
+        is_resumed: bool,
+    ) -> Result<PlacedRequest<W>, Refusal> {
+        loop {
+            let started = self.place(is_resumed).await?;
+            let mut in_flight =
+                InFlightGuard::new(self.context.clone(), started.in_flight_id);
+            if self.sends == 0 {
+                self.timings.waited = self.elapsed();
+            }
+            self.timings.expected = started.time_to_first_event;
+            self.timings.helpers = started.helpers.len();
+            self.log_placed(&started);
+            if started.needs_heartbeat {
+                self.context.heartbeat_due.notify_one();
+            }
+            let time_left = self.time_left();
+            let reserved =
+                ReservationSet::reserve(&self.context, &started, time_left);
+            match reserved.await {
+                Ok(reservations) => {
+                    let helpers = reservations.helpers();
+                    in_flight.attach(reservations);
+                    return Ok((started, in_flight, helpers));
+                }
+                Err(refusal) => {
+                    let route = &self.admitted.route;
+                    let waits = memory_wait_max(route.latency_target);
+                    if self.elapsed() > waits {
+                        return Err(refusal);
+                    }
+                    drop(in_flight);
+                    tokio::time::sleep(RESERVATION_RETRY_PAUSE).await;
+                }
+            }
+        }
+    }
+
     /// Chooses an upstream; waits as long as the prompt is deferred.
     async fn place(&self, is_resumed: bool) -> Result<StartedRequest, Refusal> {
         let mut deferred = None;
--- a/lib/src/gateway/gateway_core.rs
+++ b/lib/src/gateway/gateway_core.rs
@@ -51,6 +51,12 @@
 /// Share of the request limit of a cold upstream that is used.
 const COLD_SHARE: f64 = 0.8;
 
+/// Longest time for which a prompt waits for memory, given the latency target
+/// of its route.
+pub fn memory_wait_max(target: Duration) -> Duration {
+    target.mul_f64(MEMORY_WAIT_SHARE)
+}
+
 /// A request that passed routing and authentication.
 #[derive(Clone, Debug, PartialEq)]
 pub struct AdmittedRequest {
@@ -525,7 +531,7 @@
         };
         let prefill = engine.prefill_time(size.prompt);
         let target = request.admitted.route.latency_target;
-        let wait_max = target.mul_f64(MEMORY_WAIT_SHARE);
+        let wait_max = memory_wait_max(target);
         let first_event = request.waited + shared_prefill_min(prefill);
         if first_event <= wait_max
             && first_event < request.waited + request.time_left
