--- a/lib/src/gateway/gateway_core.rs
+++ b/lib/src/gateway/gateway_core.rs
@@ -763,6 +763,9 @@
         } else {
             Vec::new()
         };
+        let suspects = trailer.as_ref().map(|trailer| &trailer.suspects[..]);
+        let suspects_changed = suspects.unwrap_or_default()
+            != self.members.suspects_of(heartbeat.ip);
         let change = self.members.receive_heartbeat(
             now,
             self.settings.ip,
@@ -775,7 +778,9 @@
             heartbeat.loads,
             heartbeat.demand,
         );
-        self.upstreams.set_suspects(self.members.suspects(now));
+        if suspects_changed {
+            self.upstreams.set_suspects(self.members.suspects(now));
+        }
         HeartbeatReceipt { change, relay_to }
     }
 
@@ -793,6 +798,7 @@
     /// just become silent.
     pub fn expire_members(&mut self, now: Timestamp) -> Vec<MemberChange> {
         let changes = self.members.expire(now);
+        self.upstreams.set_suspects(self.members.suspects(now));
         for change in &changes {
             if let MemberChange::Silent(instance) = change {
                 self.load_table.remove_peer(instance);
--- a/lib/src/gateway/member_table.rs
+++ b/lib/src/gateway/member_table.rs
@@ -274,6 +274,13 @@
             .collect()
     }
 
+    /// Upstreams that the member at an address avoids.
+    pub fn suspects_of(&self, ip: IpAddr) -> &[UpstreamId] {
+        let member = self.members.get(&ip);
+        let trailer = member.and_then(|member| member.trailer.as_ref());
+        trailer.map_or(&[], |trailer| &trailer.suspects)
+    }
+
     /// Number of members with recent heartbeats that avoid each upstream.
     pub fn suspects(&self, now: Timestamp) -> BTreeMap<UpstreamId, usize> {
         let mut counts = BTreeMap::new();
--- a/lib/tests/gateway/test_heartbeat_relay.rs
+++ b/lib/tests/gateway/test_heartbeat_relay.rs
@@ -168,3 +168,32 @@
     let candidates = core.upstreams().candidates(at(10), &id("models"), &[]);
     assert_eq!(candidates.len(), expected);
 }
+
+/// Guards against an engine that stays left out after the instances that
+/// avoided it use it again, or have themselves fallen silent.
+#[rstest]
+#[case::used_again(true)]
+#[case::silent(false)]
+fn test_heartbeat_relay_forgets_suspects(#[case] used_again: bool) {
+    let mut core = core(3);
+    let send = |core: &mut GatewayCore, now, sequence, suspects: &[&str]| {
+        for index in [1, 2] {
+            let trailer = HeartbeatTrailer {
+                sequence,
+                relay: false,
+                suspects: suspects.iter().map(|name| id(name)).collect(),
+            };
+            core.receive_heartbeat(now, member(1, index), Some(trailer));
+        }
+    };
+    let candidates = |core: &GatewayCore, now| {
+        core.upstreams().candidates(now, &id("models"), &[]).len()
+    };
+    send(&mut core, at(0), 1, &["i-0"]);
+    assert_eq!(candidates(&core, at(10)), 2);
+    if used_again {
+        send(&mut core, at(100), 2, &[]);
+    }
+    core.expire_members(at(2_500));
+    assert_eq!(candidates(&core, at(2_500)), 3);
+}
