gateway: bound derived limits on routes without a pause, count demand once

Cause: on a route without a pause target the accepted pause was the route's timeout, so that prompts of seconds of prefill counted as short; and a prompt that was placed again after a refused reservation counted as demand twice. Both found by reading the change.

Change: the accepted pause is at most the latency target and at least two decode passes; demand is counted at the first placement.

--- a/cli/src/gateway/forward.rs
+++ b/cli/src/gateway/forward.rs
@@ -62,6 +62,8 @@
     excluded: Vec<UpstreamId>,
     /// Upstreams on which the request failed after it may have started.
     tried: Vec<UpstreamId>,
+    /// Whether the request was placed before; it counts as demand only once.
+    was_placed: bool,
     /// Sends made so far.
     sends: u32,
     pub(super) timings: RequestTimings,
@@ -139,6 +141,7 @@
         arrival,
         excluded: Vec::new(),
         tried: Vec::new(),
+        was_placed: false,
         sends: 0,
         timings: RequestTimings::default(),
         ended: false,
@@ -364,6 +367,7 @@
     ) -> Result<PlacedRequest<W>, Refusal> {
         loop {
             let started = self.place(is_resumed).await?;
+            self.was_placed = true;
             let mut in_flight =
                 InFlightGuard::new(self.context.clone(), started.in_flight_id);
             if self.sends == 0 {
@@ -405,7 +409,7 @@
                 admitted: &self.admitted,
                 size: self.request.size,
                 is_resumed,
-                is_new: self.sends == 0 && deferred.is_none(),
+                is_new: !self.was_placed && deferred.is_none(),
                 excluded: &self.excluded,
                 tried: &self.tried,
                 waited: self.elapsed(),
--- a/lib/src/gateway/engine_limits.rs
+++ b/lib/src/gateway/engine_limits.rs
@@ -17,6 +17,9 @@
 /// Least share of the accepted pause that is left to prefill if passes are
 /// slow.
 const PREFILL_SHARE_MIN: f64 = 0.25;
+/// Decode passes that the shortest pause covers at least; an engine cannot send
+/// events more often than once in a pass.
+const PAUSE_PASSES_MIN: u32 = 2;
 /// Share of an engine's slots that short requests take before another engine
 /// is used.
 const SHORT_SLOT_SHARE: f64 = 0.75;
@@ -44,8 +47,9 @@
     /// Derives the limits of engines whose callers accept pauses of `pause`
     /// between two events.
     pub fn new(engine: &EngineProfile, pause: Duration) -> Self {
-        let pass_max = pause.mul_f64(PASS_SHARE);
         let pass = engine.decode_pass(1, TokenCount::ZERO);
+        let pause = pause.max(pass * PAUSE_PASSES_MIN);
+        let pass_max = pause.mul_f64(PASS_SHARE);
         let long_prefill_min = pass_max
             .saturating_sub(pass)
             .max(pause.mul_f64(PREFILL_SHARE_MIN));
--- a/lib/src/gateway/routing_config.rs
+++ b/lib/src/gateway/routing_config.rs
@@ -159,7 +159,7 @@
     pub limits: CallerLimits,
     routes: BTreeMap<Arc<str>, BTreeMap<Arc<str>, Arc<RouteSpec>>>,
     services: BTreeMap<ServiceName, Arc<ServiceSpec>>,
-    /// Shortest pause target of the streams of each service.
+    /// Shortest pause that the streams of each service accept.
     shortest_pauses: BTreeMap<ServiceName, Duration>,
     keys: BTreeMap<Arc<str>, Arc<WorkspaceSpec>>,
     requires_keys: bool,
@@ -194,11 +194,13 @@
     /// Adds a route; it replaces an earlier one with the same host and prefix.
     pub fn with_route(mut self, route: RouteSpec) -> Self {
         if route.form == AnswerForm::Events {
+            // A route without a pause target still has one for the first event.
+            let pause = route.gap_target.min(route.latency_target);
             for share in &route.services {
                 self.shortest_pauses
                     .entry(share.service.clone())
-                    .and_modify(|pause| *pause = route.gap_target.min(*pause))
-                    .or_insert(route.gap_target);
+                    .and_modify(|shortest| *shortest = pause.min(*shortest))
+                    .or_insert(pause);
             }
         }
         let prefixes = self.routes.entry(route.host.clone()).or_default();
@@ -249,8 +251,8 @@
         self.services.get(name)
     }
 
-    /// Shortest pause between two events at which all streams of a service are
-    /// on time; `None` if it has no streams.
+    /// Shortest pause, between two events or before the first one, at which all
+    /// streams of a service are on time; `None` if it has no streams.
     pub fn shortest_pause(&self, service: &ServiceName) -> Option<Duration> {
         self.shortest_pauses.get(service).copied()
     }
--- a/lib/tests/gateway/test_engine_limits.rs
+++ b/lib/tests/gateway/test_engine_limits.rs
@@ -9,7 +9,9 @@
         engine_limits::EngineLimits,
         gateway_core::{GatewayCore, NotPlaced, StartedRequest},
         load_table::UpstreamLoad,
-        routing_config::ServiceSpec,
+        routing_config::{
+            ConfigVersion, RetrySafety, RoutingConfig, ServiceSpec,
+        },
     },
     ids::UpstreamId,
     units::{Incarnation, TokenCount},
@@ -18,10 +20,12 @@
 use rstest::rstest;
 
 use crate::fixtures::{
-    admitted, at, config, engine, entry, id, ms, placement_request, settings,
+    admitted, at, config, engine, entry, id, ms, placement_request, route,
+    settings,
 };
 
-/// Seed of the property tests, fixed so that each run has the same verdict.
+/// Cases of each property; their seed is fixed, so that each run has the same
+/// verdict.
 const PROPERTY_CASES: u32 = 64;
 
 fn property_config() -> ProptestConfig {
@@ -38,7 +42,8 @@
 #[rstest]
 #[case::sixteen_slots(16, 51, 250, 12, 177)]
 #[case::ten_slots(10, 80, 300, 7, 196)]
-#[case::slow_passes(16, 400, 250, 12, 62)]
+#[case::slow_passes(16, 400, 250, 12, 259)]
+#[case::no_pause(16, 51, 0, 12, 32)]
 fn test_engine_limits_follow_description(
     #[case] slots: u32,
     #[case] steps: u32,
@@ -57,6 +62,16 @@
     assert!(long.abs_diff(expected_long_ms.into()) <= 1, "{long} ms");
 }
 
+/// Guards against limits that vanish on a route without a pause target, so that
+/// the longest prompts run on one engine beside short requests.
+#[test]
+fn test_engine_limits_without_pause_target_follow_latency() {
+    let mut route = route(RetrySafety::Idempotent, 2);
+    route.gap_target = route.timeout;
+    let config = RoutingConfig::new(ConfigVersion::new(1)).with_route(route);
+    assert_eq!(config.shortest_pause(&id("models")), Some(ms(300)));
+}
+
 /// Engine of any speed and size that the users may run.
 fn any_engine() -> impl Strategy<Value = EngineProfile> {
     let speeds = (4u32..=64, 50_000.0..1_000_000.0, 300u64..3_000);
