--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -2,7 +2,7 @@
 
 use std::{
     fs::File,
-    io,
+    io::{self, Write},
     path::{Path, PathBuf},
     process::ExitCode,
 };
@@ -119,8 +119,12 @@
         let input = File::open(file).map_err(named)?;
         EndingTable::read(io::BufReader::new(input)).map_err(named)
     }?;
-    print!("{table}");
-    Ok(())
+    let printed = io::stdout().write_all(table.to_string().as_bytes());
+    match printed {
+        // The reader of a pipe has seen enough.
+        Err(error) if error.kind() == io::ErrorKind::BrokenPipe => Ok(()),
+        other => other,
+    }
 }
 
 /// Ends the run when the tool is told to end, so that the fleet is dropped
