--- a/cli/src/gateway.rs
+++ b/cli/src/gateway.rs
@@ -18,6 +18,7 @@
 mod reservations;
 mod stream;
 mod topic_reader;
+mod whole_answer;
 
 use std::{
     fmt::Debug,
--- a/cli/src/gateway/forward.rs
+++ b/cli/src/gateway/forward.rs
@@ -10,20 +10,20 @@
             memory_wait_max,
         },
         request_timings::{AnswerLateness, RequestTimings},
-        routing_config::{AnswerForm, CallerIdentity, RetrySafety},
+        routing_config::{AnswerForm, CallerIdentity},
         wire::{CallerRequest, DispatchMetadata, GatewayWire, ReplyKind},
     },
     ids::UpstreamId,
     log_event::LogEvent,
     refusal::{Refusal, RefusalCode, RetryReason, RunState},
-    units::{ByteSize, Timestamp},
+    units::Timestamp,
 };
 use bytes::Bytes;
 use http::{
     Request, Response, Uri, request::Parts as RequestParts,
     response::Parts as ResponseParts,
 };
-use http_body_util::{BodyExt, Either, Full, Limited};
+use http_body_util::{Either, Full};
 use hyper::body::Incoming;
 
 use super::{
@@ -39,15 +39,9 @@
     log_decision,
 };
 
-/// Timeout of the first send of a request that may be resent, in latency
-/// targets of its route.
-const FIRST_SEND_TIMEOUT_FACTOR: f64 = 2.5;
 /// Pause before a prompt is placed again after engines refused its KV cache;
 /// their reports of free memory are older than that.
 const RESERVATION_RETRY_PAUSE: Duration = Duration::from_millis(100);
-/// Largest answer that is buffered as a whole.
-const WHOLE_ANSWER_MAX: ByteSize = ByteSize::new(16 << 20);
-
 /// A caller's request that was admitted.
 #[derive(Debug)]
 pub(super) struct CallerAttempt<W: GatewayWire> {
@@ -65,7 +59,7 @@
     /// Whether the request was placed before; it counts as demand only once.
     was_placed: bool,
     /// Sends made so far.
-    sends: u32,
+    pub(super) sends: u32,
     pub(super) timings: RequestTimings,
     /// Whether the end was recorded; otherwise the caller has left.
     ended: bool,
@@ -176,7 +170,7 @@
     context.wire.refusal(attempt, refusal).map(buffered_body)
 }
 
-fn buffered_body(body: Bytes) -> AnswerBody {
+pub(super) fn buffered_body(body: Bytes) -> AnswerBody {
     Either::Left(Full::new(body))
 }
 
@@ -571,123 +565,6 @@
             }
         }
     }
-
-    /// Answers with one response body.
-    async fn answer_whole(mut self) -> Response<AnswerBody> {
-        loop {
-            let wait = self.whole_answer_timeout();
-            let reply = match self.send(None, |_| wait).await {
-                Ok(reply) => reply,
-                Err(SendError::Refused(refusal)) => {
-                    return self.refuse(refusal);
-                }
-                Err(SendError::Ended(before, outcome)) => {
-                    if self.authorize_resend(before, outcome) {
-                        continue;
-                    }
-                    let refusal = self.refusal_after(outcome);
-                    return self.refuse(refusal);
-                }
-            };
-            match self.forward_whole_answer(reply).await {
-                Ok(response) => return response,
-                Err(outcome) => {
-                    let before = self.record.run_state();
-                    if !self.authorize_resend(before, outcome) {
-                        let refusal = self.refusal_after(outcome);
-                        return self.refuse(refusal);
-                    }
-                }
-            }
-        }
-    }
-
-    /// Timeout for the head of a whole answer. The first of several possible
-    /// sends gets only part of the time left.
-    fn whole_answer_timeout(&self) -> Duration {
-        let first = self.sends == 0
-            && self.admitted.route.retry_safety == RetrySafety::Idempotent
-            && self.admitted.route.sends_max > 1;
-        let left = self.time_left();
-        if first {
-            let target = self.admitted.route.latency_target;
-            left.min(target.mul_f64(FIRST_SEND_TIMEOUT_FACTOR))
-        } else {
-            left
-        }
-    }
-
-    /// Reads the rest of a whole answer and forwards it.
-    pub(super) async fn forward_whole_answer(
-        &mut self,
-        reply: UpstreamReply<W>,
-    ) -> Result<Response<AnswerBody>, SendOutcome> {
-        let UpstreamReply {
-            head,
-            body,
-            upstream,
-            in_flight,
-            ..
-        } = reply;
-        let limit = usize::try_from(WHOLE_ANSWER_MAX.get());
-        let body = Limited::new(body, limit.unwrap_or(usize::MAX)).collect();
-        let read = tokio::time::timeout(self.time_left(), body).await;
-        let text = match read {
-            Ok(Ok(body)) if self.context.wire.is_authentic_answer(&head) => {
-                drop(in_flight);
-                return self.forward_answer(&head, &upstream, body.to_bytes());
-            }
-            Ok(Ok(_)) => {
-                "the answer is not marked as produced by the upstream".into()
-            }
-            Ok(Err(error)) => format!("the answer broke off: {error}"),
-            Err(_) => "the answer was not complete in time".into(),
-        };
-        self.record_failed_send(&upstream, SendOutcome::Lost, &text);
-        Err(SendOutcome::Lost)
-    }
-
-    fn forward_answer(
-        &mut self,
-        head: &ResponseParts,
-        upstream: &UpstreamId,
-        body: Bytes,
-    ) -> Result<Response<AnswerBody>, SendOutcome> {
-        let failed = head.status.is_server_error();
-        if failed
-            && self.admitted.route.retry_safety == RetrySafety::Idempotent
-            && self.could_resend()
-        {
-            let text = format!("the upstream failed with {}", head.status);
-            self.record_failed_send(upstream, SendOutcome::Failed, &text);
-            return Err(SendOutcome::Failed);
-        }
-        let end = if failed {
-            RequestEnd::UpstreamFailure
-        } else {
-            self.context.core().record_success(upstream);
-            RequestEnd::Answered
-        };
-        let time = self.elapsed();
-        self.timings.first_event = Some(time);
-        self.context.metrics.record_latency("whole", time);
-        let text = format!("status {} of {upstream}", head.status);
-        self.record_end(end, &text);
-        let mut response = Response::new(buffered_body(body));
-        *response.status_mut() = head.status;
-        *response.headers_mut() = self.context.wire.answer_headers(head);
-        Ok(response)
-    }
-
-    /// Whether a failure of the upstream could be followed by another send;
-    /// otherwise it is forwarded as it is.
-    fn could_resend(&self) -> bool {
-        let mut record = self.record.clone();
-        let now = self.context.now();
-        let before = record.run_state();
-        let step = record.finish_send(now, before, SendOutcome::Failed);
-        matches!(step, NextStep::Resend { .. })
-    }
 }
 
 impl<W: GatewayWire> Drop for CallerAttempt<W> {
--- /dev/null
+++ b/cli/src/gateway/whole_answer.rs
@@ -0,0 +1,148 @@
+//! Forwards answers that are sent as a whole, once all of the body has
+//! arrived.
+
+use std::time::Duration;
+
+use borageline_lib::{
+    gateway::{
+        attempt::{NextStep, SendOutcome},
+        routing_config::RetrySafety,
+        wire::GatewayWire,
+    },
+    ids::UpstreamId,
+    units::ByteSize,
+};
+use bytes::Bytes;
+use http::{Response, response::Parts as ResponseParts};
+use http_body_util::{BodyExt, Limited};
+
+use super::{
+    caller_listener::AnswerBody,
+    forward::{CallerAttempt, SendError, UpstreamReply, buffered_body},
+    metrics::RequestEnd,
+};
+
+/// Timeout of the first send of a request that may be resent, in latency
+/// targets of its route.
+const FIRST_SEND_TIMEOUT_FACTOR: f64 = 2.5;
+/// Largest answer that is buffered as a whole.
+const WHOLE_ANSWER_MAX: ByteSize = ByteSize::new(16 << 20);
+
+impl<W: GatewayWire> CallerAttempt<W> {
+    /// Answers with one response body.
+    pub(super) async fn answer_whole(mut self) -> Response<AnswerBody> {
+        loop {
+            let wait = self.whole_answer_timeout();
+            let reply = match self.send(None, |_| wait).await {
+                Ok(reply) => reply,
+                Err(SendError::Refused(refusal)) => {
+                    return self.refuse(refusal);
+                }
+                Err(SendError::Ended(before, outcome)) => {
+                    if self.authorize_resend(before, outcome) {
+                        continue;
+                    }
+                    let refusal = self.refusal_after(outcome);
+                    return self.refuse(refusal);
+                }
+            };
+            match self.forward_whole_answer(reply).await {
+                Ok(response) => return response,
+                Err(outcome) => {
+                    let before = self.record.run_state();
+                    if !self.authorize_resend(before, outcome) {
+                        let refusal = self.refusal_after(outcome);
+                        return self.refuse(refusal);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Timeout for the head of a whole answer. The first of several possible
+    /// sends gets only part of the time left.
+    fn whole_answer_timeout(&self) -> Duration {
+        let first = self.sends == 0
+            && self.admitted.route.retry_safety == RetrySafety::Idempotent
+            && self.admitted.route.sends_max > 1;
+        let left = self.time_left();
+        if first {
+            let target = self.admitted.route.latency_target;
+            left.min(target.mul_f64(FIRST_SEND_TIMEOUT_FACTOR))
+        } else {
+            left
+        }
+    }
+
+    /// Reads the rest of a whole answer and forwards it.
+    pub(super) async fn forward_whole_answer(
+        &mut self,
+        reply: UpstreamReply<W>,
+    ) -> Result<Response<AnswerBody>, SendOutcome> {
+        let UpstreamReply {
+            head,
+            body,
+            upstream,
+            in_flight,
+            ..
+        } = reply;
+        let limit = usize::try_from(WHOLE_ANSWER_MAX.get());
+        let body = Limited::new(body, limit.unwrap_or(usize::MAX)).collect();
+        let read = tokio::time::timeout(self.time_left(), body).await;
+        let text = match read {
+            Ok(Ok(body)) if self.context.wire.is_authentic_answer(&head) => {
+                drop(in_flight);
+                return self.forward_answer(&head, &upstream, body.to_bytes());
+            }
+            Ok(Ok(_)) => {
+                "the answer is not marked as produced by the upstream".into()
+            }
+            Ok(Err(error)) => format!("the answer broke off: {error}"),
+            Err(_) => "the answer was not complete in time".into(),
+        };
+        self.record_failed_send(&upstream, SendOutcome::Lost, &text);
+        Err(SendOutcome::Lost)
+    }
+
+    fn forward_answer(
+        &mut self,
+        head: &ResponseParts,
+        upstream: &UpstreamId,
+        body: Bytes,
+    ) -> Result<Response<AnswerBody>, SendOutcome> {
+        let failed = head.status.is_server_error();
+        if failed
+            && self.admitted.route.retry_safety == RetrySafety::Idempotent
+            && self.could_resend()
+        {
+            let text = format!("the upstream failed with {}", head.status);
+            self.record_failed_send(upstream, SendOutcome::Failed, &text);
+            return Err(SendOutcome::Failed);
+        }
+        let end = if failed {
+            RequestEnd::UpstreamFailure
+        } else {
+            self.context.core().record_success(upstream);
+            RequestEnd::Answered
+        };
+        let time = self.elapsed();
+        self.timings.first_event = Some(time);
+        self.context.metrics.record_latency("whole", time);
+        let text = format!("status {} of {upstream}", head.status);
+        self.record_end(end, &text);
+        let mut response = Response::new(buffered_body(body));
+        *response.status_mut() = head.status;
+        *response.headers_mut() = self.context.wire.answer_headers(head);
+        Ok(response)
+    }
+
+    /// Whether a failure of the upstream could be followed by another send;
+    /// otherwise it is forwarded as it is.
+    fn could_resend(&self) -> bool {
+        let mut record = self.record.clone();
+        let now = self.context.now();
+        let before = record.run_state();
+        let step = record.finish_send(now, before, SendOutcome::Failed);
+        matches!(step, NextStep::Resend { .. })
+    }
+}
--- a/lib/src/gateway/gateway_core.rs
+++ b/lib/src/gateway/gateway_core.rs
@@ -5,6 +5,8 @@
 //! points, so that each decision sees a consistent state. The tables in the
 //! sibling modules own the details; this module combines them.
 
+mod heartbeats;
+
 use std::{
     collections::BTreeMap,
     net::{IpAddr, SocketAddr},
@@ -15,14 +17,14 @@
 use rand::{Rng, SeedableRng, seq::IndexedRandom};
 use rand_chacha::ChaCha8Rng;
 
+pub use self::heartbeats::{HeartbeatPlan, HeartbeatReceipt};
 use super::{
     cost_model::EngineProfile,
     dispatch_rate::DispatchRate,
     engine_limits::EngineLimits,
     gateway_settings::GatewaySettings,
-    heartbeat_relay::HeartbeatTrailer,
     load_table::{InFlightId, LoadTable},
-    member_table::{HEARTBEAT_VERSION, Heartbeat, MemberChange, MemberTable},
+    member_table::MemberTable,
     placement::{Placement, PlacementInputs, PromptSize, shared_prefill_min},
     prefill_gate::{GateDecision, GateInputs, RECHECK_INTERVAL, evaluate_gate},
     reader_selection::{ReadSource, ReaderSelector},
@@ -142,30 +144,6 @@
     pub entry_age: Duration,
 }
 
-/// A heartbeat to send.
-#[derive(Clone, Debug, PartialEq)]
-pub struct HeartbeatPlan {
-    /// State of this instance.
-    pub heartbeat: Heartbeat,
-    /// Data that follows the heartbeat, for targets that do not relay it.
-    pub trailer: HeartbeatTrailer,
-    /// Addresses that get the heartbeat for themselves only.
-    pub direct: Vec<SocketAddr>,
-    /// Addresses that relay it within their failure domain.
-    pub relays: Vec<SocketAddr>,
-    /// Time until the next heartbeat.
-    pub pause: Duration,
-}
-
-/// What follows from a heartbeat of another instance.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct HeartbeatReceipt {
-    /// Change of the members.
-    pub change: Option<MemberChange>,
-    /// Addresses to which the heartbeat is to be relayed.
-    pub relay_to: Vec<SocketAddr>,
-}
-
 /// State of one instance.
 #[derive(Debug)]
 pub struct GatewayCore {
@@ -680,133 +658,6 @@
         Refusal::new(code, text).with_retry_after(RETRY_AFTER_MIN + spread)
     }
 
-    /// Adds an address at which another instance may run.
-    pub fn add_probe_address(&mut self, ip: IpAddr) {
-        if ip != self.settings.ip {
-            self.members.add_probe_address(ip);
-        }
-    }
-
-    /// State of this instance as the others should see it.
-    pub fn heartbeat(&mut self, now: Timestamp) -> Heartbeat {
-        Heartbeat {
-            version: HEARTBEAT_VERSION,
-            instance: self.settings.instance.clone(),
-            incarnation: self.incarnation,
-            domain: self.settings.failure_domain.clone(),
-            ip: self.settings.ip,
-            serving: self.is_ready(),
-            alive: self.members.next_advertised(now),
-            loads: self.load_table.local_loads(now),
-            demand: self.load_table.local_demand(now),
-        }
-    }
-
-    /// Number of instances: this one and the members with recent heartbeats.
-    pub fn instance_count(&self, now: Timestamp) -> usize {
-        self.members.instance_count(now)
-    }
-
-    /// Returns the heartbeat to send now, where to send it and the pause until
-    /// the next one.
-    pub fn next_heartbeat(&mut self, now: Timestamp) -> HeartbeatPlan {
-        let heartbeat = self.heartbeat(now);
-        self.heartbeats_sent += 1;
-        let sequence = self.heartbeats_sent;
-        // The relays stop relaying to an instance that leaves, so it informs
-        // the others itself.
-        let relayed = heartbeat.serving;
-        let targets = self.members.heartbeat_targets(
-            now,
-            self.settings.ip,
-            &self.settings.failure_domain,
-            sequence,
-            relayed,
-        );
-        HeartbeatPlan {
-            heartbeat,
-            trailer: HeartbeatTrailer {
-                sequence,
-                relay: false,
-                suspects: self.upstreams.avoided(now),
-            },
-            direct: self.peer_addresses(targets.direct),
-            relays: self.peer_addresses(targets.relays),
-            pause: self.members.heartbeat_interval(now),
-        }
-    }
-
-    fn peer_addresses(&self, ips: Vec<IpAddr>) -> Vec<SocketAddr> {
-        let addresses = ips.into_iter();
-        addresses
-            .map(|ip| self.settings.peer_address_of(ip))
-            .collect()
-    }
-
-    /// Applies the heartbeat of another instance. Heartbeats of another
-    /// version, outdated ones and this instance's own are ignored.
-    pub fn receive_heartbeat(
-        &mut self,
-        now: Timestamp,
-        heartbeat: Heartbeat,
-        trailer: Option<HeartbeatTrailer>,
-    ) -> HeartbeatReceipt {
-        if heartbeat.version != HEARTBEAT_VERSION
-            || heartbeat.ip == self.settings.ip
-            || self.members.is_outdated(&heartbeat, trailer.as_ref())
-        {
-            return HeartbeatReceipt::default();
-        }
-        let relay = trailer.as_ref().is_some_and(|trailer| trailer.relay);
-        let relay_to = if relay {
-            self.relay_targets(now, heartbeat.ip)
-        } else {
-            Vec::new()
-        };
-        let suspects = trailer.as_ref().map(|trailer| &trailer.suspects[..]);
-        let suspects_changed = suspects.unwrap_or_default()
-            != self.members.suspects_of(heartbeat.ip);
-        let change = self.members.receive_heartbeat(
-            now,
-            self.settings.ip,
-            &heartbeat,
-            trailer,
-        );
-        self.load_table.set_report(
-            now,
-            heartbeat.instance,
-            heartbeat.loads,
-            heartbeat.demand,
-        );
-        if suspects_changed {
-            self.upstreams.set_suspects(self.members.suspects(now));
-        }
-        HeartbeatReceipt { change, relay_to }
-    }
-
-    /// Addresses of the members of this failure domain, without the sender of
-    /// the heartbeat to relay.
-    fn relay_targets(&self, now: Timestamp, sender: IpAddr) -> Vec<SocketAddr> {
-        let peers = self.members.heartbeat_peers(now).into_iter();
-        let targets = peers.filter(|peer| {
-            peer.domain == self.settings.failure_domain && peer.ip != sender
-        });
-        self.peer_addresses(targets.map(|peer| peer.ip).collect())
-    }
-
-    /// Removes instances without recent heartbeats; returns those that have
-    /// just become silent.
-    pub fn expire_members(&mut self, now: Timestamp) -> Vec<MemberChange> {
-        let changes = self.members.expire(now);
-        self.upstreams.set_suspects(self.members.suspects(now));
-        for change in &changes {
-            if let MemberChange::Silent(instance) = change {
-                self.load_table.remove_peer(instance);
-            }
-        }
-        changes
-    }
-
     /// Addresses that callers may use: this instance's if it is ready, then
     /// those of the serving members, with the members of the same failure
     /// domain first.
