--- a/cli/src/gateway/forward.rs
+++ b/cli/src/gateway/forward.rs
@@ -11,7 +11,9 @@
         },
         request_timings::{AnswerLateness, RequestTimings},
         routing_config::{AnswerForm, CallerIdentity},
-        wire::{CallerRequest, DispatchMetadata, GatewayWire, ReplyKind},
+        wire::{
+            CallerRequest, DispatchMetadata, GatewayWire, PartId, ReplyKind,
+        },
     },
     ids::UpstreamId,
     log_event::LogEvent,
@@ -237,6 +239,12 @@
         self.request.size.map_or(0, |size| size.prompt.get())
     }
 
+    /// Shared parts of the prompt for the log.
+    fn part_ids(&self) -> String {
+        let ids = self.request.shared_parts.iter().map(PartId::as_str);
+        ids.collect::<Vec<_>>().join(" ")
+    }
+
     /// Ends the request with a refusal or failure.
     pub(super) fn refuse(&mut self, refusal: Refusal) -> Response<AnswerBody> {
         let refusal = match self.record.run_state() {
@@ -457,6 +465,7 @@
                 helper_ids = helper_ids(started),
                 backlog_ms = started.backlog.as_millis(),
                 prompt = self.prompt_tokens(),
+                parts = self.part_ids(),
                 expected_ms = started.time_to_first_event.as_millis(),
                 time_left_ms = self.time_left().as_millis(),
             },
--- a/lib/src/gateway/wire.rs
+++ b/lib/src/gateway/wire.rs
@@ -35,6 +35,11 @@
     AttemptId
 }
 
+id_type! {
+    /// Identifier of one part of a prompt, which other prompts may share.
+    PartId
+}
+
 /// Content of the head of a caller's request.
 #[derive(Clone, Debug, PartialEq)]
 pub struct CallerRequest {
@@ -50,6 +55,9 @@
     /// Token counts of the prompt and its answer; `None` for a request without
     /// them.
     pub size: Option<PromptSize>,
+    /// Parts of the prompt that other prompts may share, in their order; empty
+    /// if the request states none.
+    pub shared_parts: Vec<PartId>,
     /// Id of the last event that the caller has received of this stream;
     /// `None` for a new stream.
     pub resume_after: Option<u64>,
