--- a/cli/src/gateway.rs
+++ b/cli/src/gateway.rs
@@ -13,6 +13,7 @@
 mod listener;
 mod metrics;
 mod peer_copies;
+mod prompt_quarantine;
 mod record_applier;
 mod reload;
 mod reservations;
@@ -46,7 +47,7 @@
 };
 use tokio_util::sync::CancellationToken;
 
-use self::metrics::GatewayMetrics;
+use self::{metrics::GatewayMetrics, prompt_quarantine::QuarantineTasks};
 use crate::{http_client::HttpClient, log_decision};
 
 /// Time for which new requests are accepted after a planned stop has begun. By
@@ -83,6 +84,9 @@
     peers: HttpClient,
     /// Notifies pending reads of other instances of a new record.
     copy_changes: watch::Sender<()>,
+    /// Records of the quarantine to write to the store, and the requests that
+    /// wait while a quarantine may begin.
+    quarantine: QuarantineTasks,
     started: Instant,
     stopping: AtomicBool,
     open_connections: AtomicU64,
@@ -100,7 +104,7 @@
 impl<W: GatewayWire> GatewayContext<W> {
     fn new(settings: GatewaySettings, wire: W) -> Self {
         let settings = Arc::new(settings);
-        let incarnation = Incarnation::new(start_millis());
+        let incarnation = Incarnation::new(unix_millis());
         let core =
             GatewayCore::new(settings.clone(), incarnation, rand::random());
         Self {
@@ -114,6 +118,7 @@
             store: HttpClient::with_connect_timeout(STORE_CONNECT_TIMEOUT),
             peers: HttpClient::with_connect_timeout(PEER_CONNECT_TIMEOUT),
             copy_changes: watch::Sender::new(()),
+            quarantine: QuarantineTasks::default(),
             started: Instant::now(),
             stopping: AtomicBool::new(false),
             open_connections: AtomicU64::new(0),
@@ -152,8 +157,8 @@
     }
 }
 
-fn start_millis() -> u64 {
-    // A system clock before 1970 still yields a usable incarnation, zero.
+/// Time of day in milliseconds since 1970; zero before.
+fn unix_millis() -> u64 {
     let now = SystemTime::now().duration_since(UNIX_EPOCH);
     let millis = now.unwrap_or_default().as_millis();
     u64::try_from(millis).unwrap_or(u64::MAX)
@@ -181,6 +186,7 @@
     heartbeats::start(&context).await?;
     peer_copies::serve(&context)?;
     topic_reader::start(&context);
+    prompt_quarantine::start(&context);
     reload::start(&context, path)?;
     terminate.recv().await;
     let grace = settings.bounds.grace();
--- a/cli/src/gateway/forward.rs
+++ b/cli/src/gateway/forward.rs
@@ -5,6 +5,7 @@
 use borageline_lib::{
     gateway::{
         attempt::{AttemptRecord, NextStep, SendOutcome},
+        crash_evidence::SuspectPrompt,
         gateway_core::{
             AdmittedRequest, NotPlaced, PlacementRequest, StartedRequest,
             memory_wait_max,
@@ -27,12 +28,14 @@
 };
 use http_body_util::{Either, Full};
 use hyper::body::Incoming;
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::{
     SharedGateway,
     body::{BufferedBody, read_body},
     caller_listener::AnswerBody,
     metrics::RequestEnd,
+    prompt_quarantine::{self, confirm_crash, wait_until_held},
     reservations::{DeferredPrompt, InFlightGuard, ReservationSet},
     stream,
 };
@@ -290,6 +293,11 @@
         wait: impl Fn(Duration) -> Duration,
     ) -> Result<UpstreamReply<W>, SendError> {
         let is_resumed = resume_after != self.request.resume_after;
+        let now = self.context.now();
+        let parts = self.request.shared_parts.clone();
+        let checked = self.context.core().check_prompt(now, &parts);
+        prompt_quarantine::handle_changes(&self.context);
+        checked.map_err(SendError::Refused)?;
         let (started, in_flight, helpers) = self
             .place_with_memory(is_resumed)
             .await
@@ -317,7 +325,12 @@
             timeout: wait(started.time_to_first_event).min(self.time_left()),
         };
         let request = self.upstream_request(&metadata, &started);
-        let sent = self.context.upstreams.send(target, request).await;
+        let sent = tokio::select! {
+            sent = self.context.upstreams.send(target, request) => sent,
+            () = wait_until_held(&self.context, &parts) => {
+                return Err(SendError::Refused(self.held_refusal()));
+            }
+        };
         let upstream = started.entry.id.clone();
         let (head, body) = match sent {
             Ok(response) => response.into_parts(),
@@ -329,6 +342,9 @@
                     _ => SendOutcome::Lost,
                 };
                 let text = error.to_string();
+                if matches!(error, HttpError::Broken { .. }) {
+                    self.suspect_crash(&upstream);
+                }
                 self.record_failed_send(&upstream, outcome, &text);
                 return Err(SendError::Ended(before, outcome));
             }
@@ -406,7 +422,15 @@
     /// Chooses an upstream; waits as long as the prompt is deferred.
     async fn place(&self, is_resumed: bool) -> Result<StartedRequest, Refusal> {
         let mut deferred = None;
+        let parts = &self.request.shared_parts;
         loop {
+            if self
+                .context
+                .core()
+                .is_prompt_held(self.context.now(), parts)
+            {
+                return Err(self.held_refusal());
+            }
             let request = PlacementRequest {
                 admitted: &self.admitted,
                 size: self.request.size,
@@ -433,6 +457,40 @@
         }
     }
 
+    /// Refusal of a prompt whose part came into quarantine after it was
+    /// checked.
+    pub(super) fn held_refusal(&self) -> Refusal {
+        self.context.core().held_prompt_refusal()
+    }
+
+    /// Finds out whether an upstream crashed that broke off this prompt before
+    /// or shortly after the beginning of its answer.
+    pub(super) fn suspect_crash(&self, upstream: &UpstreamId) {
+        if self.request.shared_parts.is_empty() {
+            return;
+        }
+        let core = self.context.core();
+        let Some(upstream) = core.upstreams().get(upstream) else {
+            return;
+        };
+        let prompt = SuspectPrompt {
+            attempt: xxh3_64(self.id().as_bytes()),
+            parts: self.request.shared_parts.clone(),
+        };
+        let entry = upstream.entry.clone();
+        let context = self.context.clone();
+        tokio::spawn(confirm_crash(context, entry, prompt));
+    }
+
+    /// Records that the answer, which began at `begun_at`, shows the prompt to
+    /// be sound.
+    pub(super) fn record_sound_prompt(&self, begun_at: Timestamp) {
+        let now = self.context.now();
+        let parts = &self.request.shared_parts;
+        let mut core = self.context.core();
+        core.record_sound_prompt(now, parts, begun_at);
+    }
+
     fn upstream_request(
         &self,
         metadata: &DispatchMetadata,
--- a/cli/src/gateway/heartbeats.rs
+++ b/cli/src/gateway/heartbeats.rs
@@ -6,13 +6,15 @@
     gateway::{
         heartbeat_relay::HeartbeatTrailer,
         member_table::{Heartbeat, MemberChange},
+        prompt_quarantine::PromptReport,
         wire::GatewayWire,
     },
     log_event::LogEvent,
 };
+use serde::{Serialize, de::DeserializeOwned};
 use tokio::net::UdpSocket;
 
-use super::SharedGateway;
+use super::{SharedGateway, prompt_quarantine};
 use crate::{log_decision, logging};
 
 /// Size of the receive buffer; a longer heartbeat is truncated and then
@@ -53,14 +55,15 @@
             .metrics
             .members
             .set(i64::try_from(alive).unwrap_or(i64::MAX));
+        prompt_quarantine::handle_changes(&context);
         let heartbeat = encode(&plan.heartbeat);
-        let direct = datagram(&heartbeat, &plan.trailer);
+        let direct = datagram(&heartbeat, &plan.trailer, &plan.prompts);
         send_all(&socket, &direct, &plan.direct).await;
         let trailer = HeartbeatTrailer {
             relay: true,
             ..plan.trailer
         };
-        let relayed = datagram(&heartbeat, &trailer);
+        let relayed = datagram(&heartbeat, &trailer, &plan.prompts);
         send_all(&socket, &relayed, &plan.relays).await;
         tokio::select! {
             () = tokio::time::sleep(plan.pause) => {}
@@ -99,6 +102,7 @@
         let ReceivedHeartbeat {
             heartbeat,
             trailer,
+            prompts,
             size,
         } = received;
         let receipt =
@@ -113,9 +117,11 @@
                 relay: false,
                 ..trailer
             };
-            let relayed = datagram(&bytes[..size], &trailer);
+            let relayed = datagram(&bytes[..size], &trailer, &prompts);
             send_all(&socket, &relayed, &receipt.relay_to).await;
         }
+        context.core().receive_prompt_report(now, prompts);
+        prompt_quarantine::handle_changes(&context);
     }
 }
 
@@ -124,6 +130,8 @@
     heartbeat: Heartbeat,
     /// Data after the heartbeat; `None` if the sender's build sends none.
     trailer: Option<HeartbeatTrailer>,
+    /// Data after the trailer; empty if the sender's build sends none.
+    prompts: PromptReport,
     /// Size of the encoded heartbeat in bytes.
     size: usize,
 }
@@ -132,27 +140,48 @@
     bincode::serialize(heartbeat).expect("heartbeats contain only plain values")
 }
 
-fn datagram(heartbeat: &[u8], trailer: &HeartbeatTrailer) -> Vec<u8> {
+/// Content of a datagram. Builds that do not know its last parts ignore them.
+fn datagram(
+    heartbeat: &[u8],
+    trailer: &HeartbeatTrailer,
+    prompts: &PromptReport,
+) -> Vec<u8> {
     let mut bytes = heartbeat.to_vec();
     bincode::serialize_into(&mut bytes, trailer)
         .expect("trailers contain only plain values");
+    bincode::serialize_into(&mut bytes, prompts)
+        .expect("reports contain only plain values");
     bytes
 }
 
 fn decode(bytes: &[u8]) -> Result<ReceivedHeartbeat, bincode::Error> {
+    let (heartbeat, rest) = decode_first::<Heartbeat>(bytes)?;
+    let mut received = ReceivedHeartbeat {
+        heartbeat,
+        trailer: None,
+        prompts: PromptReport::default(),
+        size: bytes.len() - rest.len(),
+    };
+    if rest.is_empty() {
+        return Ok(received);
+    }
+    let (trailer, rest) = decode_first(rest)?;
+    received.trailer = Some(trailer);
+    if !rest.is_empty() {
+        (received.prompts, _) = decode_first(rest)?;
+    }
+    Ok(received)
+}
+
+/// Decodes the value at the beginning; returns it and the bytes after it.
+fn decode_first<T: Serialize + DeserializeOwned>(
+    bytes: &[u8],
+) -> Result<(T, &[u8]), bincode::Error> {
     // Decoding from a slice bounds every length by the size of the datagram.
-    let heartbeat: Heartbeat = bincode::deserialize(bytes)?;
-    let size = bincode::serialized_size(&heartbeat)?;
+    let value: T = bincode::deserialize(bytes)?;
+    let size = bincode::serialized_size(&value)?;
     let size = usize::try_from(size).unwrap_or(usize::MAX);
-    let trailer = match bytes.get(size..) {
-        None | Some([]) => None,
-        Some(rest) => Some(bincode::deserialize(rest)?),
-    };
-    Ok(ReceivedHeartbeat {
-        heartbeat,
-        trailer,
-        size,
-    })
+    Ok((value, bytes.get(size..).unwrap_or_default()))
 }
 
 async fn send_all(socket: &UdpSocket, bytes: &[u8], targets: &[SocketAddr]) {
--- /dev/null
+++ b/cli/src/gateway/prompt_quarantine.rs
@@ -0,0 +1,231 @@
+//! Prompts that crash engines: confirms crashes, logs the quarantine and keeps
+//! its records in the store.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Mutex, PoisonError},
+    time::Duration,
+};
+
+use borageline_lib::{
+    gateway::{
+        crash_evidence::{EngineProcess, SuspectPrompt},
+        prompt_quarantine::{QuarantineChange, QuarantineReport},
+        upstream_table::UpstreamEntry,
+        wire::{GatewayWire, PartId, QuarantineRecord, StoreTopic},
+    },
+    log_event::LogEvent,
+};
+use http::StatusCode;
+use tokio::{
+    net::TcpStream,
+    sync::{Notify, watch},
+};
+
+use super::{
+    SharedGateway, UPSTREAM_CONNECT_TIMEOUT,
+    topic_reader::{STORE_TIMEOUT, call_store},
+    unix_millis,
+};
+use crate::{log_decision, logging};
+
+/// Pause after the records were written, so that further crashes of a part
+/// cause few calls.
+const WRITE_INTERVAL: Duration = Duration::from_millis(500);
+/// Pause after a failed call to the store.
+const RETRY_PAUSE: Duration = Duration::from_millis(1_000);
+
+/// State of the tasks for the quarantine.
+#[derive(Debug, Default)]
+pub(super) struct QuarantineTasks {
+    /// Notifies requests that wait for an answer of changes.
+    changes: watch::Sender<()>,
+    /// Records to write to the store; `None` removes one.
+    unwritten: Mutex<BTreeMap<PartId, Option<QuarantineRecord>>>,
+    /// Notifies the writer of unwritten records.
+    write_due: Notify,
+}
+
+/// Reads the records that the store has kept, and then writes changes.
+pub(super) fn start<W: GatewayWire>(context: &SharedGateway<W>) {
+    tokio::spawn(keep_records(context.clone()));
+}
+
+/// Resolves when a part of the prompt is in quarantine.
+pub(super) async fn wait_until_held<W: GatewayWire>(
+    context: &SharedGateway<W>,
+    parts: &[PartId],
+) {
+    let mut changes = context.quarantine.changes.subscribe();
+    while !context.core().is_prompt_held(context.now(), parts) {
+        if parts.is_empty() || changes.changed().await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
+}
+
+/// Records a prompt whose answer broke off at its beginning, if the engine has
+/// crashed. An engine that accepts connections has only reset one.
+pub(super) async fn confirm_crash<W: GatewayWire>(
+    context: SharedGateway<W>,
+    entry: UpstreamEntry,
+    prompt: SuspectPrompt,
+) {
+    let process = EngineProcess {
+        upstream: entry.id.clone(),
+        incarnation: entry.incarnation,
+    };
+    let is_known = context.core().has_crash(&process);
+    if !is_known {
+        let connect = TcpStream::connect(entry.address);
+        let connected =
+            tokio::time::timeout(UPSTREAM_CONNECT_TIMEOUT, connect).await;
+        if matches!(connected, Ok(Ok(_))) {
+            return;
+        }
+        log_decision!(
+            LogEvent::EngineCrashed,
+            { upstream = entry.id, address = entry.address },
+            "the engine accepts no connections after it broke off a request",
+        );
+    }
+    let now = context.now();
+    context.core().record_crash(now, process, prompt);
+    context.heartbeat_due.notify_one();
+}
+
+/// Logs the changes of the quarantine, and passes them to the writer and to
+/// requests that wait for an answer.
+pub(super) fn handle_changes<W: GatewayWire>(context: &SharedGateway<W>) {
+    let now = context.now();
+    let changes = context.core().take_quarantine_changes();
+    if changes.is_empty() {
+        return;
+    }
+    for change in changes {
+        log_change(&change);
+        let (part, record) = match change {
+            QuarantineChange::Quarantined(report) => {
+                let record = quarantine_record(&report);
+                (report.part, Some(record))
+            }
+            QuarantineChange::Released(part) => (part, None),
+        };
+        if context.core().owns_part(now, &part) {
+            let mut unwritten = lock(&context.quarantine.unwritten);
+            unwritten.insert(part, record);
+            context.quarantine.write_due.notify_one();
+        }
+    }
+    context.quarantine.changes.send_replace(());
+}
+
+fn log_change(change: &QuarantineChange) {
+    match change {
+        QuarantineChange::Quarantined(report) => log_decision!(
+            LogEvent::PartQuarantined,
+            {
+                part = report.part,
+                crashes = report.crashes,
+                last_crash_age_ms = report.age_ms,
+            },
+            "prompts with the part are refused",
+        ),
+        QuarantineChange::Released(part) => log_decision!(
+            LogEvent::PartReleased,
+            { part = part },
+            "prompts with the part are sent again",
+        ),
+    }
+}
+
+async fn keep_records<W: GatewayWire>(context: SharedGateway<W>) {
+    while let Err(text) = read_records(&context).await {
+        logging::event(LogEvent::LogUnavailable, &text);
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+    handle_changes(&context);
+    loop {
+        context.quarantine.write_due.notified().await;
+        let records = std::mem::take(&mut *lock(&context.quarantine.unwritten));
+        for (part, record) in records {
+            if let Err(text) = write_record(&context, &part, record).await {
+                logging::event(LogEvent::LogUnavailable, &text);
+                // A newer record of the part goes first.
+                lock(&context.quarantine.unwritten)
+                    .entry(part)
+                    .or_insert(record);
+                context.quarantine.write_due.notify_one();
+            }
+        }
+        tokio::time::sleep(WRITE_INTERVAL).await;
+    }
+}
+
+/// Restores the quarantines that the store has kept. The error is a text for
+/// the log.
+async fn read_records<W: GatewayWire>(
+    context: &SharedGateway<W>,
+) -> Result<(), String> {
+    let mut after: Option<String> = None;
+    loop {
+        let topic = StoreTopic::Quarantine;
+        let request = context.wire.newest(topic, after.as_deref());
+        let page = match call_store(context, request, STORE_TIMEOUT).await {
+            Ok((StatusCode::OK, body)) => context
+                .wire
+                .read_newest(&body)
+                .map_err(|error| error.to_string())?,
+            // The topic is created by the first record.
+            Ok((StatusCode::NOT_FOUND, _)) => return Ok(()),
+            Ok((status, _)) => {
+                return Err(format!("quarantine records: status {status}"));
+            }
+            Err(error) => return Err(format!("quarantine records: {error}")),
+        };
+        let now = context.now();
+        for record in &page.records {
+            let Some((part, record)) = context.wire.read_quarantine(record)
+            else {
+                continue;
+            };
+            let age_ms = unix_millis().saturating_sub(record.last_crash_ms);
+            let report = QuarantineReport {
+                part,
+                crashes: record.crashes,
+                age_ms: u32::try_from(age_ms).unwrap_or(u32::MAX),
+            };
+            context.core().restore_quarantine(now, report);
+        }
+        let last = page.records.last().map(|record| record.key.to_string());
+        match last {
+            Some(last) if page.more => after = Some(last),
+            _ => return Ok(()),
+        }
+    }
+}
+
+async fn write_record<W: GatewayWire>(
+    context: &SharedGateway<W>,
+    part: &PartId,
+    record: Option<QuarantineRecord>,
+) -> Result<(), String> {
+    let record = context.wire.write_quarantine(part, record.as_ref());
+    let request = context.wire.append(StoreTopic::Quarantine, &record);
+    match call_store(context, request, STORE_TIMEOUT).await {
+        Ok((StatusCode::OK, _)) => Ok(()),
+        Ok((status, _)) => Err(format!("quarantine of {part}: {status}")),
+        Err(error) => Err(format!("quarantine of {part}: {error}")),
+    }
+}
+
+fn quarantine_record(report: &QuarantineReport) -> QuarantineRecord {
+    QuarantineRecord {
+        crashes: report.crashes,
+        last_crash_ms: unix_millis().saturating_sub(report.age_ms.into()),
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/cli/src/gateway/record_applier.rs
+++ b/cli/src/gateway/record_applier.rs
@@ -54,7 +54,7 @@
                 );
                 self.context.core().replace_upstreams(now, entries);
             }
-            StoreTopic::Instances => {}
+            StoreTopic::Instances | StoreTopic::Quarantine => {}
         }
     }
 
@@ -71,7 +71,7 @@
                     }
                 }
             }
-            StoreTopic::Instances => {}
+            StoreTopic::Instances | StoreTopic::Quarantine => {}
         }
     }
 
--- a/cli/src/gateway/stream.rs
+++ b/cli/src/gateway/stream.rs
@@ -7,7 +7,8 @@
 
 use borageline_lib::{
     gateway::{
-        attempt::SendOutcome, stream_cursor::StreamCursor, wire::GatewayWire,
+        attempt::SendOutcome, prompt_quarantine::SOUND_ANSWER_TIME,
+        stream_cursor::StreamCursor, wire::GatewayWire,
     },
     refusal::{Refusal, RefusalCode},
     units::Timestamp,
@@ -21,6 +22,7 @@
     caller_listener::{AnswerBody, EventBody},
     forward::{CallerAttempt, SendError, UpstreamReply},
     metrics::RequestEnd,
+    prompt_quarantine::wait_until_held,
 };
 
 /// Most events that are buffered for a slow caller.
@@ -102,10 +104,22 @@
         let elapsed = attempt.context.now().since(started_at);
         let limit = wait(reply.time_to_first_event).saturating_sub(elapsed);
         let step = next_step(&attempt, &mut cursor, &mut reply, limit, None);
-        let text = match step.await {
+        let parts = &attempt.request.shared_parts;
+        let step = tokio::select! {
+            step = step => step,
+            () = wait_until_held(&attempt.context, parts) => {
+                let refusal = attempt.held_refusal();
+                return attempt.refuse(refusal);
+            }
+        };
+        let text = match step {
             StreamStep::Events(events) => {
                 return forward_stream(attempt, cursor, reply, events, false);
             }
+            StreamStep::Complete if cursor.last_id().is_none() => {
+                attempt.suspect_crash(&reply.upstream);
+                "the stream ended before its first event".into()
+            }
             StreamStep::Complete => {
                 return forward_stream(
                     attempt,
@@ -115,7 +129,10 @@
                     true,
                 );
             }
-            StreamStep::Broken(text) => text,
+            StreamStep::Broken(text) => {
+                attempt.suspect_crash(&reply.upstream);
+                text
+            }
             StreamStep::Stalled(limit) => format!("no event for {limit:?}"),
             StreamStep::DeadlinePassed | StreamStep::CallerLeft => {
                 let text = "no event came before the deadline";
@@ -234,6 +251,8 @@
     reply.in_flight.record_first_event();
     let forwarder = StreamForwarder {
         last_event: attempt.context.now(),
+        answer_begun_at: (!events.is_empty()).then(|| attempt.context.now()),
+        is_sound: false,
         ignore_stalls: false,
         attempt,
         cursor,
@@ -263,6 +282,10 @@
     cursor: StreamCursor,
     sender: mpsc::Sender<io::Result<Bytes>>,
     last_event: Timestamp,
+    /// Time of the current upstream's first event; `None` before it.
+    answer_begun_at: Option<Timestamp>,
+    /// Whether the prompt was recorded as sound.
+    is_sound: bool,
     /// Whether stalls no longer cause a fail-over.
     ignore_stalls: bool,
 }
@@ -303,6 +326,7 @@
             match step.await {
                 StreamStep::Events(next) => {
                     self.record_gap();
+                    self.record_progress();
                     events = next;
                 }
                 StreamStep::Complete => complete = true,
@@ -324,6 +348,9 @@
                     }
                 }
                 StreamStep::Broken(text) => {
+                    if self.is_answer_beginning() {
+                        self.attempt.suspect_crash(&reply.upstream);
+                    }
                     match self.fail_over(reply, &text).await {
                         Some(next) => reply = next,
                         None => return,
@@ -349,8 +376,28 @@
         self.last_event = now;
     }
 
+    /// Whether the answer of the current upstream has not begun, or only just.
+    fn is_answer_beginning(&self) -> bool {
+        let now = self.attempt.context.now();
+        self.answer_begun_at
+            .is_none_or(|at| now.since(at) < SOUND_ANSWER_TIME)
+    }
+
+    /// Records the prompt as sound once its answer has gone on for some time.
+    fn record_progress(&mut self) {
+        let now = self.attempt.context.now();
+        let begun_at = *self.answer_begun_at.get_or_insert(now);
+        if !self.is_sound && !self.is_answer_beginning() {
+            self.is_sound = true;
+            self.attempt.record_sound_prompt(begun_at);
+        }
+    }
+
     fn finish(&mut self, reply: &UpstreamReply<W>) {
         let context = self.attempt.context.clone();
+        if let (false, Some(begun_at)) = (self.is_sound, self.answer_begun_at) {
+            self.attempt.record_sound_prompt(begun_at);
+        }
         context.core().record_success(&reply.upstream);
         let events = self.cursor.events();
         let text = format!("{events} events of {}", reply.upstream);
@@ -378,6 +425,7 @@
         );
         drop(reply);
         self.cursor.restart();
+        self.answer_begun_at = None;
         let mut before = self.attempt.record.run_state();
         let mut outcome = SendOutcome::Lost;
         loop {
--- a/cli/src/gateway/topic_reader.rs
+++ b/cli/src/gateway/topic_reader.rs
@@ -31,7 +31,7 @@
 };
 
 /// Timeout for a response of the store, in addition to a long poll.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_000);
+pub(super) const STORE_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Pause after the first failed call; it doubles with each further one.
 const RETRY_DELAY_MIN: Duration = Duration::from_millis(150);
 /// Longest pause after a failed call.
@@ -51,7 +51,7 @@
 
 /// Why a call to the store failed.
 #[derive(Debug)]
-enum ReadError {
+pub(super) enum ReadError {
     Call(HttpError),
     Status(StatusCode),
     Malformed(borageline_lib::gateway::wire::WireError),
@@ -70,7 +70,7 @@
 }
 
 /// Calls the store and reads the whole response.
-async fn call_store<W: GatewayWire>(
+pub(super) async fn call_store<W: GatewayWire>(
     context: &SharedGateway<W>,
     request: Request<Bytes>,
     timeout: Duration,
@@ -280,7 +280,7 @@
             from: None,
             wait: Duration::ZERO,
         };
-        match peer_copies::fetch(&self.context, ip, query, ANSWER_TIMEOUT).await
+        match peer_copies::fetch(&self.context, ip, query, STORE_TIMEOUT).await
         {
             Ok(copy) => {
                 log_decision!(
@@ -369,7 +369,7 @@
         let started_at = self.context.now();
         let request = self.context.wire.tail(self.topic, from, wait);
         let (status, body) =
-            call_store(&self.context, request, wait + ANSWER_TIMEOUT).await?;
+            call_store(&self.context, request, wait + STORE_TIMEOUT).await?;
         if status != StatusCode::OK && status != StatusCode::GONE {
             return Err(ReadError::Status(status));
         }
@@ -426,7 +426,7 @@
         request: Request<Bytes>,
     ) -> Result<NewestPage, ReadError> {
         let (status, body) =
-            call_store(&self.context, request, ANSWER_TIMEOUT).await?;
+            call_store(&self.context, request, STORE_TIMEOUT).await?;
         if status != StatusCode::OK {
             return Err(ReadError::Status(status));
         }
@@ -445,7 +445,7 @@
     let mut pause = RETRY_DELAY_MIN;
     loop {
         let request = context.wire.append(StoreTopic::Instances, &record);
-        match call_store(&context, request, ANSWER_TIMEOUT).await {
+        match call_store(&context, request, STORE_TIMEOUT).await {
             Ok((StatusCode::OK, _)) => break,
             Ok((status, _)) => {
                 let text =
@@ -462,7 +462,7 @@
     }
     loop {
         let request = context.wire.newest(StoreTopic::Instances, None);
-        let page = match call_store(&context, request, ANSWER_TIMEOUT).await {
+        let page = match call_store(&context, request, STORE_TIMEOUT).await {
             Ok((StatusCode::OK, body)) => context.wire.read_newest(&body).ok(),
             _ => None,
         };
--- a/cli/src/gateway/whole_answer.rs
+++ b/cli/src/gateway/whole_answer.rs
@@ -97,7 +97,10 @@
             Ok(Ok(_)) => {
                 "the answer is not marked as produced by the upstream".into()
             }
-            Ok(Err(error)) => format!("the answer broke off: {error}"),
+            Ok(Err(error)) => {
+                self.suspect_crash(&upstream);
+                format!("the answer broke off: {error}")
+            }
             Err(_) => "the answer was not complete in time".into(),
         };
         self.record_failed_send(&upstream, SendOutcome::Lost, &text);
@@ -123,6 +126,7 @@
             RequestEnd::UpstreamFailure
         } else {
             self.context.core().record_success(upstream);
+            self.record_sound_prompt(self.context.now());
             RequestEnd::Answered
         };
         let time = self.elapsed();
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -14,6 +14,7 @@
 
 pub mod attempt;
 pub mod cost_model;
+pub mod crash_evidence;
 pub mod dispatch_rate;
 pub mod engine_limits;
 pub mod gateway_core;
@@ -24,6 +25,7 @@
 pub mod member_table;
 pub mod placement;
 pub mod prefill_gate;
+pub mod prompt_quarantine;
 pub mod reader_selection;
 pub mod request_timings;
 pub mod retry_budget;
--- /dev/null
+++ b/lib/src/gateway/crash_evidence.rs
@@ -0,0 +1,349 @@
+//! Evidence on which prompt parts crash engines.
+//!
+//! An engine that crashes breaks off all its requests, and each instance sees
+//! only those that it sent itself. The evidence is therefore merged over all
+//! instances: for each crash, the prompts that the engine had not answered yet
+//! or had just begun to answer.
+//!
+//! A part that crashes every engine that begins to answer it occurs in all
+//! crashes that it causes, and never in an answer that goes on. A part that
+//! was seen in such an answer is sound, which clears it of the crashes before.
+//! Of the parts that remain, the one in the most crashes explains these, and
+//! the next one is sought in the rest. So parts that only accompany a harmful
+//! one are not blamed, and independent harmful parts are all found.
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use super::wire::PartId;
+use crate::{
+    ids::UpstreamId,
+    units::{Incarnation, Timestamp},
+    value_type,
+};
+
+/// Crashes that must have a part in common before it is blamed.
+pub const CRASHES_MIN: usize = 3;
+/// Attempts of callers among them. One attempt may crash several engines, and
+/// another one that is retried with it crashes along.
+pub const ATTEMPTS_MIN: usize = 2;
+/// Time after which a crash counts: until then other instances report the
+/// parts that they know to be sound.
+pub const SETTLE_TIME: Duration = Duration::from_millis(300);
+/// Time within which a part is not assumed to turn harmful: an answer that
+/// began so shortly before a crash and went on still clears the part.
+pub const ONSET_TIME: Duration = Duration::from_secs(2);
+/// Time for which a crash is kept as evidence.
+pub const EVIDENCE_TIME: Duration = Duration::from_secs(30);
+/// Time for which a sound part is remembered.
+const SOUND_TIME: Duration = Duration::from_secs(60);
+/// Most crashes that are kept.
+const CRASHES_MAX: usize = 64;
+/// Most prompts that are kept of one crash.
+const PROMPTS_MAX: usize = 16;
+/// Most sound parts that are remembered.
+const SOUND_PARTS_MAX: usize = 4_096;
+
+value_type! {
+    /// One process of an engine.
+    #[derive(Eq, PartialOrd, Ord)]
+    pub struct EngineProcess {
+        /// Id of the engine.
+        pub upstream: UpstreamId,
+        /// Start of the process.
+        pub incarnation: Incarnation,
+    }
+}
+
+value_type! {
+    /// Shared parts of a prompt that an engine was about to answer.
+    #[derive(Eq)]
+    pub struct SuspectPrompt {
+        /// Hash of the attempt's id.
+        pub attempt: u64,
+        /// Shared parts, in the order of the prompt.
+        pub parts: Vec<PartId>,
+    }
+}
+
+/// One crash, with the prompts that may have caused it.
+#[derive(Clone, Debug)]
+struct CrashRecord {
+    at: Timestamp,
+    /// Time at which this instance learned of the crash.
+    learned_at: Timestamp,
+    /// Parts of the prompts, by the hash of the attempt.
+    prompts: BTreeMap<u64, Vec<PartId>>,
+    /// Whether this instance saw the crash itself.
+    seen_here: bool,
+}
+
+/// Last answer that shows a part to be sound.
+#[derive(Clone, Copy, Debug)]
+struct SoundAnswer {
+    begun_at: Timestamp,
+    /// Whether this instance forwarded the answer itself.
+    seen_here: bool,
+}
+
+/// Crashes for which a part may be responsible.
+#[derive(Clone, Debug, Default)]
+struct PartSuspicion {
+    crashes: usize,
+    attempts: BTreeSet<u64>,
+    /// Position in the prompt; parts further back are shared by fewer prompts.
+    position: usize,
+}
+
+/// Crashes and sound parts, merged over all instances.
+#[derive(Clone, Debug, Default)]
+pub struct CrashEvidence {
+    crashes: BTreeMap<EngineProcess, CrashRecord>,
+    sound: BTreeMap<PartId, SoundAnswer>,
+    /// Number of changes of the evidence.
+    version: u64,
+}
+
+impl CrashEvidence {
+    /// Number that grows with each change of the evidence.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Whether a crash began to count between two times.
+    pub fn has_settled(&self, after: Timestamp, until: Timestamp) -> bool {
+        self.crashes.values().any(|crash| {
+            let settled_at = crash.learned_at.after(SETTLE_TIME);
+            after < settled_at && settled_at <= until
+        })
+    }
+
+    /// Whether a crash of the process is known.
+    pub fn has_crash(&self, process: &EngineProcess) -> bool {
+        self.crashes.contains_key(process)
+    }
+
+    /// Adds a prompt to a crash. `seen_here` says whether this instance saw the
+    /// crash itself.
+    pub fn add_prompt(
+        &mut self,
+        now: Timestamp,
+        process: EngineProcess,
+        at: Timestamp,
+        prompt: SuspectPrompt,
+        seen_here: bool,
+    ) {
+        self.expire(now);
+        if !self.crashes.contains_key(&process)
+            && self.crashes.len() >= CRASHES_MAX
+        {
+            let oldest = self.crashes.iter().min_by_key(|(_, it)| it.at);
+            let oldest = oldest.map(|(process, _)| process.clone());
+            oldest.map(|process| self.crashes.remove(&process));
+        }
+        let crash =
+            self.crashes.entry(process).or_insert_with(|| CrashRecord {
+                at,
+                learned_at: now,
+                prompts: BTreeMap::new(),
+                seen_here,
+            });
+        crash.seen_here |= seen_here;
+        let is_known = crash.prompts.contains_key(&prompt.attempt);
+        if !is_known && crash.prompts.len() < PROMPTS_MAX {
+            crash.prompts.insert(prompt.attempt, prompt.parts);
+            self.version += 1;
+        }
+    }
+
+    /// Records that the answer to a prompt with this part went on after it had
+    /// begun at `begun_at`.
+    pub fn add_sound_part(
+        &mut self,
+        now: Timestamp,
+        part: &PartId,
+        begun_at: Timestamp,
+        seen_here: bool,
+    ) {
+        if let Some(known) = self.sound.get_mut(part) {
+            if begun_at > known.begun_at {
+                *known = SoundAnswer {
+                    begun_at,
+                    seen_here,
+                };
+                self.version += 1;
+            }
+            return;
+        }
+        if self.sound.len() >= SOUND_PARTS_MAX {
+            self.sound
+                .retain(|_, it| now.since(it.begun_at) < SOUND_TIME / 4);
+        }
+        if self.sound.len() < SOUND_PARTS_MAX {
+            let answer = SoundAnswer {
+                begun_at,
+                seen_here,
+            };
+            self.sound.insert(part.clone(), answer);
+            self.version += 1;
+        }
+    }
+
+    /// Whether the part is known to be sound at the time of a crash.
+    pub fn is_sound(&self, part: &PartId, crash_at: Timestamp) -> bool {
+        self.sound
+            .get(part)
+            .is_some_and(|it| crash_at <= it.begun_at.after(ONSET_TIME))
+    }
+
+    /// Parts that are to blame, with the times of their crashes, oldest first.
+    /// `known` are the parts that were blamed before; for them one more crash
+    /// suffices.
+    pub fn culprits(
+        &self,
+        now: Timestamp,
+        known: impl Fn(&PartId) -> bool,
+    ) -> BTreeMap<PartId, Vec<Timestamp>> {
+        let mut unexplained: Vec<_> = self
+            .crashes
+            .values()
+            .filter(|crash| now.since(crash.learned_at) >= SETTLE_TIME)
+            .collect();
+        let mut culprits = BTreeMap::new();
+        while let Some(part) = self.strongest_suspect(&unexplained, &known) {
+            let (explained, rest): (Vec<_>, Vec<_>) = unexplained
+                .into_iter()
+                .partition(|crash| self.is_suspect(&part, crash));
+            let mut times: Vec<_> = explained.iter().map(|it| it.at).collect();
+            times.sort();
+            culprits.insert(part, times);
+            unexplained = rest;
+        }
+        culprits
+    }
+
+    /// The part in the most crashes. Of parts in about as many, the one
+    /// furthest back in its prompts: the parts before it are shared by more
+    /// prompts and occur in the same crashes.
+    fn strongest_suspect(
+        &self,
+        crashes: &[&CrashRecord],
+        known: &impl Fn(&PartId) -> bool,
+    ) -> Option<PartId> {
+        let mut suspects = self.suspicions(crashes);
+        suspects.retain(|part, suspicion| {
+            known(part)
+                || (suspicion.crashes >= CRASHES_MIN
+                    && suspicion.attempts.len() >= ATTEMPTS_MIN)
+        });
+        let most = suspects.values().map(|it| it.crashes).max()?;
+        let enough = most - (most / 4).max(1).min(most - 1);
+        let found = suspects
+            .iter()
+            .filter(|(_, suspicion)| suspicion.crashes >= enough)
+            .max_by_key(|(_, suspicion)| {
+                (suspicion.position, suspicion.crashes)
+            });
+        found.map(|(part, _)| (*part).clone())
+    }
+
+    /// Suspicions against all parts that are not known to be sound.
+    fn suspicions<'a>(
+        &self,
+        crashes: &[&'a CrashRecord],
+    ) -> BTreeMap<&'a PartId, PartSuspicion> {
+        let mut suspects = BTreeMap::<_, PartSuspicion>::new();
+        for crash in crashes {
+            let mut counted = BTreeSet::new();
+            for (attempt, parts) in &crash.prompts {
+                for (position, part) in parts.iter().enumerate() {
+                    if self.is_sound(part, crash.at) {
+                        continue;
+                    }
+                    let suspicion = suspects.entry(part).or_default();
+                    suspicion.attempts.insert(*attempt);
+                    suspicion.position = suspicion.position.max(position);
+                    suspicion.crashes += usize::from(counted.insert(part));
+                }
+            }
+        }
+        suspects
+    }
+
+    fn is_suspect(&self, part: &PartId, crash: &CrashRecord) -> bool {
+        crash.contains(part) && !self.is_sound(part, crash.at)
+    }
+
+    /// Number of crashes for which a part may be responsible.
+    pub fn crashes_with(&self, part: &PartId) -> usize {
+        let crashes = self.crashes.values();
+        crashes.filter(|it| self.is_suspect(part, it)).count()
+    }
+
+    /// Crashes that this instance saw itself after `since`, newest first, with
+    /// the parts that are not known to be sound.
+    pub fn seen_crashes(
+        &self,
+        since: Timestamp,
+    ) -> Vec<(&EngineProcess, Timestamp, Vec<SuspectPrompt>)> {
+        let crashes = self.crashes.iter();
+        let seen = crashes.filter(|(_, it)| it.seen_here && it.at >= since);
+        let mut seen: Vec<_> = seen
+            .map(|(process, crash)| {
+                (process, crash.at, self.suspect_prompts(crash))
+            })
+            .collect();
+        seen.sort_by_key(|(_, at, _)| Reverse(*at));
+        seen
+    }
+
+    /// Prompts of a crash without the parts that are known to be sound.
+    fn suspect_prompts(&self, crash: &CrashRecord) -> Vec<SuspectPrompt> {
+        let prompts = crash.prompts.iter().map(|(attempt, parts)| {
+            let parts = parts.iter();
+            let suspects = parts.filter(|it| !self.is_sound(it, crash.at));
+            SuspectPrompt {
+                attempt: *attempt,
+                parts: suspects.cloned().collect(),
+            }
+        });
+        prompts.filter(|it| !it.parts.is_empty()).collect()
+    }
+
+    /// Those of `others` and of the parts in crashes that this instance knows
+    /// to be sound from its own answers, with the time at which the last answer
+    /// began.
+    pub fn seen_sound_parts<'a>(
+        &'a self,
+        others: impl Iterator<Item = &'a PartId>,
+    ) -> BTreeMap<&'a PartId, Timestamp> {
+        let crashes = self.crashes.values();
+        let parts = crashes.flat_map(|crash| crash.prompts.values().flatten());
+        parts
+            .chain(others)
+            .filter_map(|part| {
+                let answer = self.sound.get(part)?;
+                answer.seen_here.then_some((part, answer.begun_at))
+            })
+            .collect()
+    }
+
+    /// Drops old crashes and sound parts.
+    pub fn expire(&mut self, now: Timestamp) {
+        self.crashes
+            .retain(|_, crash| now.since(crash.at) < EVIDENCE_TIME);
+        if self.crashes.is_empty() {
+            self.sound
+                .retain(|_, it| now.since(it.begun_at) < SOUND_TIME);
+        }
+    }
+}
+
+impl CrashRecord {
+    fn contains(&self, part: &PartId) -> bool {
+        self.prompts.values().any(|parts| parts.contains(part))
+    }
+}
--- a/lib/src/gateway/gateway_core.rs
+++ b/lib/src/gateway/gateway_core.rs
@@ -6,6 +6,7 @@
 //! sibling modules own the details; this module combines them.
 
 mod heartbeats;
+mod quarantine;
 
 use std::{
     collections::BTreeMap,
@@ -27,6 +28,7 @@
     member_table::MemberTable,
     placement::{Placement, PlacementInputs, PromptSize, shared_prefill_min},
     prefill_gate::{GateDecision, GateInputs, RECHECK_INTERVAL, evaluate_gate},
+    prompt_quarantine::PromptQuarantine,
     reader_selection::{ReadSource, ReaderSelector},
     retry_budget::ServiceRetryBudget,
     routing_config::{
@@ -163,6 +165,7 @@
     heartbeats_sent: u64,
     topic_copies: BTreeMap<StoreTopic, TopicCopy>,
     reader_selector: ReaderSelector,
+    quarantine: PromptQuarantine,
     rng: ChaCha8Rng,
 }
 
@@ -192,6 +195,7 @@
             heartbeats_sent: 0,
             topic_copies: BTreeMap::new(),
             reader_selector: ReaderSelector::default(),
+            quarantine: PromptQuarantine::default(),
             rng: ChaCha8Rng::seed_from_u64(seed),
         }
     }
--- a/lib/src/gateway/gateway_core/heartbeats.rs
+++ b/lib/src/gateway/gateway_core/heartbeats.rs
@@ -13,6 +13,7 @@
     gateway::{
         heartbeat_relay::HeartbeatTrailer,
         member_table::{HEARTBEAT_VERSION, Heartbeat, MemberChange},
+        prompt_quarantine::PromptReport,
     },
     units::Timestamp,
 };
@@ -24,6 +25,8 @@
     pub heartbeat: Heartbeat,
     /// Data that follows the heartbeat, for targets that do not relay it.
     pub trailer: HeartbeatTrailer,
+    /// What this instance knows of harmful prompts.
+    pub prompts: PromptReport,
     /// Addresses that get the heartbeat for themselves only.
     pub direct: Vec<SocketAddr>,
     /// Addresses that relay it within their failure domain.
@@ -92,6 +95,7 @@
                 relay: false,
                 suspects: self.upstreams.avoided(now),
             },
+            prompts: self.quarantine.report(now, sequence),
             direct: self.peer_addresses(targets.direct),
             relays: self.peer_addresses(targets.relays),
             pause: self.members.heartbeat_interval(now),
@@ -146,6 +150,15 @@
         HeartbeatReceipt { change, relay_to }
     }
 
+    /// Applies what another instance reports of harmful prompts.
+    pub fn receive_prompt_report(
+        &mut self,
+        now: Timestamp,
+        report: PromptReport,
+    ) {
+        self.quarantine.merge(now, report);
+    }
+
     /// Addresses of the members of this failure domain, without the sender of
     /// the heartbeat to relay.
     fn relay_targets(&self, now: Timestamp, sender: IpAddr) -> Vec<SocketAddr> {
--- /dev/null
+++ b/lib/src/gateway/gateway_core/quarantine.rs
@@ -0,0 +1,115 @@
+//! Decisions on prompts that crash engines.
+
+use std::net::IpAddr;
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::GatewayCore;
+use crate::{
+    gateway::{
+        crash_evidence::{EngineProcess, SuspectPrompt},
+        prompt_quarantine::{
+            QuarantineChange, QuarantineReport, QuarantinedPrompt,
+        },
+        wire::PartId,
+    },
+    refusal::{Refusal, RefusalCode},
+    units::Timestamp,
+};
+
+impl GatewayCore {
+    /// Whether a prompt with these shared parts may be sent to an engine now.
+    pub fn check_prompt(
+        &mut self,
+        now: Timestamp,
+        parts: &[PartId],
+    ) -> Result<(), Refusal> {
+        if parts.is_empty() {
+            return Ok(());
+        }
+        let mut quarantine = std::mem::take(&mut self.quarantine);
+        let checked =
+            quarantine.check(now, parts, |part| self.owns_part(now, part));
+        self.quarantine = quarantine;
+        checked.map_err(|found| self.quarantine_refusal(&found))
+    }
+
+    /// Whether a prompt that passed [`Self::check_prompt`] must no longer wait
+    /// for an answer, since one of its parts is in quarantine by now.
+    pub fn is_prompt_held(&self, now: Timestamp, parts: &[PartId]) -> bool {
+        self.quarantine.is_held(now, parts)
+    }
+
+    /// Refusal of a prompt whose part came into quarantine while it waited for
+    /// an answer.
+    pub fn held_prompt_refusal(&mut self) -> Refusal {
+        let text = "prompts with a part of this one crash engines";
+        self.retryable_refusal(RefusalCode::PromptQuarantined, text)
+    }
+
+    /// Whether this instance makes the trials of a part and keeps its record in
+    /// the store: of all serving instances the first one in an order that
+    /// depends on the part.
+    pub fn owns_part(&self, now: Timestamp, part: &PartId) -> bool {
+        let rank = |ip: IpAddr| {
+            let seed = xxh3_64_with_seed(part.as_str().as_bytes(), 0);
+            xxh3_64_with_seed(ip.to_string().as_bytes(), seed)
+        };
+        let own = rank(self.settings.ip);
+        let others = self.members.serving(now, &self.settings.failure_domain);
+        others.into_iter().all(|ip| own <= rank(ip))
+    }
+
+    fn quarantine_refusal(&mut self, found: &QuarantinedPrompt) -> Refusal {
+        let text = format!(
+            "prompts with part {} crashed {} engines",
+            found.part, found.crashes,
+        );
+        let mut refusal =
+            self.retryable_refusal(RefusalCode::PromptQuarantined, &text);
+        refusal.retry_after =
+            refusal.retry_after.map(|spread| found.retry_after + spread);
+        refusal
+    }
+
+    /// Records a prompt that an engine had not answered, or had just begun to
+    /// answer, when it crashed.
+    pub fn record_crash(
+        &mut self,
+        now: Timestamp,
+        process: EngineProcess,
+        prompt: SuspectPrompt,
+    ) {
+        self.quarantine.record_crash(now, process, prompt);
+    }
+
+    /// Whether a crash of the process is known.
+    pub fn has_crash(&self, process: &EngineProcess) -> bool {
+        self.quarantine.has_crash(process)
+    }
+
+    /// Records that the answer to a prompt with these shared parts, which began
+    /// at `begun_at`, went on or is complete.
+    pub fn record_sound_prompt(
+        &mut self,
+        now: Timestamp,
+        parts: &[PartId],
+        begun_at: Timestamp,
+    ) {
+        self.quarantine.record_sound(now, parts, begun_at);
+    }
+
+    /// Adopts a quarantine that the store has kept.
+    pub fn restore_quarantine(
+        &mut self,
+        now: Timestamp,
+        report: QuarantineReport,
+    ) {
+        self.quarantine.restore(now, report);
+    }
+
+    /// Removes and returns the changes of the quarantine since the last call.
+    pub fn take_quarantine_changes(&mut self) -> Vec<QuarantineChange> {
+        self.quarantine.take_changes()
+    }
+}
--- /dev/null
+++ b/lib/src/gateway/prompt_quarantine.rs
@@ -0,0 +1,411 @@
+//! Keeps prompts that crash engines away from the engines.
+//!
+//! A part that [`CrashEvidence`] blames is quarantined: requests with it are
+//! refused at once by all instances, and others with the same caller and other
+//! parts are served. The quarantine is shared in two ways: instances exchange
+//! reports with their heartbeats, and the platform's store keeps a record for
+//! instances that start when no other is left.
+//!
+//! A quarantine may be wrong, and what was harmful may be repaired. After a
+//! hold time, which doubles with each crash, one instance lets single requests
+//! through as a trial. An answer that goes on ends the quarantine, a crash
+//! extends it.
+
+use std::{cmp::Reverse, collections::BTreeMap, time::Duration};
+
+use super::{
+    crash_evidence::{
+        CRASHES_MIN, CrashEvidence, EngineProcess, SuspectPrompt,
+    },
+    wire::PartId,
+};
+use crate::{units::Timestamp, value_type};
+
+/// Time for which an answer must go on to show that its prompt is sound.
+pub const SOUND_ANSWER_TIME: Duration = Duration::from_millis(500);
+/// Hold time of a quarantine after the fewest crashes that cause one.
+pub const HOLD_TIME_MIN: Duration = Duration::from_secs(15);
+/// Longest hold time.
+pub const HOLD_TIME_MAX: Duration = Duration::from_secs(600);
+/// Time after the last crash for which a quarantine is remembered.
+pub const FORGET_TIME: Duration = Duration::from_secs(3_600);
+/// Interval between two trials; the result of one is known by then.
+const TRIAL_INTERVAL: Duration = Duration::from_secs(10);
+/// Most parts in quarantine.
+const QUARANTINED_MAX: usize = 256;
+/// Time for which a crash is reported to other instances; several heartbeats
+/// may be lost.
+const REPORT_TIME: Duration = Duration::from_secs(3);
+/// Most crashes in one report.
+const REPORTED_CRASHES_MAX: usize = 8;
+/// Most prompts of one crash in a report.
+const REPORTED_PROMPTS_MAX: usize = 8;
+/// Most parts of one kind in a report.
+const REPORTED_PARTS_MAX: usize = 32;
+/// One report in so many names the quarantines that have not changed lately,
+/// for instances that have just started.
+const FULL_REPORT_INTERVAL: u64 = 8;
+/// Longest time between two evaluations of unchanged evidence.
+const EVALUATION_INTERVAL: Duration = Duration::from_secs(1);
+
+value_type! {
+    /// A crash of an engine that the sender saw.
+    #[derive(Eq)]
+    pub struct CrashReport {
+        /// Process that crashed.
+        pub process: EngineProcess,
+        /// Time since the crash, in milliseconds.
+        pub age_ms: u32,
+        /// Prompts that may have caused it.
+        pub prompts: Vec<SuspectPrompt>,
+    }
+}
+
+value_type! {
+    /// A part of which the sender forwarded an answer.
+    #[derive(Eq)]
+    pub struct SoundReport {
+        /// The part.
+        pub part: PartId,
+        /// Time since the answer began, in milliseconds.
+        pub age_ms: u32,
+    }
+}
+
+value_type! {
+    /// A part in quarantine.
+    #[derive(Eq)]
+    pub struct QuarantineReport {
+        /// The part.
+        pub part: PartId,
+        /// Crashes that it caused.
+        pub crashes: u32,
+        /// Time since the last of them, in milliseconds.
+        pub age_ms: u32,
+    }
+}
+
+value_type! {
+    /// What an instance tells the others about harmful prompts.
+    #[derive(Default, Eq)]
+    pub struct PromptReport {
+        /// Crashes that the sender saw within [`REPORT_TIME`].
+        pub crashes: Vec<CrashReport>,
+        /// Parts of crashed prompts that are sound.
+        pub sound: Vec<SoundReport>,
+        /// Parts in quarantine, not always all.
+        pub quarantined: Vec<QuarantineReport>,
+    }
+}
+
+/// A change of the quarantine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum QuarantineChange {
+    /// A part is in quarantine, or has caused further crashes.
+    Quarantined(QuarantineReport),
+    /// A part has left the quarantine.
+    Released(PartId),
+}
+
+/// Why a request must not be sent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct QuarantinedPrompt {
+    /// Part of its prompt that is in quarantine.
+    pub part: PartId,
+    /// Crashes that the part caused.
+    pub crashes: u32,
+    /// Time until a request with the part may be tried.
+    pub retry_after: Duration,
+}
+
+/// One part in quarantine.
+#[derive(Clone, Copy, Debug)]
+struct QuarantineEntry {
+    crashes: u32,
+    last_crash_at: Timestamp,
+    changed_at: Timestamp,
+    /// Time of this instance's last trial.
+    trial_at: Option<Timestamp>,
+}
+
+impl QuarantineEntry {
+    fn held_until(&self) -> Timestamp {
+        let beyond = self.crashes.saturating_sub(CRASHES_MIN as u32);
+        let hold = HOLD_TIME_MIN.saturating_mul(1 << beyond.min(16));
+        self.last_crash_at.after(hold.min(HOLD_TIME_MAX))
+    }
+
+    fn report(&self, now: Timestamp, part: &PartId) -> QuarantineReport {
+        QuarantineReport {
+            part: part.clone(),
+            crashes: self.crashes,
+            age_ms: age_ms(now, self.last_crash_at),
+        }
+    }
+}
+
+/// Parts in quarantine and the evidence against others.
+#[derive(Clone, Debug, Default)]
+pub struct PromptQuarantine {
+    evidence: CrashEvidence,
+    entries: BTreeMap<PartId, QuarantineEntry>,
+    /// Parts that left the quarantine within [`TRIAL_INTERVAL`].
+    released: BTreeMap<PartId, Timestamp>,
+    changes: Vec<QuarantineChange>,
+    /// Version of the evidence at the last evaluation, and its time.
+    evaluated: Option<(u64, Timestamp)>,
+}
+
+impl PromptQuarantine {
+    /// Whether a crash of the process is known.
+    pub fn has_crash(&self, process: &EngineProcess) -> bool {
+        self.evidence.has_crash(process)
+    }
+
+    /// Records a prompt that an engine had not answered, or had just begun to
+    /// answer, when it crashed.
+    pub fn record_crash(
+        &mut self,
+        now: Timestamp,
+        process: EngineProcess,
+        prompt: SuspectPrompt,
+    ) {
+        self.evidence.add_prompt(now, process, now, prompt, true);
+    }
+
+    /// Records that the answer to a prompt with these parts, which began at
+    /// `begun_at`, went on for [`SOUND_ANSWER_TIME`] or is complete.
+    pub fn record_sound(
+        &mut self,
+        now: Timestamp,
+        parts: &[PartId],
+        begun_at: Timestamp,
+    ) {
+        for part in parts {
+            self.evidence.add_sound_part(now, part, begun_at, true);
+        }
+        self.update(now);
+    }
+
+    /// Whether a request with these parts may be sent. `owns_trials` says
+    /// whether this instance makes the trials of a part.
+    pub fn check(
+        &mut self,
+        now: Timestamp,
+        parts: &[PartId],
+        owns_trials: impl Fn(&PartId) -> bool,
+    ) -> Result<(), QuarantinedPrompt> {
+        self.update(now);
+        for part in parts {
+            let Some(entry) = self.entries.get_mut(part) else {
+                continue;
+            };
+            let held = entry.held_until().since(now);
+            let tried_before = entry
+                .trial_at
+                .is_some_and(|at| now.since(at) < TRIAL_INTERVAL);
+            if held > Duration::ZERO || tried_before || !owns_trials(part) {
+                return Err(QuarantinedPrompt {
+                    part: part.clone(),
+                    crashes: entry.crashes,
+                    retry_after: match held {
+                        Duration::ZERO => TRIAL_INTERVAL,
+                        held => held,
+                    },
+                });
+            }
+            entry.trial_at = Some(now);
+        }
+        Ok(())
+    }
+
+    /// Whether one of these parts is in quarantine and not on trial.
+    pub fn is_held(&self, now: Timestamp, parts: &[PartId]) -> bool {
+        parts.iter().any(|part| {
+            self.entries
+                .get(part)
+                .is_some_and(|entry| now < entry.held_until())
+        })
+    }
+
+    /// Report to the other instances with the heartbeat of this number.
+    pub fn report(&mut self, now: Timestamp, sequence: u64) -> PromptReport {
+        self.update(now);
+        let since = now.before(REPORT_TIME).unwrap_or(Timestamp::ZERO);
+        let crashes = self.evidence.seen_crashes(since).into_iter();
+        let crashes = crashes.filter(|(.., prompts)| !prompts.is_empty());
+        let crashes = crashes.map(|(process, at, mut prompts)| {
+            prompts.truncate(REPORTED_PROMPTS_MAX);
+            CrashReport {
+                process: process.clone(),
+                age_ms: age_ms(now, at),
+                prompts,
+            }
+        });
+        let released = self.released.keys();
+        let sound = self.evidence.seen_sound_parts(released).into_iter();
+        let sound = sound.map(|(part, begun_at)| SoundReport {
+            part: part.clone(),
+            age_ms: age_ms(now, begun_at),
+        });
+        let is_full = sequence.is_multiple_of(FULL_REPORT_INTERVAL);
+        let mut entries: Vec<_> = self
+            .entries
+            .iter()
+            .filter(|(_, it)| is_full || now.since(it.changed_at) < REPORT_TIME)
+            .collect();
+        entries.sort_by_key(|(_, it)| Reverse(it.last_crash_at));
+        let entries = entries.into_iter();
+        PromptReport {
+            crashes: crashes.take(REPORTED_CRASHES_MAX).collect(),
+            sound: sound.take(REPORTED_PARTS_MAX).collect(),
+            quarantined: entries
+                .take(REPORTED_PARTS_MAX)
+                .map(|(part, entry)| entry.report(now, part))
+                .collect(),
+        }
+    }
+
+    /// Applies the report of another instance.
+    pub fn merge(&mut self, now: Timestamp, report: PromptReport) {
+        if report == PromptReport::default() {
+            return;
+        }
+        for crash in report.crashes {
+            let at = before(now, crash.age_ms);
+            for prompt in crash.prompts {
+                let process = crash.process.clone();
+                self.evidence.add_prompt(now, process, at, prompt, false);
+            }
+        }
+        for sound in report.sound {
+            let begun_at = before(now, sound.age_ms);
+            self.evidence
+                .add_sound_part(now, &sound.part, begun_at, false);
+        }
+        for entry in report.quarantined {
+            self.restore(now, entry);
+        }
+        self.update(now);
+    }
+
+    /// Adopts a quarantine of another instance or from the store.
+    pub fn restore(&mut self, now: Timestamp, report: QuarantineReport) {
+        let last_crash_at = before(now, report.age_ms);
+        if self.evidence.is_sound(&report.part, last_crash_at) {
+            return;
+        }
+        let is_new = !self.entries.contains_key(&report.part);
+        let entry = self.entries.entry(report.part.clone()).or_insert(
+            QuarantineEntry {
+                crashes: report.crashes,
+                last_crash_at,
+                changed_at: now,
+                trial_at: None,
+            },
+        );
+        let is_grown = report.crashes > entry.crashes;
+        if is_grown {
+            entry.crashes = report.crashes;
+            entry.last_crash_at = entry.last_crash_at.max(last_crash_at);
+            entry.changed_at = now;
+        }
+        if is_new || is_grown {
+            self.changes.push(QuarantineChange::Quarantined(report));
+        }
+        self.bound_entries();
+    }
+
+    /// Removes and returns the changes since the last call.
+    pub fn take_changes(&mut self) -> Vec<QuarantineChange> {
+        std::mem::take(&mut self.changes)
+    }
+
+    /// Brings the quarantine in line with the evidence.
+    fn update(&mut self, now: Timestamp) {
+        let version = self.evidence.version();
+        if self.evaluated.is_some_and(|(evaluated, at)| {
+            evaluated == version
+                && now.since(at) < EVALUATION_INTERVAL
+                && !self.evidence.has_settled(at, now)
+        }) {
+            return;
+        }
+        self.evaluated = Some((version, now));
+        self.evidence.expire(now);
+        self.released
+            .retain(|_, at| now.since(*at) < TRIAL_INTERVAL);
+        let entries = &self.entries;
+        let culprits =
+            self.evidence.culprits(now, |it| entries.contains_key(it));
+        for (part, times) in &culprits {
+            self.add_crashes(now, part, times);
+        }
+        let evidence = &self.evidence;
+        let changes = &mut self.changes;
+        let released = &mut self.released;
+        self.entries.retain(|part, entry| {
+            let is_sound = evidence.is_sound(part, entry.last_crash_at);
+            // All its crashes are explained by other parts.
+            let is_explained = !culprits.contains_key(part)
+                && evidence.crashes_with(part) >= entry.crashes as usize;
+            let is_old = now.since(entry.last_crash_at) >= FORGET_TIME;
+            let is_kept = !(is_sound || is_explained || is_old);
+            if !is_kept {
+                changes.push(QuarantineChange::Released(part.clone()));
+                released.insert(part.clone(), now);
+            }
+            is_kept
+        });
+        self.bound_entries();
+    }
+
+    /// Counts the crashes of a part that are newer than the last known one.
+    fn add_crashes(
+        &mut self,
+        now: Timestamp,
+        part: &PartId,
+        times: &[Timestamp],
+    ) {
+        let known = self.entries.get(part).map(|it| it.last_crash_at);
+        let new = times.iter().filter(|at| Some(**at) > known).count();
+        let Some(last) = times.last().copied().filter(|_| new > 0) else {
+            return;
+        };
+        let entry =
+            self.entries.entry(part.clone()).or_insert(QuarantineEntry {
+                crashes: 0,
+                last_crash_at: last,
+                changed_at: now,
+                trial_at: None,
+            });
+        entry.crashes += new as u32;
+        entry.last_crash_at = last;
+        entry.changed_at = now;
+        let report = entry.report(now, part);
+        self.changes.push(QuarantineChange::Quarantined(report));
+    }
+
+    /// Drops the quarantines with the oldest crashes above the bound.
+    fn bound_entries(&mut self) {
+        while self.entries.len() > QUARANTINED_MAX {
+            let oldest =
+                self.entries.iter().min_by_key(|(_, it)| it.last_crash_at);
+            let Some(part) = oldest.map(|(part, _)| part.clone()) else {
+                return;
+            };
+            self.entries.remove(&part);
+            self.changes.push(QuarantineChange::Released(part));
+        }
+    }
+}
+
+/// Time that many milliseconds before `now`.
+fn before(now: Timestamp, age_ms: u32) -> Timestamp {
+    let age = Duration::from_millis(age_ms.into());
+    now.before(age).unwrap_or(Timestamp::ZERO)
+}
+
+fn age_ms(now: Timestamp, at: Timestamp) -> u32 {
+    u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX)
+}
--- a/lib/src/gateway/reader_selection.rs
+++ b/lib/src/gateway/reader_selection.rs
@@ -93,7 +93,9 @@
                     peer_timeout: bound.mul_f64(PEER_TIMEOUT_RATIO),
                 }
             }
-            StoreTopic::Control | StoreTopic::Instances => {
+            StoreTopic::Control
+            | StoreTopic::Instances
+            | StoreTopic::Quarantine => {
                 let bound = bounds.config();
                 let long_poll =
                     choose(CONTROL_WAIT_RATIO, CONTROL_WAIT_RATIO_SHARED);
--- a/lib/src/gateway/wire.rs
+++ b/lib/src/gateway/wire.rs
@@ -127,12 +127,18 @@
     Upstreams,
     /// Addresses of the borageline instances.
     Instances,
+    /// Parts of prompts that crash engines.
+    Quarantine,
 }
 
 impl StoreTopic {
     /// All topics.
-    pub const ALL: [Self; 3] =
-        [Self::Control, Self::Upstreams, Self::Instances];
+    pub const ALL: [Self; 4] = [
+        Self::Control,
+        Self::Upstreams,
+        Self::Instances,
+        Self::Quarantine,
+    ];
 
     /// Name of the topic in paths and log lines.
     pub const fn as_str(self) -> &'static str {
@@ -140,6 +146,7 @@
             Self::Control => "control",
             Self::Upstreams => "upstreams",
             Self::Instances => "instances",
+            Self::Quarantine => "quarantine",
         }
     }
 }
@@ -200,6 +207,15 @@
     Gap,
 }
 
+/// Record of a part of prompts that crashes engines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct QuarantineRecord {
+    /// Crashes that it caused.
+    pub crashes: u32,
+    /// Time of the last one, in milliseconds since 1970.
+    pub last_crash_ms: u64,
+}
+
 /// Content of a record of the control topic.
 #[derive(Clone, Debug, PartialEq)]
 pub enum ControlRecord {
@@ -322,6 +338,20 @@
     /// Creates the record by which an instance publishes its address.
     fn write_instance(&self, heartbeat: &Heartbeat) -> KeyedRecord;
 
+    /// Creates the record that keeps a quarantine, or removes it if `record` is
+    /// `None`.
+    fn write_quarantine(
+        &self,
+        part: &PartId,
+        record: Option<&QuarantineRecord>,
+    ) -> KeyedRecord;
+
+    /// Parses the record of a quarantine; `None` if it is malformed or removed.
+    fn read_quarantine(
+        &self,
+        record: &KeyedRecord,
+    ) -> Option<(PartId, QuarantineRecord)>;
+
     /// Returns the address in an instance's record; `None` if it is malformed
     /// or removed.
     fn read_instance(&self, record: &KeyedRecord) -> Option<std::net::IpAddr>;
--- a/lib/src/log_event.rs
+++ b/lib/src/log_event.rs
@@ -133,4 +133,10 @@
     SettingsRejected = 631, "settings_rejected", Error;
     /// Log lines were dropped, because the log was written too fast.
     LogLinesDropped = 632, "log_lines_dropped", Warn;
+    /// An engine crashed before it had answered a prompt.
+    EngineCrashed = 640, "engine_crashed", Warn;
+    /// A part of prompts is in quarantine, or has caused further crashes.
+    PartQuarantined = 641, "part_quarantined", Warn;
+    /// A part of prompts has left the quarantine.
+    PartReleased = 642, "part_released", Info;
 }
--- a/lib/src/refusal.rs
+++ b/lib/src/refusal.rs
@@ -101,6 +101,8 @@
     NoUpstream = "no_upstream", 503;
     /// The configuration may be out of date, so that no new work is accepted.
     ConfigurationStale = "configuration_stale", 503;
+    /// Prompts with a part of this one crash engines.
+    PromptQuarantined = "prompt_quarantined", 503;
     /// The instance has not read the configuration yet.
     NotReady = "not_ready", 503;
     /// The instance is shedding load.
