--- a/cli/src/gateway/forward.rs
+++ b/cli/src/gateway/forward.rs
@@ -10,6 +10,7 @@
             AdmittedRequest, NotPlaced, PlacementRequest, StartedRequest,
             memory_wait_max,
         },
+        request_limit::RequestLimit,
         request_timings::{AnswerLateness, RequestTimings},
         routing_config::{AnswerForm, CallerIdentity},
         wire::{
@@ -66,6 +67,8 @@
     /// Sends made so far.
     pub(super) sends: u32,
     pub(super) timings: RequestTimings,
+    /// Limit that the last upstream named in its reply.
+    upstream_limit: Option<RequestLimit>,
     /// Whether the end was recorded; otherwise the caller has left.
     ended: bool,
 }
@@ -143,6 +146,7 @@
         was_placed: false,
         sends: 0,
         timings: RequestTimings::default(),
+        upstream_limit: None,
         ended: false,
     };
     match attempt.admitted.route.form {
@@ -218,6 +222,10 @@
                 target_ms = route.latency_target.as_millis(),
                 longest_pause_ms = timings.longest_pause.as_millis(),
                 late = lateness,
+                upstream_limit = self.upstream_limit.map_or_else(
+                    || "-".into(),
+                    |limit| limit.per_second().to_string(),
+                ),
             },
             "{text}",
         );
@@ -349,6 +357,7 @@
                 return Err(SendError::Ended(before, outcome));
             }
         };
+        self.upstream_limit = self.context.wire.request_limit(&head);
         let attempt = self.request.attempt.as_ref();
         let outcome = match self.context.wire.read_reply(attempt, &head) {
             ReplyKind::Answer => None,
--- a/lib/src/gateway/wire.rs
+++ b/lib/src/gateway/wire.rs
@@ -20,7 +20,8 @@
 
 use super::{
     member_table::Heartbeat, placement::PromptSize,
-    routing_config::RoutingConfig, upstream_table::UpstreamChange,
+    request_limit::RequestLimit, routing_config::RoutingConfig,
+    upstream_table::UpstreamChange,
 };
 use crate::{
     id_type,
@@ -285,6 +286,10 @@
     /// reply names one; it may be a helper of the upstream that replied.
     fn declining_peer(&self, head: &ResponseParts) -> Option<SocketAddr>;
 
+    /// Requests that the upstream takes from all instances together, if the
+    /// reply names a limit.
+    fn request_limit(&self, head: &ResponseParts) -> Option<RequestLimit>;
+
     /// Whether the reply is marked as produced by the upstream itself, so that
     /// it may be forwarded as it is.
     fn is_authentic_answer(&self, head: &ResponseParts) -> bool;
