--- a/cli/src/gateway/prompt_quarantine.rs
+++ b/cli/src/gateway/prompt_quarantine.rs
@@ -9,7 +9,7 @@
 
 use borageline_lib::{
     gateway::{
-        crash_evidence::{EngineProcess, SuspectPrompt},
+        crash_evidence::SuspectPrompt,
         prompt_quarantine::{QuarantineChange, QuarantineReport},
         upstream_table::UpstreamEntry,
         wire::{GatewayWire, PartId, QuarantineRecord, StoreTopic},
@@ -71,10 +71,7 @@
     entry: UpstreamEntry,
     prompt: SuspectPrompt,
 ) {
-    let process = EngineProcess {
-        upstream: entry.id.clone(),
-        incarnation: entry.incarnation,
-    };
+    let process = entry.process();
     let is_known = context.core().has_crash(&process);
     if !is_known {
         let connect = TcpStream::connect(entry.address);
--- a/lib/src/gateway/crash_evidence.rs
+++ b/lib/src/gateway/crash_evidence.rs
@@ -18,12 +18,8 @@
     time::Duration,
 };
 
-use super::wire::PartId;
-use crate::{
-    ids::UpstreamId,
-    units::{Incarnation, Timestamp},
-    value_type,
-};
+use super::{upstream_table::UpstreamProcess, wire::PartId};
+use crate::{units::Timestamp, value_type};
 
 /// Crashes that must have a part in common before it is blamed.
 pub const CRASHES_MIN: usize = 3;
@@ -47,17 +43,6 @@
 /// Most sound parts that are remembered.
 const SOUND_PARTS_MAX: usize = 4_096;
 
-value_type! {
-    /// One process of an engine.
-    #[derive(Eq, PartialOrd, Ord)]
-    pub struct EngineProcess {
-        /// Id of the engine.
-        pub upstream: UpstreamId,
-        /// Start of the process.
-        pub incarnation: Incarnation,
-    }
-}
-
 value_type! {
     /// Shared parts of a prompt that an engine was about to answer.
     #[derive(Eq)]
@@ -101,7 +86,7 @@
 /// Crashes and sound parts, merged over all instances.
 #[derive(Clone, Debug, Default)]
 pub struct CrashEvidence {
-    crashes: BTreeMap<EngineProcess, CrashRecord>,
+    crashes: BTreeMap<UpstreamProcess, CrashRecord>,
     sound: BTreeMap<PartId, SoundAnswer>,
     /// Number of changes of the evidence.
     version: u64,
@@ -122,7 +107,7 @@
     }
 
     /// Whether a crash of the process is known.
-    pub fn has_crash(&self, process: &EngineProcess) -> bool {
+    pub fn has_crash(&self, process: &UpstreamProcess) -> bool {
         self.crashes.contains_key(process)
     }
 
@@ -131,7 +116,7 @@
     pub fn add_prompt(
         &mut self,
         now: Timestamp,
-        process: EngineProcess,
+        process: UpstreamProcess,
         at: Timestamp,
         prompt: SuspectPrompt,
         seen_here: bool,
@@ -288,7 +273,7 @@
     pub fn seen_crashes(
         &self,
         since: Timestamp,
-    ) -> Vec<(&EngineProcess, Timestamp, Vec<SuspectPrompt>)> {
+    ) -> Vec<(&UpstreamProcess, Timestamp, Vec<SuspectPrompt>)> {
         let crashes = self.crashes.iter();
         let seen = crashes.filter(|(_, it)| it.seen_here && it.at >= since);
         let mut seen: Vec<_> = seen
--- a/lib/src/gateway/gateway_core/quarantine.rs
+++ b/lib/src/gateway/gateway_core/quarantine.rs
@@ -7,10 +7,11 @@
 use super::GatewayCore;
 use crate::{
     gateway::{
-        crash_evidence::{EngineProcess, SuspectPrompt},
+        crash_evidence::SuspectPrompt,
         prompt_quarantine::{
             QuarantineChange, QuarantineReport, QuarantinedPrompt,
         },
+        upstream_table::UpstreamProcess,
         wire::PartId,
     },
     refusal::{Refusal, RefusalCode},
@@ -77,14 +78,14 @@
     pub fn record_crash(
         &mut self,
         now: Timestamp,
-        process: EngineProcess,
+        process: UpstreamProcess,
         prompt: SuspectPrompt,
     ) {
         self.quarantine.record_crash(now, process, prompt);
     }
 
     /// Whether a crash of the process is known.
-    pub fn has_crash(&self, process: &EngineProcess) -> bool {
+    pub fn has_crash(&self, process: &UpstreamProcess) -> bool {
         self.quarantine.has_crash(process)
     }
 
--- a/lib/src/gateway/prompt_quarantine.rs
+++ b/lib/src/gateway/prompt_quarantine.rs
@@ -14,9 +14,8 @@
 use std::{cmp::Reverse, collections::BTreeMap, time::Duration};
 
 use super::{
-    crash_evidence::{
-        CRASHES_MIN, CrashEvidence, EngineProcess, SuspectPrompt,
-    },
+    crash_evidence::{CRASHES_MIN, CrashEvidence, SuspectPrompt},
+    upstream_table::UpstreamProcess,
     wire::PartId,
 };
 use crate::{units::Timestamp, value_type};
@@ -53,7 +52,7 @@
     #[derive(Eq)]
     pub struct CrashReport {
         /// Process that crashed.
-        pub process: EngineProcess,
+        pub process: UpstreamProcess,
         /// Time since the crash, in milliseconds.
         pub age_ms: u32,
         /// Prompts that may have caused it.
@@ -158,7 +157,7 @@
 
 impl PromptQuarantine {
     /// Whether a crash of the process is known.
-    pub fn has_crash(&self, process: &EngineProcess) -> bool {
+    pub fn has_crash(&self, process: &UpstreamProcess) -> bool {
         self.evidence.has_crash(process)
     }
 
@@ -167,7 +166,7 @@
     pub fn record_crash(
         &mut self,
         now: Timestamp,
-        process: EngineProcess,
+        process: UpstreamProcess,
         prompt: SuspectPrompt,
     ) {
         self.evidence.add_prompt(now, process, now, prompt, true);
--- a/lib/src/gateway/upstream_table.rs
+++ b/lib/src/gateway/upstream_table.rs
@@ -20,6 +20,7 @@
 use crate::{
     ids::{DomainId, ServiceName, UpstreamId},
     units::{Incarnation, Timestamp},
+    value_type,
 };
 
 /// Time after the store's recovery in which lapsed entries are written again.
@@ -47,6 +48,17 @@
     Draining,
 }
 
+value_type! {
+    /// One process of an upstream.
+    #[derive(Eq, PartialOrd, Ord)]
+    pub struct UpstreamProcess {
+        /// Id of the upstream.
+        pub upstream: UpstreamId,
+        /// Start of the process.
+        pub incarnation: Incarnation,
+    }
+}
+
 /// One entry of the list.
 #[derive(Clone, Debug, PartialEq)]
 pub struct UpstreamEntry {
@@ -70,6 +82,16 @@
     pub incarnation: Incarnation,
 }
 
+impl UpstreamEntry {
+    /// The process that the entry describes.
+    pub fn process(&self) -> UpstreamProcess {
+        UpstreamProcess {
+            upstream: self.id.clone(),
+            incarnation: self.incarnation,
+        }
+    }
+}
+
 /// A change of the list.
 #[derive(Clone, Debug, PartialEq)]
 pub enum UpstreamChange {
--- a/lib/tests/gateway/test_prompt_quarantine.rs
+++ b/lib/tests/gateway/test_prompt_quarantine.rs
@@ -3,13 +3,13 @@
 use borageline_lib::{
     gateway::{
         crash_evidence::{
-            CRASHES_MIN, EVIDENCE_TIME, EngineProcess, ONSET_TIME, SETTLE_TIME,
-            SuspectPrompt,
+            CRASHES_MIN, EVIDENCE_TIME, ONSET_TIME, SETTLE_TIME, SuspectPrompt,
         },
         prompt_quarantine::{
             FORGET_TIME, HOLD_TIME_MIN, PromptQuarantine, PromptReport,
             QuarantineChange, QuarantineReport,
         },
+        upstream_table::UpstreamProcess,
         wire::PartId,
     },
     units::{Incarnation, Timestamp},
@@ -25,8 +25,8 @@
     text.split(' ').map(id).collect()
 }
 
-fn process(number: u64) -> EngineProcess {
-    EngineProcess {
+fn process(number: u64) -> UpstreamProcess {
+    UpstreamProcess {
         upstream: id(&format!("i-{number}")),
         incarnation: Incarnation::new(number),
     }
