gateway: keep the limits of requests that upstreams name

Callers and engines saw: engines that named a limit of 1 request a second got 13 to 15 in 4 s, from at least five of seven instances; 11 are allowed.

Cause: nothing read the limit. Had each instance read it for itself, the sum would still have exceeded it: dispatch_rate, which divides the rate of cold upstreams, gave each instance at least one send a second.

Ruled out: a limit that is read too late (the header was in no source).

Change: replies are read for a limit, the newest counts, and heartbeats carry it to all instances. Shares of a limit add up to it in a fleet of any size: where it is smaller than the number of instances, rendezvous hashing says who has one, which changes little when members do. Engines in need do not help with long prompts. Cold upstreams are divided in the same way.

--- a/cli/src/gateway/forward.rs
+++ b/cli/src/gateway/forward.rs
@@ -13,6 +13,7 @@
         request_limit::RequestLimit,
         request_timings::{AnswerLateness, RequestTimings},
         routing_config::{AnswerForm, CallerIdentity},
+        upstream_table::UpstreamEntry,
         wire::{
             CallerRequest, DispatchMetadata, GatewayWire, PartId, ReplyKind,
         },
@@ -35,6 +36,7 @@
     SharedGateway,
     body::{BufferedBody, read_body},
     caller_listener::AnswerBody,
+    heartbeats::log_limit_changes,
     metrics::RequestEnd,
     prompt_quarantine::{self, confirm_crash, wait_until_held},
     reservations::{DeferredPrompt, InFlightGuard, ReservationSet},
@@ -357,9 +359,10 @@
                 return Err(SendError::Ended(before, outcome));
             }
         };
-        self.upstream_limit = self.context.wire.request_limit(&head);
         let attempt = self.request.attempt.as_ref();
-        let outcome = match self.context.wire.read_reply(attempt, &head) {
+        let kind = self.context.wire.read_reply(attempt, &head);
+        self.record_limit(&started.entry, kind, &head);
+        let outcome = match kind {
             ReplyKind::Answer => None,
             ReplyKind::Failure => {
                 self.context.core().record_error(&upstream);
@@ -386,6 +389,35 @@
         })
     }
 
+    /// Records the limit that an upstream named in its reply. Only an answer
+    /// shows that it names none: other replies may leave it out.
+    fn record_limit(
+        &mut self,
+        entry: &UpstreamEntry,
+        kind: ReplyKind,
+        head: &ResponseParts,
+    ) {
+        let wire = &self.context.wire;
+        let limit = match kind {
+            ReplyKind::Misdirected | ReplyKind::Foreign => return,
+            _ => wire.request_limit(head),
+        };
+        let is_answer =
+            kind == ReplyKind::Answer && wire.is_authentic_answer(head);
+        if limit.is_none() && !is_answer {
+            return;
+        }
+        self.upstream_limit = limit;
+        let now = self.context.now();
+        let process = entry.process();
+        let mut core = self.context.core();
+        core.record_request_limit(now, &process, limit);
+        drop(core);
+        if log_limit_changes(&self.context) {
+            self.context.heartbeat_due.notify_one();
+        }
+    }
+
     /// Chooses upstreams and reserves KV cache on them. If engines refuse it,
     /// places the prompt again, as long as it could wait for memory.
     async fn place_with_memory(
--- a/cli/src/gateway/heartbeats.rs
+++ b/cli/src/gateway/heartbeats.rs
@@ -7,6 +7,7 @@
         heartbeat_relay::HeartbeatTrailer,
         member_table::{Heartbeat, MemberChange},
         prompt_quarantine::PromptReport,
+        request_limit::{LimitChange, LimitReport},
         wire::GatewayWire,
     },
     log_event::LogEvent,
@@ -57,13 +58,17 @@
             .set(i64::try_from(alive).unwrap_or(i64::MAX));
         prompt_quarantine::handle_changes(&context);
         let heartbeat = encode(&plan.heartbeat);
-        let direct = datagram(&heartbeat, &plan.trailer, &plan.prompts);
+        let findings = SharedFindings {
+            prompts: plan.prompts,
+            limits: plan.limits,
+        };
+        let direct = datagram(&heartbeat, &plan.trailer, &findings);
         send_all(&socket, &direct, &plan.direct).await;
         let trailer = HeartbeatTrailer {
             relay: true,
             ..plan.trailer
         };
-        let relayed = datagram(&heartbeat, &trailer, &plan.prompts);
+        let relayed = datagram(&heartbeat, &trailer, &findings);
         send_all(&socket, &relayed, &plan.relays).await;
         tokio::select! {
             () = tokio::time::sleep(plan.pause) => {}
@@ -102,7 +107,7 @@
         let ReceivedHeartbeat {
             heartbeat,
             trailer,
-            prompts,
+            findings,
             size,
         } = received;
         let receipt =
@@ -117,21 +122,33 @@
                 relay: false,
                 ..trailer
             };
-            let relayed = datagram(&bytes[..size], &trailer, &prompts);
+            let relayed = datagram(&bytes[..size], &trailer, &findings);
             send_all(&socket, &relayed, &receipt.relay_to).await;
         }
-        context.core().receive_prompt_report(now, prompts);
+        {
+            let mut core = context.core();
+            core.receive_prompt_report(now, findings.prompts);
+            core.receive_limit_reports(now, &findings.limits);
+        }
         prompt_quarantine::handle_changes(&context);
+        log_limit_changes(&context);
     }
 }
 
+/// What an instance learned of requests and upstreams that concerns all.
+#[derive(Debug, Default)]
+struct SharedFindings {
+    prompts: PromptReport,
+    limits: Vec<LimitReport>,
+}
+
 /// Content of a datagram.
 struct ReceivedHeartbeat {
     heartbeat: Heartbeat,
     /// Data after the heartbeat; `None` if the sender's build sends none.
     trailer: Option<HeartbeatTrailer>,
     /// Data after the trailer; empty if the sender's build sends none.
-    prompts: PromptReport,
+    findings: SharedFindings,
     /// Size of the encoded heartbeat in bytes.
     size: usize,
 }
@@ -144,12 +161,14 @@
 fn datagram(
     heartbeat: &[u8],
     trailer: &HeartbeatTrailer,
-    prompts: &PromptReport,
+    findings: &SharedFindings,
 ) -> Vec<u8> {
     let mut bytes = heartbeat.to_vec();
     bincode::serialize_into(&mut bytes, trailer)
         .expect("trailers contain only plain values");
-    bincode::serialize_into(&mut bytes, prompts)
+    bincode::serialize_into(&mut bytes, &findings.prompts)
+        .expect("reports contain only plain values");
+    bincode::serialize_into(&mut bytes, &findings.limits)
         .expect("reports contain only plain values");
     bytes
 }
@@ -159,7 +178,7 @@
     let mut received = ReceivedHeartbeat {
         heartbeat,
         trailer: None,
-        prompts: PromptReport::default(),
+        findings: SharedFindings::default(),
         size: bytes.len() - rest.len(),
     };
     if rest.is_empty() {
@@ -167,8 +186,13 @@
     }
     let (trailer, rest) = decode_first(rest)?;
     received.trailer = Some(trailer);
+    if rest.is_empty() {
+        return Ok(received);
+    }
+    let (prompts, rest) = decode_first(rest)?;
+    received.findings.prompts = prompts;
     if !rest.is_empty() {
-        (received.prompts, _) = decode_first(rest)?;
+        (received.findings.limits, _) = decode_first(rest)?;
     }
     Ok(received)
 }
@@ -193,6 +217,25 @@
     }
 }
 
+/// Logs the limits of upstreams that have changed; returns whether there are
+/// any.
+pub(super) fn log_limit_changes<W: GatewayWire>(
+    context: &SharedGateway<W>,
+) -> bool {
+    let changes = context.core().take_limit_changes();
+    let is_changed = !changes.is_empty();
+    for LimitChange { process, limit } in changes {
+        let text =
+            limit.map_or_else(|| "none".into(), |limit| limit.to_string());
+        log_decision!(
+            LogEvent::UpstreamLimitChanged,
+            { upstream = process.upstream, limit = text },
+            "limit of {}: {text}", process.upstream,
+        );
+    }
+    is_changed
+}
+
 fn log_change(change: &MemberChange) {
     let (instance, state) = match change {
         MemberChange::Joined(instance) => (instance, "joined"),
--- a/lib/src/gateway/dispatch_rate.rs
+++ b/lib/src/gateway/dispatch_rate.rs
@@ -1,41 +1,201 @@
-//! Limits the requests that one upstream receives per second.
+//! Limits the requests that one upstream receives from all instances.
 //!
 //! A cold upstream, one that is slow as after a start, tolerates few requests,
-//! and an upstream may become cold at any moment. The limit applies to the sum
-//! over all instances; each instance always stays below its equal share of it.
+//! and an upstream in need names a limit of its own. Such a limit applies to
+//! the sum over all instances. Each instance therefore uses a share of it, and
+//! the shares add up to the limit, also where it is smaller than the number of
+//! instances: then some have none. Which these are differs between upstreams
+//! and changes little when instances come or go, so that a window in which the
+//! members change holds few more requests than others.
 
-use std::{collections::VecDeque, time::Duration};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    net::IpAddr,
+    time::Duration,
+};
 
-use crate::units::Timestamp;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// Time over which sends are counted.
-const WINDOW: Duration = Duration::from_millis(1_100);
+use super::request_limit::RequestLimit;
+use crate::{ids::UpstreamId, units::Timestamp};
+
+/// Window in which the requests to a cold upstream are counted.
+const COLD_WINDOW: Duration = Duration::from_millis(1_100);
+/// Shortest window in which the requests under a limit are counted.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+/// Longest window. One request in it shows whether the limit still applies,
+/// however low it is.
+const LIMIT_WINDOW_MAX: Duration = Duration::from_secs(10);
+
+/// Requests that one instance may send to an upstream in a window.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct RequestShare {
+    /// Requests in any window.
+    requests: usize,
+    window: Duration,
+}
+
+/// Position of this instance in the order in which the instances get shares of
+/// an upstream's limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct ShareRank {
+    /// Position, from 0.
+    position: usize,
+    instances: usize,
+}
+
+impl RequestShare {
+    /// Divides the requests that an upstream takes in a window.
+    fn new(budget: f64, window: Duration, rank: ShareRank) -> Self {
+        // The tolerance keeps whole budgets whole after a multiplication.
+        let budget = (budget + 1e-9).floor() as usize;
+        let instances = rank.instances.max(1);
+        let has_extra = rank.position < budget % instances;
+        Self {
+            requests: budget / instances + usize::from(has_extra),
+            window,
+        }
+    }
+}
 
 /// Recent sends of this instance to one upstream.
 #[derive(Clone, Debug, Default)]
-pub struct DispatchRate {
-    sends: VecDeque<Timestamp>,
+struct RecentSends(VecDeque<Timestamp>);
+
+impl RecentSends {
+    /// Whether one more send stays within the share.
+    fn allow(&self, now: Timestamp, share: RequestShare) -> bool {
+        let recent = self.0.iter().rev();
+        let recent = recent.take_while(|at| now.since(**at) <= share.window);
+        recent.count() < share.requests
+    }
+
+    fn add(&mut self, now: Timestamp) {
+        let is_old = |at: &Timestamp| now.since(*at) > LIMIT_WINDOW_MAX;
+        while self.0.front().is_some_and(is_old) {
+            self.0.pop_front();
+        }
+        self.0.push_back(now);
+    }
+}
+
+/// Shares of this instance in what all upstreams take, and its recent sends.
+#[derive(Clone, Debug, Default)]
+pub struct DispatchLimiter {
+    sends: BTreeMap<UpstreamId, RecentSends>,
+    members: Vec<IpAddr>,
+    /// Ranks of this instance, kept as long as the members stay the same.
+    ranks: BTreeMap<UpstreamId, ShareRank>,
 }
 
-impl DispatchRate {
+impl DispatchLimiter {
+    /// Sets the addresses of the other instances.
+    pub fn set_members(&mut self, members: Vec<IpAddr>) {
+        if members != self.members {
+            self.members = members;
+            self.ranks.clear();
+        }
+    }
+
     /// Whether one more send stays within this instance's share of `rate`
-    /// requests per second. `instances` is the number of instances that share
-    /// the rate; each may make at least one send.
-    pub fn allows(
+    /// requests a second, which a cold upstream tolerates. `own` is the address
+    /// of this instance.
+    pub fn allows_cold(
         &mut self,
         now: Timestamp,
+        own: IpAddr,
+        upstream: &UpstreamId,
         rate: f64,
-        instances: usize,
     ) -> bool {
-        while self.sends.front().is_some_and(|at| now.since(*at) > WINDOW) {
-            self.sends.pop_front();
+        let rank = self.rank(own, upstream);
+        let share = RequestShare::new(rate, COLD_WINDOW, rank);
+        self.allows(now, upstream, share)
+    }
+
+    /// Like [`Self::allows_cold`], for an upstream that is not known to be cold
+    /// but may be by now: each instance may make at least one send.
+    pub fn allows_warm(
+        &mut self,
+        now: Timestamp,
+        upstream: &UpstreamId,
+        rate: f64,
+    ) -> bool {
+        let instances = self.members.len() + 1;
+        let rank = ShareRank {
+            position: instances,
+            instances,
+        };
+        let mut share = RequestShare::new(rate, COLD_WINDOW, rank);
+        share.requests = share.requests.max(1);
+        self.allows(now, upstream, share)
+    }
+
+    /// Whether one more send stays within this instance's share of the limit
+    /// that an upstream named.
+    pub fn allows_limited(
+        &mut self,
+        now: Timestamp,
+        own: IpAddr,
+        upstream: &UpstreamId,
+        limit: RequestLimit,
+    ) -> bool {
+        let per_second = limit.per_second();
+        let window = if per_second * LIMIT_WINDOW.as_secs_f64() >= 1.0 {
+            LIMIT_WINDOW
+        } else {
+            let longest = LIMIT_WINDOW_MAX.as_secs_f64();
+            Duration::from_secs_f64((1.0 / per_second).min(longest))
+        };
+        let budget = (per_second * window.as_secs_f64()).max(1.0);
+        let rank = self.rank(own, upstream);
+        let share = RequestShare::new(budget, window, rank);
+        self.allows(now, upstream, share)
+    }
+
+    fn allows(
+        &self,
+        now: Timestamp,
+        upstream: &UpstreamId,
+        share: RequestShare,
+    ) -> bool {
+        match self.sends.get(upstream) {
+            Some(sends) => sends.allow(now, share),
+            None => share.requests > 0,
         }
-        let limit = (rate / instances.max(1) as f64).floor().max(1.0);
-        (self.sends.len() as f64) < limit
     }
 
     /// Records a send.
-    pub fn count(&mut self, now: Timestamp) {
-        self.sends.push_back(now);
+    pub fn count(&mut self, now: Timestamp, upstream: &UpstreamId) {
+        self.sends.entry(upstream.clone()).or_default().add(now);
+    }
+
+    /// Drops the state of upstreams that are gone.
+    pub fn retain(&mut self, is_listed: impl Fn(&UpstreamId) -> bool) {
+        self.sends.retain(|id, _| is_listed(id));
+        self.ranks.retain(|id, _| is_listed(id));
+    }
+
+    /// Rank of this instance for an upstream, by rendezvous hashing.
+    fn rank(&mut self, own: IpAddr, upstream: &UpstreamId) -> ShareRank {
+        if let Some(rank) = self.ranks.get(upstream) {
+            return *rank;
+        }
+        let seed = xxh3_64_with_seed(upstream.as_str().as_bytes(), 0);
+        let weight = |ip: IpAddr| (member_hash(ip, seed), ip);
+        let own = weight(own);
+        let members = self.members.iter();
+        let rank = ShareRank {
+            position: members.filter(|ip| weight(**ip) < own).count(),
+            instances: self.members.len() + 1,
+        };
+        self.ranks.insert(upstream.clone(), rank);
+        rank
+    }
+}
+
+fn member_hash(ip: IpAddr, seed: u64) -> u64 {
+    match ip {
+        IpAddr::V4(ip) => xxh3_64_with_seed(&ip.octets(), seed),
+        IpAddr::V6(ip) => xxh3_64_with_seed(&ip.octets(), seed),
     }
 }
--- a/lib/src/gateway/gateway_core.rs
+++ b/lib/src/gateway/gateway_core.rs
@@ -7,6 +7,7 @@
 
 mod heartbeats;
 mod quarantine;
+mod request_limits;
 
 use std::{
     collections::BTreeMap,
@@ -21,7 +22,7 @@
 pub use self::heartbeats::{HeartbeatPlan, HeartbeatReceipt};
 use super::{
     cost_model::EngineProfile,
-    dispatch_rate::DispatchRate,
+    dispatch_rate::DispatchLimiter,
     engine_limits::EngineLimits,
     gateway_settings::GatewaySettings,
     load_table::{InFlightId, LoadTable},
@@ -30,12 +31,15 @@
     prefill_gate::{GateDecision, GateInputs, RECHECK_INTERVAL, evaluate_gate},
     prompt_quarantine::PromptQuarantine,
     reader_selection::{ReadSource, ReaderSelector},
+    request_limit::LimitTable,
     retry_budget::ServiceRetryBudget,
     routing_config::{
         CallerIdentity, ConfigVersion, RouteSpec, RoutingConfig, ServiceSpec,
     },
     topic_copy::TopicCopy,
-    upstream_table::{UpstreamChange, UpstreamEntry, UpstreamTable},
+    upstream_table::{
+        TrackedUpstream, UpstreamChange, UpstreamEntry, UpstreamTable,
+    },
     wire::StoreTopic,
 };
 use crate::{
@@ -159,7 +163,8 @@
     upstreams: UpstreamTable,
     load_table: LoadTable,
     retry_budgets: BTreeMap<ServiceName, ServiceRetryBudget>,
-    dispatch_rates: BTreeMap<UpstreamId, DispatchRate>,
+    dispatch_limiter: DispatchLimiter,
+    request_limits: LimitTable,
     members: MemberTable,
     /// Heartbeats sent by this process.
     heartbeats_sent: u64,
@@ -190,7 +195,8 @@
             upstreams: UpstreamTable::default(),
             load_table: LoadTable::default(),
             retry_budgets: BTreeMap::new(),
-            dispatch_rates: BTreeMap::new(),
+            dispatch_limiter: DispatchLimiter::default(),
+            request_limits: LimitTable::default(),
             members,
             heartbeats_sent: 0,
             topic_copies: BTreeMap::new(),
@@ -259,6 +265,8 @@
     ) {
         self.upstreams_loaded = true;
         self.upstreams.replace(now, entries);
+        let listed = |id: &UpstreamId| self.upstreams.get(id).is_some();
+        self.dispatch_limiter.retain(listed);
     }
 
     /// Applies one change of the list of upstreams.
@@ -377,39 +385,65 @@
             return Err(self.not_placed(RefusalCode::NoUpstream, &text));
         };
         let limits = self.engine_limits(request, &spec);
-        let instance_count = self.members.instance_count(now);
+        let own = self.settings.ip;
+        let limiter = &mut self.dispatch_limiter;
+        limiter.set_members(self.members.alive(now));
         let bounds = &self.settings.bounds;
         let cold_limit = (spec.cold_requests_per_s * bounds.cold_factor
             + bounds.cold_slack)
             * COLD_SHARE;
-        let dispatch_rates = &mut self.dispatch_rates;
         let mut candidates =
             self.upstreams.candidates(now, service, request.excluded);
         let untried = |id: &UpstreamId| !request.tried.contains(id);
         if candidates.iter().any(|it| untried(&it.entry.id)) {
             candidates.retain(|it| untried(&it.entry.id));
         }
+        let any_open = !candidates.is_empty();
+        let is_long = match (&spec.engine, request.size) {
+            (Some(engine), Some(size)) => {
+                engine.prefill_time(size.prompt) > limits.long_prefill_min
+            }
+            _ => false,
+        };
+        self.request_limits.expire(now);
+        let request_limits = &self.request_limits;
+        let limit_of = |upstream: &TrackedUpstream| {
+            request_limits.limit(&upstream.entry.process())
+        };
+        if is_long && candidates.iter().any(|it| limit_of(it).is_none()) {
+            // An upstream in need should not prefill shares of long prompts.
+            candidates.retain(|upstream| limit_of(upstream).is_none());
+        }
+        candidates.retain(|upstream| {
+            limit_of(upstream).is_none_or(|limit| {
+                limiter.allows_limited(now, own, &upstream.entry.id, limit)
+            })
+        });
+        if any_open && candidates.is_empty() {
+            let text = format!(
+                "the upstreams of {service} take no more requests within the \
+                 limits that they named",
+            );
+            return Err(self.not_placed(RefusalCode::NoCapacity, &text));
+        }
         if spec.cold_requests_per_s > 0.0 {
             let any_warm =
                 candidates.iter().any(|upstream| !upstream.is_cold(now));
             candidates.retain(|upstream| {
-                let id = upstream.entry.id.clone();
-                let rate = dispatch_rates.entry(id).or_default();
-                let cold = upstream.is_cold(now);
-                // Cold upstreams are used only if no warm one is available.
-                (!cold || !any_warm)
-                    && rate.allows(now, cold_limit, instance_count)
+                let id = &upstream.entry.id;
+                if upstream.is_cold(now) {
+                    // Cold upstreams are used only if no warm one is available.
+                    !any_warm && limiter.allows_cold(now, own, id, cold_limit)
+                } else {
+                    limiter.allows_warm(now, id, cold_limit)
+                }
             });
         }
         if let (true, Some(engine), Some(size)) =
             (request.is_new, &spec.engine, request.size)
         {
             let prefill = engine.prefill_time(size.prompt);
-            self.load_table.count_arrival(
-                now,
-                prefill > limits.long_prefill_min,
-                prefill,
-            );
+            self.load_table.count_arrival(now, is_long, prefill);
         }
         let loads = self.load_table.total_loads(now);
         let inputs = PlacementInputs {
@@ -559,10 +593,7 @@
                 )
             })
             .collect();
-        self.dispatch_rates
-            .entry(entry.id.clone())
-            .or_default()
-            .count(now);
+        self.dispatch_limiter.count(now, &entry.id);
         let needs_heartbeat = placed.in_flight.in_prefill;
         let in_flight_id = self.load_table.start(placed.in_flight);
         StartedRequest {
--- a/lib/src/gateway/gateway_core/heartbeats.rs
+++ b/lib/src/gateway/gateway_core/heartbeats.rs
@@ -14,6 +14,7 @@
         heartbeat_relay::HeartbeatTrailer,
         member_table::{HEARTBEAT_VERSION, Heartbeat, MemberChange},
         prompt_quarantine::PromptReport,
+        request_limit::LimitReport,
     },
     units::Timestamp,
 };
@@ -27,6 +28,8 @@
     pub trailer: HeartbeatTrailer,
     /// What this instance knows of harmful prompts.
     pub prompts: PromptReport,
+    /// Limits that upstreams named.
+    pub limits: Vec<LimitReport>,
     /// Addresses that get the heartbeat for themselves only.
     pub direct: Vec<SocketAddr>,
     /// Addresses that relay it within their failure domain.
@@ -96,6 +99,7 @@
                 suspects: self.upstreams.avoided(now),
             },
             prompts: self.quarantine.report(now, sequence),
+            limits: self.request_limits.report(now, sequence),
             direct: self.peer_addresses(targets.direct),
             relays: self.peer_addresses(targets.relays),
             pause: self.members.heartbeat_interval(now),
--- a/lib/src/log_event.rs
+++ b/lib/src/log_event.rs
@@ -115,6 +115,8 @@
     UpstreamChanged = 610, "upstream_changed", Info;
     /// A failure domain was closed or reopened.
     DomainChanged = 612, "domain_changed", Info;
+    /// An upstream named another limit of requests, or none any more.
+    UpstreamLimitChanged = 613, "upstream_limit_changed", Warn;
     /// The platform's topic store does not respond.
     StoreLost = 620, "store_lost", Warn;
     /// A topic can be read again after the store was unavailable.
--- a/lib/tests/gateway/test_attempt.rs
+++ b/lib/tests/gateway/test_attempt.rs
@@ -4,7 +4,6 @@
 use borageline_lib::{
     gateway::{
         attempt::{AttemptRecord, NextStep, SendOutcome},
-        dispatch_rate::DispatchRate,
         retry_budget::{RetryLimit, ServiceRetryBudget},
         routing_config::RetrySafety,
     },
@@ -199,22 +198,3 @@
     assert!(!window.spend(at(500), &bound, 1));
     assert!(window.spend(at(1_500), &bound, 1));
 }
-
-/// Guards against a cold upstream that receives more requests from all
-/// instances together than it tolerates.
-#[test]
-fn test_dispatch_rate_sum_keeps_bound() {
-    let instances = 7;
-    let mut sent = 0;
-    for _ in 0..instances {
-        let mut rate = DispatchRate::default();
-        for millis in 0..1_000 {
-            if rate.allows(at(millis), 35.0, instances) {
-                rate.count(at(millis));
-                sent += 1;
-            }
-        }
-    }
-    assert!(sent <= 35, "{sent} sends in a second");
-    assert!(sent >= 28, "{sent} sends in a second");
-}
