gateway: keep evidence of crashes for ten minutes

A harmful part whose prompts come less than three times in 30 s was never found: the evidence had expired by then (test_quarantine_finds_rare_harmful_part failed with the shorter time). Sound parts in crashes are now remembered as long as the crash, and an answer leads to a new evaluation only if it clears a crash. Empty reports are left out of heartbeats.

--- a/cli/src/gateway/heartbeats.rs
+++ b/cli/src/gateway/heartbeats.rs
@@ -142,6 +142,12 @@
     limits: Vec<LimitReport>,
 }
 
+impl SharedFindings {
+    fn is_empty(&self) -> bool {
+        self.prompts == PromptReport::default() && self.limits.is_empty()
+    }
+}
+
 /// Content of a datagram.
 struct ReceivedHeartbeat {
     heartbeat: Heartbeat,
@@ -166,6 +172,9 @@
     let mut bytes = heartbeat.to_vec();
     bincode::serialize_into(&mut bytes, trailer)
         .expect("trailers contain only plain values");
+    if findings.is_empty() {
+        return bytes;
+    }
     bincode::serialize_into(&mut bytes, &findings.prompts)
         .expect("reports contain only plain values");
     bincode::serialize_into(&mut bytes, &findings.limits)
--- a/lib/src/gateway/crash_evidence.rs
+++ b/lib/src/gateway/crash_evidence.rs
@@ -32,9 +32,9 @@
 /// Time within which a part is not assumed to turn harmful: an answer that
 /// began so shortly before a crash and went on still clears the part.
 pub const ONSET_TIME: Duration = Duration::from_secs(2);
-/// Time for which a crash is kept as evidence.
-pub const EVIDENCE_TIME: Duration = Duration::from_secs(30);
-/// Time for which a sound part is remembered.
+/// Time for which a crash is kept as evidence. Harmful prompts may be rare.
+pub const EVIDENCE_TIME: Duration = Duration::from_secs(600);
+/// Time for which a sound part is remembered that is in no crash.
 const SOUND_TIME: Duration = Duration::from_secs(60);
 /// Most crashes that are kept.
 const CRASHES_MAX: usize = 64;
@@ -153,28 +153,29 @@
         begun_at: Timestamp,
         seen_here: bool,
     ) {
-        if let Some(known) = self.sound.get_mut(part) {
-            if begun_at > known.begun_at {
-                *known = SoundAnswer {
-                    begun_at,
-                    seen_here,
-                };
-                self.version += 1;
-            }
+        let known_at = self.sound.get(part).map(|it| it.begun_at);
+        if known_at >= Some(begun_at) {
             return;
         }
-        if self.sound.len() >= SOUND_PARTS_MAX {
-            self.sound
-                .retain(|_, it| now.since(it.begun_at) < SOUND_TIME / 4);
-        }
-        if self.sound.len() < SOUND_PARTS_MAX {
-            let answer = SoundAnswer {
-                begun_at,
-                seen_here,
-            };
-            self.sound.insert(part.clone(), answer);
-            self.version += 1;
+        if known_at.is_none() && self.sound.len() >= SOUND_PARTS_MAX {
+            self.expire_sound(now, SOUND_TIME / 4);
+            if self.sound.len() >= SOUND_PARTS_MAX {
+                return;
+            }
         }
+        let answer = SoundAnswer {
+            begun_at,
+            seen_here,
+        };
+        self.sound.insert(part.clone(), answer);
+        // Most answers clear no further crash.
+        let cleared_before = known_at.map(|at| at.after(ONSET_TIME));
+        let clears = self.crashes.values().any(|crash| {
+            Some(crash.at) > cleared_before
+                && crash.at <= begun_at.after(ONSET_TIME)
+                && crash.contains(part)
+        });
+        self.version += u64::from(clears);
     }
 
     /// Whether the part is known to be sound at the time of a crash.
@@ -320,11 +321,21 @@
     pub fn expire(&mut self, now: Timestamp) {
         self.crashes
             .retain(|_, crash| now.since(crash.at) < EVIDENCE_TIME);
-        if self.crashes.is_empty() {
-            self.sound
-                .retain(|_, it| now.since(it.begun_at) < SOUND_TIME);
+        if self.crashes.is_empty() || self.sound.len() > SOUND_PARTS_MAX / 2 {
+            self.expire_sound(now, SOUND_TIME);
         }
     }
+
+    /// Drops sound parts that are older and in no crash.
+    fn expire_sound(&mut self, now: Timestamp, age: Duration) {
+        let crashes = self.crashes.values();
+        let in_crash: BTreeSet<_> = crashes
+            .flat_map(|it| it.prompts.values().flatten())
+            .collect();
+        self.sound.retain(|part, answer| {
+            now.since(answer.begun_at) < age || in_crash.contains(part)
+        });
+    }
 }
 
 impl CrashRecord {
--- a/lib/src/gateway/prompt_quarantine.rs
+++ b/lib/src/gateway/prompt_quarantine.rs
@@ -182,6 +182,7 @@
     ) {
         for part in parts {
             self.evidence.add_sound_part(now, part, begun_at, true);
+            self.evaluate_if_held(part);
         }
         self.update(now);
     }
@@ -281,6 +282,7 @@
             let begun_at = before(now, sound.age_ms);
             self.evidence
                 .add_sound_part(now, &sound.part, begun_at, false);
+            self.evaluate_if_held(&sound.part);
         }
         for entry in report.quarantined {
             self.restore(now, entry);
@@ -320,6 +322,13 @@
         std::mem::take(&mut self.changes)
     }
 
+    /// Makes the next update evaluate the evidence if a part is in quarantine.
+    fn evaluate_if_held(&mut self, part: &PartId) {
+        if self.entries.contains_key(part) {
+            self.evaluated = None;
+        }
+    }
+
     /// Brings the quarantine in line with the evidence.
     fn update(&mut self, now: Timestamp) {
         let version = self.evidence.version();
--- a/lib/tests/gateway/test_prompt_quarantine.rs
+++ b/lib/tests/gateway/test_prompt_quarantine.rs
@@ -2,9 +2,7 @@
 
 use borageline_lib::{
     gateway::{
-        crash_evidence::{
-            CRASHES_MIN, EVIDENCE_TIME, ONSET_TIME, SETTLE_TIME, SuspectPrompt,
-        },
+        crash_evidence::{CRASHES_MIN, ONSET_TIME, SETTLE_TIME, SuspectPrompt},
         prompt_quarantine::{
             FORGET_TIME, HOLD_TIME_MIN, PromptQuarantine, PromptReport,
             QuarantineChange, QuarantineReport,
@@ -133,6 +131,29 @@
     assert!(!is_refused(&mut quarantine, now, "base"));
 }
 
+/// Guards against a harmful part that is never found because its prompts are
+/// rare, and against a sound part that is blamed because its answers were
+/// forgotten before the crashes.
+#[test]
+fn test_quarantine_finds_rare_harmful_part() {
+    let mut quarantine = PromptQuarantine::default();
+    let mut now = at(10_000);
+    for number in 0..4 {
+        now = now.after(ms(120_000));
+        let begun_at = now.before(ms(600)).expect("time is after the start");
+        quarantine.record_sound(now, &parts("base"), begun_at);
+        for other in 0..50 {
+            let other = parts(&format!("other-{number}-{other}"));
+            quarantine.record_sound(now, &other, now);
+        }
+        let prompt = prompt(number, "base bad");
+        quarantine.record_crash(now, process(number), prompt);
+    }
+    let now = now.after(SETTLE_TIME);
+    assert!(is_refused(&mut quarantine, now, "base bad"));
+    assert!(!is_refused(&mut quarantine, now, "base"));
+}
+
 /// Guards against the part that all prompts of a caller share being blamed for
 /// the crashes of one that only some have, while no answer goes on.
 #[test]
@@ -232,15 +253,14 @@
     assert_eq!(pauses, [30, 60, 120]);
 }
 
-/// Guards against a harmful part that is forgotten when the evidence is: it
-/// takes one more crash, not as many as at first. Also against a quarantine
-/// that is kept forever.
+/// Guards against a quarantine that ends although the part has caused many
+/// crashes, and against one that is kept forever.
 #[test]
-fn test_quarantine_outlives_evidence_and_ages_out() {
+fn test_quarantine_is_kept_and_ages_out() {
     let mut quarantine = PromptQuarantine::default();
     let crashed = crash_each(&mut quarantine, at(1_000), 0, &["bad"; 8]);
     assert!(is_refused(&mut quarantine, crashed, "bad"));
-    let now = crashed.after(EVIDENCE_TIME * 2);
+    let now = crashed.after(HOLD_TIME_MIN * 30);
     assert!(is_refused(&mut quarantine, now, "bad"));
     let now = crashed.after(FORGET_TIME);
     assert!(!is_refused(&mut quarantine, now, "bad"));
