--- a/cli/src/gateway/forward.rs
+++ b/cli/src/gateway/forward.rs
@@ -5,7 +5,6 @@
 use borageline_lib::{
     gateway::{
         attempt::{AttemptRecord, NextStep, SendOutcome},
-        crash_evidence::SuspectPrompt,
         gateway_core::{
             AdmittedRequest, NotPlaced, PlacementRequest, StartedRequest,
             memory_wait_max,
@@ -14,9 +13,7 @@
         request_timings::{AnswerLateness, RequestTimings},
         routing_config::{AnswerForm, CallerIdentity},
         upstream_table::UpstreamEntry,
-        wire::{
-            CallerRequest, DispatchMetadata, GatewayWire, PartId, ReplyKind,
-        },
+        wire::{CallerRequest, DispatchMetadata, GatewayWire, ReplyKind},
     },
     ids::UpstreamId,
     log_event::LogEvent,
@@ -30,7 +27,6 @@
 };
 use http_body_util::{Either, Full};
 use hyper::body::Incoming;
-use xxhash_rust::xxh3::xxh3_64;
 
 use super::{
     SharedGateway,
@@ -38,7 +34,6 @@
     caller_listener::AnswerBody,
     heartbeats::log_limit_changes,
     metrics::RequestEnd,
-    prompt_quarantine::{self, confirm_crash, wait_until_held},
     reservations::{DeferredPrompt, InFlightGuard, ReservationSet},
     stream,
 };
@@ -252,12 +247,6 @@
         self.request.size.map_or(0, |size| size.prompt.get())
     }
 
-    /// Shared parts of the prompt for the log.
-    fn part_ids(&self) -> String {
-        let ids = self.request.shared_parts.iter().map(PartId::as_str);
-        ids.collect::<Vec<_>>().join(" ")
-    }
-
     /// Ends the request with a refusal or failure.
     pub(super) fn refuse(&mut self, refusal: Refusal) -> Response<AnswerBody> {
         let refusal = match self.record.run_state() {
@@ -303,11 +292,7 @@
         wait: impl Fn(Duration) -> Duration,
     ) -> Result<UpstreamReply<W>, SendError> {
         let is_resumed = resume_after != self.request.resume_after;
-        let now = self.context.now();
-        let parts = self.request.shared_parts.clone();
-        let checked = self.context.core().check_prompt(now, &parts);
-        prompt_quarantine::handle_changes(&self.context);
-        checked.map_err(SendError::Refused)?;
+        self.check_prompt().map_err(SendError::Refused)?;
         let (started, in_flight, helpers) = self
             .place_with_memory(is_resumed)
             .await
@@ -337,7 +322,7 @@
         let request = self.upstream_request(&metadata, &started);
         let sent = tokio::select! {
             sent = self.context.upstreams.send(target, request) => sent,
-            () = wait_until_held(&self.context, &parts) => {
+            () = self.wait_until_held() => {
                 return Err(SendError::Refused(self.held_refusal()));
             }
         };
@@ -498,40 +483,6 @@
         }
     }
 
-    /// Refusal of a prompt whose part came into quarantine after it was
-    /// checked.
-    pub(super) fn held_refusal(&self) -> Refusal {
-        self.context.core().held_prompt_refusal()
-    }
-
-    /// Finds out whether an upstream crashed that broke off this prompt before
-    /// or shortly after the beginning of its answer.
-    pub(super) fn suspect_crash(&self, upstream: &UpstreamId) {
-        if self.request.shared_parts.is_empty() {
-            return;
-        }
-        let core = self.context.core();
-        let Some(upstream) = core.upstreams().get(upstream) else {
-            return;
-        };
-        let prompt = SuspectPrompt {
-            attempt: xxh3_64(self.id().as_bytes()),
-            parts: self.request.shared_parts.clone(),
-        };
-        let entry = upstream.entry.clone();
-        let context = self.context.clone();
-        tokio::spawn(confirm_crash(context, entry, prompt));
-    }
-
-    /// Records that the answer, which began at `begun_at`, shows the prompt to
-    /// be sound.
-    pub(super) fn record_sound_prompt(&self, begun_at: Timestamp) {
-        let now = self.context.now();
-        let parts = &self.request.shared_parts;
-        let mut core = self.context.core();
-        core.record_sound_prompt(now, parts, begun_at);
-    }
-
     fn upstream_request(
         &self,
         metadata: &DispatchMetadata,
--- a/cli/src/gateway/prompt_quarantine.rs
+++ b/cli/src/gateway/prompt_quarantine.rs
@@ -14,16 +14,21 @@
         upstream_table::UpstreamEntry,
         wire::{GatewayWire, PartId, QuarantineRecord, StoreTopic},
     },
+    ids::UpstreamId,
     log_event::LogEvent,
+    refusal::Refusal,
+    units::Timestamp,
 };
 use http::StatusCode;
 use tokio::{
     net::TcpStream,
     sync::{Notify, watch},
 };
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::{
     SharedGateway, UPSTREAM_CONNECT_TIMEOUT,
+    forward::CallerAttempt,
     topic_reader::{STORE_TIMEOUT, call_store},
     unix_millis,
 };
@@ -51,22 +56,78 @@
     tokio::spawn(keep_records(context.clone()));
 }
 
-/// Resolves when a part of the prompt is in quarantine.
-pub(super) async fn wait_until_held<W: GatewayWire>(
-    context: &SharedGateway<W>,
-    parts: &[PartId],
-) {
-    let mut changes = context.quarantine.changes.subscribe();
-    while !context.core().is_prompt_held(context.now(), parts) {
-        if parts.is_empty() || changes.changed().await.is_err() {
-            std::future::pending::<()>().await;
+impl<W: GatewayWire> CallerAttempt<W> {
+    /// Shared parts of the prompt for the log.
+    pub(super) fn part_ids(&self) -> String {
+        let ids = self.request.shared_parts.iter().map(PartId::as_str);
+        ids.collect::<Vec<_>>().join(" ")
+    }
+
+    /// Whether the prompt may be sent to an engine now.
+    pub(super) fn check_prompt(&self) -> Result<(), Refusal> {
+        let now = self.context.now();
+        let parts = &self.request.shared_parts;
+        let checked = self.context.core().check_prompt(now, parts);
+        handle_changes(&self.context);
+        checked
+    }
+
+    /// Whether a part of the prompt is in quarantine.
+    pub(super) fn is_held(&self) -> bool {
+        let now = self.context.now();
+        let parts = &self.request.shared_parts;
+        self.context.core().is_prompt_held(now, parts)
+    }
+
+    /// Resolves when a part of the prompt is in quarantine.
+    pub(super) async fn wait_until_held(&self) {
+        let mut changes = self.context.quarantine.changes.subscribe();
+        while !self.is_held() {
+            let has_parts = !self.request.shared_parts.is_empty();
+            if !has_parts || changes.changed().await.is_err() {
+                std::future::pending::<()>().await;
+            }
+        }
+    }
+
+    /// Refusal of a prompt whose part came into quarantine after it was
+    /// checked.
+    pub(super) fn held_refusal(&self) -> Refusal {
+        self.context.core().held_prompt_refusal()
+    }
+
+    /// Finds out whether an upstream crashed that broke off this prompt before
+    /// or shortly after the beginning of its answer.
+    pub(super) fn suspect_crash(&self, upstream: &UpstreamId) {
+        if self.request.shared_parts.is_empty() {
+            return;
         }
+        let core = self.context.core();
+        let Some(upstream) = core.upstreams().get(upstream) else {
+            return;
+        };
+        let prompt = SuspectPrompt {
+            attempt: xxh3_64(self.id().as_bytes()),
+            parts: self.request.shared_parts.clone(),
+        };
+        let entry = upstream.entry.clone();
+        let context = self.context.clone();
+        tokio::spawn(confirm_crash(context, entry, prompt));
+    }
+
+    /// Records that the answer, which began at `begun_at`, shows the prompt to
+    /// be sound.
+    pub(super) fn record_sound_prompt(&self, begun_at: Timestamp) {
+        let now = self.context.now();
+        let parts = &self.request.shared_parts;
+        let mut core = self.context.core();
+        core.record_sound_prompt(now, parts, begun_at);
     }
 }
 
 /// Records a prompt whose answer broke off at its beginning, if the engine has
 /// crashed. An engine that accepts connections has only reset one.
-pub(super) async fn confirm_crash<W: GatewayWire>(
+async fn confirm_crash<W: GatewayWire>(
     context: SharedGateway<W>,
     entry: UpstreamEntry,
     prompt: SuspectPrompt,
--- a/cli/src/gateway/stream.rs
+++ b/cli/src/gateway/stream.rs
@@ -22,7 +22,6 @@
     caller_listener::{AnswerBody, EventBody},
     forward::{CallerAttempt, SendError, UpstreamReply},
     metrics::RequestEnd,
-    prompt_quarantine::wait_until_held,
 };
 
 /// Most events that are buffered for a slow caller.
@@ -104,10 +103,9 @@
         let elapsed = attempt.context.now().since(started_at);
         let limit = wait(reply.time_to_first_event).saturating_sub(elapsed);
         let step = next_step(&attempt, &mut cursor, &mut reply, limit, None);
-        let parts = &attempt.request.shared_parts;
         let step = tokio::select! {
             step = step => step,
-            () = wait_until_held(&attempt.context, parts) => {
+            () = attempt.wait_until_held() => {
                 let refusal = attempt.held_refusal();
                 return attempt.refuse(refusal);
             }
