gateway: split placement from the core's state, bound repeated reports

The core's placement is a module of its own, and the limits on sends to one upstream are applied by the limiter. Requests refused for used-up limits count as demand as well.

Quarantines and limits that have not changed lately were repeated in one heartbeat of eight whatever the size of the fleet; at 950 instances that is 200 reports a second at each. The interval now grows with the fleet (test_full_reports_are_repeated).

--- a/lib/src/gateway/dispatch_rate.rs
+++ b/lib/src/gateway/dispatch_rate.rs
@@ -16,7 +16,10 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::request_limit::RequestLimit;
+use super::{
+    request_limit::{LimitTable, RequestLimit},
+    upstream_table::TrackedUpstream,
+};
 use crate::{ids::UpstreamId, units::Timestamp};
 
 /// Window in which the requests to a cold upstream are counted.
@@ -152,6 +155,50 @@
         self.allows(now, upstream, share)
     }
 
+    /// Keeps the candidates whose limit, if they named one, allows one more
+    /// request. Those with a limit get no long prompts while there are others:
+    /// an upstream in need should not prefill shares of them.
+    pub fn retain_limited(
+        &mut self,
+        now: Timestamp,
+        own: IpAddr,
+        limits: &LimitTable,
+        is_long: bool,
+        candidates: &mut Vec<&TrackedUpstream>,
+    ) {
+        let limit_of = |upstream: &TrackedUpstream| {
+            limits.limit(&upstream.entry.process())
+        };
+        if is_long && candidates.iter().any(|it| limit_of(it).is_none()) {
+            candidates.retain(|upstream| limit_of(upstream).is_none());
+        }
+        candidates.retain(|upstream| {
+            limit_of(upstream).is_none_or(|limit| {
+                self.allows_limited(now, own, &upstream.entry.id, limit)
+            })
+        });
+    }
+
+    /// Keeps the candidates to which one more request may be sent, given the
+    /// rate that a cold one tolerates. Cold ones are kept only if none is warm.
+    pub fn retain_cold(
+        &mut self,
+        now: Timestamp,
+        own: IpAddr,
+        rate: f64,
+        candidates: &mut Vec<&TrackedUpstream>,
+    ) {
+        let any_warm = candidates.iter().any(|it| !it.is_cold(now));
+        candidates.retain(|upstream| {
+            let id = &upstream.entry.id;
+            if upstream.is_cold(now) {
+                !any_warm && self.allows_cold(now, own, id, rate)
+            } else {
+                self.allows_warm(now, id, rate)
+            }
+        });
+    }
+
     fn allows(
         &self,
         now: Timestamp,
--- a/lib/src/gateway/gateway_core/heartbeats.rs
+++ b/lib/src/gateway/gateway_core/heartbeats.rs
@@ -8,6 +8,8 @@
     time::Duration,
 };
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use super::GatewayCore;
 use crate::{
     gateway::{
@@ -19,6 +21,9 @@
     units::Timestamp,
 };
 
+/// One heartbeat in so many is a full report, in a small fleet.
+const FULL_REPORT_INTERVAL: u64 = 8;
+
 /// A heartbeat to send.
 #[derive(Clone, Debug, PartialEq)]
 pub struct HeartbeatPlan {
@@ -91,6 +96,7 @@
             sequence,
             relayed,
         );
+        let is_full = self.is_full_report(now, sequence);
         HeartbeatPlan {
             heartbeat,
             trailer: HeartbeatTrailer {
@@ -98,14 +104,25 @@
                 relay: false,
                 suspects: self.upstreams.avoided(now),
             },
-            prompts: self.quarantine.report(now, sequence),
-            limits: self.request_limits.report(now, sequence),
+            prompts: self.quarantine.report(now, is_full),
+            limits: self.request_limits.report(now, is_full),
             direct: self.peer_addresses(targets.direct),
             relays: self.peer_addresses(targets.relays),
             pause: self.members.heartbeat_interval(now),
         }
     }
 
+    /// Whether the heartbeat of this number repeats what has not changed lately.
+    /// The interval grows with the fleet, so that an instance hears about as
+    /// many full reports in any fleet, and differs between instances that
+    /// started together.
+    fn is_full_report(&self, now: Timestamp, sequence: u64) -> bool {
+        let instances = self.members.instance_count(now) as u64;
+        let interval = FULL_REPORT_INTERVAL.max(instances);
+        let offset = xxh3_64(self.settings.instance.as_str().as_bytes());
+        sequence.wrapping_add(offset).is_multiple_of(interval)
+    }
+
     fn peer_addresses(&self, ips: Vec<IpAddr>) -> Vec<SocketAddr> {
         let addresses = ips.into_iter();
         addresses
--- /dev/null
+++ b/lib/src/gateway/gateway_core/placing.rs
@@ -0,0 +1,249 @@
+//! Placement of admitted requests on upstreams.
+
+use std::time::Duration;
+
+use super::{
+    GatewayCore, NotPlaced, PlacementRequest, StartedRequest, memory_wait_max,
+};
+use crate::{
+    gateway::{
+        cost_model::EngineProfile,
+        engine_limits::EngineLimits,
+        placement::{
+            Placement, PlacementInputs, PromptSize, shared_prefill_min,
+        },
+        prefill_gate::{
+            GateDecision, GateInputs, RECHECK_INTERVAL, evaluate_gate,
+        },
+        routing_config::ServiceSpec,
+    },
+    ids::UpstreamId,
+    refusal::RefusalCode,
+    units::Timestamp,
+};
+
+/// Share of the request limit of a cold upstream that is used.
+const COLD_SHARE: f64 = 0.8;
+
+impl GatewayCore {
+    /// Chooses upstreams for a request and counts it as in flight on them.
+    pub fn place(
+        &mut self,
+        now: Timestamp,
+        request: &PlacementRequest<'_>,
+    ) -> Result<StartedRequest, NotPlaced> {
+        self.upstreams.expire(now);
+        let service = &request.admitted.service;
+        let Some(spec) = self
+            .config
+            .as_ref()
+            .and_then(|config| config.find_service(service))
+            .cloned()
+        else {
+            let text = format!("service {service} is not configured");
+            return Err(self.not_placed(RefusalCode::NoUpstream, &text));
+        };
+        let limits = self.engine_limits(request, &spec);
+        let own = self.settings.ip;
+        let limiter = &mut self.dispatch_limiter;
+        limiter.set_members(self.members.alive(now));
+        let bounds = &self.settings.bounds;
+        let cold_limit = (spec.cold_requests_per_s * bounds.cold_factor
+            + bounds.cold_slack)
+            * COLD_SHARE;
+        let mut candidates =
+            self.upstreams.candidates(now, service, request.excluded);
+        let untried = |id: &UpstreamId| !request.tried.contains(id);
+        if candidates.iter().any(|it| untried(&it.entry.id)) {
+            candidates.retain(|it| untried(&it.entry.id));
+        }
+        let is_long = match (&spec.engine, request.size) {
+            (Some(engine), Some(size)) => {
+                engine.prefill_time(size.prompt) > limits.long_prefill_min
+            }
+            _ => false,
+        };
+        if let (true, Some(engine), Some(size)) =
+            (request.is_new, &spec.engine, request.size)
+        {
+            let prefill = engine.prefill_time(size.prompt);
+            self.load_table.count_arrival(now, is_long, prefill);
+        }
+        let any_open = !candidates.is_empty();
+        self.request_limits.expire(now);
+        let named = &self.request_limits;
+        if !named.is_empty() {
+            limiter.retain_limited(now, own, named, is_long, &mut candidates);
+        }
+        if any_open && candidates.is_empty() {
+            let text = format!(
+                "the upstreams of {service} take no more requests within the \
+                 limits that they named",
+            );
+            return Err(self.not_placed(RefusalCode::NoCapacity, &text));
+        }
+        if spec.cold_requests_per_s > 0.0 {
+            limiter.retain_cold(now, own, cold_limit, &mut candidates);
+        }
+        let loads = self.load_table.total_loads(now);
+        let inputs = PlacementInputs {
+            now,
+            domain: &self.settings.failure_domain,
+            candidates,
+            loads: &loads,
+            demand: self.load_table.total_demand(now),
+            limits,
+        };
+        let placed = match (&spec.engine, request.size) {
+            (Some(engine), Some(size)) => {
+                inputs.place_prompt(engine, size, &mut self.rng)
+            }
+            _ => inputs.place_plain(&mut self.rng),
+        };
+        let Some(placed) = placed else {
+            let prompt = match (&spec.engine, request.size) {
+                (Some(engine), Some(size)) if !inputs.candidates.is_empty() => {
+                    Some((engine, size))
+                }
+                _ => None,
+            };
+            return Err(self.no_placement(request, prompt));
+        };
+        let gated = placed.in_flight.long && !request.is_resumed;
+        if let (true, Some(engine), Some(size)) =
+            (gated, &spec.engine, request.size)
+        {
+            let prefill = engine.prefill_time(size.prompt);
+            self.check_gate(request, &placed, prefill, &limits)?;
+        }
+        Ok(self.start_request(now, placed))
+    }
+
+    /// Limits on the load of a service's engines; without meaning for other
+    /// services.
+    fn engine_limits(
+        &self,
+        request: &PlacementRequest<'_>,
+        spec: &ServiceSpec,
+    ) -> EngineLimits {
+        let pause = self
+            .config
+            .as_ref()
+            .and_then(|config| config.shortest_pause(&spec.name))
+            .unwrap_or(request.admitted.route.gap_target);
+        let engine = spec.engine.as_ref();
+        engine.map_or_else(EngineLimits::default, |engine| {
+            EngineLimits::new(engine, pause)
+        })
+    }
+
+    /// Defers or refuses a long prompt that should not start now.
+    fn check_gate(
+        &mut self,
+        request: &PlacementRequest<'_>,
+        placed: &Placement,
+        prefill: Duration,
+        limits: &EngineLimits,
+    ) -> Result<(), NotPlaced> {
+        let route = &request.admitted.route;
+        let inputs = GateInputs {
+            prefill,
+            typical_prefill: limits.typical_long_prefill,
+            backlog: placed.backlog,
+            time_to_first_event: placed.time_to_first_event,
+            waited: request.waited,
+            target: route.latency_target,
+            abandon_after: route.abandon_after(),
+        };
+        match evaluate_gate(&inputs) {
+            GateDecision::Start => Ok(()),
+            GateDecision::Defer(pause) if pause < request.time_left => {
+                Err(NotPlaced::Defer { pause, prefill })
+            }
+            GateDecision::Defer(_) | GateDecision::Refuse => {
+                let text = format!(
+                    "the first event would come after {:?}; the engines have \
+                     {:?} of prefill left",
+                    request.waited + placed.time_to_first_event,
+                    placed.backlog,
+                );
+                Err(self.not_placed(RefusalCode::NoCapacity, &text))
+            }
+        }
+    }
+
+    /// Result of a placement that found no upstream. `prompt` holds the
+    /// engines' profile and the size of a prompt for which only KV cache is
+    /// missing: it waits for memory as long as it can still meet its target.
+    fn no_placement(
+        &mut self,
+        request: &PlacementRequest<'_>,
+        prompt: Option<(&EngineProfile, PromptSize)>,
+    ) -> NotPlaced {
+        let service = &request.admitted.service;
+        let Some((engine, size)) = prompt else {
+            let text = format!("no upstream of {service} can take the request");
+            return self.not_placed(RefusalCode::NoCapacity, &text);
+        };
+        let prefill = engine.prefill_time(size.prompt);
+        let target = request.admitted.route.latency_target;
+        let wait_max = memory_wait_max(target);
+        let first_event = request.waited + shared_prefill_min(prefill);
+        if first_event <= wait_max
+            && first_event < request.waited + request.time_left
+        {
+            return NotPlaced::Defer {
+                pause: RECHECK_INTERVAL,
+                prefill: Duration::ZERO,
+            };
+        }
+        let text = format!(
+            "the engines of {service} for long prompts have no memory for a \
+             prompt of {}",
+            size.prompt,
+        );
+        self.not_placed(RefusalCode::NoCapacity, &text)
+    }
+
+    fn not_placed(&mut self, code: RefusalCode, text: &str) -> NotPlaced {
+        NotPlaced::Refused(self.retryable_refusal(code, text))
+    }
+
+    /// Counts a placed request as in flight.
+    fn start_request(
+        &mut self,
+        now: Timestamp,
+        placed: Placement,
+    ) -> StartedRequest {
+        let tracked = |id: &UpstreamId| {
+            self.upstreams
+                .get(id)
+                .expect("a chosen upstream is in the table")
+        };
+        let first = tracked(&placed.upstream);
+        let entry_age = now.since(first.read_at);
+        let entry = first.entry.clone();
+        let helpers = placed
+            .helpers
+            .iter()
+            .map(|helper| {
+                (
+                    tracked(&helper.upstream).entry.clone(),
+                    helper.kv_reservation,
+                )
+            })
+            .collect();
+        self.dispatch_limiter.count(now, &entry.id);
+        let needs_heartbeat = placed.in_flight.in_prefill;
+        let in_flight_id = self.load_table.start(placed.in_flight);
+        StartedRequest {
+            entry,
+            helpers,
+            in_flight_id,
+            time_to_first_event: placed.time_to_first_event,
+            backlog: placed.backlog,
+            needs_heartbeat,
+            entry_age,
+        }
+    }
+}
--- a/lib/src/gateway/prompt_quarantine.rs
+++ b/lib/src/gateway/prompt_quarantine.rs
@@ -41,9 +41,6 @@
 const REPORTED_PROMPTS_MAX: usize = 8;
 /// Most parts of one kind in a report.
 const REPORTED_PARTS_MAX: usize = 32;
-/// One report in so many names the quarantines that have not changed lately,
-/// for instances that have just started.
-const FULL_REPORT_INTERVAL: u64 = 8;
 /// Longest time between two evaluations of unchanged evidence.
 const EVALUATION_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -228,8 +225,9 @@
         })
     }
 
-    /// Report to the other instances with the heartbeat of this number.
-    pub fn report(&mut self, now: Timestamp, sequence: u64) -> PromptReport {
+    /// Report to the other instances: what has changed lately, and all
+    /// quarantines if it is a full one.
+    pub fn report(&mut self, now: Timestamp, is_full: bool) -> PromptReport {
         self.update(now);
         let since = now.before(REPORT_TIME).unwrap_or(Timestamp::ZERO);
         let crashes = self.evidence.seen_crashes(since).into_iter();
@@ -248,7 +246,6 @@
             part: part.clone(),
             age_ms: age_ms(now, begun_at),
         });
-        let is_full = sequence.is_multiple_of(FULL_REPORT_INTERVAL);
         let mut entries: Vec<_> = self
             .entries
             .iter()
--- a/lib/src/gateway/request_limit.rs
+++ b/lib/src/gateway/request_limit.rs
@@ -24,8 +24,6 @@
 const END_REPORT_TIME: Duration = Duration::from_secs(10);
 /// Time for which a change is in each report; several heartbeats may be lost.
 const REPORT_TIME: Duration = Duration::from_secs(3);
-/// One report in so many names the limits that have not changed lately.
-const FULL_REPORT_INTERVAL: u64 = 8;
 /// Most limits in one report.
 const REPORTED_MAX: usize = 64;
 /// Most limits that are kept.
@@ -125,6 +123,11 @@
         self.limits.get(process)?.limit
     }
 
+    /// Whether no upstream names a limit.
+    pub fn is_empty(&self) -> bool {
+        self.limits.is_empty()
+    }
+
     /// Records what a process named at a time; older reports are ignored.
     pub fn record(
         &mut self,
@@ -179,10 +182,8 @@
         });
     }
 
-    /// Reports for the other instances, with the heartbeat of this number: those
-    /// that changed lately, and at times all.
-    pub fn report(&self, now: Timestamp, sequence: u64) -> Vec<LimitReport> {
-        let is_full = sequence.is_multiple_of(FULL_REPORT_INTERVAL);
+    /// Reports for the other instances: the limits that changed lately, or all.
+    pub fn report(&self, now: Timestamp, is_full: bool) -> Vec<LimitReport> {
         let mut named: Vec<_> = self
             .limits
             .iter()
--- a/lib/tests/gateway/test_prompt_quarantine.rs
+++ b/lib/tests/gateway/test_prompt_quarantine.rs
@@ -63,11 +63,9 @@
 }
 
 /// Sends each instance's report to all others.
-fn exchange(fleet: &mut [PromptQuarantine], now: Timestamp, sequence: u64) {
-    let reports: Vec<_> = fleet
-        .iter_mut()
-        .map(|it| it.report(now, sequence))
-        .collect();
+fn exchange(fleet: &mut [PromptQuarantine], now: Timestamp) {
+    let reports: Vec<_> =
+        fleet.iter_mut().map(|it| it.report(now, false)).collect();
     for (sender, report) in reports.into_iter().enumerate() {
         if report == PromptReport::default() {
             continue;
@@ -104,7 +102,7 @@
             let prompt = prompt(second, "base bad");
             fleet[instance].record_crash(now, process(second), prompt);
         }
-        exchange(&mut fleet, now.after(ms(5)), second);
+        exchange(&mut fleet, now.after(ms(5)));
     }
     assert_eq!(crashes, CRASHES_MIN);
     for quarantine in &mut fleet {
@@ -210,7 +208,7 @@
 fn test_quarantine_ends_after_sound_trial() {
     let mut fleet = vec![PromptQuarantine::default(); 3];
     let crashed = crash_each(&mut fleet[0], at(1_000), 0, &["base bad"; 3]);
-    exchange(&mut fleet, crashed, 0);
+    exchange(&mut fleet, crashed);
     let held = crashed.after(HOLD_TIME_MIN / 2);
     for quarantine in &mut fleet {
         let checked = quarantine.check(held, &parts("base bad"), |_| true);
@@ -224,7 +222,7 @@
     let now = now.after(ms(800));
     let begun_at = now.before(ms(600)).expect("time is after the start");
     fleet[0].record_sound(now, &bad, begun_at);
-    exchange(&mut fleet, now, 1);
+    exchange(&mut fleet, now);
     for quarantine in &mut fleet {
         assert!(!is_refused(quarantine, now, "base bad"));
     }
@@ -296,7 +294,7 @@
         let sound = parts(&format!("s{number}"));
         quarantine.record_sound(now, &sound, now);
     }
-    let report = quarantine.report(now, 0);
+    let report = quarantine.report(now, true);
     let prompts = report.crashes.iter().map(|crash| crash.prompts.len());
     assert!(prompts.sum::<usize>() <= 64, "{report:?}");
     assert!(report.sound.len() <= 32 && report.quarantined.len() <= 32);
@@ -363,7 +361,7 @@
                 fleet[instance].record_sound(now, &parts(&text), begun_at);
             }
             if step % 10 == 0 {
-                exchange(&mut fleet, now, step / 10);
+                exchange(&mut fleet, now);
             }
         }
         prop_assert!(late_sends <= 3, "{late_sends} late sends");
--- a/lib/tests/gateway/test_request_limits.rs
+++ b/lib/tests/gateway/test_request_limits.rs
@@ -169,15 +169,15 @@
     let mut first = LimitTable::default();
     let mut second = LimitTable::default();
     first.record(at(1_000), &process, Some(limit("1")), at(1_000));
-    let old = first.report(at(1_000), 1);
+    let old = first.report(at(1_000), false);
     second.merge(at(1_005), &old);
     assert_eq!(second.limit(&process), Some(limit("1")));
     second.record(at(2_000), &process, None, at(2_000));
     assert_eq!(second.limit(&process), None);
     // Arrives late, from an instance that does not know of the end.
-    second.merge(at(2_500), &first.report(at(2_500), 8));
+    second.merge(at(2_500), &first.report(at(2_500), true));
     assert_eq!(second.limit(&process), None);
-    first.merge(at(2_600), &second.report(at(2_600), 1));
+    first.merge(at(2_600), &second.report(at(2_600), false));
     assert_eq!(first.limit(&process), None);
 }
 
@@ -199,6 +199,27 @@
     assert_eq!(table.limit(&process), None);
 }
 
+/// Guards against an instance that starts and never learns of limits and
+/// quarantines that others have known for long, and against a fleet that repeats
+/// all of them in every heartbeat.
+#[rstest]
+#[case(7)]
+#[case(200)]
+fn test_full_reports_are_repeated(#[case] instances: u8) {
+    let mut core = core(1);
+    for index in 2..=instances {
+        let name = format!("entry-{index}");
+        let heartbeat = heartbeat(&name, [127, 0, 0, index]);
+        core.receive_heartbeat(at(10_000), heartbeat, None);
+    }
+    let limit = Some(limit("1"));
+    core.record_request_limit(at(1_000), &process("i-0"), limit);
+    let plans = (0..2_000).map(|_| core.next_heartbeat(at(10_000)));
+    let full = plans.filter(|plan| !plan.limits.is_empty()).count();
+    let expected = 2_000 / usize::from(instances.max(8));
+    assert!(full >= expected && full <= expected + 1, "{full}");
+}
+
 /// Requests, of `count` in a second, that are placed on engine `i-1` (second)
 /// and on others, as answering engine or helper.
 fn place_many(core: &mut GatewayCore, count: u64, prompt: u64) -> [usize; 2] {
