gateway: count crashes of engines that fall together once

Engines that fall together have a cause of their own, so their crashes now count as one. test_quarantine_counts_coinciding_crashes_once fails without the change.

--- a/lib/src/gateway/crash_evidence.rs
+++ b/lib/src/gateway/crash_evidence.rs
@@ -26,6 +26,9 @@
 /// Attempts of callers among them. One attempt may crash several engines, and
 /// another one that is retried with it crashes along.
 pub const ATTEMPTS_MIN: usize = 2;
+/// Time within which crashes of several engines count as one: engines that fall
+/// together have a cause of their own, such as a failed host.
+pub const COINCIDENCE_TIME: Duration = Duration::from_millis(100);
 /// Time after which a crash counts: until then other instances report the
 /// parts that they know to be sound.
 pub const SETTLE_TIME: Duration = Duration::from_millis(300);
@@ -77,7 +80,8 @@
 /// Crashes for which a part may be responsible.
 #[derive(Clone, Debug, Default)]
 struct PartSuspicion {
-    crashes: usize,
+    /// Times of the crashes, without those that coincide with an earlier one.
+    crashes: Vec<Timestamp>,
     attempts: BTreeSet<u64>,
     /// Position in the prompt; parts further back are shared by fewer prompts.
     position: usize,
@@ -193,24 +197,25 @@
         now: Timestamp,
         known: impl Fn(&PartId) -> bool,
     ) -> BTreeMap<PartId, Vec<Timestamp>> {
-        let mut unexplained: Vec<_> = self
-            .crashes
-            .values()
-            .filter(|crash| now.since(crash.learned_at) >= SETTLE_TIME)
-            .collect();
+        let mut unexplained = self.crashes_by_time();
+        unexplained.retain(|it| now.since(it.learned_at) >= SETTLE_TIME);
         let mut culprits = BTreeMap::new();
         while let Some(part) = self.strongest_suspect(&unexplained, &known) {
             let (explained, rest): (Vec<_>, Vec<_>) = unexplained
                 .into_iter()
                 .partition(|crash| self.is_suspect(&part, crash));
-            let mut times: Vec<_> = explained.iter().map(|it| it.at).collect();
-            times.sort();
-            culprits.insert(part, times);
+            culprits.insert(part, distinct_times(&explained));
             unexplained = rest;
         }
         culprits
     }
 
+    fn crashes_by_time(&self) -> Vec<&CrashRecord> {
+        let mut crashes: Vec<_> = self.crashes.values().collect();
+        crashes.sort_by_key(|crash| crash.at);
+        crashes
+    }
+
     /// The part in the most crashes. Of parts in about as many, the one
     /// furthest back in its prompts: the parts before it are shared by more
     /// prompts and occur in the same crashes.
@@ -222,28 +227,28 @@
         let mut suspects = self.suspicions(crashes);
         suspects.retain(|part, suspicion| {
             known(part)
-                || (suspicion.crashes >= CRASHES_MIN
+                || (suspicion.crashes.len() >= CRASHES_MIN
                     && suspicion.attempts.len() >= ATTEMPTS_MIN)
         });
-        let most = suspects.values().map(|it| it.crashes).max()?;
+        let most = suspects.values().map(|it| it.crashes.len()).max()?;
         let enough = most - (most / 4).max(1).min(most - 1);
         let found = suspects
             .iter()
-            .filter(|(_, suspicion)| suspicion.crashes >= enough)
+            .filter(|(_, suspicion)| suspicion.crashes.len() >= enough)
             .max_by_key(|(_, suspicion)| {
-                (suspicion.position, suspicion.crashes)
+                (suspicion.position, suspicion.crashes.len())
             });
         found.map(|(part, _)| (*part).clone())
     }
 
-    /// Suspicions against all parts that are not known to be sound.
+    /// Suspicions against all parts that are not known to be sound. `crashes` are
+    /// in the order of their times.
     fn suspicions<'a>(
         &self,
         crashes: &[&'a CrashRecord],
     ) -> BTreeMap<&'a PartId, PartSuspicion> {
         let mut suspects = BTreeMap::<_, PartSuspicion>::new();
         for crash in crashes {
-            let mut counted = BTreeSet::new();
             for (attempt, parts) in &crash.prompts {
                 for (position, part) in parts.iter().enumerate() {
                     if self.is_sound(part, crash.at) {
@@ -252,7 +257,7 @@
                     let suspicion = suspects.entry(part).or_default();
                     suspicion.attempts.insert(*attempt);
                     suspicion.position = suspicion.position.max(position);
-                    suspicion.crashes += usize::from(counted.insert(part));
+                    add_distinct(&mut suspicion.crashes, crash.at);
                 }
             }
         }
@@ -265,8 +270,9 @@
 
     /// Number of crashes for which a part may be responsible.
     pub fn crashes_with(&self, part: &PartId) -> usize {
-        let crashes = self.crashes.values();
-        crashes.filter(|it| self.is_suspect(part, it)).count()
+        let mut crashes = self.crashes_by_time();
+        crashes.retain(|crash| self.is_suspect(part, crash));
+        distinct_times(&crashes).len()
     }
 
     /// Crashes that this instance saw itself after `since`, newest first, with
@@ -338,6 +344,23 @@
     }
 }
 
+/// Times of crashes, which are in their order, without those that coincide with
+/// an earlier one.
+fn distinct_times(crashes: &[&CrashRecord]) -> Vec<Timestamp> {
+    let mut times = Vec::new();
+    for crash in crashes {
+        add_distinct(&mut times, crash.at);
+    }
+    times
+}
+
+fn add_distinct(times: &mut Vec<Timestamp>, at: Timestamp) {
+    let coincides = |last: &Timestamp| at.since(*last) < COINCIDENCE_TIME;
+    if !times.last().is_some_and(coincides) {
+        times.push(at);
+    }
+}
+
 impl CrashRecord {
     fn contains(&self, part: &PartId) -> bool {
         self.prompts.values().any(|parts| parts.contains(part))
