serve: keep the listener open until the last address list has expired

The instance waited for the TTL of the address list from its own stop on, while others hand out its address until they hear of the stop; a caller that uses such a list at its end comes too late.

--- a/cli/src/commands/serve.rs
+++ b/cli/src/commands/serve.rs
@@ -5,7 +5,7 @@
     path::PathBuf,
     process::ExitCode,
     sync::Arc,
-    time::{SystemTime, UNIX_EPOCH},
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use borageline_lib::{
@@ -37,6 +37,9 @@
 
 /// Exit code for invalid settings.
 const SETTINGS_ERROR: u8 = 2;
+/// Time within which the other instances learn of a planned stop, and list the
+/// address no longer.
+const LEAVE_PROPAGATION: Duration = Duration::from_millis(500);
 
 /// Run one instance until it is told to stop.
 #[derive(Clone, Debug, Bpaf)]
@@ -178,14 +181,14 @@
         &self.context.handle
     }
 
-    /// Makes a planned stop. For the TTL of the address list, the instance
-    /// still serves callers but no longer lists its address; then it closes
-    /// the listener and waits for running requests.
+    /// Makes a planned stop. Until the last address list with its address has
+    /// expired, the instance still serves callers; then it closes the listener
+    /// and waits for running requests.
     pub async fn stop(self) {
         let limits = &self.context.settings.limits;
         self.context.begin_stop();
         self.context.handle.stop().await;
-        tokio::time::sleep(limits.address_ttl).await;
+        tokio::time::sleep(limits.address_ttl + LEAVE_PROPAGATION).await;
         self.stop.cancel();
         // An error means that the task of the listener panicked.
         let open_connections = self.callers.await.unwrap_or_default();
--- a/cli/tests/test_faults/test_stops.rs
+++ b/cli/tests/test_faults/test_stops.rs
@@ -21,6 +21,8 @@
 
 /// Time within which a stopping instance must end.
 const STOP_LIMIT: Duration = Duration::from_secs(15);
+/// Time for which an instance does not learn of a stop.
+const LIST_DELAY: Duration = Duration::from_millis(300);
 /// Number of concurrent callers.
 const CALLERS: usize = 9;
 
@@ -135,3 +137,32 @@
         bad[0],
     );
 }
+
+/// Guards against an instance that closes its listener before the last address
+/// list with its address has expired: another instance that was paused for a
+/// moment hands out such a list after the planned stop has begun.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn test_stops_serve_callers_of_late_lists() {
+    let plan = FleetPlan {
+        engine_arguments: vec!["--start-warm"],
+        ..FleetPlan::default()
+    };
+    let mut fleet = TestFleet::start(plan).await;
+    let leaving = fleet.addresses()[0];
+    let other = fleet.addresses()[1];
+    fleet.signal(1, ChildSignal::Stop);
+    fleet.signal(0, ChildSignal::Terminate);
+    sleep(LIST_DELAY).await;
+    let list = tokio::spawn(async move { fetch_addresses(&[other]).await });
+    fleet.signal(1, ChildSignal::Continue);
+    let (addresses, expires) = list.await.unwrap().expect("a list");
+    if !addresses.contains(&leaving) {
+        // The instance learned of the stop first.
+        return;
+    }
+    let almost = expires - Duration::from_millis(20);
+    tokio::time::sleep_until(almost.into()).await;
+    let request = completion(&unique_prompt(300), 10, 20_000);
+    let record = send_one(&CallerClient::new(), leaving, &request).await;
+    assert!(record.answered(), "{record:?}");
+}
