gateway: spare sound prompts when an instance was cut off

Found by reading: an instance that loses its connections to all engines takes that for crashes, sees no answer go on meanwhile, and may hold common parts of prompts. The others know better, but told it so only while the crashes were reported, for 3 s.

An engine counts as crashed only if it refuses connections; where nothing answers, the instance may be the one that is cut off. New quarantines are reported for 10 s, and an instance that hears of one of a part that it knows to be sound reports that. test_quarantine_ends_when_others_know_better failed before.

--- a/cli/src/gateway/prompt_quarantine.rs
+++ b/cli/src/gateway/prompt_quarantine.rs
@@ -126,7 +126,8 @@
 }
 
 /// Records a prompt whose answer broke off at its beginning, if the engine has
-/// crashed. An engine that accepts connections has only reset one.
+/// crashed. An engine that accepts connections has only reset one, and where
+/// nothing answers, this instance may be cut off.
 async fn confirm_crash<W: GatewayWire>(
     context: SharedGateway<W>,
     entry: UpstreamEntry,
@@ -138,13 +139,13 @@
         let connect = TcpStream::connect(entry.address);
         let connected =
             tokio::time::timeout(UPSTREAM_CONNECT_TIMEOUT, connect).await;
-        if matches!(connected, Ok(Ok(_))) {
+        if !matches!(connected, Ok(Err(_))) {
             return;
         }
         log_decision!(
             LogEvent::EngineCrashed,
             { upstream = entry.id, address = entry.address },
-            "the engine accepts no connections after it broke off a request",
+            "the engine refuses connections after it broke off a request",
         );
     }
     let now = context.now();
--- a/lib/src/gateway/prompt_quarantine.rs
+++ b/lib/src/gateway/prompt_quarantine.rs
@@ -35,6 +35,9 @@
 /// Time for which a crash is reported to other instances; several heartbeats
 /// may be lost.
 const REPORT_TIME: Duration = Duration::from_secs(3);
+/// Time for which a new quarantine is in each report; an instance that was cut
+/// off may have it alone, and learns by then that others know better.
+const CHANGE_REPORT_TIME: Duration = Duration::from_secs(10);
 /// Most crashes in one report.
 const REPORTED_CRASHES_MAX: usize = 8;
 /// Most prompts of one crash in a report.
@@ -145,7 +148,8 @@
 pub struct PromptQuarantine {
     evidence: CrashEvidence,
     entries: BTreeMap<PartId, QuarantineEntry>,
-    /// Parts that left the quarantine within [`TRIAL_INTERVAL`].
+    /// Parts that left the quarantine, or that others have wrongly in theirs,
+    /// within [`TRIAL_INTERVAL`]; reported as sound.
     released: BTreeMap<PartId, Timestamp>,
     changes: Vec<QuarantineChange>,
     /// Version of the evidence at the last evaluation, and its time.
@@ -249,7 +253,9 @@
         let mut entries: Vec<_> = self
             .entries
             .iter()
-            .filter(|(_, it)| is_full || now.since(it.changed_at) < REPORT_TIME)
+            .filter(|(_, it)| {
+                is_full || now.since(it.changed_at) < CHANGE_REPORT_TIME
+            })
             .collect();
         entries.sort_by_key(|(_, it)| Reverse(it.last_crash_at));
         let entries = entries.into_iter();
@@ -291,6 +297,8 @@
     pub fn restore(&mut self, now: Timestamp, report: QuarantineReport) {
         let last_crash_at = before(now, report.age_ms);
         if self.evidence.is_sound(&report.part, last_crash_at) {
+            // The sender learns it from the next reports.
+            self.released.insert(report.part, now);
             return;
         }
         let is_new = !self.entries.contains_key(&report.part);
@@ -393,6 +401,9 @@
 
     /// Drops the quarantines with the oldest crashes above the bound.
     fn bound_entries(&mut self) {
+        while self.released.len() > QUARANTINED_MAX {
+            self.released.pop_first();
+        }
         while self.entries.len() > QUARANTINED_MAX {
             let oldest =
                 self.entries.iter().min_by_key(|(_, it)| it.last_crash_at);
--- a/lib/tests/gateway/test_prompt_quarantine.rs
+++ b/lib/tests/gateway/test_prompt_quarantine.rs
@@ -244,6 +244,25 @@
     }
 }
 
+/// Guards against an instance that refuses sound requests for long, since it was
+/// cut off when its engines seemed to crash and saw no answers go on.
+#[test]
+fn test_quarantine_ends_when_others_know_better() {
+    let mut fleet = vec![PromptQuarantine::default(); 3];
+    let now = crash_each(&mut fleet[0], at(20_000), 0, &["base"; 3]);
+    assert!(is_refused(&mut fleet[0], now, "base"));
+    // The others hear of it when the crashes are no longer reported.
+    let now = now.after(ms(4_000));
+    let begun_at = now.before(ms(1_000)).expect("time is after the start");
+    fleet[1].record_sound(now, &parts("base"), begun_at);
+    exchange(&mut fleet, now);
+    exchange(&mut fleet, now.after(ms(200)));
+    let now = now.after(ms(200));
+    for quarantine in &mut fleet {
+        assert!(!is_refused(quarantine, now, "base"));
+    }
+}
+
 /// Guards against trials that crash engines again and again: a crash in a trial
 /// doubles the time to the next one.
 #[test]
