gateway: tell callers of held prompts when to return

A prompt whose part came into quarantine while it waited was refused with a time to return of a second, and then again for the rest of the hold time. An answer that arrives with the quarantine is taken first.

--- a/cli/src/gateway/forward.rs
+++ b/cli/src/gateway/forward.rs
@@ -321,9 +321,10 @@
         };
         let request = self.upstream_request(&metadata, &started);
         let sent = tokio::select! {
+            biased;
             sent = self.context.upstreams.send(target, request) => sent,
-            () = self.wait_until_held() => {
-                return Err(SendError::Refused(self.held_refusal()));
+            refusal = self.wait_until_held() => {
+                return Err(SendError::Refused(refusal));
             }
         };
         let upstream = started.entry.id.clone();
@@ -448,14 +449,9 @@
     /// Chooses an upstream; waits as long as the prompt is deferred.
     async fn place(&self, is_resumed: bool) -> Result<StartedRequest, Refusal> {
         let mut deferred = None;
-        let parts = &self.request.shared_parts;
         loop {
-            if self
-                .context
-                .core()
-                .is_prompt_held(self.context.now(), parts)
-            {
-                return Err(self.held_refusal());
+            if let Some(refusal) = self.held_refusal() {
+                return Err(refusal);
             }
             let request = PlacementRequest {
                 admitted: &self.admitted,
--- a/cli/src/gateway/prompt_quarantine.rs
+++ b/cli/src/gateway/prompt_quarantine.rs
@@ -72,17 +72,21 @@
         checked
     }
 
-    /// Whether a part of the prompt is in quarantine.
-    pub(super) fn is_held(&self) -> bool {
+    /// Refusal of the prompt if a part of it came into quarantine after it was
+    /// checked.
+    pub(super) fn held_refusal(&self) -> Option<Refusal> {
         let now = self.context.now();
         let parts = &self.request.shared_parts;
-        self.context.core().is_prompt_held(now, parts)
+        self.context.core().held_prompt_refusal(now, parts)
     }
 
-    /// Resolves when a part of the prompt is in quarantine.
-    pub(super) async fn wait_until_held(&self) {
+    /// Resolves when a part of the prompt comes into quarantine.
+    pub(super) async fn wait_until_held(&self) -> Refusal {
         let mut changes = self.context.quarantine.changes.subscribe();
-        while !self.is_held() {
+        loop {
+            if let Some(refusal) = self.held_refusal() {
+                return refusal;
+            }
             let has_parts = !self.request.shared_parts.is_empty();
             if !has_parts || changes.changed().await.is_err() {
                 std::future::pending::<()>().await;
@@ -90,12 +94,6 @@
         }
     }
 
-    /// Refusal of a prompt whose part came into quarantine after it was
-    /// checked.
-    pub(super) fn held_refusal(&self) -> Refusal {
-        self.context.core().held_prompt_refusal()
-    }
-
     /// Finds out whether an upstream crashed that broke off this prompt before
     /// or shortly after the beginning of its answer.
     pub(super) fn suspect_crash(&self, upstream: &UpstreamId) {
--- a/cli/src/gateway/stream.rs
+++ b/cli/src/gateway/stream.rs
@@ -104,9 +104,9 @@
         let limit = wait(reply.time_to_first_event).saturating_sub(elapsed);
         let step = next_step(&attempt, &mut cursor, &mut reply, limit, None);
         let step = tokio::select! {
+            biased;
             step = step => step,
-            () = attempt.wait_until_held() => {
-                let refusal = attempt.held_refusal();
+            refusal = attempt.wait_until_held() => {
                 return attempt.refuse(refusal);
             }
         };
--- a/lib/src/gateway/gateway_core/quarantine.rs
+++ b/lib/src/gateway/gateway_core/quarantine.rs
@@ -35,17 +35,16 @@
         checked.map_err(|found| self.quarantine_refusal(&found))
     }
 
-    /// Whether a prompt that passed [`Self::check_prompt`] must no longer wait
-    /// for an answer, since one of its parts is in quarantine by now.
-    pub fn is_prompt_held(&self, now: Timestamp, parts: &[PartId]) -> bool {
-        self.quarantine.is_held(now, parts)
-    }
-
-    /// Refusal of a prompt whose part came into quarantine while it waited for
-    /// an answer.
-    pub fn held_prompt_refusal(&mut self) -> Refusal {
-        let text = "prompts with a part of this one crash engines";
-        self.retryable_refusal(RefusalCode::PromptQuarantined, text)
+    /// Refusal of a prompt that passed [`Self::check_prompt`] and must no longer
+    /// wait for an answer, since one of its parts is in quarantine by now; `None`
+    /// if none is.
+    pub fn held_prompt_refusal(
+        &mut self,
+        now: Timestamp,
+        parts: &[PartId],
+    ) -> Option<Refusal> {
+        let found = self.quarantine.find_held(now, parts)?;
+        Some(self.quarantine_refusal(&found))
     }
 
     /// Whether this instance makes the trials of a part and keeps its record in
--- a/lib/src/gateway/prompt_quarantine.rs
+++ b/lib/src/gateway/prompt_quarantine.rs
@@ -220,12 +220,20 @@
         Ok(())
     }
 
-    /// Whether one of these parts is in quarantine and not on trial.
-    pub fn is_held(&self, now: Timestamp, parts: &[PartId]) -> bool {
-        parts.iter().any(|part| {
-            self.entries
-                .get(part)
-                .is_some_and(|entry| now < entry.held_until())
+    /// First of these parts that is in quarantine and not on trial.
+    pub fn find_held(
+        &self,
+        now: Timestamp,
+        parts: &[PartId],
+    ) -> Option<QuarantinedPrompt> {
+        parts.iter().find_map(|part| {
+            let entry = self.entries.get(part)?;
+            let held = entry.held_until().since(now);
+            (held > Duration::ZERO).then(|| QuarantinedPrompt {
+                part: part.clone(),
+                crashes: entry.crashes,
+                retry_after: held,
+            })
         })
     }
 
