--- a/lib/src/gateway/prompt_quarantine.rs
+++ b/lib/src/gateway/prompt_quarantine.rs
@@ -88,7 +88,7 @@
     /// What an instance tells the others about harmful prompts.
     #[derive(Default, Eq)]
     pub struct PromptReport {
-        /// Crashes that the sender saw within [`REPORT_TIME`].
+        /// Crashes that the sender saw in the last seconds.
         pub crashes: Vec<CrashReport>,
         /// Parts of crashed prompts that are sound.
         pub sound: Vec<SoundReport>,
