placement: let engines with used-up limits help with long prompts

An engine that had no share of its limit left was no candidate at all, and one with a limit got no part of a long prompt. Its memory and its place in the order of the pools were lost, though a share of a prompt is no request to it.

Such engines stay candidates and answer nothing. test_placement_spares_engine_in_need keeps the bound on answers, and asks for the help.

--- a/lib/src/gateway/dispatch_rate.rs
+++ b/lib/src/gateway/dispatch_rate.rs
@@ -9,7 +9,7 @@
 //! members change holds few more requests than others.
 
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     net::IpAddr,
     time::Duration,
 };
@@ -155,28 +155,25 @@
         self.allows(now, upstream, share)
     }
 
-    /// Keeps the candidates whose limit, if they named one, allows one more
-    /// request. Those with a limit get no long prompts while there are others:
-    /// an upstream in need should not prefill shares of them.
-    pub fn retain_limited(
+    /// Candidates whose limit, if they named one, allows no more requests of
+    /// this instance now.
+    pub fn exhausted(
         &mut self,
         now: Timestamp,
         own: IpAddr,
         limits: &LimitTable,
-        is_long: bool,
-        candidates: &mut Vec<&TrackedUpstream>,
-    ) {
-        let limit_of = |upstream: &TrackedUpstream| {
-            limits.limit(&upstream.entry.process())
-        };
-        if is_long && candidates.iter().any(|it| limit_of(it).is_none()) {
-            candidates.retain(|upstream| limit_of(upstream).is_none());
+        candidates: &[&TrackedUpstream],
+    ) -> BTreeSet<UpstreamId> {
+        if limits.is_empty() {
+            return BTreeSet::new();
         }
-        candidates.retain(|upstream| {
-            limit_of(upstream).is_none_or(|limit| {
-                self.allows_limited(now, own, &upstream.entry.id, limit)
-            })
+        let ids = candidates.iter().filter_map(|upstream| {
+            let limit = limits.limit(&upstream.entry.process())?;
+            let id = &upstream.entry.id;
+            let allowed = self.allows_limited(now, own, id, limit);
+            (!allowed).then(|| id.clone())
         });
+        ids.collect()
     }
 
     /// Keeps the candidates to which one more request may be sent, given the
--- a/lib/src/gateway/gateway_core/placing.rs
+++ b/lib/src/gateway/gateway_core/placing.rs
@@ -69,13 +69,10 @@
             let prefill = engine.prefill_time(size.prompt);
             self.load_table.count_arrival(now, is_long, prefill);
         }
-        let any_open = !candidates.is_empty();
         self.request_limits.expire(now);
-        let named = &self.request_limits;
-        if !named.is_empty() {
-            limiter.retain_limited(now, own, named, is_long, &mut candidates);
-        }
-        if any_open && candidates.is_empty() {
+        let helpers_only =
+            limiter.exhausted(now, own, &self.request_limits, &candidates);
+        if !candidates.is_empty() && helpers_only.len() == candidates.len() {
             let text = format!(
                 "the upstreams of {service} take no more requests within the \
                  limits that they named",
@@ -90,6 +87,7 @@
             now,
             domain: &self.settings.failure_domain,
             candidates,
+            helpers_only,
             loads: &loads,
             demand: self.load_table.total_demand(now),
             limits,
--- a/lib/src/gateway/placement.rs
+++ b/lib/src/gateway/placement.rs
@@ -9,7 +9,10 @@
 //! instances. The scheme is made for floods of short prompts and floods of
 //! long ones in turn.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use rand::{Rng, seq::IteratorRandom};
 use xxhash_rust::xxh3::xxh3_64;
@@ -101,6 +104,9 @@
     pub domain: &'a DomainId,
     /// Upstreams that may be chosen.
     pub candidates: Vec<&'a TrackedUpstream>,
+    /// Candidates that must not get a request now; engines among them may
+    /// prefill shares of prompts that others answer.
+    pub helpers_only: BTreeSet<UpstreamId>,
     /// Load of each upstream; one without an entry has no load.
     pub loads: &'a BTreeMap<UpstreamId, UpstreamLoad>,
     /// Prefill demand of the callers of all instances.
@@ -118,6 +124,11 @@
             .unwrap_or_default()
     }
 
+    /// Whether a candidate may get a request now.
+    fn may_answer(&self, candidate: &TrackedUpstream) -> bool {
+        !self.helpers_only.contains(&candidate.entry.id)
+    }
+
     fn domain_cost(&self, candidate: &TrackedUpstream) -> Duration {
         if candidate.entry.domain == *self.domain {
             Duration::ZERO
@@ -129,7 +140,8 @@
     /// Chooses an upstream for a request without prompt size: the one with the
     /// fewest requests in flight. `None` if there are no candidates.
     pub fn place_plain(&self, rng: &mut impl Rng) -> Option<Placement> {
-        let candidate = self.candidates.iter().min_by_key(|candidate| {
+        let open = self.candidates.iter().filter(|it| self.may_answer(it));
+        let candidate = open.min_by_key(|candidate| {
             let load = self.load(candidate);
             (
                 load.requests(),
@@ -234,6 +246,7 @@
         let sample = candidates
             .iter()
             .enumerate()
+            .filter(|(_, candidate)| self.may_answer(candidate))
             .choose_multiple(rng, considered);
         let ranked = sample.into_iter().map(|(rank, candidate)| {
             let wait =
@@ -349,13 +362,23 @@
         // prefill: a pass with a decoding request takes the time of all its
         // decode steps.
         let decoders = pool.len().div_ceil(ENGINES_PER_DECODER).max(1);
-        let roomiest =
-            *pool.iter().max_by_key(|it| self.free_kv(it, capacity))?;
+        let open = pool.iter().filter(|it| self.may_answer(it));
+        let roomiest = open
+            .max_by_key(|it| self.free_kv(it, capacity))
+            .copied()
+            .or_else(|| {
+                let others = self.candidates.iter().copied();
+                let open = others.filter(|it| self.may_answer(it));
+                open.max_by_key(|it| self.free_kv(it, capacity))
+            })?;
         let answering = pool
             .iter()
             .rev()
             .take(decoders)
-            .filter(|candidate| self.free_kv(candidate, capacity) >= need)
+            .filter(|candidate| {
+                self.may_answer(candidate)
+                    && self.free_kv(candidate, capacity) >= need
+            })
             .min_by_key(|candidate| self.load(candidate).prefill_left_ms)
             .map_or(roomiest, |candidate| *candidate);
         let prefillers = pool[..pool.len() - decoders].iter().copied();
