gateway: log when the platform's store was restored

Nothing in the log told a restored store from one that was only away, nor whether an instance that read on had missed records. The era that the store states in each response is read now, and store_restored logs each change of it. Calls to the store move to a module of their own.

--- a/cli/src/gateway.rs
+++ b/cli/src/gateway.rs
@@ -17,6 +17,7 @@
 mod record_applier;
 mod reload;
 mod reservations;
+mod store_client;
 mod stream;
 mod topic_reader;
 mod whole_answer;
--- a/cli/src/gateway/prompt_quarantine.rs
+++ b/cli/src/gateway/prompt_quarantine.rs
@@ -29,7 +29,7 @@
 use super::{
     SharedGateway, UPSTREAM_CONNECT_TIMEOUT,
     forward::CallerAttempt,
-    topic_reader::{STORE_TIMEOUT, call_store},
+    store_client::{STORE_TIMEOUT, call_store},
     unix_millis,
 };
 use crate::{log_decision, logging};
--- a/cli/src/gateway/topic_reader.rs
+++ b/cli/src/gateway/topic_reader.rs
@@ -23,15 +23,10 @@
     SharedGateway,
     peer_copies::{self, CopyQuery},
     record_applier::RecordApplier,
-    reservations::with_absolute_uri,
-};
-use crate::{
-    http_client::{CallTarget, HttpError, read_response_body},
-    log_decision, logging,
+    store_client::{ReadError, STORE_TIMEOUT, call_store},
 };
+use crate::{log_decision, logging};
 
-/// Timeout for a response of the store, in addition to a long poll.
-pub(super) const STORE_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Pause after the first failed call; it doubles with each further one.
 const RETRY_DELAY_MIN: Duration = Duration::from_millis(150);
 /// Longest pause after a failed call.
@@ -49,50 +44,6 @@
     tokio::spawn(register_instance(context.clone()));
 }
 
-/// Why a call to the store failed.
-#[derive(Debug)]
-pub(super) enum ReadError {
-    Call(HttpError),
-    Status(StatusCode),
-    Malformed(borageline_lib::gateway::wire::WireError),
-}
-
-impl std::fmt::Display for ReadError {
-    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        match self {
-            Self::Call(error) => write!(formatter, "{error}"),
-            Self::Status(status) => {
-                write!(formatter, "unexpected status {status}")
-            }
-            Self::Malformed(error) => write!(formatter, "{error}"),
-        }
-    }
-}
-
-/// Calls the store and reads the whole response.
-pub(super) async fn call_store<W: GatewayWire>(
-    context: &SharedGateway<W>,
-    request: Request<Bytes>,
-    timeout: Duration,
-) -> Result<(StatusCode, Bytes), ReadError> {
-    let peer = context.settings().store;
-    let target = CallTarget {
-        step: "store",
-        peer,
-        timeout,
-    };
-    let request = with_absolute_uri(request, peer);
-    let called = async {
-        let response = context.store.send(target, request).await?;
-        let status = response.status();
-        let body = read_response_body(target, response.into_body()).await?;
-        Ok((status, body))
-    };
-    let answer = called.await;
-    context.metrics.count_store_call(answer.is_ok());
-    answer.map_err(ReadError::Call)
-}
-
 /// Follows one topic and applies its records.
 struct TopicReader<W> {
     context: SharedGateway<W>,
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -31,6 +31,7 @@
 pub mod request_timings;
 pub mod retry_budget;
 pub mod routing_config;
+pub mod store_era;
 pub mod stream_cursor;
 pub mod topic_copy;
 pub mod upstream_table;
--- a/lib/src/gateway/gateway_core.rs
+++ b/lib/src/gateway/gateway_core.rs
@@ -32,6 +32,7 @@
     request_limit::LimitTable,
     retry_budget::ServiceRetryBudget,
     routing_config::{CallerIdentity, ConfigVersion, RouteSpec, RoutingConfig},
+    store_era::{EraChange, EraTracker, StoreEra},
     topic_copy::TopicCopy,
     upstream_table::{UpstreamChange, UpstreamEntry, UpstreamTable},
     wire::StoreTopic,
@@ -152,6 +153,7 @@
     upstreams_loaded: bool,
     /// Whether new requests are accepted; false once a planned stop has begun.
     serving: bool,
+    store_era: EraTracker,
     upstreams: UpstreamTable,
     load_table: LoadTable,
     retry_budgets: BTreeMap<ServiceName, ServiceRetryBudget>,
@@ -184,6 +186,7 @@
             config: None,
             upstreams_loaded: false,
             serving: true,
+            store_era: EraTracker::default(),
             upstreams: UpstreamTable::default(),
             load_table: LoadTable::default(),
             retry_budgets: BTreeMap::new(),
@@ -271,6 +274,12 @@
         self.upstreams.store_recovered(now);
     }
 
+    /// Records the era of the store that sent a response; `None` if the
+    /// response states none.
+    pub fn observe_era(&mut self, era: Option<StoreEra>) -> EraChange {
+        self.store_era.observe(era)
+    }
+
     /// Local copy of a topic, from which other instances read.
     pub fn topic_copy(&mut self, topic: StoreTopic) -> &mut TopicCopy {
         self.topic_copies.entry(topic).or_default()
--- /dev/null
+++ b/lib/src/gateway/store_era.rs
@@ -0,0 +1,55 @@
+//! Eras of the platform's store.
+//!
+//! The store may be restored from an earlier copy of itself. It then has lost
+//! the latest records and reuses their offsets, so an offset identifies a
+//! record only within an era, which the store states in its responses.
+
+use crate::quantity_type;
+
+quantity_type! {
+    /// Number of times that the store was restored.
+    StoreEra, ""
+}
+
+/// How the era of a response relates to those of earlier ones.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EraChange {
+    /// The store was not restored since the last response.
+    Unchanged,
+    /// The store was restored.
+    Restored,
+    /// The response was sent before the store was restored.
+    Outdated,
+}
+
+/// Newest era that an instance knows of.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct EraTracker {
+    newest: Option<StoreEra>,
+    /// Whether a response without an era was received.
+    unnumbered: bool,
+}
+
+impl EraTracker {
+    /// Newest era; `None` if no response stated one.
+    pub fn newest(&self) -> Option<StoreEra> {
+        self.newest
+    }
+
+    /// Records the era of a response; `None` if it states none.
+    pub fn observe(&mut self, era: Option<StoreEra>) -> EraChange {
+        let Some(era) = era else {
+            self.unnumbered |= self.newest.is_none();
+            return EraChange::Unchanged;
+        };
+        let before = self.newest;
+        self.newest = before.max(Some(era));
+        match before {
+            None if self.unnumbered => EraChange::Restored,
+            None => EraChange::Unchanged,
+            Some(before) if before < era => EraChange::Restored,
+            Some(before) if before > era => EraChange::Outdated,
+            Some(_) => EraChange::Unchanged,
+        }
+    }
+}
--- a/lib/src/gateway/wire.rs
+++ b/lib/src/gateway/wire.rs
@@ -21,7 +21,7 @@
 use super::{
     member_table::Heartbeat, placement::PromptSize,
     request_limit::RequestLimit, routing_config::RoutingConfig,
-    upstream_table::UpstreamChange,
+    store_era::StoreEra, upstream_table::UpstreamChange,
 };
 use crate::{
     id_type,
@@ -300,6 +300,10 @@
 
 /// Calls to the platform's store.
 pub trait StoreWire {
+    /// Era of the store that sent a response with these headers; `None` if
+    /// they state none.
+    fn era(&self, headers: &HeaderMap) -> Option<StoreEra>;
+
     /// Creates a request for the newest record of each key, in pages: `after`
     /// is the last key of the page before.
     fn newest(&self, topic: StoreTopic, after: Option<&str>) -> Request<Bytes>;
--- a/lib/src/log_event.rs
+++ b/lib/src/log_event.rs
@@ -128,6 +128,8 @@
     ReadSourceChanged = 623, "read_source_changed", Info;
     /// The copy of a topic offered by another instance cannot be used.
     CopyRejected = 624, "copy_rejected", Warn;
+    /// The store was restored from an earlier copy of itself.
+    StoreRestored = 625, "store_restored", Warn;
     /// A changed settings file was loaded.
     SettingsReloaded = 630, "settings_reloaded", Info;
     /// The changed settings file is invalid; the previous settings stay in
