gateway: state the store's era with each offset

Callers got 404 on routes that had been added, and answers of services that a route had left, on all instances that read another instance's copy: after the store was restored from an earlier copy, its offsets start again below theirs, so that the copy seemed to have nothing new and the records below the old offset were never read. An instance that reads the store itself misses them too, if they fill the offsets up to its own before its next read.

An offset is only valid within an era of the store now. Positions, copies and queries for copies carry the era; a reader from another era reads the topic in full, and once more when the restored records are complete. Responses and copies from before the restore are rejected. The era follows the copy in the message, so that older builds beside this one ignore it.

--- a/cli/src/gateway.rs
+++ b/cli/src/gateway.rs
@@ -15,6 +15,7 @@
 mod peer_copies;
 mod prompt_quarantine;
 mod record_applier;
+mod registration;
 mod reload;
 mod reservations;
 mod store_client;
@@ -37,6 +38,7 @@
     gateway::{
         gateway_core::GatewayCore,
         gateway_settings::GatewaySettings,
+        store_era::StoreEra,
         wire::{GatewayWire, StoreTopic},
     },
     log_event::LogEvent,
@@ -85,6 +87,8 @@
     peers: HttpClient,
     /// Notifies pending reads of other instances of a new record.
     copy_changes: watch::Sender<()>,
+    /// Notifies the tasks that use the store that it was restored.
+    store_eras: watch::Sender<Option<StoreEra>>,
     /// Records of the quarantine to write to the store, and the requests that
     /// wait while a quarantine may begin.
     quarantine: QuarantineTasks,
@@ -119,6 +123,7 @@
             store: HttpClient::with_connect_timeout(STORE_CONNECT_TIMEOUT),
             peers: HttpClient::with_connect_timeout(PEER_CONNECT_TIMEOUT),
             copy_changes: watch::Sender::new(()),
+            store_eras: watch::Sender::new(None),
             quarantine: QuarantineTasks::default(),
             started: Instant::now(),
             stopping: AtomicBool::new(false),
@@ -187,6 +192,7 @@
     heartbeats::start(&context).await?;
     peer_copies::serve(&context)?;
     topic_reader::start(&context);
+    registration::start(&context);
     prompt_quarantine::start(&context);
     reload::start(&context, path)?;
     terminate.recv().await;
--- a/cli/src/gateway/heartbeats.rs
+++ b/cli/src/gateway/heartbeats.rs
@@ -207,7 +207,7 @@
 }
 
 /// Decodes the value at the beginning; returns it and the bytes after it.
-fn decode_first<T: Serialize + DeserializeOwned>(
+pub(super) fn decode_first<T: Serialize + DeserializeOwned>(
     bytes: &[u8],
 ) -> Result<(T, &[u8]), bincode::Error> {
     // Decoding from a slice bounds every length by the size of the datagram.
--- a/cli/src/gateway/peer_copies.rs
+++ b/cli/src/gateway/peer_copies.rs
@@ -1,27 +1,31 @@
 //! Transfers copies of the store's topics between instances.
 //!
-//! `GET /topics/TOPIC/FROM/WAIT_MS` at the first peer port returns a
-//! [`CopyResponse`] in bincode: the records from offset FROM on, or the newest
-//! record of each key if FROM is `all`. If there is no new record, the
-//! response is delayed until there is one, by at most WAIT_MS. An instance
-//! that has not read the topic yet responds with status 503.
+//! `GET /topics/TOPIC/FROM/WAIT_MS?ERA` at the first peer port returns a
+//! [`CopyResponse`] in bincode, followed by the era of its offsets: the records
+//! from offset FROM on, or the newest record of each key if FROM is `all` or an
+//! offset of another era than ERA. If there is no new record, the response is
+//! delayed until there is one, by at most WAIT_MS. An instance that has not read
+//! the topic yet responds with status 503. Older builds neither send nor read
+//! the eras.
 
 use std::{fmt::Display, io, net::IpAddr, time::Duration};
 
 use borageline_lib::{
     gateway::{
+        store_era::TopicPosition,
         topic_copy::{COPY_VERSION, CopyResponse},
         wire::{GatewayWire, StoreTopic},
     },
     units::LogOffset,
 };
 use bytes::Bytes;
-use http::{Method, Request, Response, StatusCode};
+use http::{Method, Request, Response, StatusCode, Uri};
 use http_body_util::Full;
 use hyper::body::Incoming;
 
 use super::{
     SharedGateway,
+    heartbeats::decode_first,
     listener::{empty_response, serve_requests},
 };
 use crate::{
@@ -68,7 +72,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct CopyQuery {
     pub(super) topic: StoreTopic,
-    pub(super) from: Option<LogOffset>,
+    pub(super) from: Option<TopicPosition>,
     pub(super) wait: Duration,
 }
 
@@ -77,17 +81,23 @@
         let topic = self.topic;
         let from = self
             .from
-            .map_or_else(|| FROM_ALL.into(), |from| from.to_string());
+            .map_or_else(|| FROM_ALL.into(), |from| from.next.to_string());
         let wait = self.wait.as_millis();
-        format!("{PATH_PREFIX}{topic}/{from}/{wait}")
+        let era = self.from.and_then(|from| from.era);
+        let era = era.map_or_else(String::new, |era| format!("?{era}"));
+        format!("{PATH_PREFIX}{topic}/{from}/{wait}{era}")
     }
 
-    fn parse(path: &str) -> Option<Self> {
-        let mut parts = path.strip_prefix(PATH_PREFIX)?.split('/');
+    fn parse(uri: &Uri) -> Option<Self> {
+        let era = uri.query().map(str::parse).transpose().ok()?;
+        let mut parts = uri.path().strip_prefix(PATH_PREFIX)?.split('/');
         let topic = parts.next()?.parse().ok()?;
         let from = match parts.next()? {
             FROM_ALL => None,
-            offset => Some(offset.parse().ok()?),
+            offset => {
+                let next: LogOffset = offset.parse().ok()?;
+                Some(TopicPosition::new(era, next))
+            }
         };
         let wait = Duration::from_millis(parts.next()?.parse().ok()?);
         parts.next().is_none().then_some(Self {
@@ -122,11 +132,26 @@
     if status != StatusCode::OK {
         return Err(CopyError::Status(status));
     }
-    let copy: CopyResponse =
-        bincode::deserialize(&body).map_err(CopyError::Malformed)?;
+    decode(&body)
+}
+
+fn encode(copy: &CopyResponse) -> Vec<u8> {
+    let mut bytes =
+        bincode::serialize(copy).expect("copies contain only plain values");
+    bincode::serialize_into(&mut bytes, &copy.era)
+        .expect("eras are plain values");
+    bytes
+}
+
+fn decode(bytes: &[u8]) -> Result<CopyResponse, CopyError> {
+    let (mut copy, rest) =
+        decode_first::<CopyResponse>(bytes).map_err(CopyError::Malformed)?;
     if copy.version != COPY_VERSION {
         return Err(CopyError::Version(copy.version));
     }
+    if !rest.is_empty() {
+        (copy.era, _) = decode_first(rest).map_err(CopyError::Malformed)?;
+    }
     Ok(copy)
 }
 
@@ -152,7 +177,7 @@
     context: &SharedGateway<W>,
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
-    let Some(query) = CopyQuery::parse(request.uri().path()) else {
+    let Some(query) = CopyQuery::parse(request.uri()) else {
         return empty_response(StatusCode::NOT_FOUND);
     };
     // Subscribes before the first check, so that no record is missed in
@@ -160,7 +185,8 @@
     let mut changes = context.copy_changes.subscribe();
     let waited = async {
         let is_new = |context: &SharedGateway<W>| {
-            context.core().topic_copy(query.topic).next_offset() > query.from
+            let mut core = context.core();
+            core.topic_copy(query.topic).has_news_for(query.from)
         };
         while !is_new(context) && changes.changed().await.is_ok() {}
     };
@@ -170,11 +196,7 @@
     let now = context.now();
     let copy = context.core().topic_copy(query.topic).read(now, query.from);
     match copy {
-        Some(copy) => {
-            let bytes = bincode::serialize(&copy)
-                .expect("copies contain only plain values");
-            Response::new(Full::new(bytes.into()))
-        }
+        Some(copy) => Response::new(Full::new(encode(&copy).into())),
         None => empty_response(StatusCode::SERVICE_UNAVAILABLE),
     }
 }
--- a/cli/src/gateway/prompt_quarantine.rs
+++ b/cli/src/gateway/prompt_quarantine.rs
@@ -229,15 +229,17 @@
         let topic = StoreTopic::Quarantine;
         let request = context.wire.newest(topic, after.as_deref());
         let page = match call_store(context, request, STORE_TIMEOUT).await {
-            Ok((StatusCode::OK, body)) => context
-                .wire
-                .read_newest(&body)
-                .map_err(|error| error.to_string())?,
-            // The topic is created by the first record.
-            Ok((StatusCode::NOT_FOUND, _)) => return Ok(()),
-            Ok((status, _)) => {
-                return Err(format!("quarantine records: status {status}"));
-            }
+            Ok(response) => match response.status {
+                StatusCode::OK => context
+                    .wire
+                    .read_newest(&response.body)
+                    .map_err(|error| error.to_string())?,
+                // The topic is created by the first record.
+                StatusCode::NOT_FOUND => return Ok(()),
+                status => {
+                    return Err(format!("quarantine records: status {status}"));
+                }
+            },
             Err(error) => return Err(format!("quarantine records: {error}")),
         };
         let now = context.now();
@@ -270,8 +272,10 @@
     let record = context.wire.write_quarantine(part, record.as_ref());
     let request = context.wire.append(StoreTopic::Quarantine, &record);
     match call_store(context, request, STORE_TIMEOUT).await {
-        Ok((StatusCode::OK, _)) => Ok(()),
-        Ok((status, _)) => Err(format!("quarantine of {part}: {status}")),
+        Ok(response) if response.status == StatusCode::OK => Ok(()),
+        Ok(response) => {
+            Err(format!("quarantine of {part}: {}", response.status))
+        }
         Err(error) => Err(format!("quarantine of {part}: {error}")),
     }
 }
--- a/cli/src/gateway/store_client.rs
+++ b/cli/src/gateway/store_client.rs
@@ -7,13 +7,13 @@
 
 use borageline_lib::{
     gateway::{
-        store_era::EraChange,
+        store_era::{EraChange, StoreEra},
         wire::{GatewayWire, WireError},
     },
     log_event::LogEvent,
 };
 use bytes::Bytes;
-use http::{HeaderMap, Request, StatusCode};
+use http::{Request, StatusCode};
 
 use super::{SharedGateway, reservations::with_absolute_uri};
 use crate::{
@@ -30,6 +30,8 @@
     Call(HttpError),
     Status(StatusCode),
     Malformed(WireError),
+    /// The store was restored before all parts of the response were read.
+    Restored,
 }
 
 impl Display for ReadError {
@@ -40,16 +42,27 @@
                 write!(formatter, "unexpected status {status}")
             }
             Self::Malformed(error) => write!(formatter, "{error}"),
+            Self::Restored => formatter.write_str("the store was restored"),
         }
     }
 }
 
-/// Calls the store and reads the whole response.
+/// Response of the store.
+#[derive(Debug)]
+pub(super) struct StoreResponse {
+    pub(super) status: StatusCode,
+    pub(super) body: Bytes,
+    /// Era of the store; `None` if it states none.
+    pub(super) era: Option<StoreEra>,
+}
+
+/// Calls the store and reads the whole response. Fails if the store was restored
+/// since it sent the response.
 pub(super) async fn call_store<W: GatewayWire>(
     context: &SharedGateway<W>,
     request: Request<Bytes>,
     timeout: Duration,
-) -> Result<(StatusCode, Bytes), ReadError> {
+) -> Result<StoreResponse, ReadError> {
     let peer = context.settings().store;
     let target = CallTarget {
         step: "store",
@@ -60,25 +73,33 @@
     let called = async {
         let response = context.store.send(target, request).await?;
         let status = response.status();
-        observe_era(context, response.headers());
+        let era = context.wire.era(response.headers());
         let body = read_response_body(target, response.into_body()).await?;
-        Ok((status, body))
+        Ok(StoreResponse { status, body, era })
     };
     let answer = called.await;
     context.metrics.count_store_call(answer.is_ok());
-    answer.map_err(ReadError::Call)
+    let response = answer.map_err(ReadError::Call)?;
+    match observe_era(context, response.era) {
+        EraChange::Unchanged | EraChange::Restored => Ok(response),
+        EraChange::Outdated => Err(ReadError::Restored),
+    }
 }
 
-fn observe_era<W: GatewayWire>(
+/// Records the era that a response of the store or a copy of a topic states.
+pub(super) fn observe_era<W: GatewayWire>(
     context: &SharedGateway<W>,
-    headers: &HeaderMap,
-) {
-    let era = context.wire.era(headers);
-    if context.core().observe_era(era) == EraChange::Restored {
+    era: Option<StoreEra>,
+) -> EraChange {
+    let now = context.now();
+    let change = context.core().observe_era(now, era);
+    if change == EraChange::Restored {
         log_decision!(
             LogEvent::StoreRestored,
             { era = era.unwrap_or_default() },
             "the store was restored from an earlier copy",
         );
+        context.store_eras.send_replace(era);
     }
+    change
 }
--- a/cli/src/gateway/topic_reader.rs
+++ b/cli/src/gateway/topic_reader.rs
@@ -4,12 +4,18 @@
 //! from the store or from the instance that reads for the failure domain
 //! ([`ReadSource`]). If the store has dropped records that were not read yet,
 //! the topic is read in full again.
+//!
+//! If the store was restored from an earlier copy, its offsets start from that
+//! copy's end, and what was written since the copy is written again after a
+//! while. So the topic is then read in full twice: at once, and when the
+//! restored records are complete.
 
 use std::{net::IpAddr, time::Duration};
 
 use borageline_lib::{
     gateway::{
         reader_selection::{ReadSchedule, ReadSource},
+        store_era::{EraChange, StoreEra, TopicPosition},
         topic_copy::CopyResponse,
         wire::{GatewayWire, KeyedRecord, NewestPage, StoreTopic, TailPage},
     },
@@ -18,14 +24,17 @@
 };
 use bytes::Bytes;
 use http::{Request, StatusCode};
+use tokio::sync::watch;
 
 use super::{
     SharedGateway,
     peer_copies::{self, CopyQuery},
     record_applier::RecordApplier,
-    store_client::{ReadError, STORE_TIMEOUT, call_store},
+    store_client::{
+        ReadError, STORE_TIMEOUT, StoreResponse, call_store, observe_era,
+    },
 };
-use crate::{log_decision, logging};
+use crate::log_decision;
 
 /// Pause after the first failed call; it doubles with each further one.
 const RETRY_DELAY_MIN: Duration = Duration::from_millis(150);
@@ -35,13 +44,12 @@
 /// returning further pages.
 const PAGES_MAX: usize = 200;
 
-/// Starts to follow the topics and registers this instance.
+/// Starts to follow the topics.
 pub(super) fn start<W: GatewayWire>(context: &SharedGateway<W>) {
     let control = TopicReader::new(context.clone(), StoreTopic::Control);
     tokio::spawn(control.run());
     let upstreams = TopicReader::new(context.clone(), StoreTopic::Upstreams);
     tokio::spawn(upstreams.run());
-    tokio::spawn(register_instance(context.clone()));
 }
 
 /// Follows one topic and applies its records.
@@ -49,8 +57,12 @@
     context: SharedGateway<W>,
     topic: StoreTopic,
     applier: RecordApplier<W>,
-    /// Offset of the next record to read; `None` before the first read.
-    next: Option<LogOffset>,
+    /// Position of the next record to read; `None` before the first read.
+    position: Option<TopicPosition>,
+    /// When the topic is to be read in full again.
+    reread_at: Option<Timestamp>,
+    /// Notifies of a restored store.
+    eras: watch::Receiver<Option<StoreEra>>,
     /// Source of the last read.
     source: Option<ReadSource>,
     /// Start of the current outage; `None` if the last read succeeded.
@@ -63,9 +75,11 @@
     fn new(context: SharedGateway<W>, topic: StoreTopic) -> Self {
         Self {
             applier: RecordApplier::new(context.clone(), topic),
+            eras: context.store_eras.subscribe(),
             context,
             topic,
-            next: None,
+            position: None,
+            reread_at: None,
             source: None,
             failed_since: None,
             failures: 0,
@@ -105,19 +119,32 @@
                 }
                 Err(error) => {
                     let pause = self.record_failure(&error);
-                    if self.next.is_none() {
+                    if self.position.is_none() {
                         self.bootstrap_from_copy().await;
                     }
                     pause
                 }
             };
-            tokio::time::sleep(pause).await;
+            tokio::select! {
+                () = tokio::time::sleep(pause) => {}
+                () = self.wait_for_restore(), if self.failures == 0 => {}
+            }
+        }
+    }
+
+    /// Resolves when the store is restored after the last read.
+    async fn wait_for_restore(&mut self) {
+        let is_outdated = |era: &Option<StoreEra>| {
+            self.position.is_some_and(|position| position.era < *era)
+        };
+        if self.eras.wait_for(is_outdated).await.is_err() {
+            std::future::pending().await
         }
     }
 
     fn select_source(&mut self) -> ReadSource {
         let now = self.context.now();
-        let source = match self.next {
+        let source = match self.position {
             // A copy may be of any age, so the first read goes to the store.
             None => ReadSource::Store { shared: false },
             Some(_) => self.context.core().read_source(now),
@@ -199,12 +226,12 @@
         ip: IpAddr,
         schedule: ReadSchedule,
     ) -> Result<(), String> {
+        let started_at = self.context.now();
         let query = CopyQuery {
             topic: self.topic,
-            from: self.next,
+            from: self.read_position(started_at),
             wait: schedule.long_poll,
         };
-        let started_at = self.context.now();
         let timeout = schedule.long_poll + schedule.peer_timeout;
         let copy = peer_copies::fetch(&self.context, ip, query, timeout)
             .await
@@ -214,10 +241,31 @@
             Some(age) => return Err(format!("the copy is {age:?} old")),
             None => return Err("the copy's age is unknown".into()),
         }
+        self.check_era(&copy)?;
         self.apply_copy(started_at, schedule.long_poll, &copy);
         Ok(())
     }
 
+    /// Position from which to read; `None` to read the topic in full.
+    fn read_position(&self, now: Timestamp) -> Option<TopicPosition> {
+        let is_due = self.reread_at.is_some_and(|at| at <= now);
+        self.position.filter(|_| !is_due)
+    }
+
+    /// Checks that a copy was read after the last known restore of the store.
+    fn check_era(&self, copy: &CopyResponse) -> Result<(), String> {
+        let known = self.context.core().store_era();
+        match observe_era(&self.context, copy.era) {
+            EraChange::Outdated => {
+                Err("the copy is from before the store's restore".into())
+            }
+            _ if copy.era.is_none() && known.is_some() => {
+                Err("the copy states no era".into())
+            }
+            _ => Ok(()),
+        }
+    }
+
     /// Reads a random instance's copy, whatever its age, since the store is
     /// unavailable and this instance has no records yet.
     async fn bootstrap_from_copy(&mut self) {
@@ -234,6 +282,10 @@
         match peer_copies::fetch(&self.context, ip, query, STORE_TIMEOUT).await
         {
             Ok(copy) => {
+                if let Err(reason) = self.check_era(&copy) {
+                    self.reject_copy(ip, &reason);
+                    return;
+                }
                 log_decision!(
                     LogEvent::TopicReread,
                     {
@@ -271,7 +323,7 @@
             }
         }
         if copy.is_snapshot {
-            self.replace(read_at, &copy.records, copy.next);
+            self.replace(read_at, &copy.records, copy.position());
         } else {
             self.extend(read_at, &copy.records, copy.next);
         }
@@ -281,12 +333,16 @@
         &mut self,
         read_at: Option<Timestamp>,
         records: &[KeyedRecord],
-        next: LogOffset,
+        position: TopicPosition,
     ) {
         self.applier.replace(records);
-        self.next = Some(next);
+        let now = self.context.now();
         let mut core = self.context.core();
-        core.topic_copy(self.topic).replace(read_at, records, next);
+        // Also reads again what was read just before the records were complete.
+        self.reread_at = core.restored_until().filter(|until| now < *until);
+        self.position = Some(position);
+        core.topic_copy(self.topic)
+            .replace(read_at, records, position);
         drop(core);
         self.context.notify_copy_readers(self.topic);
     }
@@ -298,7 +354,9 @@
         next: LogOffset,
     ) {
         self.applier.apply(records);
-        self.next = Some(next);
+        if let Some(position) = &mut self.position {
+            position.next = next;
+        }
         let mut core = self.context.core();
         core.topic_copy(self.topic).extend(read_at, records, next);
         drop(core);
@@ -306,7 +364,7 @@
     }
 
     async fn read_store(&mut self, wait: Duration) -> Result<(), ReadError> {
-        match self.next {
+        match self.read_position(self.context.now()) {
             None => self.read_all().await,
             Some(from) => self.read_tail(from, wait).await,
         }
@@ -314,20 +372,24 @@
 
     async fn read_tail(
         &mut self,
-        from: LogOffset,
+        from: TopicPosition,
         wait: Duration,
     ) -> Result<(), ReadError> {
         let started_at = self.context.now();
-        let request = self.context.wire.tail(self.topic, from, wait);
-        let (status, body) =
+        let request = self.context.wire.tail(self.topic, from.next, wait);
+        let StoreResponse { status, body, era } =
             call_store(&self.context, request, wait + STORE_TIMEOUT).await?;
         if status != StatusCode::OK && status != StatusCode::GONE {
             return Err(ReadError::Status(status));
         }
+        if era != from.era {
+            self.log_reread(from, "the store was restored");
+            return self.read_all().await;
+        }
         let page = self
             .context
             .wire
-            .read_tail(from, status, &body)
+            .read_tail(from.next, status, &body)
             .map_err(ReadError::Malformed)?;
         match page {
             TailPage::Records { records, next } => {
@@ -338,9 +400,8 @@
                 Ok(())
             }
             TailPage::Gap => {
-                log_decision!(
-                    LogEvent::TopicReread,
-                    { topic = self.topic, from = from },
+                self.log_reread(
+                    from,
                     "the store dropped records before they were read",
                 );
                 self.read_all().await
@@ -348,18 +409,30 @@
         }
     }
 
+    fn log_reread(&self, from: TopicPosition, text: &str) {
+        log_decision!(
+            LogEvent::TopicReread,
+            { topic = self.topic, from = from.next },
+            "{text}",
+        );
+    }
+
     /// Reads the newest record of each key.
     async fn read_all(&mut self) -> Result<(), ReadError> {
         let started_at = self.context.now();
         let mut records = Vec::new();
-        let mut end = None;
+        let mut start = None;
         for _ in 0..PAGES_MAX {
             let after = records.last().map(|record: &KeyedRecord| &*record.key);
             let request = self.context.wire.newest(self.topic, after);
-            let page = self.newest_page(request).await?;
+            let (page, era) = self.newest_page(request).await?;
             // The pages are no consistent snapshot. Records that were written
             // after the first page are read again from its end offset on.
-            end.get_or_insert(page.end);
+            let first: &TopicPosition =
+                start.get_or_insert(TopicPosition::new(era, page.end));
+            if first.era != era {
+                return Err(ReadError::Restored);
+            }
             let more = page.more && !page.records.is_empty();
             records.extend(page.records);
             if !more {
@@ -367,64 +440,22 @@
             }
         }
         self.record_recovery();
-        let next = end.unwrap_or_default();
-        self.replace(Some(started_at), &records, next);
+        if let Some(position) = start {
+            self.replace(Some(started_at), &records, position);
+        }
         Ok(())
     }
 
     async fn newest_page(
         &self,
         request: Request<Bytes>,
-    ) -> Result<NewestPage, ReadError> {
-        let (status, body) =
+    ) -> Result<(NewestPage, Option<StoreEra>), ReadError> {
+        let StoreResponse { status, body, era } =
             call_store(&self.context, request, STORE_TIMEOUT).await?;
         if status != StatusCode::OK {
             return Err(ReadError::Status(status));
         }
-        self.context
-            .wire
-            .read_newest(&body)
-            .map_err(ReadError::Malformed)
-    }
-}
-
-/// Publishes this instance's address, and reads those of the others.
-async fn register_instance<W: GatewayWire>(context: SharedGateway<W>) {
-    let now = context.now();
-    let heartbeat = context.core().heartbeat(now);
-    let record = context.wire.write_instance(&heartbeat);
-    let mut pause = RETRY_DELAY_MIN;
-    loop {
-        let request = context.wire.append(StoreTopic::Instances, &record);
-        match call_store(&context, request, STORE_TIMEOUT).await {
-            Ok((StatusCode::OK, _)) => break,
-            Ok((status, _)) => {
-                let text =
-                    format!("registration of the instance: status {status}");
-                logging::event(LogEvent::LogUnavailable, &text);
-            }
-            Err(error) => {
-                let text = format!("registration of the instance: {error}");
-                logging::event(LogEvent::LogUnavailable, &text);
-            }
-        }
-        tokio::time::sleep(pause).await;
-        pause = (pause * 2).min(RETRY_DELAY_MAX * 4);
-    }
-    loop {
-        let request = context.wire.newest(StoreTopic::Instances, None);
-        let page = match call_store(&context, request, STORE_TIMEOUT).await {
-            Ok((StatusCode::OK, body)) => context.wire.read_newest(&body).ok(),
-            _ => None,
-        };
-        if let Some(page) = page {
-            for record in &page.records {
-                if let Some(ip) = context.wire.read_instance(record) {
-                    context.core().add_probe_address(ip);
-                }
-            }
-            return;
-        }
-        tokio::time::sleep(pause).await;
+        let page = self.context.wire.read_newest(&body);
+        page.map(|page| (page, era)).map_err(ReadError::Malformed)
     }
 }
--- a/lib/src/gateway/gateway_core.rs
+++ b/lib/src/gateway/gateway_core.rs
@@ -154,6 +154,8 @@
     /// Whether new requests are accepted; false once a planned stop has begun.
     serving: bool,
     store_era: EraTracker,
+    /// When the records of the restored store are complete.
+    restored_until: Option<Timestamp>,
     upstreams: UpstreamTable,
     load_table: LoadTable,
     retry_budgets: BTreeMap<ServiceName, ServiceRetryBudget>,
@@ -187,6 +189,7 @@
             upstreams_loaded: false,
             serving: true,
             store_era: EraTracker::default(),
+            restored_until: None,
             upstreams: UpstreamTable::default(),
             load_table: LoadTable::default(),
             retry_budgets: BTreeMap::new(),
@@ -276,8 +279,28 @@
 
     /// Records the era of the store that sent a response; `None` if the
     /// response states none.
-    pub fn observe_era(&mut self, era: Option<StoreEra>) -> EraChange {
-        self.store_era.observe(era)
+    pub fn observe_era(
+        &mut self,
+        now: Timestamp,
+        era: Option<StoreEra>,
+    ) -> EraChange {
+        let change = self.store_era.observe(era);
+        if change == EraChange::Restored {
+            let until = now.after(self.settings.bounds.restore_grace());
+            self.restored_until = Some(until);
+        }
+        change
+    }
+
+    /// Newest era of the store; `None` if it states none.
+    pub fn store_era(&self) -> Option<StoreEra> {
+        self.store_era.newest()
+    }
+
+    /// Time from which the records of the restored store are complete; `None`
+    /// if it was not restored while this process ran.
+    pub fn restored_until(&self) -> Option<Timestamp> {
+        self.restored_until
     }
 
     /// Local copy of a topic, from which other instances read.
--- a/lib/src/gateway/gateway_settings.rs
+++ b/lib/src/gateway/gateway_settings.rs
@@ -57,6 +57,16 @@
     pub cold_slack: f64,
     /// Longest TTL of a KV-cache reservation on an engine, in milliseconds.
     pub hold_ms: u64,
+    /// Interval at which upstreams write their list entries, in milliseconds.
+    #[serde(default = "upstream_heartbeat_ms_default")]
+    pub upstream_heartbeat_ms: u64,
+}
+
+/// Heartbeats of an upstream without which its list entry lapses.
+const LAPSE_HEARTBEATS: u32 = 3;
+
+fn upstream_heartbeat_ms_default() -> u64 {
+    1_500
 }
 
 impl GatewayBounds {
@@ -89,6 +99,14 @@
         Duration::from_millis(self.hold_ms)
     }
 
+    /// Time for which the store's records may be outdated after it was restored
+    /// from a copy: until upstreams that have left have lapsed, and one more
+    /// heartbeat.
+    pub fn restore_grace(&self) -> Duration {
+        let heartbeat = Duration::from_millis(self.upstream_heartbeat_ms);
+        heartbeat * (LAPSE_HEARTBEATS + 1)
+    }
+
     /// Time between SIGTERM and SIGKILL.
     pub fn grace(&self) -> Duration {
         Duration::from_secs_f64(self.grace_s)
--- a/lib/src/gateway/store_era.rs
+++ b/lib/src/gateway/store_era.rs
@@ -4,13 +4,29 @@
 //! the latest records and reuses their offsets, so an offset identifies a
 //! record only within an era, which the store states in its responses.
 
-use crate::quantity_type;
+use crate::{quantity_type, units::LogOffset};
 
 quantity_type! {
     /// Number of times that the store was restored.
     StoreEra, ""
 }
 
+/// Position of a reader in a topic.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TopicPosition {
+    /// Era in which the offset is valid; `None` if the store states none.
+    pub era: Option<StoreEra>,
+    /// Offset of the next record to read.
+    pub next: LogOffset,
+}
+
+impl TopicPosition {
+    /// Creates a position.
+    pub fn new(era: Option<StoreEra>, next: LogOffset) -> Self {
+        Self { era, next }
+    }
+}
+
 /// How the era of a response relates to those of earlier ones.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EraChange {
--- a/lib/src/gateway/topic_copy.rs
+++ b/lib/src/gateway/topic_copy.rs
@@ -5,7 +5,8 @@
 //! copy in place of the store, and an instance that starts while the store is
 //! unavailable bootstraps from it. A copy states how long ago its records were
 //! read from the store, including the time spent in the copies of other
-//! instances.
+//! instances, and in which era of the store: offsets of different eras are not
+//! comparable, so a reader from another era gets the newest record of each key.
 
 use std::{
     collections::{BTreeMap, VecDeque},
@@ -15,7 +16,10 @@
 
 use bytes::Bytes;
 
-use super::wire::KeyedRecord;
+use super::{
+    store_era::{StoreEra, TopicPosition},
+    wire::KeyedRecord,
+};
 use crate::{
     units::{LogOffset, Timestamp},
     value_type,
@@ -48,6 +52,10 @@
         pub records: Vec<KeyedRecord>,
         /// Offset after the last record.
         pub next: LogOffset,
+        /// Era of the store in which the offsets are valid. It is sent after
+        /// the other fields, where older builds ignore it.
+        #[serde(skip)]
+        pub era: Option<StoreEra>,
     }
 }
 
@@ -57,6 +65,11 @@
     pub fn age(&self) -> Option<Duration> {
         self.age_ms.map(Duration::from_millis)
     }
+
+    /// Position after the last record.
+    pub fn position(&self) -> TopicPosition {
+        TopicPosition::new(self.era, self.next)
+    }
 }
 
 /// Records of one read: those from offset `from` on and before `next`.
@@ -76,7 +89,7 @@
     /// Recent reads, oldest first.
     recent: VecDeque<RecordBatch>,
     recent_bytes: usize,
-    next: Option<LogOffset>,
+    position: Option<TopicPosition>,
     /// When the copy was last read from the store, directly or through others.
     read_at: Option<Timestamp>,
     recovered_at: Option<Timestamp>,
@@ -89,17 +102,17 @@
         &mut self,
         read_at: Option<Timestamp>,
         records: &[KeyedRecord],
-        next: LogOffset,
+        position: TopicPosition,
     ) {
         self.newest.clear();
         self.recent.clear();
         self.recent_bytes = 0;
         self.apply_to_newest(records);
-        self.next = Some(next);
+        self.position = Some(position);
         self.read_at = read_at;
     }
 
-    /// Appends records that follow the copy.
+    /// Appends records of the same era that follow the copy.
     pub fn extend(
         &mut self,
         read_at: Option<Timestamp>,
@@ -107,10 +120,14 @@
         next: LogOffset,
     ) {
         self.read_at = read_at;
-        let from = self.next.unwrap_or(next);
+        let Some(position) = &mut self.position else {
+            return;
+        };
+        let from = position.next;
         if next <= from {
             return;
         }
+        position.next = next;
         self.apply_to_newest(records);
         let bytes = records.iter().map(record_bytes).sum();
         self.recent_bytes += bytes;
@@ -126,7 +143,6 @@
             };
             self.recent_bytes -= oldest.bytes;
         }
-        self.next = Some(next);
     }
 
     /// Updates the newest value of each key; a record without a value removes
@@ -150,9 +166,15 @@
         self.recovered_at = self.recovered_at.max(Some(at));
     }
 
-    /// Offset after the last record; `None` before the first read.
-    pub fn next_offset(&self) -> Option<LogOffset> {
-        self.next
+    /// Whether a reader at this position gets records that it does not have
+    /// yet.
+    pub fn has_news_for(&self, reader: Option<TopicPosition>) -> bool {
+        let Some(position) = self.position else {
+            return false;
+        };
+        reader.is_none_or(|reader| {
+            reader.era != position.era || reader.next < position.next
+        })
     }
 
     /// Time since the records were read from the store; `None` if it is
@@ -161,15 +183,18 @@
         self.read_at.map(|at| now.since(at))
     }
 
-    /// Returns the records from an offset on, or the newest record of each key
-    /// if `from` is `None` or those records are no longer kept. Returns `None`
-    /// before the first read.
+    /// Returns the records from a position on, or the newest record of each
+    /// key if `from` is `None` or of another era, or if those records are no
+    /// longer kept. Returns `None` before the first read.
     pub fn read(
         &self,
         now: Timestamp,
-        from: Option<LogOffset>,
+        from: Option<TopicPosition>,
     ) -> Option<CopyResponse> {
-        let next = self.next?;
+        let position = self.position?;
+        let next = position.next;
+        let from = from.filter(|from| from.era == position.era);
+        let from = from.map(|from| from.next);
         let mut copy = CopyResponse {
             version: COPY_VERSION,
             age_ms: self.age(now).map(millis),
@@ -177,6 +202,7 @@
             is_snapshot: false,
             records: Vec::new(),
             next,
+            era: position.era,
         };
         // A reader that has read the store itself may be ahead of this copy.
         if let Some(from) = from.filter(|from| *from >= next) {
--- a/lib/tests/gateway/test_topic_copies.rs
+++ b/lib/tests/gateway/test_topic_copies.rs
@@ -7,6 +7,7 @@
         reader_selection::{
             READER_EXCLUSION, ReadSchedule, ReadSource, ReaderSelector,
         },
+        store_era::{StoreEra, TopicPosition},
         topic_copy::TopicCopy,
         wire::{KeyedRecord, StoreTopic},
     },
@@ -27,6 +28,10 @@
     LogOffset::new(value)
 }
 
+fn position(era: u64, next: u64) -> TopicPosition {
+    TopicPosition::new(Some(StoreEra::new(era)), offset(next))
+}
+
 fn machine(last: u8) -> IpAddr {
     [10, 1, 0, last].into()
 }
@@ -35,7 +40,7 @@
 fn topic_copy() -> TopicCopy {
     let mut topic_copy = TopicCopy::default();
     let all = [record("a", "1"), record("b", "1")];
-    topic_copy.replace(Some(at(100)), &all, offset(10));
+    topic_copy.replace(Some(at(100)), &all, position(1, 10));
     topic_copy.extend(Some(at(200)), &[record("a", "2")], offset(11));
     let removal = [record("b", ""), record("c", "1")];
     topic_copy.extend(Some(at(300)), &removal, offset(13));
@@ -55,7 +60,7 @@
     #[case] expected: &[&str],
 ) {
     let copy = topic_copy()
-        .read(at(350), from.map(offset))
+        .read(at(350), from.map(|next| position(1, next)))
         .expect("was read");
     let records: Vec<_> = copy
         .records
@@ -75,7 +80,7 @@
 #[test]
 fn test_copy_behind_its_reader_returns_no_records() {
     let copy = topic_copy()
-        .read(at(350), Some(offset(20)))
+        .read(at(350), Some(position(1, 20)))
         .expect("was read");
     assert_eq!((copy.records.len(), copy.next), (0, offset(20)));
     assert_eq!(TopicCopy::default().read(at(350), None), None);
@@ -91,11 +96,11 @@
         topic_copy.extend(Some(at(400)), &records, offset(next));
     }
     let late = topic_copy
-        .read(at(400), Some(offset(13)))
+        .read(at(400), Some(position(1, 13)))
         .expect("was read");
     assert_eq!((late.is_snapshot, late.records.len()), (true, 3));
     let near = topic_copy
-        .read(at(400), Some(offset(18)))
+        .read(at(400), Some(position(1, 18)))
         .expect("was read");
     assert_eq!((near.is_snapshot, near.records.len()), (false, 1));
 }
@@ -104,7 +109,7 @@
 #[test]
 fn test_copy_without_read_time_has_no_age() {
     let mut topic_copy = TopicCopy::default();
-    topic_copy.replace(None, &[record("a", "1")], offset(1));
+    topic_copy.replace(None, &[record("a", "1")], position(1, 1));
     let copy = topic_copy.read(at(5_000), None).expect("was read");
     assert_eq!(copy.age(), None);
 }
@@ -195,3 +200,22 @@
     let alone = ReadSource::Store { shared: false };
     assert_eq!(core.read_source(at(30)), alone);
 }
+
+/// Guards against records that a reader misses since the store has reused the
+/// offsets before its own.
+#[rstest]
+#[case::lower_offset(position(2, 4))]
+#[case::same_offset(position(2, 13))]
+#[case::higher_offset(position(2, 20))]
+fn test_copy_of_restored_store_is_read_as_a_whole(
+    #[case] restored: TopicPosition,
+) {
+    let mut copy = topic_copy();
+    copy.replace(Some(at(400)), &[record("a", "3")], restored);
+    let reader = Some(position(1, 13));
+    assert!(copy.has_news_for(reader));
+    let read = copy.read(at(400), reader).expect("was read");
+    assert_eq!((read.is_snapshot, read.position()), (true, restored));
+    assert_eq!(read.records, [record("a", "3")]);
+    assert!(!copy.has_news_for(Some(restored)));
+}
