gateway: keep what is newer than a restored list

After the store was restored from an earlier copy, its list of upstreams has those ready again that leave or have left, and its orders lack failure domains that were closed; both got requests until the records were written again.

Entries carry the number that their process gave them.

--- a/cli/src/gateway/record_applier.rs
+++ b/cli/src/gateway/record_applier.rs
@@ -31,7 +31,8 @@
         match self.topic {
             StoreTopic::Control => {
                 let closed = self.apply_control(records);
-                let changes = self.context.core().replace_closed(&closed);
+                let now = self.context.now();
+                let changes = self.context.core().replace_closed(now, &closed);
                 for (domain, closed) in changes {
                     log_domain(&domain, closed);
                 }
--- a/lib/src/gateway/gateway_core.rs
+++ b/lib/src/gateway/gateway_core.rs
@@ -235,14 +235,19 @@
         self.upstreams.set_closed(domain, closed)
     }
 
-    /// Closes exactly these failure domains and reopens all others. Returns
-    /// the domains that changed, with true for those closed.
+    /// Closes exactly these failure domains and reopens all others. While the
+    /// records of a restored store may be incomplete, reopens none. Returns the
+    /// domains that changed, with true for those closed.
     pub fn replace_closed(
         &mut self,
+        now: Timestamp,
         closed: &[DomainId],
     ) -> Vec<(DomainId, bool)> {
-        let before = self.upstreams.closed().clone();
         let mut changes = Vec::new();
+        let mut before = self.upstreams.closed().clone();
+        if self.upstreams.may_be_outdated(now) {
+            before.clear();
+        }
         for domain in before.iter().filter(|domain| !closed.contains(domain)) {
             self.upstreams.set_closed(domain.clone(), false);
             changes.push((domain.clone(), false));
@@ -288,6 +293,7 @@
         if change == EraChange::Restored {
             let until = now.after(self.settings.bounds.restore_grace());
             self.restored_until = Some(until);
+            self.upstreams.store_restored(now, until);
         }
         change
     }
--- a/lib/src/gateway/upstream_table.rs
+++ b/lib/src/gateway/upstream_table.rs
@@ -6,6 +6,11 @@
 //! but used only if more than half of its service is removed: a few removed
 //! entries are upstreams that leave.
 //!
+//! After the store was restored from an earlier copy of itself, the list may be
+//! outdated until the upstreams have written again and those that have left have
+//! lapsed. In that time an entry that is older than a known one is ignored, and
+//! an upstream that the list lacks is still used.
+//!
 //! An upstream that fails requests is avoided for a while if others can serve
 //! instead, but stays a candidate as long as it is listed. An upstream at
 //! whose address a newer one has started is not used; its entry stays in the
@@ -25,6 +30,11 @@
 
 /// Time after the store's recovery in which lapsed entries are written again.
 pub const RECOVERY_GRACE: Duration = Duration::from_millis(1_900);
+/// Time for which an upstream that has left is remembered; longer than the age
+/// of a copy from which the store is restored.
+const DEPARTED_TIME: Duration = Duration::from_secs(60);
+/// Most upstreams that are remembered after they have left.
+const DEPARTED_MAX: usize = 4_096;
 /// Time for which an upstream is avoided after its first failure; it doubles
 /// with each further one.
 const AVOID_MIN: Duration = Duration::from_millis(500);
@@ -80,6 +90,8 @@
     /// Start of its process; observations of an earlier process do not apply
     /// to it.
     pub incarnation: Incarnation,
+    /// Number of the entry among those that the process has written.
+    pub sequence: u64,
 }
 
 impl UpstreamEntry {
@@ -90,8 +102,16 @@
             incarnation: self.incarnation,
         }
     }
+
+    /// Order in which the entries of an upstream were written.
+    fn revision(&self) -> EntryRevision {
+        (self.incarnation, self.sequence)
+    }
 }
 
+/// Start of the process that wrote an entry, and the number of the entry.
+type EntryRevision = (Incarnation, u64);
+
 /// A change of the list.
 #[derive(Clone, Debug, PartialEq)]
 pub enum UpstreamChange {
@@ -111,6 +131,8 @@
     cold_until: Timestamp,
     /// Whether the entry was removed from the list during the grace period.
     removed: bool,
+    /// Restores of the store before the entry was read.
+    restores: u64,
     /// Whether a newer upstream has its address.
     displaced: bool,
     /// Failures since the last success.
@@ -121,12 +143,13 @@
 }
 
 impl TrackedUpstream {
-    fn new(now: Timestamp, entry: UpstreamEntry) -> Self {
+    fn new(now: Timestamp, entry: UpstreamEntry, restores: u64) -> Self {
         Self {
             cold_until: now.after(entry.cold_for),
             entry,
             read_at: now,
             removed: false,
+            restores,
             displaced: false,
             failures: 0,
             failure_share: 0.0,
@@ -150,12 +173,26 @@
     }
 }
 
+/// An upstream that was removed from the list.
+#[derive(Clone, Copy, Debug)]
+struct DepartedUpstream {
+    revision: EntryRevision,
+    /// Restores of the store before the removal.
+    restores: u64,
+    at: Timestamp,
+}
+
 /// All listed upstreams and the closed failure domains.
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamTable {
     upstreams: BTreeMap<UpstreamId, TrackedUpstream>,
+    departed: BTreeMap<UpstreamId, DepartedUpstream>,
     closed: BTreeSet<DomainId>,
     store_recovered_at: Option<Timestamp>,
+    /// Number of restores of the store.
+    restores: u64,
+    /// Until when the restored list may be outdated.
+    outdated_until: Timestamp,
     /// Number of other instances that avoid each upstream.
     suspects: BTreeMap<UpstreamId, usize>,
 }
@@ -168,6 +205,19 @@
         self.store_recovered_at = self.store_recovered_at.max(Some(at));
     }
 
+    /// Records that the store was restored from an earlier copy; its list may be
+    /// outdated until `until`.
+    pub fn store_restored(&mut self, now: Timestamp, until: Timestamp) {
+        self.store_recovered(now);
+        self.restores += 1;
+        self.outdated_until = until;
+    }
+
+    /// Whether the list may be outdated since the store was restored.
+    pub fn may_be_outdated(&self, now: Timestamp) -> bool {
+        now < self.outdated_until
+    }
+
     /// Applies one change of the list.
     pub fn apply(&mut self, now: Timestamp, change: UpstreamChange) {
         match change {
@@ -183,16 +233,41 @@
         for entry in entries {
             self.set(now, entry);
         }
-        let missing = self.upstreams.keys().filter(|id| !ids.contains(*id));
-        let missing: Vec<_> = missing.cloned().collect();
+        let is_outdated = self.may_be_outdated(now);
+        let missing = self.upstreams.iter().filter(|(id, upstream)| {
+            // An upstream that started after the copy was made is listed again
+            // when it has written.
+            let is_expected = is_outdated && upstream.restores < self.restores;
+            !is_expected && !ids.contains(*id)
+        });
+        let missing: Vec<_> = missing.map(|(id, _)| id.clone()).collect();
         for id in missing {
             self.remove(now, &id);
         }
     }
 
+    /// Whether an entry from before the restore of the store is newer.
+    fn is_superseded(&self, now: Timestamp, entry: &UpstreamEntry) -> bool {
+        let may_be_outdated = self.may_be_outdated(now);
+        if let Some(known) = self.upstreams.get(&entry.id) {
+            let same_process = known.entry.incarnation == entry.incarnation;
+            return known.restores < self.restores
+                && (may_be_outdated || same_process)
+                && entry.revision() < known.entry.revision();
+        }
+        self.departed.get(&entry.id).is_some_and(|departed| {
+            may_be_outdated
+                && departed.restores < self.restores
+                && entry.revision() <= departed.revision
+        })
+    }
+
     /// Adds or updates an entry, and compares it with the other entries at the
     /// same address: the one with the older incarnation is displaced.
     fn set(&mut self, now: Timestamp, entry: UpstreamEntry) {
+        if self.is_superseded(now, &entry) {
+            return;
+        }
         let mut displaced = false;
         for upstream in self.upstreams.values_mut() {
             let other = &upstream.entry;
@@ -218,21 +293,45 @@
                 upstream.entry = entry;
                 upstream.read_at = now;
                 upstream.removed = false;
+                upstream.restores = self.restores;
             }
             _ => {
                 let id = entry.id.clone();
-                self.upstreams.insert(id, TrackedUpstream::new(now, entry));
+                let upstream = TrackedUpstream::new(now, entry, self.restores);
+                self.upstreams.insert(id, upstream);
             }
         }
     }
 
     /// Removes an entry, or only marks it during the grace period.
     fn remove(&mut self, now: Timestamp, id: &UpstreamId) {
-        if !self.in_recovery_grace(now) {
-            self.upstreams.remove(id);
-        } else if let Some(upstream) = self.upstreams.get_mut(id) {
-            upstream.removed = true;
+        let Some(upstream) = self.upstreams.get_mut(id) else {
+            return;
+        };
+        let departed = DepartedUpstream {
+            revision: upstream.entry.revision(),
+            restores: self.restores,
+            at: now,
+        };
+        upstream.removed = true;
+        self.remember_departed(now, id, departed);
+        self.expire(now);
+    }
+
+    fn remember_departed(
+        &mut self,
+        now: Timestamp,
+        id: &UpstreamId,
+        departed: DepartedUpstream,
+    ) {
+        self.departed
+            .retain(|_, it| now.since(it.at) < DEPARTED_TIME);
+        if self.departed.len() >= DEPARTED_MAX {
+            let oldest = self.departed.iter().min_by_key(|(_, it)| it.at);
+            let oldest = oldest.map(|(id, _)| id.clone());
+            oldest.and_then(|id| self.departed.remove(&id));
         }
+        self.departed.insert(id.clone(), departed);
     }
 
     fn in_recovery_grace(&self, now: Timestamp) -> bool {
--- a/lib/tests/gateway/fixtures.rs
+++ b/lib/tests/gateway/fixtures.rs
@@ -71,6 +71,7 @@
         cold_for: Duration::ZERO,
         slots: 16,
         incarnation: Incarnation::new(1),
+        sequence: 1,
     }
 }
 
--- a/lib/tests/gateway/test_upstreams.rs
+++ b/lib/tests/gateway/test_upstreams.rs
@@ -1,7 +1,9 @@
 //! List of upstreams during outages of the store and failures of upstreams.
 
 use borageline_lib::{
-    gateway::upstream_table::{UpstreamChange, UpstreamState, UpstreamTable},
+    gateway::upstream_table::{
+        UpstreamChange, UpstreamEntry, UpstreamState, UpstreamTable,
+    },
     ids::UpstreamId,
     units::{Incarnation, Timestamp},
 };
@@ -139,3 +141,68 @@
     table.apply(at(61_000), UpstreamChange::Set(entry("i-0")));
     assert_eq!(names(&table, at(61_000)), ["i-0"]);
 }
+
+/// Guards against a request to an upstream that left, or that reported to leave,
+/// before the store was restored to a copy in which it is ready; and against an
+/// upstream that is no longer used although it is still there.
+#[test]
+fn test_upstreams_of_restored_store_are_not_older() {
+    let mut table = table(4);
+    let draining = UpstreamEntry {
+        state: UpstreamState::Draining,
+        sequence: 5,
+        ..entry("i-0")
+    };
+    table.apply(at(1_000), UpstreamChange::Set(draining));
+    remove(&mut table, at(1_000), "i-1");
+    remove(&mut table, at(1_000), "i-2");
+    let until = at(6_000);
+    table.store_restored(at(2_000), until);
+    let copied = || (0..4).map(|it| entry(&format!("i-{it}"))).collect();
+    table.replace(at(2_000), copied());
+    assert_eq!(names(&table, at(2_000)), ["i-3"]);
+    let written_again = UpstreamEntry {
+        sequence: 6,
+        ..entry("i-2")
+    };
+    table.apply(at(3_000), UpstreamChange::Set(written_again));
+    assert_eq!(names(&table, at(3_000)), ["i-2", "i-3"]);
+    // The entry of i-1 did not lapse in the store, so the upstream is there.
+    table.replace(until, copied());
+    assert_eq!(names(&table, until), ["i-1", "i-2", "i-3"]);
+}
+
+/// Guards against an upstream that is left out because it started after the copy
+/// from which the store was restored, or used for good although it has left.
+#[test]
+fn test_upstreams_missing_in_restored_store_are_used_for_a_while() {
+    let mut table = table(2);
+    table.apply(at(1_000), UpstreamChange::Set(entry("i-new")));
+    table.apply(at(1_000), UpstreamChange::Set(entry("i-gone")));
+    let until = at(6_000);
+    table.store_restored(at(2_000), until);
+    let copied = || vec![entry("i-0"), entry("i-1")];
+    table.replace(at(2_000), copied());
+    let all = ["i-0", "i-1", "i-gone", "i-new"];
+    assert_eq!(names(&table, at(2_000)), all);
+    table.apply(at(3_000), UpstreamChange::Set(entry("i-new")));
+    let mut listed = copied();
+    listed.push(entry("i-new"));
+    table.replace(until, listed);
+    assert_eq!(names(&table, until), ["i-0", "i-1", "i-new"]);
+}
+
+/// Guards against a process that counts as outdated because its clock is behind
+/// that of the process before it.
+#[test]
+fn test_upstreams_restarted_with_earlier_clock_are_used() {
+    let mut table = table(1);
+    table.store_restored(at(1_000), at(2_000));
+    let restarted = UpstreamEntry {
+        incarnation: Incarnation::new(0),
+        state: UpstreamState::Draining,
+        ..entry("i-0")
+    };
+    table.apply(at(3_000), UpstreamChange::Set(restarted));
+    assert!(names(&table, at(3_000)).is_empty());
+}
