gateway: write records again after the store was restored

A store that was restored from an earlier copy has lost the records that instances wrote since: addresses, so that an instance that starts with stale seeds finds no other, and quarantines, so that prompts that crash engines are sent again once all instances have been restarted. Both are written again when the era of the store changes, addresses spread over the time that the store needs.

test_restored_store_has_instances_again and test_restored_store_has_quarantines_again failed before.

--- a/cli/src/gateway/prompt_quarantine.rs
+++ b/cli/src/gateway/prompt_quarantine.rs
@@ -202,8 +202,15 @@
         tokio::time::sleep(RETRY_PAUSE).await;
     }
     handle_changes(&context);
+    let mut eras = context.store_eras.subscribe();
     loop {
-        context.quarantine.write_due.notified().await;
+        tokio::select! {
+            () = context.quarantine.write_due.notified() => {}
+            changed = eras.changed() => match changed {
+                Ok(()) => write_all_again(&context),
+                Err(_) => return,
+            },
+        }
         let records = std::mem::take(&mut *lock(&context.quarantine.unwritten));
         for (part, record) in records {
             if let Err(text) = write_record(&context, &part, record).await {
@@ -219,6 +226,18 @@
     }
 }
 
+/// Makes this instance's records due for a write, since the store was restored
+/// from a copy that may lack them.
+fn write_all_again<W: GatewayWire>(context: &SharedGateway<W>) {
+    let now = context.now();
+    let mut core = context.core();
+    let mut unwritten = lock(&context.quarantine.unwritten);
+    for (part, report) in core.owned_quarantines(now) {
+        let record = report.as_ref().map(quarantine_record);
+        unwritten.entry(part).or_insert(record);
+    }
+}
+
 /// Restores the quarantines that the store has kept. The error is a text for
 /// the log.
 async fn read_records<W: GatewayWire>(
--- a/cli/src/gateway/registration.rs
+++ b/cli/src/gateway/registration.rs
@@ -1,4 +1,6 @@
 //! Registers this instance in the store, where others find its address.
+//!
+//! A restored store may have lost the record, so it is written again then.
 
 use std::time::Duration;
 
@@ -18,6 +20,9 @@
 const RETRY_DELAY_MIN: Duration = Duration::from_millis(150);
 /// Longest pause after a failed call.
 const RETRY_DELAY_MAX: Duration = Duration::from_millis(2_400);
+/// Time that the store needs for one record. Instances that register again
+/// together spread their writes accordingly.
+const RECORD_TIME: Duration = Duration::from_millis(5);
 
 /// Starts to publish this instance's address, and reads those of the others.
 pub(super) fn start<W: GatewayWire>(context: &SharedGateway<W>) {
@@ -28,8 +33,16 @@
     let now = context.now();
     let heartbeat = context.core().heartbeat(now);
     let record = context.wire.write_instance(&heartbeat);
+    let mut eras = context.store_eras.subscribe();
     publish_address(&context, &record).await;
     read_addresses(&context).await;
+    while eras.changed().await.is_ok() {
+        let instances = context.core().instance_count(context.now());
+        let spread = RECORD_TIME.mul_f64(instances as f64);
+        tokio::time::sleep(spread.mul_f64(rand::random::<f64>())).await;
+        eras.mark_unchanged();
+        publish_address(&context, &record).await;
+    }
 }
 
 /// Writes this instance's record, until the store has acknowledged it.
--- a/lib/src/gateway/gateway_core/quarantine.rs
+++ b/lib/src/gateway/gateway_core/quarantine.rs
@@ -108,6 +108,17 @@
         self.quarantine.restore(now, report);
     }
 
+    /// Quarantines whose record this instance keeps, and `None` for parts that
+    /// have left the quarantine lately.
+    pub fn owned_quarantines(
+        &mut self,
+        now: Timestamp,
+    ) -> Vec<(PartId, Option<QuarantineReport>)> {
+        let mut records = self.quarantine.records(now);
+        records.retain(|(part, _)| self.owns_part(now, part));
+        records
+    }
+
     /// Removes and returns the changes of the quarantine since the last call.
     pub fn take_quarantine_changes(&mut self) -> Vec<QuarantineChange> {
         self.quarantine.take_changes()
--- a/lib/src/gateway/prompt_quarantine.rs
+++ b/lib/src/gateway/prompt_quarantine.rs
@@ -277,6 +277,19 @@
         }
     }
 
+    /// All quarantines, and `None` for parts that have left it lately.
+    pub fn records(
+        &self,
+        now: Timestamp,
+    ) -> Vec<(PartId, Option<QuarantineReport>)> {
+        let released = self.released.keys().map(|part| (part.clone(), None));
+        let entries = self
+            .entries
+            .iter()
+            .map(|(part, entry)| (part.clone(), Some(entry.report(now, part))));
+        released.chain(entries).collect()
+    }
+
     /// Applies the report of another instance.
     pub fn merge(&mut self, now: Timestamp, report: PromptReport) {
         if report == PromptReport::default() {
