gateway: log what requests have in common

The log could not tell whether calls that break off on one engine after the other have the same content, nor whether an engine of a plain service or only a connection had failed. request_placed names two ids of each request now, one of its path, caller and body, and one that covers method and query too, and engine_crashed is logged for requests of all kinds, with the request.

--- a/cli/src/gateway/forward.rs
+++ b/cli/src/gateway/forward.rs
@@ -9,11 +9,14 @@
             AdmittedRequest, NotPlaced, PlacementRequest, StartedRequest,
             memory_wait_max,
         },
+        request_content::RequestContent,
         request_limit::RequestLimit,
         request_timings::{AnswerLateness, RequestTimings},
         routing_config::{AnswerForm, CallerIdentity},
         upstream_table::UpstreamEntry,
-        wire::{CallerRequest, DispatchMetadata, GatewayWire, ReplyKind},
+        wire::{
+            CallerRequest, DispatchMetadata, GatewayWire, PartId, ReplyKind,
+        },
     },
     ids::UpstreamId,
     log_event::LogEvent,
@@ -52,6 +55,8 @@
     pub(super) head: RequestParts,
     pub(super) body: Option<BufferedBody<W>>,
     pub(super) request: CallerRequest,
+    /// Ids of the shared parts of the prompt and of the whole request.
+    pub(super) contents: Vec<PartId>,
     pub(super) admitted: AdmittedRequest,
     pub(super) record: AttemptRecord,
     pub(super) arrival: Timestamp,
@@ -130,11 +135,13 @@
     let timeout = caller.timeout.unwrap_or(admitted.route.timeout);
     let deadline = arrival.after(timeout.min(admitted.route.timeout));
     let record = AttemptRecord::new(&admitted.route, deadline);
+    let contents = content_ids(&head, &caller, body.as_ref(), &admitted);
     let attempt = CallerAttempt {
         context: context.clone(),
         head,
         body,
         request: caller,
+        contents,
         admitted,
         record,
         arrival,
@@ -152,6 +159,28 @@
     }
 }
 
+fn content_ids<W: GatewayWire>(
+    head: &RequestParts,
+    caller: &CallerRequest,
+    body: Option<&BufferedBody<W>>,
+    admitted: &AdmittedRequest,
+) -> Vec<PartId> {
+    let bytes = body.map(BufferedBody::bytes).unwrap_or_default();
+    let content = RequestContent {
+        host: &caller.host,
+        method: head.method.as_str(),
+        path: head.uri.path(),
+        query: head.uri.query().unwrap_or_default(),
+        workspace: match &admitted.identity {
+            CallerIdentity::Workspace(workspace) => workspace.name.as_str(),
+            _ => "",
+        },
+        body: &bytes,
+    };
+    let parts = caller.shared_parts.iter().cloned();
+    parts.chain(content.ids()).collect()
+}
+
 /// Refuses a request that was not admitted.
 fn reject<W: GatewayWire>(
     context: &SharedGateway<W>,
@@ -511,7 +540,7 @@
                 helper_ids = helper_ids(started),
                 backlog_ms = started.backlog.as_millis(),
                 prompt = self.prompt_tokens(),
-                parts = self.part_ids(),
+                parts = self.content_ids(),
                 expected_ms = started.time_to_first_event.as_millis(),
                 time_left_ms = self.time_left().as_millis(),
             },
--- a/cli/src/gateway/prompt_quarantine.rs
+++ b/cli/src/gateway/prompt_quarantine.rs
@@ -57,9 +57,9 @@
 }
 
 impl<W: GatewayWire> CallerAttempt<W> {
-    /// Shared parts of the prompt for the log.
-    pub(super) fn part_ids(&self) -> String {
-        let ids = self.request.shared_parts.iter().map(PartId::as_str);
+    /// Ids of the request's content for the log.
+    pub(super) fn content_ids(&self) -> String {
+        let ids = self.contents.iter().map(PartId::as_str);
         ids.collect::<Vec<_>>().join(" ")
     }
 
@@ -97,9 +97,6 @@
     /// Finds out whether an upstream crashed that broke off this prompt before
     /// or shortly after the beginning of its answer.
     pub(super) fn suspect_crash(&self, upstream: &UpstreamId) {
-        if self.request.shared_parts.is_empty() {
-            return;
-        }
         let core = self.context.core();
         let Some(upstream) = core.upstreams().get(upstream) else {
             return;
@@ -110,7 +107,8 @@
         };
         let entry = upstream.entry.clone();
         let context = self.context.clone();
-        tokio::spawn(confirm_crash(context, entry, prompt));
+        let attempt = self.id().to_owned();
+        tokio::spawn(confirm_crash(context, entry, attempt, prompt));
     }
 
     /// Records that the answer, which began at `begun_at`, shows the prompt to
@@ -123,12 +121,13 @@
     }
 }
 
-/// Records a prompt whose answer broke off at its beginning, if the engine has
+/// Records a request whose answer broke off at its beginning, if the engine has
 /// crashed. An engine that accepts connections has only reset one, and where
 /// nothing answers, this instance may be cut off.
 async fn confirm_crash<W: GatewayWire>(
     context: SharedGateway<W>,
     entry: UpstreamEntry,
+    attempt: String,
     prompt: SuspectPrompt,
 ) {
     let process = entry.process();
@@ -142,10 +141,17 @@
         }
         log_decision!(
             LogEvent::EngineCrashed,
-            { upstream = entry.id, address = entry.address },
+            {
+                request = attempt,
+                upstream = entry.id,
+                address = entry.address,
+            },
             "the engine refuses connections after it broke off a request",
         );
     }
+    if prompt.parts.is_empty() {
+        return;
+    }
     let now = context.now();
     context.core().record_crash(now, process, prompt);
     context.heartbeat_due.notify_one();
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -27,6 +27,7 @@
 pub mod prefill_gate;
 pub mod prompt_quarantine;
 pub mod reader_selection;
+pub mod request_content;
 pub mod request_limit;
 pub mod request_timings;
 pub mod retry_budget;
--- a/lib/src/log_event.rs
+++ b/lib/src/log_event.rs
@@ -137,7 +137,7 @@
     SettingsRejected = 631, "settings_rejected", Error;
     /// Log lines were dropped, because the log was written too fast.
     LogLinesDropped = 632, "log_lines_dropped", Warn;
-    /// An engine crashed before it had answered a prompt.
+    /// An engine crashed before it had answered a request.
     EngineCrashed = 640, "engine_crashed", Warn;
     /// A part of prompts is in quarantine, or has caused further crashes.
     PartQuarantined = 641, "part_quarantined", Warn;
