gateway: quarantine whole requests that crash upstreams

Callers of a plain service lost it again and again: a call that crashes each engine that runs it was sent on by each attempt and its repeats, to all three engines of the service every four seconds. The quarantine knew only shared parts of prompts, which calls to plain services do not have, and prompts only some.

The ids of the whole request are judged by the same evidence and quarantined in the same way: shared with heartbeats and the store, bounded, aged out by trials, and cleared by answers. The request is blamed if it explains about as much as a part of it. Two rules differ for whole requests: one attempt suffices, which is then itself to blame, and engines that end at the same moment count each if the request was on all of them, since a small service may end as a whole. So that all instances know which engines ended at that moment, crashes without a suspect are reported too; the property test found a popular request that was blamed without it.

--- a/cli/src/gateway/prompt_quarantine.rs
+++ b/cli/src/gateway/prompt_quarantine.rs
@@ -66,7 +66,7 @@
     /// Whether the prompt may be sent to an engine now.
     pub(super) fn check_prompt(&self) -> Result<(), Refusal> {
         let now = self.context.now();
-        let parts = &self.request.shared_parts;
+        let parts = &self.contents;
         let checked = self.context.core().check_prompt(now, parts);
         handle_changes(&self.context);
         checked
@@ -76,7 +76,7 @@
     /// checked.
     pub(super) fn held_refusal(&self) -> Option<Refusal> {
         let now = self.context.now();
-        let parts = &self.request.shared_parts;
+        let parts = &self.contents;
         self.context.core().held_prompt_refusal(now, parts)
     }
 
@@ -87,8 +87,7 @@
             if let Some(refusal) = self.held_refusal() {
                 return refusal;
             }
-            let has_parts = !self.request.shared_parts.is_empty();
-            if !has_parts || changes.changed().await.is_err() {
+            if changes.changed().await.is_err() {
                 std::future::pending::<()>().await;
             }
         }
@@ -103,7 +102,7 @@
         };
         let prompt = SuspectPrompt {
             attempt: xxh3_64(self.id().as_bytes()),
-            parts: self.request.shared_parts.clone(),
+            parts: self.contents.clone(),
         };
         let entry = upstream.entry.clone();
         let context = self.context.clone();
@@ -115,7 +114,7 @@
     /// be sound.
     pub(super) fn record_sound_prompt(&self, begun_at: Timestamp) {
         let now = self.context.now();
-        let parts = &self.request.shared_parts;
+        let parts = &self.contents;
         let mut core = self.context.core();
         core.record_sound_prompt(now, parts, begun_at);
     }
@@ -149,9 +148,6 @@
             "the engine refuses connections after it broke off a request",
         );
     }
-    if prompt.parts.is_empty() {
-        return;
-    }
     let now = context.now();
     context.core().record_crash(now, process, prompt);
     context.heartbeat_due.notify_one();
--- a/lib/src/gateway/crash_evidence.rs
+++ b/lib/src/gateway/crash_evidence.rs
@@ -1,16 +1,21 @@
-//! Evidence on which prompt parts crash engines.
+//! Evidence on which content crashes engines and other upstreams.
 //!
+//! A request's content is known by ids: those of the shared parts of its prompt,
+//! and those of the request itself ([`RequestContent`]), all called parts here.
 //! An engine that crashes breaks off all its requests, and each instance sees
 //! only those that it sent itself. The evidence is therefore merged over all
-//! instances: for each crash, the prompts that the engine had not answered yet
+//! instances: for each crash, the requests that the engine had not answered yet
 //! or had just begun to answer.
 //!
+//! [`RequestContent`]: super::request_content::RequestContent
+//!
 //! A part that crashes every engine that begins to answer it occurs in all
 //! crashes that it causes, and never in an answer that goes on. A part that
 //! was seen in such an answer is sound, which clears it of the crashes before.
 //! Of the parts that remain, the one in the most crashes explains these, and
 //! the next one is sought in the rest. So parts that only accompany a harmful
-//! one are not blamed, and independent harmful parts are all found.
+//! one are not blamed, and independent harmful parts are all found. A request that
+//! comes again is blamed itself if it explains about as much as a part of it.
 
 use std::{
     cmp::Reverse,
@@ -23,11 +28,13 @@
 
 /// Crashes that must have a part in common before it is blamed.
 pub const CRASHES_MIN: usize = 3;
-/// Attempts of callers among them. One attempt may crash several engines, and
-/// another one that is retried with it crashes along.
+/// Attempts of callers among them, before a shared part is blamed. One attempt may
+/// crash several engines, and another one that is retried with it crashes along;
+/// for that the request is to blame, not what it shares with others.
 pub const ATTEMPTS_MIN: usize = 2;
 /// Time within which crashes of several engines count as one: engines that fall
-/// together have a cause of their own, such as a failed host.
+/// together have a cause of their own, such as a failed host. A whole request is
+/// rarely on many engines, so it counts for each of them if it was on all.
 pub const COINCIDENCE_TIME: Duration = Duration::from_millis(100);
 /// Time after which a crash counts: until then other instances report the
 /// parts that they know to be sound.
@@ -43,6 +50,9 @@
 const CRASHES_MAX: usize = 64;
 /// Most prompts that are kept of one crash.
 const PROMPTS_MAX: usize = 16;
+/// Time for which sound parts are remembered that are in no crash, when there are
+/// too many: those of answers that clear a crash of this moment.
+const SOUND_TIME_MIN: Duration = ONSET_TIME;
 /// Most sound parts that are remembered.
 const SOUND_PARTS_MAX: usize = 4_096;
 
@@ -115,14 +125,14 @@
         self.crashes.contains_key(process)
     }
 
-    /// Adds a prompt to a crash. `seen_here` says whether this instance saw the
-    /// crash itself.
-    pub fn add_prompt(
+    /// Adds a crash, with the prompts that may have caused it, or to one that is
+    /// known. `seen_here` says whether this instance saw the crash itself.
+    pub fn add_crash(
         &mut self,
         now: Timestamp,
         process: UpstreamProcess,
         at: Timestamp,
-        prompt: SuspectPrompt,
+        prompts: impl IntoIterator<Item = SuspectPrompt>,
         seen_here: bool,
     ) {
         self.expire(now);
@@ -141,10 +151,12 @@
                 seen_here,
             });
         crash.seen_here |= seen_here;
-        let is_known = crash.prompts.contains_key(&prompt.attempt);
-        if !is_known && crash.prompts.len() < PROMPTS_MAX {
-            crash.prompts.insert(prompt.attempt, prompt.parts);
-            self.version += 1;
+        for prompt in prompts {
+            let is_known = crash.prompts.contains_key(&prompt.attempt);
+            if !is_known && crash.prompts.len() < PROMPTS_MAX {
+                crash.prompts.insert(prompt.attempt, prompt.parts);
+                self.version += 1;
+            }
         }
     }
 
@@ -163,6 +175,9 @@
         }
         if known_at.is_none() && self.sound.len() >= SOUND_PARTS_MAX {
             self.expire_sound(now, SOUND_TIME / 4);
+            if self.sound.len() > SOUND_PARTS_MAX / 2 {
+                self.expire_sound(now, SOUND_TIME_MIN);
+            }
             if self.sound.len() >= SOUND_PARTS_MAX {
                 return;
             }
@@ -204,7 +219,8 @@
             let (explained, rest): (Vec<_>, Vec<_>) = unexplained
                 .into_iter()
                 .partition(|crash| self.is_suspect(&part, crash));
-            culprits.insert(part, distinct_times(&explained));
+            let times = self.distinct_times(&part, &explained);
+            culprits.insert(part, times);
             unexplained = rest;
         }
         culprits
@@ -228,7 +244,8 @@
         suspects.retain(|part, suspicion| {
             known(part)
                 || (suspicion.crashes.len() >= CRASHES_MIN
-                    && suspicion.attempts.len() >= ATTEMPTS_MIN)
+                    && (part.is_request()
+                        || suspicion.attempts.len() >= ATTEMPTS_MIN))
         });
         let most = suspects.values().map(|it| it.crashes.len()).max()?;
         let enough = most - (most / 4).max(1).min(most - 1);
@@ -249,6 +266,7 @@
     ) -> BTreeMap<&'a PartId, PartSuspicion> {
         let mut suspects = BTreeMap::<_, PartSuspicion>::new();
         for crash in crashes {
+            let mut suspects_here = BTreeSet::new();
             for (attempt, parts) in &crash.prompts {
                 for (position, part) in parts.iter().enumerate() {
                     if self.is_sound(part, crash.at) {
@@ -257,13 +275,54 @@
                     let suspicion = suspects.entry(part).or_default();
                     suspicion.attempts.insert(*attempt);
                     suspicion.position = suspicion.position.max(position);
-                    add_distinct(&mut suspicion.crashes, crash.at);
+                    suspects_here.insert(part);
                 }
             }
+            for part in suspects_here {
+                let suspicion = suspects.entry(part).or_default();
+                self.add_distinct(part, &mut suspicion.crashes, crash.at);
+            }
         }
         suspects
     }
 
+    /// Times of crashes, which are in their order, without those that do not
+    /// count for a part since they coincide with an earlier one.
+    fn distinct_times(
+        &self,
+        part: &PartId,
+        crashes: &[&CrashRecord],
+    ) -> Vec<Timestamp> {
+        let mut times = Vec::new();
+        for crash in crashes {
+            self.add_distinct(part, &mut times, crash.at);
+        }
+        times
+    }
+
+    fn add_distinct(
+        &self,
+        part: &PartId,
+        times: &mut Vec<Timestamp>,
+        at: Timestamp,
+    ) {
+        let coincides = |last: &Timestamp| at.since(*last) < COINCIDENCE_TIME;
+        let counts = !times.last().is_some_and(coincides)
+            || (part.is_request() && self.was_on_all(part, at));
+        if counts {
+            times.push(at);
+        }
+    }
+
+    /// Whether a part was on all engines that crashed at about this time.
+    fn was_on_all(&self, part: &PartId, at: Timestamp) -> bool {
+        let coincides = |it: &&CrashRecord| {
+            it.at.since(at).max(at.since(it.at)) < COINCIDENCE_TIME
+        };
+        let mut crashes = self.crashes.values().filter(coincides);
+        crashes.all(|crash| self.is_suspect(part, crash))
+    }
+
     fn is_suspect(&self, part: &PartId, crash: &CrashRecord) -> bool {
         crash.contains(part) && !self.is_sound(part, crash.at)
     }
@@ -272,7 +331,7 @@
     pub fn crashes_with(&self, part: &PartId) -> usize {
         let mut crashes = self.crashes_by_time();
         crashes.retain(|crash| self.is_suspect(part, crash));
-        distinct_times(&crashes).len()
+        self.distinct_times(part, &crashes).len()
     }
 
     /// Crashes that this instance saw itself after `since`, newest first, with
@@ -307,14 +366,23 @@
 
     /// Those of `others` and of the parts in crashes that this instance knows
     /// to be sound from its own answers, with the time at which the last answer
-    /// began.
+    /// began. Leaves out requests in a single crash, which nobody blames.
     pub fn seen_sound_parts<'a>(
         &'a self,
         others: impl Iterator<Item = &'a PartId>,
     ) -> BTreeMap<&'a PartId, Timestamp> {
-        let crashes = self.crashes.values();
-        let parts = crashes.flat_map(|crash| crash.prompts.values().flatten());
+        let mut crashes = BTreeMap::<_, usize>::new();
+        for crash in self.crashes.values() {
+            let parts = crash.prompts.values().flatten();
+            for part in parts.collect::<BTreeSet<_>>() {
+                *crashes.entry(part).or_default() += 1;
+            }
+        }
+        let parts = crashes
+            .into_iter()
+            .filter(|(part, crashes)| !part.is_request() || *crashes > 1);
         parts
+            .map(|(part, _)| part)
             .chain(others)
             .filter_map(|part| {
                 let answer = self.sound.get(part)?;
@@ -344,23 +412,6 @@
     }
 }
 
-/// Times of crashes, which are in their order, without those that coincide with
-/// an earlier one.
-fn distinct_times(crashes: &[&CrashRecord]) -> Vec<Timestamp> {
-    let mut times = Vec::new();
-    for crash in crashes {
-        add_distinct(&mut times, crash.at);
-    }
-    times
-}
-
-fn add_distinct(times: &mut Vec<Timestamp>, at: Timestamp) {
-    let coincides = |last: &Timestamp| at.since(*last) < COINCIDENCE_TIME;
-    if !times.last().is_some_and(coincides) {
-        times.push(at);
-    }
-}
-
 impl CrashRecord {
     fn contains(&self, part: &PartId) -> bool {
         self.prompts.values().any(|parts| parts.contains(part))
--- a/lib/src/gateway/gateway_core/quarantine.rs
+++ b/lib/src/gateway/gateway_core/quarantine.rs
@@ -62,7 +62,7 @@
 
     fn quarantine_refusal(&mut self, found: &QuarantinedPrompt) -> Refusal {
         let text = format!(
-            "prompts with part {} crashed {} engines",
+            "requests with part {} crashed {} upstreams",
             found.part, found.crashes,
         );
         let mut refusal =
--- a/lib/src/gateway/prompt_quarantine.rs
+++ b/lib/src/gateway/prompt_quarantine.rs
@@ -1,8 +1,8 @@
-//! Keeps prompts that crash engines away from the engines.
+//! Keeps requests that crash engines and other upstreams away from them.
 //!
-//! A part that [`CrashEvidence`] blames is quarantined: requests with it are
-//! refused at once by all instances, and others with the same caller and other
-//! parts are served. The quarantine is shared in two ways: instances exchange
+//! A part that [`CrashEvidence`] blames, of a prompt or the request as a whole, is
+//! quarantined: requests with it are refused at once by all instances, and others
+//! with the same caller and other parts are served. The quarantine is shared in two ways: instances exchange
 //! reports with their heartbeats, and the platform's store keeps a record for
 //! instances that start when no other is left.
 //!
@@ -40,6 +40,8 @@
 const CHANGE_REPORT_TIME: Duration = Duration::from_secs(10);
 /// Most crashes in one report.
 const REPORTED_CRASHES_MAX: usize = 8;
+/// Most crashes with suspects in one report.
+const SUSPICIOUS_CRASHES_MAX: usize = REPORTED_CRASHES_MAX - 1;
 /// Most prompts of one crash in a report.
 const REPORTED_PROMPTS_MAX: usize = 8;
 /// Most parts of one kind in a report.
@@ -170,7 +172,7 @@
         process: UpstreamProcess,
         prompt: SuspectPrompt,
     ) {
-        self.evidence.add_prompt(now, process, now, prompt, true);
+        self.evidence.add_crash(now, process, now, [prompt], true);
     }
 
     /// Records that the answer to a prompt with these parts, which began at
@@ -243,7 +245,11 @@
         self.update(now);
         let since = now.before(REPORT_TIME).unwrap_or(Timestamp::ZERO);
         let crashes = self.evidence.seen_crashes(since).into_iter();
-        let crashes = crashes.filter(|(.., prompts)| !prompts.is_empty());
+        // Crashes without a suspect show that others coincide with them.
+        let (suspicious, explained): (Vec<_>, Vec<_>) =
+            crashes.partition(|(.., prompts)| !prompts.is_empty());
+        let suspicious = suspicious.into_iter().take(SUSPICIOUS_CRASHES_MAX);
+        let crashes = suspicious.chain(explained);
         let crashes = crashes.map(|(process, at, mut prompts)| {
             prompts.truncate(REPORTED_PROMPTS_MAX);
             CrashReport {
@@ -297,10 +303,10 @@
         }
         for crash in report.crashes {
             let at = before(now, crash.age_ms);
-            for prompt in crash.prompts {
-                let process = crash.process.clone();
-                self.evidence.add_prompt(now, process, at, prompt, false);
-            }
+            let CrashReport {
+                process, prompts, ..
+            } = crash;
+            self.evidence.add_crash(now, process, at, prompts, false);
         }
         for sound in report.sound {
             let begun_at = before(now, sound.age_ms);
--- a/lib/tests/gateway/main.rs
+++ b/lib/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod test_placement;
 mod test_prompt_quarantine;
 mod test_request_limits;
+mod test_request_quarantine;
 mod test_store_era;
 mod test_stream;
 mod test_topic_copies;
--- a/lib/tests/gateway/test_prompt_quarantine.rs
+++ b/lib/tests/gateway/test_prompt_quarantine.rs
@@ -19,11 +19,11 @@
 
 use crate::fixtures::{at, core, id, ms};
 
-fn parts(text: &str) -> Vec<PartId> {
+pub(crate) fn parts(text: &str) -> Vec<PartId> {
     text.split(' ').map(id).collect()
 }
 
-fn process(number: u64) -> UpstreamProcess {
+pub(crate) fn process(number: u64) -> UpstreamProcess {
     UpstreamProcess {
         upstream: id(&format!("i-{number}")),
         incarnation: Incarnation::new(number),
@@ -63,7 +63,7 @@
 }
 
 /// Sends each instance's report to all others.
-fn exchange(fleet: &mut [PromptQuarantine], now: Timestamp) {
+pub(crate) fn exchange(fleet: &mut [PromptQuarantine], now: Timestamp) {
     let reports: Vec<_> =
         fleet.iter_mut().map(|it| it.report(now, false)).collect();
     for (sender, report) in reports.into_iter().enumerate() {
