--- a/cli/tests/test_faults/main.rs
+++ b/cli/tests/test_faults/main.rs
@@ -13,6 +13,7 @@
 mod fixture;
 mod load;
 mod test_calls;
+mod test_crashes;
 mod test_domains;
 mod test_engines;
 mod test_leaving;
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod client;
 pub mod content;
+pub mod crashing_server;
 pub mod engine;
 pub mod engine_config;
 pub mod engine_sim;
