serve: quarantine requests that crash upstreams

A call that crashes each process that runs it was sent on by each call and its repeats, on each instance; a completion ended up to four engines each time that it came. serve keeps the same quarantine as the gateway now, by path, caller and body, for calls and completions. A crash is told from a reset connection by a connection that is refused.

Servers list that they understand the message, so that older builds do not get it. The records are not kept in the log: if all instances restart together, they learn anew.

--- a/cli/src/callers.rs
+++ b/cli/src/callers.rs
@@ -12,6 +12,7 @@
     api::{AddressResponse, CompletionRequest, PriorityClass},
     core::{InstanceReadiness, PublishedState, RequestDescriptor},
     fleet::WorkspaceRule,
+    gateway::request_content::RequestContent,
     ids::{ModelName, WorkspaceId},
     refusal::{Refusal, RefusalCode, RunState},
     units::{Timestamp, TokenCount},
@@ -262,6 +263,15 @@
     let descriptor = build_descriptor(
         &context, &published, &call, workspace, rule, &request,
     )?;
+    let content = RequestContent {
+        host: "",
+        method: call.method.as_str(),
+        path: call.uri.path(),
+        query: call.uri.query().unwrap_or_default(),
+        workspace: descriptor.workspace.as_str(),
+        body: &body.bytes,
+    };
+    let contents = Vec::from(content.ids());
     context.metrics.count_request(descriptor.class);
 
     let channel = completion_channel(
@@ -281,7 +291,8 @@
         reservation: body.reservation,
     };
     drop(body.bytes);
-    let task = RequestTask::new(tools, descriptor, prompt, call.arrived);
+    let task = RequestTask::new(tools, descriptor, prompt, call.arrived)
+        .with_contents(contents);
     tokio::spawn(task.run(sender));
     if !request.stream {
         return collect_completion(&context, &call, reader).await;
--- a/cli/src/commands/serve.rs
+++ b/cli/src/commands/serve.rs
@@ -11,6 +11,7 @@
 use borageline_lib::{
     core::{CoreSetup, ServingCore},
     log_event::LogEvent,
+    peer_api::{PeerRequest, PeerResponse},
     settings::{InstanceSettings, SettingOverride},
     units::Incarnation,
 };
@@ -107,6 +108,7 @@
     stop: CancellationToken,
     callers: JoinHandle<usize>,
     peers: JoinHandle<io::Result<()>>,
+    sharing: JoinHandle<()>,
     driver: JoinHandle<()>,
 }
 
@@ -131,7 +133,8 @@
         let metrics = Arc::new(ServerMetrics::new());
         let engines = EngineClient::new();
         let clients = driver_clients(&settings, incarnation, engines.clone());
-        let meter = clients.peers.meter();
+        let peer_pool = clients.peers.clone();
+        let meter = peer_pool.meter();
         metrics.register_traffic(&meter);
         let (handle, driver) = CoreDriver::spawn(
             build(core_setup(&settings, incarnation)),
@@ -149,10 +152,23 @@
         let callers =
             tokio::spawn(serve_callers(callers, context.clone(), stop.clone()));
         let secret = settings.fleet_secret.clone();
+        let quarantine = context.quarantine.clone();
+        let sharing =
+            tokio::spawn(quarantine.clone().share(handle.clone(), peer_pool));
         let answer = move |from, incarnation, message| {
             let handle = handle.clone();
+            let quarantine = quarantine.clone();
             async move {
-                handle.handle_peer_message(from, incarnation, message).await
+                match message {
+                    PeerRequest::ReportCrashes(report) => {
+                        PeerResponse::Crashes(quarantine.exchange(report))
+                    }
+                    message => {
+                        handle
+                            .handle_peer_message(from, incarnation, message)
+                            .await
+                    }
+                }
             }
         };
         let peers =
@@ -167,6 +183,7 @@
             stop,
             callers,
             peers,
+            sharing,
             driver,
         })
     }
@@ -198,6 +215,7 @@
             tokio::time::timeout(core_timeout, self.context.handle.stopped());
         let finished = core.await.is_ok();
         self.peers.abort();
+        self.sharing.abort();
         self.driver.abort();
         let text = format!(
             "planned stop finished; connections closed after the timeout: \
--- a/cli/src/context.rs
+++ b/cli/src/context.rs
@@ -19,6 +19,7 @@
     engine_client::EngineClient,
     http_client::HttpClient,
     metrics::ServerMetrics,
+    quarantine::RequestQuarantine,
     request_task::TaskContext,
 };
 
@@ -38,6 +39,8 @@
     /// Client for calls to plain services that must run at most once; makes a
     /// connection for each call.
     pub at_most_once_client: HttpClient,
+    /// Requests that crash upstreams.
+    pub quarantine: Arc<RequestQuarantine>,
     /// Metrics of the instance.
     pub metrics: Arc<ServerMetrics>,
     /// Limit on the bytes buffered for streamed completions.
@@ -69,11 +72,14 @@
             limits.body_bytes_total,
             metrics.body_bytes.clone(),
         );
+        let own_address = settings.caller_address;
+        let quarantine = RequestQuarantine::new(handle.clock(), own_address);
         Self {
             settings,
             incarnation,
             handle,
             engines,
+            quarantine: Arc::new(quarantine),
             retry_client: HttpClient::new(),
             at_most_once_client: HttpClient::without_reuse(),
             metrics,
@@ -112,6 +118,7 @@
         TaskContext {
             handle: self.handle.clone(),
             engines: self.engines.clone(),
+            quarantine: self.quarantine.clone(),
             metrics: self.metrics.clone(),
         }
     }
--- a/cli/src/gateway.rs
+++ b/cli/src/gateway.rs
@@ -164,7 +164,7 @@
 }
 
 /// Time of day in milliseconds since 1970; zero before.
-fn unix_millis() -> u64 {
+pub(crate) fn unix_millis() -> u64 {
     let now = SystemTime::now().duration_since(UNIX_EPOCH);
     let millis = now.unwrap_or_default().as_millis();
     u64::try_from(millis).unwrap_or(u64::MAX)
--- a/cli/src/gateway/prompt_quarantine.rs
+++ b/cli/src/gateway/prompt_quarantine.rs
@@ -20,19 +20,19 @@
     units::Timestamp,
 };
 use http::StatusCode;
-use tokio::{
-    net::TcpStream,
-    sync::{Notify, watch},
-};
+use tokio::sync::{Notify, watch};
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{
-    SharedGateway, UPSTREAM_CONNECT_TIMEOUT,
+    SharedGateway,
     forward::CallerAttempt,
     store_client::{STORE_TIMEOUT, call_store},
     unix_millis,
 };
-use crate::{log_decision, logging};
+use crate::{
+    log_decision, logging,
+    quarantine::{log_change, refuses_connections},
+};
 
 /// Pause after the records were written, so that further crashes of a part
 /// cause few calls.
@@ -121,8 +121,7 @@
 }
 
 /// Records a request whose answer broke off at its beginning, if the engine has
-/// crashed. An engine that accepts connections has only reset one, and where
-/// nothing answers, this instance may be cut off.
+/// crashed.
 async fn confirm_crash<W: GatewayWire>(
     context: SharedGateway<W>,
     entry: UpstreamEntry,
@@ -132,10 +131,7 @@
     let process = entry.process();
     let is_known = context.core().has_crash(&process);
     if !is_known {
-        let connect = TcpStream::connect(entry.address);
-        let connected =
-            tokio::time::timeout(UPSTREAM_CONNECT_TIMEOUT, connect).await;
-        if !matches!(connected, Ok(Err(_))) {
+        if !refuses_connections(entry.address).await {
             return;
         }
         log_decision!(
@@ -179,25 +175,6 @@
     context.quarantine.changes.send_replace(());
 }
 
-fn log_change(change: &QuarantineChange) {
-    match change {
-        QuarantineChange::Quarantined(report) => log_decision!(
-            LogEvent::PartQuarantined,
-            {
-                part = report.part,
-                crashes = report.crashes,
-                last_crash_age_ms = report.age_ms,
-            },
-            "prompts with the part are refused",
-        ),
-        QuarantineChange::Released(part) => log_decision!(
-            LogEvent::PartReleased,
-            { part = part },
-            "prompts with the part are sent again",
-        ),
-    }
-}
-
 async fn keep_records<W: GatewayWire>(context: SharedGateway<W>) {
     while let Err(text) = read_records(&context).await {
         logging::event(LogEvent::LogUnavailable, &text);
--- a/cli/src/lib.rs
+++ b/cli/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod peers;
 pub mod platform;
 pub mod prompt;
+pub mod quarantine;
 pub mod reply;
 pub mod request_task;
 pub mod server;
--- a/cli/src/peers/pool.rs
+++ b/cli/src/peers/pool.rs
@@ -105,6 +105,8 @@
     proof: Arc<str>,
     meter: Arc<ReadMeter>,
     dispatch: AbortHandle,
+    /// Versions that the server lists.
+    versions: Vec<u16>,
     /// Set if the next call must make a new connection.
     broken: AtomicBool,
 }
@@ -173,6 +175,11 @@
                     return Err(not_run_failure("peer connection", to, cause));
                 }
             };
+        let version = message.required_version();
+        if !connection.versions.contains(&version) {
+            let cause = format!("peer does not support version {version}");
+            return Err(not_run_failure("peer call", to, cause));
+        }
         let received = connection.meter.bytes();
         let result = connection
             .exchange(&self.shared.config, message, deadline)
@@ -247,6 +254,7 @@
             proof: "".into(),
             meter,
             dispatch: dispatch.abort_handle(),
+            versions: Vec::new(),
             broken: AtomicBool::new(false),
         };
         let challenge = connection
@@ -261,6 +269,7 @@
             );
             return Err(not_run_failure("peer challenge", to, cause));
         }
+        connection.versions = challenge.versions;
         connection.proof = make_proof(
             &config.secret,
             PEER_VERSION,
--- a/cli/src/peers/server.rs
+++ b/cli/src/peers/server.rs
@@ -14,7 +14,10 @@
 use bincode::Options;
 use borageline_lib::{
     ids::InstanceId,
-    peer_api::{PEER_VERSION, PeerEnvelope, PeerRequest, PeerResponse},
+    peer_api::{
+        CRASH_REPORT_VERSION, PEER_VERSION, PeerEnvelope, PeerRequest,
+        PeerResponse,
+    },
     units::Incarnation,
 };
 use futures::StreamExt;
@@ -238,7 +241,7 @@
     async fn challenge(self, _: Context) -> ServerChallenge {
         ServerChallenge {
             nonce: self.connection.nonce,
-            versions: vec![PEER_VERSION],
+            versions: vec![PEER_VERSION, CRASH_REPORT_VERSION],
         }
     }
 
--- a/cli/src/request_task.rs
+++ b/cli/src/request_task.rs
@@ -19,6 +19,7 @@
         RequestProgress, StreamFailure,
     },
     engine_api::{EngineRequest, KvState, PrefillRequest},
+    gateway::{prompt_quarantine::SOUND_ANSWER_TIME, wire::PartId},
     log_event::LogEvent,
     refusal::{Refusal, RefusalCode, RunState},
     units::{Timestamp, TokenCount},
@@ -34,6 +35,7 @@
     logging,
     metrics::ServerMetrics,
     prompt::split_prompt,
+    quarantine::RequestQuarantine,
 };
 
 /// Longest time between two chunks of a completion. Engines may suspend the
@@ -56,6 +58,8 @@
     pub handle: CoreHandle,
     /// Client for engines.
     pub engines: EngineClient,
+    /// Requests that crash engines.
+    pub quarantine: Arc<RequestQuarantine>,
     /// Metrics of the instance.
     pub metrics: Arc<ServerMetrics>,
 }
@@ -65,6 +69,8 @@
 enum RequestEnd {
     Finished,
     Refused(Refusal),
+    /// Withdrawn from the core, which did not refuse it itself.
+    Withdrawn(Refusal),
     CallerDisconnected,
     DeadlinePassed,
 }
@@ -104,6 +110,12 @@
     // `None` once the first chunk is delivered: from then on the request cannot
     // be sent to another engine.
     prompt: Option<BufferedPrompt>,
+    // Ids by which the request is recognized when it comes again.
+    contents: Vec<PartId>,
+    // Time of the first chunk.
+    answer_begun_at: Option<Timestamp>,
+    // Whether the content was recorded as sound.
+    is_sound: bool,
     arrived: Timestamp,
     // Engines to which the request was sent and not yet cancelled.
     active_engines: Vec<AssignedEngine>,
@@ -129,6 +141,9 @@
             context,
             descriptor,
             prompt: Some(prompt),
+            contents: Vec::new(),
+            answer_begun_at: None,
+            is_sound: false,
             arrived,
             active_engines: Vec::new(),
             delivered: 0,
@@ -137,6 +152,11 @@
         }
     }
 
+    /// Sets the ids by which the request is recognized when it comes again.
+    pub fn with_contents(self, contents: Vec<PartId>) -> Self {
+        Self { contents, ..self }
+    }
+
     /// Serves the request until it has ended.
     pub async fn run(mut self, sender: CompletionSender) {
         let clock = self.context.handle.clock();
@@ -171,6 +191,15 @@
                     self.with_combined_run_state(refusal),
                 ));
             }
+            RequestEnd::Withdrawn(refusal) => {
+                self.cancel_active();
+                sender.finish(StreamItem::Failure(
+                    self.with_combined_run_state(refusal),
+                ));
+                request_handle
+                    .report(RequestProgress::CallerDisconnected)
+                    .await;
+            }
             RequestEnd::CallerDisconnected => {
                 self.cancel_active();
                 request_handle
@@ -213,6 +242,12 @@
                     return RequestEnd::Refused(truncated());
                 }
                 Some(RequestDecision::Dispatch(assignment)) => {
+                    let published = self.context.handle.published();
+                    let quarantine = &self.context.quarantine;
+                    let checked = quarantine.check(&published, &self.contents);
+                    if let Err(refusal) = checked {
+                        return RequestEnd::Withdrawn(refusal);
+                    }
                     self.cancel_earlier_attempts(&assignment).await;
                     self.dispatch(assignment, request_handle, sender).await
                 }
@@ -372,8 +407,16 @@
             .await;
         loop {
             match end {
-                StreamEnd::Complete => return Ok(()),
+                StreamEnd::Complete => {
+                    self.record_sound();
+                    return Ok(());
+                }
                 StreamEnd::Failed(failure) => {
+                    if failure == StreamFailure::Interrupted
+                        && !self.is_answer_going_on()
+                    {
+                        self.suspect_crash(engine);
+                    }
                     let engine = engine.clone();
                     return Err(AttemptFailure { engine, failure });
                 }
@@ -473,9 +516,13 @@
             }
         }
         self.run_state = RunState::Ran;
+        let now = self.context.handle.clock().now();
+        self.answer_begun_at.get_or_insert(now);
+        if self.is_answer_going_on() {
+            self.record_sound();
+        }
         if first {
             self.prompt = None;
-            let now = self.context.handle.clock().now();
             let time = now.since(self.arrived);
             let metrics = &self.context.metrics;
             metrics.observe_first_token(self.descriptor.prompt, time);
@@ -484,6 +531,34 @@
         true
     }
 
+    /// Whether the answer goes on for long enough to show that the request does
+    /// not crash engines.
+    fn is_answer_going_on(&self) -> bool {
+        let now = self.context.handle.clock().now();
+        self.answer_begun_at
+            .is_some_and(|at| now.since(at) >= SOUND_ANSWER_TIME)
+    }
+
+    fn record_sound(&mut self) {
+        if self.is_sound {
+            return;
+        }
+        if let Some(begun_at) = self.answer_begun_at {
+            self.is_sound = true;
+            let quarantine = &self.context.quarantine;
+            quarantine.record_sound(&self.contents, begun_at);
+        }
+    }
+
+    fn suspect_crash(&self, engine: &AssignedEngine) {
+        self.context.quarantine.suspect_crash(
+            engine.engine.clone(),
+            engine.address,
+            self.descriptor.request.clone(),
+            self.contents.clone(),
+        );
+    }
+
     /// Counts and logs a stream that ended without its end marker.
     fn truncated_stream(&self, cause: &str) -> StreamEnd {
         self.context.metrics.truncated_answers.inc();
@@ -532,6 +607,9 @@
         error: &HttpError,
     ) -> AttemptFailure {
         let failure = to_stream_failure(error);
+        if matches!(error, HttpError::Broken { .. }) {
+            self.suspect_crash(engine);
+        }
         if error.run_state() == RunState::NotRun {
             self.run_state = before;
             self.active_engines
--- a/cli/src/services.rs
+++ b/cli/src/services.rs
@@ -11,7 +11,8 @@
     api::{DEADLINE_HEADER, IDEMPOTENCY_KEY_HEADER, REQUEST_ID_HEADER},
     core::InstanceReadiness,
     fleet::ServiceRule,
-    ids::{RequestId, WorkspaceId},
+    gateway::{request_content::RequestContent, wire::PartId},
+    ids::{RequestId, UpstreamId, WorkspaceId},
     peer_api::{CallKey, CallOutcome, CallResult, ClaimResponse},
     refusal::{Refusal, RefusalCode, RetryReason, RunState},
     units::Timestamp,
@@ -52,11 +53,20 @@
     method: Method,
     headers: HeaderMap,
     body: Bytes,
+    /// Ids by which the call is recognized when it comes again.
+    contents: Vec<PartId>,
     deadline: Timestamp,
     // Keeps the body's bytes reserved in the budget.
     _reservation: ByteReservation,
 }
 
+/// A process of a service.
+#[derive(Clone, Debug)]
+struct ServiceProcess {
+    id: UpstreamId,
+    address: SocketAddr,
+}
+
 /// Complete response of a service's process.
 #[derive(Debug)]
 struct ServiceResponse {
@@ -86,6 +96,7 @@
     let idempotent = path.is_idempotent(&rule, &call.method);
     let timeout = Duration::from_millis(rule.timeout_ms);
     let key = call.headers.get(IDEMPOTENCY_KEY_HEADER).cloned();
+    let contents = content_ids(&call.method, &path, &workspace, &body.bytes);
     let call = ServiceCall {
         request: call.request,
         workspace,
@@ -93,6 +104,7 @@
         method: call.method,
         headers: forwardable_headers(&call.headers),
         body: body.bytes,
+        contents,
         deadline: call.arrived.after(timeout),
         _reservation: body.reservation,
     };
@@ -122,6 +134,24 @@
     }
 }
 
+fn content_ids(
+    method: &Method,
+    path: &ServicePath,
+    workspace: &WorkspaceId,
+    body: &[u8],
+) -> Vec<PartId> {
+    let query = path.target.strip_prefix(path.path.as_str());
+    let content = RequestContent {
+        host: path.service.as_str(),
+        method: method.as_str(),
+        path: &path.path,
+        query: query.unwrap_or_default(),
+        workspace: workspace.as_str(),
+        body,
+    };
+    content.ids().into()
+}
+
 fn parse_key(value: Option<&HeaderValue>) -> Result<Uuid, Refusal> {
     let invalid = |text: &str| Refusal::new(RefusalCode::KeyInvalid, text);
     let value = value.ok_or_else(|| {
@@ -149,6 +179,9 @@
         for (attempt_index, peer) in
             processes.into_iter().take(count).enumerate()
         {
+            if let Err(refusal) = self.check_content(context) {
+                return Err(refusal.with_run_state(run_state));
+            }
             let time_left = self.time_left(context);
             if time_left.is_zero() {
                 break;
@@ -159,7 +192,7 @@
                 u32::try_from(count - attempt_index).unwrap_or(1);
             let client = &context.retry_client;
             let result = self
-                .send(context, client, peer, time_left / attempts_left)
+                .send(context, client, &peer, time_left / attempts_left)
                 .await;
             let reason = match result {
                 Ok(answer)
@@ -254,7 +287,8 @@
             self.check_sendable(context)?;
             let time_left = self.time_left(context);
             let client = &context.at_most_once_client;
-            match self.send(context, client, peer, time_left).await {
+            self.check_content(context)?;
+            match self.send(context, client, &peer, time_left).await {
                 Ok(answer) => return Ok(answer),
                 Err(error @ HttpError::ConnectFailed { .. }) => {
                     context.metrics.count_retry(RetryReason::ConnectFailed);
@@ -270,6 +304,12 @@
         Err(error_refusal(&error))
     }
 
+    /// Refuses to send a call that has crashed upstreams.
+    fn check_content(&self, context: &SharedContext) -> Result<(), Refusal> {
+        let published = context.handle.published();
+        context.quarantine.check(&published, &self.contents)
+    }
+
     /// Refuses to send if the configuration may be out of date or the deadline
     /// has passed.
     fn check_sendable(&self, context: &SharedContext) -> Result<(), Refusal> {
@@ -288,12 +328,12 @@
         Ok(())
     }
 
-    /// Addresses of the service's processes, rotated so that successive calls
+    /// Processes of the service, rotated so that successive calls
     /// start at different ones.
     fn processes(
         &self,
         context: &SharedContext,
-    ) -> Result<Vec<SocketAddr>, Refusal> {
+    ) -> Result<Vec<ServiceProcess>, Refusal> {
         self.check_sendable(context)?;
         let published = context.handle.published();
         let service = &self.path.service;
@@ -303,14 +343,47 @@
             let text = format!("no process of service {service} can be used");
             Refusal::new(RefusalCode::NoUpstream, text)
         })?;
-        let mut processes: Vec<_> =
-            listed.iter().map(|(_, address)| *address).collect();
+        let mut processes: Vec<_> = listed
+            .iter()
+            .map(|(id, address)| ServiceProcess {
+                id: id.clone(),
+                address: *address,
+            })
+            .collect();
         let start = context.next_sequence() as usize % processes.len();
         processes.rotate_left(start);
         Ok(processes)
     }
 
+    /// Sends the call to one process, and records whether it crashed.
     async fn send(
+        &self,
+        context: &SharedContext,
+        client: &HttpClient,
+        process: &ServiceProcess,
+        timeout: Duration,
+    ) -> Result<ServiceResponse, HttpError> {
+        let result = self
+            .exchange(context, client, process.address, timeout)
+            .await;
+        let quarantine = &context.quarantine;
+        match &result {
+            Ok(answer) if !answer.status.is_server_error() => {
+                let now = context.handle.clock().now();
+                quarantine.record_sound(&self.contents, now);
+            }
+            Err(HttpError::Broken { .. }) => quarantine.suspect_crash(
+                process.id.clone(),
+                process.address,
+                self.request.clone(),
+                self.contents.clone(),
+            ),
+            _ => {}
+        }
+        result
+    }
+
+    async fn exchange(
         &self,
         context: &SharedContext,
         client: &HttpClient,
--- a/cli/tests/test_faults/test_crashes.rs
+++ b/cli/tests/test_faults/test_crashes.rs
@@ -57,7 +57,6 @@
 /// Guards against a call that crashes each process that runs it and is sent on,
 /// by any instance, and against other calls that are refused with it.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
-#[ignore = "listed in KNOWN-RED.txt, issue 27"]
 async fn test_crashes_call_is_not_sent_again() {
     let fleet = TestFleet::start(FleetPlan::default()).await;
     let mut processes = Vec::new();
--- a/cli/tests/test_peers.rs
+++ b/cli/tests/test_peers.rs
@@ -19,15 +19,23 @@
     serve_peers, serve_peers_metered,
 };
 use borageline_lib::{
+    gateway::prompt_quarantine::PromptReport,
     ids::InstanceId,
-    peer_api::{PEER_VERSION, PeerEnvelope, PeerRequest, PeerResponse},
+    peer_api::{
+        CRASH_REPORT_VERSION, PEER_VERSION, PeerEnvelope, PeerRequest,
+        PeerResponse,
+    },
     refusal::RunState,
     units::Incarnation,
 };
-use futures::future::join_all;
+use futures::{StreamExt, future::join_all};
 use hmac::{Hmac, Mac};
 use proptest::prelude::*;
-use tarpc::{serde_transport::tcp, tokio_serde::formats::Bincode};
+use tarpc::{
+    serde_transport::tcp,
+    server::{BaseChannel, Channel},
+    tokio_serde::formats::Bincode,
+};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
@@ -226,7 +234,7 @@
     let server = start_server("127.0.0.1:0").await;
     let client = raw_client(server.address).await;
     let challenge = client.challenge(context()).await.unwrap();
-    assert_eq!(challenge.versions, [PEER_VERSION]);
+    assert_eq!(challenge.versions, [PEER_VERSION, CRASH_REPORT_VERSION]);
     let envelope = envelope_for(&challenge, 99);
     let reply = client.exchange(context(), envelope).await.unwrap();
     let expected = "message version 99 is not understood; understood \
@@ -613,3 +621,54 @@
         });
     }
 }
+
+/// Server of a build that knows no reports of crashes.
+#[derive(Clone)]
+struct OlderServer {
+    exchanges: Arc<AtomicU32>,
+}
+
+impl wire::Wire for OlderServer {
+    async fn challenge(self, _: tarpc::context::Context) -> wire::Challenge {
+        wire::Challenge {
+            nonce: [7; 32],
+            versions: vec![PEER_VERSION],
+        }
+    }
+
+    async fn exchange(
+        self,
+        _: tarpc::context::Context,
+        envelope: PeerEnvelope,
+    ) -> PeerResponse {
+        self.exchanges.fetch_add(1, Ordering::Relaxed);
+        answer(envelope.message).await
+    }
+}
+
+/// Guards against a message that an older build cannot decode, which would close
+/// the connection and with it fail all calls on it.
+#[tokio::test]
+async fn test_crash_report_not_sent_to_older_build() {
+    let exchanges = Arc::new(AtomicU32::new(0));
+    let server = OlderServer {
+        exchanges: exchanges.clone(),
+    };
+    let any = "127.0.0.1:0";
+    let mut listener = tcp::listen(any, Bincode::default).await.unwrap();
+    let address = listener.local_addr();
+    tokio::spawn(async move {
+        while let Some(Ok(transport)) = listener.next().await {
+            let channel = BaseChannel::with_defaults(transport);
+            let requests = channel.execute(wire::Wire::serve(server.clone()));
+            tokio::spawn(requests.for_each_concurrent(None, |answer| answer));
+        }
+    });
+    let pool = make_pool();
+    let report = PeerRequest::ReportCrashes(PromptReport::default());
+    let failure = pool.call(address, report, TIMEOUT).await.unwrap_err();
+    assert_eq!(failure.run_state, RunState::NotRun);
+    assert_eq!(exchanges.load(Ordering::Relaxed), 0);
+    let reply = pool.call(address, query("hello"), TIMEOUT).await;
+    assert_eq!(reply.unwrap(), rows("hello"));
+}
--- a/cli/tests/test_serve/test_completions.rs
+++ b/cli/tests/test_serve/test_completions.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use borageline_lib::core::{RequestDecision, RequestProgress, StreamFailure};
+use borageline_testutils::crashing_server::{CrashingServer, HARMFUL};
 use futures::FutureExt;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -321,3 +322,33 @@
     let slow = slow.into_body().collect().await.unwrap().to_bytes();
     assert!(slow.ends_with(b"data: [DONE]\n\n"));
 }
+
+/// Guards against a completion that crashes each engine and is sent on when it
+/// comes again, and against another one that is refused with it.
+#[tokio::test]
+async fn test_completion_that_crashes_engines_is_refused() {
+    let down_time = Duration::from_millis(200);
+    let engine = CrashingServer::start(down_time).await.unwrap();
+    let server = TestSetup::new(engine.address).start().await;
+    let send = async |prompt: &str| {
+        let body = format!(
+            r#"{{"model":"m","prompt":"{prompt} {HARMFUL}","max_tokens":4}}"#,
+        );
+        let answer = exchange(server.address, &completion(KEY, &body)).await;
+        tokio::time::sleep(down_time * 3).await;
+        answer
+    };
+    for _ in 0..3 {
+        let answer = send("first").await;
+        assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
+    }
+    for _ in 0..2 {
+        let answer = send("first").await;
+        assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+        assert!(answer.contains("prompt_quarantined"), "{answer}");
+        assert!(answer.contains("\"not_run\""), "{answer}");
+    }
+    assert_eq!(engine.history().harmful.len(), 3);
+    send("second").await;
+    assert_eq!(engine.history().harmful.len(), 4);
+}
--- a/lib/src/core.rs
+++ b/lib/src/core.rs
@@ -381,6 +381,8 @@
     pub fleet: Arc<FleetState>,
     /// Instances that callers may use, in order of preference.
     pub addresses: Vec<InstanceAddress>,
+    /// Peer addresses of the other instances that are present.
+    pub peers: Vec<SocketAddr>,
     /// Whether this instance accepts new requests.
     pub readiness: InstanceReadiness,
     /// Processes that accept new calls, by service.
--- a/lib/src/core/routing.rs
+++ b/lib/src/core/routing.rs
@@ -251,6 +251,11 @@
             PeerRequest::Query(text) => {
                 self.answer_query(now, inbound, &text, output);
             }
+            PeerRequest::ReportCrashes(_) => {
+                let text = "reports of crashes are not for the core".into();
+                let reply = PeerResponse::Rejected(text);
+                Self::answer_peer(inbound, reply, output);
+            }
         }
     }
 
--- a/lib/src/core/serving_core.rs
+++ b/lib/src/core/serving_core.rs
@@ -325,6 +325,7 @@
         if let Some(old) = &self.published
             && Arc::ptr_eq(&old.fleet, &view.fleet)
             && old.addresses == view.addresses
+            && old.peers == view.peers
             && old.readiness == view.readiness
             && old.services == view.services
             && old.models == view.models
@@ -357,6 +358,7 @@
         let mut published = PublishedState {
             fleet: self.reader.state().clone(),
             addresses,
+            peers: self.members.peer_addresses(),
             readiness,
             ..PublishedState::default()
         };
--- a/lib/src/gateway/crash_evidence.rs
+++ b/lib/src/gateway/crash_evidence.rs
@@ -136,6 +136,7 @@
         seen_here: bool,
     ) {
         self.expire(now);
+        let process = self.known_process(process, at);
         if !self.crashes.contains_key(&process)
             && self.crashes.len() >= CRASHES_MAX
         {
@@ -160,6 +161,20 @@
         }
     }
 
+    /// The process under which a crash is kept. Where processes have no common
+    /// number, instances name the same one differently, but an upstream crashes
+    /// only once at a time.
+    fn known_process(
+        &self,
+        process: UpstreamProcess,
+        at: Timestamp,
+    ) -> UpstreamProcess {
+        let known = self.crashes.iter().find(|(known, crash)| {
+            known.upstream == process.upstream && coincide(crash.at, at)
+        });
+        known.map_or(process, |(known, _)| known.clone())
+    }
+
     /// Records that the answer to a prompt with this part went on after it had
     /// begun at `begun_at`.
     pub fn add_sound_part(
@@ -316,10 +331,8 @@
 
     /// Whether a part was on all engines that crashed at about this time.
     fn was_on_all(&self, part: &PartId, at: Timestamp) -> bool {
-        let coincides = |it: &&CrashRecord| {
-            it.at.since(at).max(at.since(it.at)) < COINCIDENCE_TIME
-        };
-        let mut crashes = self.crashes.values().filter(coincides);
+        let crashes = self.crashes.values();
+        let mut crashes = crashes.filter(|crash| coincide(crash.at, at));
         crashes.all(|crash| self.is_suspect(part, crash))
     }
 
@@ -412,6 +425,10 @@
     }
 }
 
+fn coincide(one: Timestamp, other: Timestamp) -> bool {
+    one.since(other).max(other.since(one)) < COINCIDENCE_TIME
+}
+
 impl CrashRecord {
     fn contains(&self, part: &PartId) -> bool {
         self.prompts.values().any(|parts| parts.contains(part))
--- a/lib/src/membership.rs
+++ b/lib/src/membership.rs
@@ -456,6 +456,12 @@
         callers
     }
 
+    /// Peer addresses of the other members that are present.
+    pub fn peer_addresses(&self) -> Vec<SocketAddr> {
+        let present = self.members.values().filter(|entry| entry.is_present());
+        present.map(|entry| entry.update.peer_address).collect()
+    }
+
     /// Instances that are not dead and have not applied an offset, including
     /// this one.
     pub fn instances_behind(&self, offset: LogOffset) -> Vec<InstanceId> {
--- a/lib/src/peer_api.rs
+++ b/lib/src/peer_api.rs
@@ -10,6 +10,7 @@
 use crate::{
     api::PriorityClass,
     engine_api::CapabilityReport,
+    gateway::prompt_quarantine::PromptReport,
     ids::{
         DomainId, InstanceId, ModelName, OrderId, RequestId, ServiceName,
         UpstreamId, WorkspaceId,
@@ -23,6 +24,8 @@
 
 /// Version of the message format. Messages of other versions are rejected.
 pub const PEER_VERSION: u16 = 1;
+/// Listed by servers that also understand [`PeerRequest::ReportCrashes`].
+pub const CRASH_REPORT_VERSION: u16 = 2;
 
 value_type! {
     /// A message with its sender and the proof of its origin.
@@ -64,6 +67,20 @@
         Borrow(LoanRequest),
         /// Asks for the receiver's rows of a query, given as text.
         Query(Arc<str>),
+        /// Reports requests that crash upstreams, and asks for what the receiver
+        /// knows of them. Sent only to servers that list
+        /// [`CRASH_REPORT_VERSION`].
+        ReportCrashes(PromptReport),
+    }
+}
+
+impl PeerRequest {
+    /// Version that a server must list to understand the message.
+    pub fn required_version(&self) -> u16 {
+        match self {
+            Self::ReportCrashes(_) => CRASH_REPORT_VERSION,
+            _ => PEER_VERSION,
+        }
     }
 }
 
@@ -93,6 +110,8 @@
         Rows(Arc<str>),
         /// The message was invalid or not permitted, for this reason.
         Rejected(Arc<str>),
+        /// Response to [`PeerRequest::ReportCrashes`].
+        Crashes(PromptReport),
     }
 }
 
