gateway: tell prompts with the same body by their shared parts

Where the first engines crashed before a sound prompt was answered, the ids were blamed, and sound prompts were refused for the hold time. The ids cover the shared parts now; the last part stays out, as it may differ when a request comes again.

test_request_with_other_shared_parts_is_spared shows it without processes.

--- a/cli/src/callers.rs
+++ b/cli/src/callers.rs
@@ -269,6 +269,7 @@
         path: call.uri.path(),
         query: call.uri.query().unwrap_or_default(),
         workspace: descriptor.workspace.as_str(),
+        shared_parts: &[],
         body: &body.bytes,
     };
     let contents = Vec::from(content.ids());
--- a/cli/src/gateway/forward.rs
+++ b/cli/src/gateway/forward.rs
@@ -175,6 +175,7 @@
             CallerIdentity::Workspace(workspace) => workspace.name.as_str(),
             _ => "",
         },
+        shared_parts: &caller.shared_parts,
         body: &bytes,
     };
     let parts = caller.shared_parts.iter().cloned();
--- a/cli/src/gateway/prompt_quarantine.rs
+++ b/cli/src/gateway/prompt_quarantine.rs
@@ -1,4 +1,4 @@
-//! Prompts that crash engines: confirms crashes, logs the quarantine and keeps
+//! Requests that crash upstreams: confirms crashes, logs the quarantine and keeps
 //! its records in the store.
 
 use std::{
--- a/cli/src/services.rs
+++ b/cli/src/services.rs
@@ -147,6 +147,7 @@
         path: &path.path,
         query: query.unwrap_or_default(),
         workspace: workspace.as_str(),
+        shared_parts: &[],
         body,
     };
     content.ids().into()
--- a/lib/src/gateway/request_content.rs
+++ b/lib/src/gateway/request_content.rs
@@ -1,11 +1,11 @@
 //! Identifies what a request contains, apart from its attempt.
 //!
-//! A request that comes again has the same path, caller and body, but another
-//! attempt id, and perhaps another query. So it has two ids beside those of the
-//! shared parts of its prompt: one of its path, caller and body, which requests
-//! with other queries share, and one that covers method and query as well. Like
-//! the parts of a prompt they go from the widely shared to the specific, so that
-//! one mechanism judges them all.
+//! A request that comes again has the same path, caller and body, and so the same
+//! shared parts of its prompt, but another attempt id, and perhaps another query.
+//! So it has two ids beside those of these parts: one of its path, caller, body
+//! and shared parts, which requests with other queries share, and one that covers
+//! method and query as well. Like the parts of a prompt they go from the widely
+//! shared to the specific, so that one mechanism judges them all.
 
 use xxhash_rust::xxh3::Xxh3Default;
 
@@ -28,6 +28,8 @@
     pub query: &'a str,
     /// Workspace of the caller; empty for anonymous callers.
     pub workspace: &'a str,
+    /// Shared parts of the prompt; empty for a request without one.
+    pub shared_parts: &'a [PartId],
     /// Body.
     pub body: &'a [u8],
 }
@@ -40,6 +42,9 @@
             update(&mut hasher, field.as_bytes());
         }
         update(&mut hasher, self.body);
+        for part in self.shared_parts {
+            update(&mut hasher, part.as_str().as_bytes());
+        }
         let shared = request_id(&hasher);
         for field in [self.method, self.query] {
             update(&mut hasher, field.as_bytes());
--- a/lib/tests/gateway/test_request_quarantine.rs
+++ b/lib/tests/gateway/test_request_quarantine.rs
@@ -28,6 +28,7 @@
         path: "/a/1",
         query: "page=1",
         workspace: "shop",
+        shared_parts: &[],
         body: b"body",
     }
 }
@@ -36,9 +37,13 @@
 fn request(shared: &str, path: &str) -> Vec<PartId> {
     let shared = shared.split(' ').filter(|part| !part.is_empty());
     let shared = shared.map(|part| part.parse().expect("test ids are valid"));
-    shared
-        .chain(RequestContent { path, ..content() }.ids())
-        .collect()
+    let shared: Vec<PartId> = shared.collect();
+    let content = RequestContent {
+        path,
+        shared_parts: &shared,
+        ..content()
+    };
+    shared.iter().cloned().chain(content.ids()).collect()
 }
 
 fn crash(
@@ -151,6 +156,22 @@
     ));
 }
 
+/// Guards against sound prompts that are refused since they have the path and the
+/// body of a harmful one, from whose shared parts theirs differ.
+#[test]
+fn test_request_with_other_shared_parts_is_spared() {
+    let mut quarantine = PromptQuarantine::default();
+    let harmful = request("base bad", "/a/prompts");
+    for number in 0..3 {
+        let now = at(6_000 + 200 * number);
+        crash(&mut quarantine, now, number, number, harmful.clone());
+    }
+    let now = at(6_400).after(SETTLE_TIME);
+    assert!(is_refused(&mut quarantine, now, &harmful));
+    let sound = request("base", "/a/prompts");
+    assert!(!is_refused(&mut quarantine, now, &sound));
+}
+
 /// Guards against a popular request that is refused because it was on engines
 /// that crashed one after the other, while other instances answer it.
 #[test]
