gateway: let older builds wait for news of a copy

A reader that states no era, as older builds do, counted as one from another era: it got the whole topic with each read, four times a second, and its reads did not wait. Its offset counts as valid now, as before. Found by reading; the test failed before.

--- a/lib/src/gateway/store_era.rs
+++ b/lib/src/gateway/store_era.rs
@@ -25,6 +25,12 @@
     pub fn new(era: Option<StoreEra>, next: LogOffset) -> Self {
         Self { era, next }
     }
+
+    /// Whether the offset of a reader at this position is valid in a copy at
+    /// another one. Readers of older builds state no era.
+    pub fn is_comparable(self, copy: Self) -> bool {
+        self.era.is_none() || self.era == copy.era
+    }
 }
 
 /// How the era of a response relates to those of earlier ones.
--- a/lib/src/gateway/topic_copy.rs
+++ b/lib/src/gateway/topic_copy.rs
@@ -173,7 +173,7 @@
             return false;
         };
         reader.is_none_or(|reader| {
-            reader.era != position.era || reader.next < position.next
+            !reader.is_comparable(position) || reader.next < position.next
         })
     }
 
@@ -193,7 +193,7 @@
     ) -> Option<CopyResponse> {
         let position = self.position?;
         let next = position.next;
-        let from = from.filter(|from| from.era == position.era);
+        let from = from.filter(|from| from.is_comparable(position));
         let from = from.map(|from| from.next);
         let mut copy = CopyResponse {
             version: COPY_VERSION,
--- a/lib/tests/gateway/test_topic_copies.rs
+++ b/lib/tests/gateway/test_topic_copies.rs
@@ -219,3 +219,17 @@
     assert_eq!(read.records, [record("a", "3")]);
     assert!(!copy.has_news_for(Some(restored)));
 }
+
+/// Guards against an instance of an older build, which states no era, that gets
+/// the whole topic with each read and does not wait for new records.
+#[test]
+fn test_copy_is_read_by_older_build() {
+    let copy = topic_copy();
+    let end = Some(TopicPosition::new(None, offset(13)));
+    assert!(!copy.has_news_for(end));
+    let reader = Some(TopicPosition::new(None, offset(11)));
+    assert!(copy.has_news_for(reader));
+    let read = copy.read(at(350), reader).expect("was read");
+    assert!(!read.is_snapshot);
+    assert_eq!(read.records, [record("b", ""), record("c", "1")]);
+}
