gateway: log which services an instance cannot reach

Failed and established connections are now kept by service and failure domain, links_changed logs each change of the state, and a counter counts them. No decision uses the table yet.

--- a/cli/src/gateway.rs
+++ b/cli/src/gateway.rs
@@ -10,6 +10,7 @@
 mod endpoints;
 mod forward;
 mod heartbeats;
+mod links;
 mod listener;
 mod metrics;
 mod peer_copies;
--- a/cli/src/gateway/forward.rs
+++ b/cli/src/gateway/forward.rs
@@ -36,6 +36,7 @@
     body::{BufferedBody, read_body},
     caller_listener::AnswerBody,
     heartbeats::log_limit_changes,
+    links,
     metrics::RequestEnd,
     reservations::{DeferredPrompt, InFlightGuard, ReservationSet},
     stream,
@@ -350,6 +351,7 @@
             timeout: wait(started.time_to_first_event).min(self.time_left()),
         };
         let request = self.upstream_request(&metadata, &started);
+        let begun_at = self.context.now();
         let sent = tokio::select! {
             biased;
             sent = self.context.upstreams.send(target, request) => sent,
@@ -358,6 +360,7 @@
             }
         };
         let upstream = started.entry.id.clone();
+        links::record_connection(&self.context, begun_at, &upstream, &sent);
         let (head, body) = match sent {
             Ok(response) => response.into_parts(),
             Err(error) => {
--- a/cli/src/gateway/metrics.rs
+++ b/cli/src/gateway/metrics.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use borageline_lib::{
-    gateway::request_timings::AnswerLateness,
+    gateway::{reachability::LinkState, request_timings::AnswerLateness},
     refusal::{RefusalCode, RetryReason},
 };
 use prometheus::{
@@ -66,6 +66,7 @@
     pub(super) connections: IntGauge,
     pub(super) config_version: IntGauge,
     pub(super) members: IntGauge,
+    link_changes: IntCounterVec,
 }
 
 impl GatewayMetrics {
@@ -110,6 +111,11 @@
                 "borageline_gateway_members",
                 "instances heard, this one included",
             ),
+            link_changes: counters(
+                "borageline_gateway_link_changes_total",
+                "changes of the links to a service, by the new state",
+                "state",
+            ),
         };
         metrics.register_all();
         metrics
@@ -125,6 +131,7 @@
         self.register(&self.connections);
         self.register(&self.config_version);
         self.register(&self.members);
+        self.register(&self.link_changes);
         for end in RequestEnd::ALL {
             self.ends.with_label_values(&[end.as_str()]);
         }
@@ -134,6 +141,9 @@
         for reason in RetryReason::ALL {
             self.retries.with_label_values(&[reason.as_str()]);
         }
+        for state in LinkState::ALL {
+            self.link_changes.with_label_values(&[state.as_str()]);
+        }
         for outcome in ["answered", "failed"] {
             self.store_calls.with_label_values(&[outcome]);
         }
@@ -157,6 +167,10 @@
         self.retries.with_label_values(&[reason.as_str()]).inc();
     }
 
+    pub(super) fn count_link_change(&self, state: LinkState) {
+        self.link_changes.with_label_values(&[state.as_str()]).inc();
+    }
+
     pub(super) fn count_store_call(&self, answered: bool) {
         let outcome = if answered { "answered" } else { "failed" };
         self.store_calls.with_label_values(&[outcome]).inc();
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -26,6 +26,7 @@
 pub mod placement;
 pub mod prefill_gate;
 pub mod prompt_quarantine;
+pub mod reachability;
 pub mod reader_selection;
 pub mod request_content;
 pub mod request_limit;
--- a/lib/src/gateway/gateway_core.rs
+++ b/lib/src/gateway/gateway_core.rs
@@ -6,6 +6,7 @@
 //! sibling modules own the details; this module combines them.
 
 mod heartbeats;
+mod links;
 mod placing;
 mod quarantine;
 mod request_limits;
--- a/lib/src/gateway/upstream_table.rs
+++ b/lib/src/gateway/upstream_table.rs
@@ -19,9 +19,13 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
+    sync::Arc,
     time::Duration,
 };
 
+use super::reachability::{
+    LinkChange, LinkGroup, LinkState, LinkTargets, ReachabilityTable,
+};
 use crate::{
     ids::{DomainId, ServiceName, UpstreamId},
     units::{Incarnation, Timestamp},
@@ -95,6 +99,14 @@
 }
 
 impl UpstreamEntry {
+    /// Service and failure domain of the upstream.
+    pub fn link_group(&self) -> LinkGroup {
+        LinkGroup {
+            service: self.service.clone(),
+            domain: self.domain.clone(),
+        }
+    }
+
     /// The process that the entry describes.
     pub fn process(&self) -> UpstreamProcess {
         UpstreamProcess {
@@ -195,6 +207,9 @@
     outdated_until: Timestamp,
     /// Number of other instances that avoid each upstream.
     suspects: BTreeMap<UpstreamId, usize>,
+    links: ReachabilityTable,
+    /// Usable upstreams by service and failure domain; `None` after a change.
+    link_targets: Option<Arc<LinkTargets>>,
 }
 
 impl UpstreamTable {
@@ -268,6 +283,7 @@
         if self.is_superseded(now, &entry) {
             return;
         }
+        self.link_targets = None;
         let mut displaced = false;
         for upstream in self.upstreams.values_mut() {
             let other = &upstream.entry;
@@ -314,6 +330,7 @@
             at: now,
         };
         upstream.removed = true;
+        self.link_targets = None;
         self.remember_departed(now, id, departed);
         self.expire(now);
     }
@@ -348,6 +365,7 @@
 
     /// Closes or reopens a failure domain; returns whether that is a change.
     pub fn set_closed(&mut self, domain: DomainId, closed: bool) -> bool {
+        self.link_targets = None;
         if closed {
             self.closed.insert(domain)
         } else {
@@ -488,6 +506,7 @@
     pub fn mark_displaced(&mut self, id: &UpstreamId) {
         if let Some(upstream) = self.upstreams.get_mut(id) {
             upstream.displaced = true;
+            self.link_targets = None;
         }
     }
 
@@ -500,4 +519,74 @@
                 FAILURE_WEIGHT * (1.0 - upstream.failure_share);
         }
     }
+
+    /// Usable upstreams by service and failure domain.
+    fn link_targets(&mut self) -> Arc<LinkTargets> {
+        if let Some(targets) = &self.link_targets {
+            return targets.clone();
+        }
+        let usable = self.upstreams.values().filter(|upstream| {
+            upstream.entry.state == UpstreamState::Ready
+                && !upstream.removed
+                && !upstream.displaced
+                && !self.closed.contains(&upstream.entry.domain)
+        });
+        let mut targets = LinkTargets::new();
+        for upstream in usable {
+            let entry = &upstream.entry;
+            let group = targets.entry(entry.link_group()).or_default();
+            group.insert(entry.id.clone());
+        }
+        self.links.retain(&targets);
+        let targets = Arc::new(targets);
+        self.link_targets = Some(targets.clone());
+        targets
+    }
+
+    /// Records that a connection to an upstream, begun at `begun_at`, was
+    /// established.
+    pub fn record_reached(
+        &mut self,
+        now: Timestamp,
+        begun_at: Timestamp,
+        id: &UpstreamId,
+    ) {
+        if let Some(upstream) = self.upstreams.get(id) {
+            let group = upstream.entry.link_group();
+            self.links.record_reached(now, begun_at, group);
+        }
+    }
+
+    /// Records that a connection to an upstream, begun at `begun_at`, was not
+    /// established.
+    pub fn record_unreached(
+        &mut self,
+        now: Timestamp,
+        begun_at: Timestamp,
+        id: &UpstreamId,
+    ) {
+        let targets = self.link_targets();
+        let Some(upstream) = self.upstreams.get(id) else {
+            return;
+        };
+        let group = upstream.entry.link_group();
+        let count = targets.get(&group).map_or(1, BTreeSet::len);
+        self.links.record_failed(now, begun_at, group, id, count);
+    }
+
+    /// State of this instance's links to a service.
+    pub fn link_state(
+        &mut self,
+        now: Timestamp,
+        service: &ServiceName,
+    ) -> LinkState {
+        let targets = self.link_targets();
+        self.links.state(now, service, &targets)
+    }
+
+    /// Returns the services whose links have changed since the last call.
+    pub fn take_link_changes(&mut self, now: Timestamp) -> Vec<LinkChange> {
+        let targets = self.link_targets();
+        self.links.take_changes(now, &targets)
+    }
 }
--- a/lib/src/log_event.rs
+++ b/lib/src/log_event.rs
@@ -117,6 +117,9 @@
     DomainChanged = 612, "domain_changed", Info;
     /// An upstream named another limit of requests, or none any more.
     UpstreamLimitChanged = 613, "upstream_limit_changed", Warn;
+    /// The links of the instance to the upstreams of a service were lost, are
+    /// in doubt or are back.
+    LinksChanged = 614, "links_changed", Warn;
     /// The platform's topic store does not respond.
     StoreLost = 620, "store_lost", Warn;
     /// A topic can be read again after the store was unavailable.
