platform/tests: callers of an instance that lost its links to upstreams

Each gateway gets its own forwarders to the upstreams, and a forwarder can leave attempts to connect without an answer.

--- a/testutils/src/fault.rs
+++ b/testutils/src/fault.rs
@@ -144,6 +144,9 @@
         /// Forwarder: closes its port, so that new connections are refused;
         /// open connections stay open.
         Refuse,
+        /// Forwarder: stops both directions of open connections and leaves
+        /// attempts to connect without any answer, like a partition.
+        Silence,
         /// Forwarder: delays data in both directions.
         Delay {
             /// Delay in milliseconds.
--- a/testutils/src/forwarder.rs
+++ b/testutils/src/forwarder.rs
@@ -3,8 +3,9 @@
 //! Forwards each connection to a target address. Its faults are `cut`,
 //! `refuse` (closes the port, so that new connections are refused),
 //! `delay`, `stall` (stops one direction while the connection stays open),
-//! `bandwidth`, `freeze` (stops both directions), `fail` (`refuse` and
-//! `cut`) and `clear`; `slow` equals `delay`, and `restart` equals `cut`.
+//! `bandwidth`, `freeze` (stops both directions), `silence` (`freeze`, and
+//! leaves attempts to connect without an answer), `fail` (`refuse` and `cut`)
+//! and `clear`; `slow` equals `delay`, and `restart` equals `cut`.
 //! The control server listens on a port of its own.
 
 use std::{
@@ -22,7 +23,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{
-        TcpListener, TcpStream,
+        TcpListener, TcpSocket, TcpStream,
         tcp::{OwnedReadHalf, OwnedWriteHalf},
     },
     sync::{mpsc, watch},
@@ -47,6 +48,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct LinkState {
     refuse: bool,
+    silent: bool,
     frozen: bool,
     stall_to_target: bool,
     stall_to_client: bool,
@@ -132,11 +134,19 @@
         return;
     };
     let mut listener = Some(listener);
+    let mut silent_port = None;
     let mut link = forwarder.link.subscribe();
     loop {
-        if link.borrow_and_update().refuse {
+        let state = *link.borrow_and_update();
+        if state.refuse || state.silent {
             listener = None;
-        } else if listener.is_none() {
+        }
+        if !state.silent {
+            silent_port = None;
+        } else if silent_port.is_none() {
+            silent_port = SilentPort::open(address).await.ok();
+        }
+        if listener.is_none() && !state.refuse && !state.silent {
             listener = TcpListener::bind(address).await.ok();
         }
         let accepted = async {
@@ -162,6 +172,39 @@
     }
 }
 
+/// A listener whose queue is full, so that the system drops further attempts
+/// to connect.
+struct SilentPort {
+    _listener: TcpListener,
+    _queued: Vec<TcpStream>,
+}
+
+impl SilentPort {
+    /// Time after which an attempt to connect counts as dropped.
+    const DROPPED_AFTER: Duration = Duration::from_millis(20);
+    /// Most connections that the queue may take; the system rounds it up.
+    const QUEUED_MAX: usize = 8;
+
+    async fn open(address: SocketAddr) -> io::Result<Self> {
+        let socket = TcpSocket::new_v4()?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        let listener = socket.listen(0)?;
+        let mut queued = Vec::new();
+        while queued.len() < Self::QUEUED_MAX {
+            let connect = TcpStream::connect(address);
+            match tokio::time::timeout(Self::DROPPED_AFTER, connect).await {
+                Ok(stream) => queued.push(stream?),
+                Err(_) => break,
+            }
+        }
+        Ok(Self {
+            _listener: listener,
+            _queued: queued,
+        })
+    }
+}
+
 /// Decrements the count of open connections when dropped.
 struct OpenConnection(Arc<Forwarder>);
 
@@ -282,6 +325,10 @@
                 self.gate.cut_connections();
             }
             Fault::Freeze => self.modify(|link| link.frozen = true),
+            Fault::Silence => self.modify(|link| {
+                link.silent = true;
+                link.frozen = true;
+            }),
             Fault::Delay { delay_ms } | Fault::Slow { delay_ms } => {
                 let delay = Duration::from_millis(delay_ms);
                 self.modify(|link| link.delay = delay);
