--- a/cli/src/gateway.rs
+++ b/cli/src/gateway.rs
@@ -7,6 +7,8 @@
 
 mod body;
 mod caller_listener;
+mod delegate;
+mod delegation;
 mod endpoints;
 mod forward;
 mod heartbeats;
@@ -14,6 +16,7 @@
 mod listener;
 mod metrics;
 mod peer_copies;
+mod peer_listener;
 mod prompt_quarantine;
 mod record_applier;
 mod registration;
@@ -49,7 +52,7 @@
     signal::unix::{SignalKind, signal},
     sync::{Notify, watch},
 };
-use tokio_util::sync::CancellationToken;
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use self::{metrics::GatewayMetrics, prompt_quarantine::QuarantineTasks};
 use crate::{http_client::HttpClient, log_decision};
@@ -86,6 +89,9 @@
     store: HttpClient,
     /// Client for other instances.
     peers: HttpClient,
+    /// Client for requests that other instances send for this one. It opens a
+    /// connection for each request, for the same reason as `upstreams`.
+    delegates: HttpClient,
     /// Notifies pending reads of other instances of a new record.
     copy_changes: watch::Sender<()>,
     /// Notifies the tasks that use the store that it was restored.
@@ -102,6 +108,12 @@
     buffered_body_bytes: AtomicU64,
     /// Wakes the heartbeat task before its interval is over.
     heartbeat_due: Notify,
+    /// Wakes the task that probes upstreams.
+    probe_due: Notify,
+    /// Requests that this instance sends for others.
+    delegated_requests: TaskTracker,
+    /// Whether the time in which new requests are accepted is over.
+    has_stopped_accepting: AtomicBool,
 }
 
 /// Reference-counted [`GatewayContext`].
@@ -123,6 +135,9 @@
             ),
             store: HttpClient::with_connect_timeout(STORE_CONNECT_TIMEOUT),
             peers: HttpClient::with_connect_timeout(PEER_CONNECT_TIMEOUT),
+            delegates: HttpClient::without_reuse_with_connect_timeout(
+                PEER_CONNECT_TIMEOUT,
+            ),
             copy_changes: watch::Sender::new(()),
             store_eras: watch::Sender::new(None),
             quarantine: QuarantineTasks::default(),
@@ -132,6 +147,9 @@
             open_requests: AtomicU64::new(0),
             buffered_body_bytes: AtomicU64::new(0),
             heartbeat_due: Notify::new(),
+            probe_due: Notify::new(),
+            delegated_requests: TaskTracker::new(),
+            has_stopped_accepting: AtomicBool::new(false),
         }
     }
 
@@ -191,7 +209,8 @@
     let callers = caller_listener::serve(context.clone(), stop.clone())?;
     endpoints::serve(&context)?;
     heartbeats::start(&context).await?;
-    peer_copies::serve(&context)?;
+    peer_listener::serve(&context)?;
+    links::start(&context);
     topic_reader::start(&context);
     registration::start(&context);
     prompt_quarantine::start(&context);
@@ -210,10 +229,14 @@
         STOP_ACCEPTING_AFTER.min(grace.saturating_sub(EXIT_RESERVE));
     tokio::time::sleep(accept_until).await;
     stop.cancel();
+    context.has_stopped_accepting.store(true, Ordering::Relaxed);
+    context.delegated_requests.close();
     let left = grace
         .saturating_sub(EXIT_RESERVE)
         .saturating_sub(begun.elapsed());
-    let drained = tokio::time::timeout(left, callers).await.is_ok();
+    let requests =
+        async { tokio::join!(callers, context.delegated_requests.wait()) };
+    let drained = tokio::time::timeout(left, requests).await.is_ok();
     log_decision!(
         LogEvent::StopDone,
         {
--- a/cli/src/gateway/forward.rs
+++ b/cli/src/gateway/forward.rs
@@ -1,13 +1,17 @@
 //! Forwards the requests of callers to upstreams.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
 
 use borageline_lib::{
     gateway::{
         attempt::{AttemptRecord, NextStep, SendOutcome},
         gateway_core::{
-            AdmittedRequest, NotPlaced, PlacementRequest, StartedRequest,
-            memory_wait_max,
+            AdmittedRequest, FailedPaths, NotPlaced, PlacementRequest,
+            SendPath, StartedRequest, memory_wait_max,
         },
         request_content::RequestContent,
         request_limit::RequestLimit,
@@ -35,6 +39,7 @@
     SharedGateway,
     body::{BufferedBody, read_body},
     caller_listener::AnswerBody,
+    delegation::DelegationGuard,
     heartbeats::log_limit_changes,
     links,
     metrics::RequestEnd,
@@ -62,11 +67,17 @@
     pub(super) record: AttemptRecord,
     pub(super) arrival: Timestamp,
     /// Upstreams that must not get the request again.
-    excluded: Vec<UpstreamId>,
+    pub(super) excluded: Vec<UpstreamId>,
     /// Upstreams on which the request failed after it may have started.
-    tried: Vec<UpstreamId>,
+    pub(super) tried: Vec<UpstreamId>,
     /// Whether the request was placed before; it counts as demand only once.
-    was_placed: bool,
+    pub(super) was_placed: bool,
+    /// Whether another instance asked for one send of the request.
+    pub(super) is_delegated: bool,
+    /// Begin of the last direct send, if it made no connection.
+    unconnected_at: Option<Timestamp>,
+    /// Instances that could not send the request.
+    pub(super) failed_delegates: Vec<IpAddr>,
     /// Sends made so far.
     pub(super) sends: u32,
     pub(super) timings: RequestTimings,
@@ -82,10 +93,31 @@
     pub(super) head: ResponseParts,
     pub(super) body: Incoming,
     pub(super) upstream: UpstreamId,
-    pub(super) in_flight: InFlightGuard<W>,
+    pub(super) path: ReplyPath<W>,
     pub(super) time_to_first_event: Duration,
 }
 
+/// How a request got to its upstream; ends the count of its load on drop.
+#[derive(Debug)]
+pub(super) enum ReplyPath<W: GatewayWire> {
+    /// Over this instance's links.
+    Direct(InFlightGuard<W>),
+    /// Through another instance.
+    Delegated(
+        #[expect(dead_code, reason = "kept until the reply has been read")]
+        DelegationGuard<W>,
+    ),
+}
+
+impl<W: GatewayWire> ReplyPath<W> {
+    /// Records the first event of the answer.
+    pub(super) fn record_first_event(&self) {
+        if let Self::Direct(in_flight) = self {
+            in_flight.record_first_event();
+        }
+    }
+}
+
 /// Upstreams chosen for a request, its entry in the load table, and the
 /// addresses of the helpers with the ids of their reservations.
 type PlacedRequest<W> = (
@@ -136,24 +168,9 @@
     let timeout = caller.timeout.unwrap_or(admitted.route.timeout);
     let deadline = arrival.after(timeout.min(admitted.route.timeout));
     let record = AttemptRecord::new(&admitted.route, deadline);
-    let contents = content_ids(&head, &caller, body.as_ref(), &admitted);
-    let attempt = CallerAttempt {
-        context: context.clone(),
-        head,
-        body,
-        request: caller,
-        contents,
-        admitted,
-        record,
-        arrival,
-        excluded: Vec::new(),
-        tried: Vec::new(),
-        was_placed: false,
-        sends: 0,
-        timings: RequestTimings::default(),
-        upstream_limit: None,
-        ended: false,
-    };
+    let attempt =
+        CallerAttempt::new(context, head, body, caller, admitted, record)
+            .with_arrival(arrival);
     match attempt.admitted.route.form {
         AnswerForm::Whole => attempt.answer_whole().await,
         AnswerForm::Events => stream::answer_events(attempt).await,
@@ -212,6 +229,44 @@
 }
 
 impl<W: GatewayWire> CallerAttempt<W> {
+    /// A request that has just arrived and was admitted.
+    pub(super) fn new(
+        context: &SharedGateway<W>,
+        head: RequestParts,
+        body: Option<BufferedBody<W>>,
+        request: CallerRequest,
+        admitted: AdmittedRequest,
+        record: AttemptRecord,
+    ) -> Self {
+        let contents = content_ids(&head, &request, body.as_ref(), &admitted);
+        Self {
+            context: context.clone(),
+            head,
+            body,
+            request,
+            contents,
+            admitted,
+            record,
+            arrival: context.now(),
+            excluded: Vec::new(),
+            tried: Vec::new(),
+            was_placed: false,
+            is_delegated: false,
+            unconnected_at: None,
+            failed_delegates: Vec::new(),
+            sends: 0,
+            timings: RequestTimings::default(),
+            upstream_limit: None,
+            ended: false,
+        }
+    }
+
+    /// Sets the time at which the request arrived.
+    pub(super) fn with_arrival(mut self, arrival: Timestamp) -> Self {
+        self.arrival = arrival;
+        self
+    }
+
     /// Id of the attempt for the log; `-` if the caller sent none.
     pub(super) fn id(&self) -> &str {
         self.request.attempt.as_ref().map_or("-", |id| id.as_str())
@@ -322,8 +377,37 @@
         resume_after: Option<u64>,
         wait: impl Fn(Duration) -> Duration,
     ) -> Result<UpstreamReply<W>, SendError> {
-        let is_resumed = resume_after != self.request.resume_after;
         self.check_prompt().map_err(SendError::Refused)?;
+        match self.send_path() {
+            SendPath::Direct => self.send_direct(resume_after, wait).await,
+            SendPath::Delegate(ip) => {
+                self.send_through(ip, resume_after, wait).await
+            }
+            SendPath::None(refusal) => Err(SendError::Refused(refusal)),
+        }
+    }
+
+    /// Decides how the next send is made.
+    fn send_path(&self) -> SendPath {
+        if self.is_delegated {
+            return SendPath::Direct;
+        }
+        let now = self.context.now();
+        let service = &self.admitted.service;
+        let failed = FailedPaths {
+            unconnected_at: self.unconnected_at,
+            delegates: &self.failed_delegates,
+        };
+        self.context.core().send_path(now, service, &failed)
+    }
+
+    /// Sends the request to an upstream over this instance's own links.
+    async fn send_direct(
+        &mut self,
+        resume_after: Option<u64>,
+        wait: impl Fn(Duration) -> Duration,
+    ) -> Result<UpstreamReply<W>, SendError> {
+        let is_resumed = resume_after != self.request.resume_after;
         let (started, in_flight, helpers) = self
             .place_with_memory(is_resumed)
             .await
@@ -366,6 +450,7 @@
             Err(error) => {
                 let outcome = match &error {
                     HttpError::ConnectFailed { .. } => {
+                        self.unconnected_at = Some(begun_at);
                         SendOutcome::NotConnected
                     }
                     _ => SendOutcome::Lost,
@@ -403,7 +488,7 @@
             head,
             body,
             upstream,
-            in_flight,
+            path: ReplyPath::Direct(in_flight),
             time_to_first_event: started.time_to_first_event,
         })
     }
--- a/cli/src/gateway/heartbeats.rs
+++ b/cli/src/gateway/heartbeats.rs
@@ -7,6 +7,7 @@
         heartbeat_relay::HeartbeatTrailer,
         member_table::{Heartbeat, MemberChange},
         prompt_quarantine::PromptReport,
+        reachability::LinkReport,
         request_limit::{LimitChange, LimitReport},
         wire::GatewayWire,
     },
@@ -61,6 +62,7 @@
         let findings = SharedFindings {
             prompts: plan.prompts,
             limits: plan.limits,
+            links: plan.links,
         };
         let direct = datagram(&heartbeat, &plan.trailer, &findings);
         send_all(&socket, &direct, &plan.direct).await;
@@ -104,6 +106,7 @@
             }
         };
         let now = context.now();
+        let sender = received.heartbeat.ip;
         let ReceivedHeartbeat {
             heartbeat,
             trailer,
@@ -129,6 +132,9 @@
             let mut core = context.core();
             core.receive_prompt_report(now, findings.prompts);
             core.receive_limit_reports(now, &findings.limits);
+            if receipt.is_accepted {
+                core.receive_link_report(sender, findings.links);
+            }
         }
         prompt_quarantine::handle_changes(&context);
         log_limit_changes(&context);
@@ -140,11 +146,14 @@
 struct SharedFindings {
     prompts: PromptReport,
     limits: Vec<LimitReport>,
+    links: LinkReport,
 }
 
 impl SharedFindings {
     fn is_empty(&self) -> bool {
-        self.prompts == PromptReport::default() && self.limits.is_empty()
+        self.prompts == PromptReport::default()
+            && self.limits.is_empty()
+            && self.links == LinkReport::default()
     }
 }
 
@@ -179,6 +188,8 @@
         .expect("reports contain only plain values");
     bincode::serialize_into(&mut bytes, &findings.limits)
         .expect("reports contain only plain values");
+    bincode::serialize_into(&mut bytes, &findings.links)
+        .expect("reports contain only plain values");
     bytes
 }
 
@@ -198,10 +209,14 @@
     if rest.is_empty() {
         return Ok(received);
     }
-    let (prompts, rest) = decode_first(rest)?;
+    let (prompts, after_prompts) = decode_first(rest)?;
     received.findings.prompts = prompts;
-    if !rest.is_empty() {
-        (received.findings.limits, _) = decode_first(rest)?;
+    if !after_prompts.is_empty() {
+        let rest;
+        (received.findings.limits, rest) = decode_first(after_prompts)?;
+        if !rest.is_empty() {
+            (received.findings.links, _) = decode_first(rest)?;
+        }
     }
     Ok(received)
 }
--- a/cli/src/gateway/listener.rs
+++ b/cli/src/gateway/listener.rs
@@ -1,10 +1,11 @@
 //! Accepts connections, and serves short requests that need no streaming.
 
-use std::{convert::Infallible, future::Future, time::Duration};
+use std::{convert::Infallible, error::Error, future::Future, time::Duration};
 
 use borageline_lib::log_event::LogEvent;
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
+use http_body::Body;
 use http_body_util::Full;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -46,14 +47,16 @@
     }
 }
 
-/// Serves requests with buffered responses until the process ends. `idle`
-/// returns the idle timeout of a new connection.
-pub(super) async fn serve_requests<A>(
+/// Serves requests until the process ends. `idle` returns the idle timeout of a new connection.
+pub(super) async fn serve_requests<A, B>(
     listener: TcpListener,
     idle: impl Fn() -> Duration,
     answer: impl Fn(Request<Incoming>) -> A + Clone + Send + 'static,
 ) where
-    A: Future<Output = Response<Full<Bytes>>> + Send + 'static,
+    A: Future<Output = Response<B>> + Send + 'static,
+    B: Body + Send + 'static,
+    B::Data: Send,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
     let stop = CancellationToken::new();
     accept_connections(listener, &stop, |stream| {
--- a/cli/src/gateway/metrics.rs
+++ b/cli/src/gateway/metrics.rs
@@ -31,15 +31,18 @@
     BrokenOff,
     /// The caller closed its connection.
     CallerLeft,
+    /// The request was sent for another instance, where it counts, too.
+    Delegated,
 }
 
 impl RequestEnd {
-    const ALL: [Self; 5] = [
+    const ALL: [Self; 6] = [
         Self::Answered,
         Self::UpstreamFailure,
         Self::Refused,
         Self::BrokenOff,
         Self::CallerLeft,
+        Self::Delegated,
     ];
 
     pub(super) const fn as_str(self) -> &'static str {
@@ -49,6 +52,7 @@
             Self::Refused => "refused",
             Self::BrokenOff => "broken_off",
             Self::CallerLeft => "caller_left",
+            Self::Delegated => "delegated",
         }
     }
 }
--- a/cli/src/gateway/peer_copies.rs
+++ b/cli/src/gateway/peer_copies.rs
@@ -8,7 +8,7 @@
 //! the topic yet responds with status 503. Older builds neither send nor read
 //! the eras.
 
-use std::{fmt::Display, io, net::IpAddr, time::Duration};
+use std::{fmt::Display, net::IpAddr, time::Duration};
 
 use borageline_lib::{
     gateway::{
@@ -20,17 +20,11 @@
 };
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode, Uri};
-use http_body_util::Full;
 use hyper::body::Incoming;
 
-use super::{
-    SharedGateway,
-    heartbeats::decode_first,
-    listener::{empty_response, serve_requests},
-};
-use crate::{
-    http_client::{CallTarget, HttpError, plain_request, read_response_body},
-    server::bind_callers,
+use super::{SharedGateway, heartbeats::decode_first};
+use crate::http_client::{
+    CallTarget, HttpError, plain_request, read_response_body,
 };
 
 /// Prefix of the paths.
@@ -39,8 +33,6 @@
 const FROM_ALL: &str = "all";
 /// Longest time for which a response is delayed; readers repeat the request.
 const WAIT_MAX: Duration = Duration::from_secs(5);
-/// Idle timeout of connections from other instances.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Why another instance's copy could not be read.
 #[derive(Debug)]
@@ -155,30 +147,13 @@
     Ok(copy)
 }
 
-/// Opens the listener and serves requests until the process ends.
-pub(super) fn serve<W: GatewayWire>(
-    context: &SharedGateway<W>,
-) -> io::Result<()> {
-    let listener = bind_callers(context.settings().peer_address())?;
-    let context = context.clone();
-    let served = serve_requests(
-        listener,
-        || IDLE_TIMEOUT,
-        move |request| {
-            let context = context.clone();
-            async move { answer(&context, request).await }
-        },
-    );
-    tokio::spawn(served);
-    Ok(())
-}
-
-async fn answer<W: GatewayWire>(
+/// Answers a request for a copy.
+pub(super) async fn answer<W: GatewayWire>(
     context: &SharedGateway<W>,
     request: Request<Incoming>,
-) -> Response<Full<Bytes>> {
+) -> Response<Bytes> {
     let Some(query) = CopyQuery::parse(request.uri()) else {
-        return empty_response(StatusCode::NOT_FOUND);
+        return without_body(StatusCode::NOT_FOUND);
     };
     // Subscribes before the first check, so that no record is missed in
     // between.
@@ -196,7 +171,13 @@
     let now = context.now();
     let copy = context.core().topic_copy(query.topic).read(now, query.from);
     match copy {
-        Some(copy) => Response::new(Full::new(encode(&copy).into())),
-        None => empty_response(StatusCode::SERVICE_UNAVAILABLE),
+        Some(copy) => Response::new(encode(&copy).into()),
+        None => without_body(StatusCode::SERVICE_UNAVAILABLE),
     }
 }
+
+fn without_body(status: StatusCode) -> Response<Bytes> {
+    let mut response = Response::new(Bytes::new());
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/cli/src/gateway/peer_listener.rs
@@ -0,0 +1,57 @@
+//! Listener for the requests of other instances: copies of topics, questions
+//! about upstreams, and callers' requests that this instance sends for another.
+
+use std::{io, time::Duration};
+
+use borageline_lib::gateway::wire::GatewayWire;
+use http::{Request, Response};
+use http_body_util::Either;
+use hyper::body::Incoming;
+
+use super::{
+    SharedGateway,
+    caller_listener::AnswerBody,
+    delegate,
+    forward::buffered_body,
+    links,
+    listener::{empty_response, serve_requests},
+    peer_copies,
+};
+use crate::server::bind_callers;
+
+/// Idle timeout of connections from other instances.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Opens the listener and serves requests until the process ends.
+pub(super) fn serve<W: GatewayWire>(
+    context: &SharedGateway<W>,
+) -> io::Result<()> {
+    let listener = bind_callers(context.settings().peer_address())?;
+    let context = context.clone();
+    let served = serve_requests(
+        listener,
+        || IDLE_TIMEOUT,
+        move |request| {
+            let context = context.clone();
+            async move { answer(&context, request).await }
+        },
+    );
+    tokio::spawn(served);
+    Ok(())
+}
+
+async fn answer<W: GatewayWire>(
+    context: &SharedGateway<W>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    if delegate::is_delegated(&request) {
+        return delegate::answer(context, request).await;
+    }
+    if let Some(upstream) = links::asked_upstream(request.uri().path()) {
+        let status = links::answer_question(context, &upstream).await;
+        return empty_response(status).map(Either::Left);
+    }
+    let copy = peer_copies::answer(context, request).await;
+    let (head, body) = copy.into_parts();
+    Response::from_parts(head, buffered_body(body))
+}
--- a/cli/src/gateway/prompt_quarantine.rs
+++ b/cli/src/gateway/prompt_quarantine.rs
@@ -19,6 +19,7 @@
     refusal::Refusal,
     units::Timestamp,
 };
+use futures::future::join_all;
 use http::StatusCode;
 use tokio::sync::{Notify, watch};
 use xxhash_rust::xxh3::xxh3_64;
@@ -26,6 +27,7 @@
 use super::{
     SharedGateway,
     forward::CallerAttempt,
+    links::{self, accepts_connections},
     store_client::{STORE_TIMEOUT, call_store},
     unix_millis,
 };
@@ -131,7 +133,7 @@
     let process = entry.process();
     let is_known = context.core().has_crash(&process);
     if !is_known {
-        if !refuses_connections(entry.address).await {
+        if !has_crashed(&context, &entry).await {
             return;
         }
         log_decision!(
@@ -149,6 +151,27 @@
     context.heartbeat_due.notify_one();
 }
 
+/// Whether an upstream that broke off a request has crashed: it refuses
+/// connections of this instance and of those that are asked. If none of them
+/// knows, another upstream must accept connections, since this instance's own
+/// links may be lost.
+async fn has_crashed<W: GatewayWire>(
+    context: &SharedGateway<W>,
+    entry: &UpstreamEntry,
+) -> bool {
+    if !refuses_connections(entry.address).await {
+        return false;
+    }
+    if let Some(refused) = links::is_refused_elsewhere(context, &entry.id).await
+    {
+        return refused;
+    }
+    let others = context.core().others_not_crashed(&entry.id);
+    let has_others = !others.is_empty();
+    let accepted = join_all(others.into_iter().map(accepts_connections)).await;
+    accepted.contains(&true) || !has_others
+}
+
 /// Logs the changes of the quarantine, and passes them to the writer and to
 /// requests that wait for an answer.
 pub(super) fn handle_changes<W: GatewayWire>(context: &SharedGateway<W>) {
--- a/cli/src/gateway/stream.rs
+++ b/cli/src/gateway/stream.rs
@@ -246,7 +246,7 @@
     attempt.context.metrics.record_latency("events", time);
     let (sender, receiver) = mpsc::channel(EVENT_QUEUE_MAX);
     let response = response_head(&attempt, &reply.head, receiver);
-    reply.in_flight.record_first_event();
+    reply.path.record_first_event();
     let forwarder = StreamForwarder {
         last_event: attempt.context.now(),
         answer_begun_at: (!events.is_empty()).then(|| attempt.context.now()),
--- a/cli/src/gateway/whole_answer.rs
+++ b/cli/src/gateway/whole_answer.rs
@@ -83,7 +83,7 @@
             head,
             body,
             upstream,
-            in_flight,
+            path,
             ..
         } = reply;
         let limit = usize::try_from(WHOLE_ANSWER_MAX.get());
@@ -91,7 +91,7 @@
         let read = tokio::time::timeout(self.time_left(), body).await;
         let text = match read {
             Ok(Ok(body)) if self.context.wire.is_authentic_answer(&head) => {
-                drop(in_flight);
+                drop(path);
                 return self.forward_answer(&head, &upstream, body.to_bytes());
             }
             Ok(Ok(_)) => {
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -15,6 +15,7 @@
 pub mod attempt;
 pub mod cost_model;
 pub mod crash_evidence;
+pub mod delegation;
 pub mod dispatch_rate;
 pub mod engine_limits;
 pub mod gateway_core;
--- a/lib/src/gateway/attempt.rs
+++ b/lib/src/gateway/attempt.rs
@@ -7,10 +7,12 @@
 use std::time::Duration;
 
 use super::routing_config::{AnswerForm, RetrySafety, RouteSpec};
-use crate::{refusal::RunState, units::Timestamp};
+use crate::{refusal::RunState, units::Timestamp, value_type};
 
+value_type! {
 /// How one send to an upstream ended without an answer for the caller.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Copy, Eq)]
+#[serde(rename_all = "snake_case")]
 pub enum SendOutcome {
     /// No connection was established and no byte was sent.
     NotConnected,
@@ -25,6 +27,7 @@
     /// reply was unusable.
     Lost,
 }
+}
 
 impl SendOutcome {
     /// Whether the request certainly did not run on the upstream.
@@ -82,6 +85,14 @@
         }
     }
 
+    /// Record of the one send that a delegate makes.
+    pub fn for_delegate(route: &RouteSpec, deadline: Timestamp) -> Self {
+        Self {
+            sends_left: 1,
+            ..Self::new(route, deadline)
+        }
+    }
+
     /// Time at which the attempt ends.
     pub fn deadline(&self) -> Timestamp {
         self.deadline
--- a/lib/src/gateway/dispatch_rate.rs
+++ b/lib/src/gateway/dispatch_rate.rs
@@ -20,7 +20,10 @@
     request_limit::{LimitTable, RequestLimit},
     upstream_table::TrackedUpstream,
 };
-use crate::{ids::UpstreamId, units::Timestamp};
+use crate::{
+    ids::{ServiceName, UpstreamId},
+    units::Timestamp,
+};
 
 /// Window in which the requests to a cold upstream are counted.
 const COLD_WINDOW: Duration = Duration::from_millis(1_100);
@@ -86,20 +89,32 @@
 #[derive(Clone, Debug, Default)]
 pub struct DispatchLimiter {
     sends: BTreeMap<UpstreamId, RecentSends>,
-    members: Vec<IpAddr>,
+    /// Other instances that reach each service.
+    members: BTreeMap<ServiceName, Vec<IpAddr>>,
+    /// Service of the upstreams in question.
+    service: Option<ServiceName>,
     /// Ranks of this instance, kept as long as the members stay the same.
     ranks: BTreeMap<UpstreamId, ShareRank>,
 }
 
 impl DispatchLimiter {
-    /// Sets the addresses of the other instances.
-    pub fn set_members(&mut self, members: Vec<IpAddr>) {
-        if members != self.members {
-            self.members = members;
+    /// Sets the service of the upstreams in question, and the addresses of the
+    /// other instances that reach it. Only these have a share.
+    pub fn set_members(&mut self, service: &ServiceName, members: Vec<IpAddr>) {
+        self.service = Some(service.clone());
+        let known = self.members.get(service);
+        if known != Some(&members) {
+            self.members.insert(service.clone(), members);
             self.ranks.clear();
         }
     }
 
+    fn members(&self) -> &[IpAddr] {
+        let service = self.service.as_ref();
+        let members = service.and_then(|service| self.members.get(service));
+        members.map_or(&[], Vec::as_slice)
+    }
+
     /// Whether one more send stays within this instance's share of `rate`
     /// requests a second, which a cold upstream tolerates. `own` is the address
     /// of this instance.
@@ -123,7 +138,7 @@
         upstream: &UpstreamId,
         rate: f64,
     ) -> bool {
-        let instances = self.members.len() + 1;
+        let instances = self.members().len() + 1;
         let rank = ShareRank {
             position: instances,
             instances,
@@ -227,10 +242,10 @@
         let seed = xxh3_64_with_seed(upstream.as_str().as_bytes(), 0);
         let weight = |ip: IpAddr| (member_hash(ip, seed), ip);
         let own = weight(own);
-        let members = self.members.iter();
+        let members = self.members().iter();
         let rank = ShareRank {
             position: members.filter(|ip| weight(**ip) < own).count(),
-            instances: self.members.len() + 1,
+            instances: self.members().len() + 1,
         };
         self.ranks.insert(upstream.clone(), rank);
         rank
--- a/lib/src/gateway/gateway_core.rs
+++ b/lib/src/gateway/gateway_core.rs
@@ -21,7 +21,10 @@
 use rand::{Rng, SeedableRng, seq::IndexedRandom};
 use rand_chacha::ChaCha8Rng;
 
-pub use self::heartbeats::{HeartbeatPlan, HeartbeatReceipt};
+pub use self::{
+    heartbeats::{HeartbeatPlan, HeartbeatReceipt},
+    links::{FailedPaths, SendPath},
+};
 use super::{
     dispatch_rate::DispatchLimiter,
     gateway_settings::GatewaySettings,
@@ -168,6 +171,8 @@
     topic_copies: BTreeMap<StoreTopic, TopicCopy>,
     reader_selector: ReaderSelector,
     quarantine: PromptQuarantine,
+    /// Requests that each delegate sends for this instance at present.
+    delegated: BTreeMap<IpAddr, u32>,
     rng: ChaCha8Rng,
 }
 
@@ -201,6 +206,7 @@
             topic_copies: BTreeMap::new(),
             reader_selector: ReaderSelector::default(),
             quarantine: PromptQuarantine::default(),
+            delegated: BTreeMap::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
         }
     }
@@ -398,6 +404,48 @@
         })
     }
 
+    /// Like [`Self::admit`], for a request that another instance admitted by
+    /// the desired state `version` and for a service that it has drawn. The
+    /// request counts there.
+    ///
+    /// Fails also if this instance's desired state is older or the route does
+    /// not lead to the service.
+    pub fn admit_delegated(
+        &self,
+        version: ConfigVersion,
+        service: &ServiceName,
+        target: (&str, &str),
+        key: Option<&str>,
+    ) -> Result<AdmittedRequest, Refusal> {
+        let stale = |text: String| {
+            Err(Refusal::new(RefusalCode::ConfigurationStale, text))
+        };
+        let (host, path) = target;
+        let known = self.config.as_ref();
+        let config = known.filter(|config| config.version >= version);
+        let Some(config) = config else {
+            return stale(format!("version {version} was not read yet"));
+        };
+        let Some(route) = config.find_route(host, path) else {
+            return stale(format!("no route for {path} on {host}"));
+        };
+        let mut shares = route.services.iter();
+        if !shares.any(|share| share.service == *service) {
+            let name = &route.name;
+            return stale(format!("route {name} does not lead to {service}"));
+        }
+        let identity = config.identify(&route, key);
+        if identity == CallerIdentity::Unknown {
+            return stale("the key belongs to no workspace".into());
+        }
+        Ok(AdmittedRequest {
+            route,
+            service: service.clone(),
+            identity,
+            config_version: config.version,
+        })
+    }
+
     /// Adds a deferred long prompt with this prefill time to the demand.
     pub fn defer_prompt(&mut self, prefill: Duration) {
         self.load_table.defer(prefill);
--- a/lib/src/gateway/gateway_core/heartbeats.rs
+++ b/lib/src/gateway/gateway_core/heartbeats.rs
@@ -16,6 +16,7 @@
         heartbeat_relay::HeartbeatTrailer,
         member_table::{HEARTBEAT_VERSION, Heartbeat, MemberChange},
         prompt_quarantine::PromptReport,
+        reachability::LinkReport,
         request_limit::LimitReport,
     },
     units::Timestamp,
@@ -35,6 +36,8 @@
     pub prompts: PromptReport,
     /// Limits that upstreams named.
     pub limits: Vec<LimitReport>,
+    /// Services whose upstreams this instance may be unable to reach.
+    pub links: LinkReport,
     /// Addresses that get the heartbeat for themselves only.
     pub direct: Vec<SocketAddr>,
     /// Addresses that relay it within their failure domain.
@@ -50,6 +53,8 @@
     pub change: Option<MemberChange>,
     /// Addresses to which the heartbeat is to be relayed.
     pub relay_to: Vec<SocketAddr>,
+    /// Whether the heartbeat is newer than the last one of its sender.
+    pub is_accepted: bool,
 }
 
 impl GatewayCore {
@@ -102,10 +107,11 @@
             trailer: HeartbeatTrailer {
                 sequence,
                 relay: false,
-                suspects: self.upstreams.avoided(now),
+                suspects: self.upstreams.suspects_to_report(now),
             },
             prompts: self.quarantine.report(now, is_full),
             limits: self.request_limits.report(now, is_full),
+            links: self.upstreams.link_report(now),
             direct: self.peer_addresses(targets.direct),
             relays: self.peer_addresses(targets.relays),
             pause: self.members.heartbeat_interval(now),
@@ -168,7 +174,17 @@
         if suspects_changed {
             self.upstreams.set_suspects(self.members.suspects(now));
         }
-        HeartbeatReceipt { change, relay_to }
+        HeartbeatReceipt {
+            change,
+            relay_to,
+            is_accepted: true,
+        }
+    }
+
+    /// Applies what an instance reports of its links; to be called after
+    /// [`Self::receive_heartbeat`] has accepted the heartbeat.
+    pub fn receive_link_report(&mut self, sender: IpAddr, report: LinkReport) {
+        self.members.set_unreachable(sender, report.unreachable);
     }
 
     /// Applies what another instance reports of harmful prompts.
--- a/lib/src/gateway/gateway_core/links.rs
+++ b/lib/src/gateway/gateway_core/links.rs
@@ -1,10 +1,53 @@
-//! Links of this instance to the upstreams.
+//! Links of this instance to the upstreams, and the choice of a delegate where
+//! they are lost.
+
+use std::{
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
+
+use rand::seq::IndexedRandom;
 
 use super::GatewayCore;
 use crate::{
-    gateway::reachability::LinkChange, ids::UpstreamId, units::Timestamp,
+    gateway::{
+        delegation::{DELEGATE_AVOIDANCE, DELEGATES_MAX},
+        reachability::{LinkChange, LinkState},
+    },
+    ids::{ServiceName, UpstreamId},
+    refusal::{Refusal, RefusalCode},
+    units::Timestamp,
 };
 
+/// Instances that are compared for one choice of a delegate. Comparing all
+/// would send the requests of all instances without links to the same one.
+const DELEGATES_COMPARED: usize = 2;
+
+/// Other upstreams that are tried to tell a crash from lost links.
+const COMPARED_UPSTREAMS: usize = 3;
+/// Other instances that are asked whether they reach an upstream.
+const INSTANCES_ASKED: usize = 3;
+
+/// How a request gets to an upstream.
+#[derive(Clone, Debug, PartialEq)]
+pub enum SendPath {
+    /// Over this instance's own links.
+    Direct,
+    /// Through the instance at this address.
+    Delegate(IpAddr),
+    /// In no way.
+    None(Refusal),
+}
+
+/// Sends of a request that did not get to an upstream.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct FailedPaths<'a> {
+    /// Begin of the last direct send that made no connection.
+    pub unconnected_at: Option<Timestamp>,
+    /// Delegates that could not send the request.
+    pub delegates: &'a [IpAddr],
+}
+
 impl GatewayCore {
     /// Records that a connection to an upstream, begun at `begun_at`, was
     /// established.
@@ -32,4 +75,118 @@
     pub fn take_link_changes(&mut self, now: Timestamp) -> Vec<LinkChange> {
         self.upstreams.take_link_changes(now)
     }
+
+    /// Addresses of other upstreams like the given one that are not known to
+    /// have crashed: if one accepts connections, the links are sound.
+    pub fn others_not_crashed(&mut self, id: &UpstreamId) -> Vec<SocketAddr> {
+        let mut others = self.upstreams.others_like(id);
+        others.retain(|entry| !self.quarantine.has_crash(&entry.process()));
+        let addresses = others.into_iter().map(|entry| entry.address);
+        addresses.take(COMPARED_UPSTREAMS).collect()
+    }
+
+    /// Instances to ask whether they reach an upstream.
+    pub fn instances_to_ask(&mut self, now: Timestamp) -> Vec<IpAddr> {
+        let domain = &self.settings.failure_domain;
+        let serving = self.members.serving(now, domain);
+        let asked = serving.choose_multiple(&mut self.rng, INSTANCES_ASKED);
+        asked.copied().collect()
+    }
+
+    /// Upstreams to probe now, with their addresses.
+    pub fn next_probes(
+        &mut self,
+        now: Timestamp,
+    ) -> Vec<(UpstreamId, SocketAddr)> {
+        self.upstreams.next_probes(now)
+    }
+
+    /// Whether upstreams of a service can be reached, as far as is known.
+    pub fn reaches(&mut self, now: Timestamp, service: &ServiceName) -> bool {
+        let state = self.upstreams.link_state(now, service);
+        matches!(state, LinkState::Reachable | LinkState::Returning)
+    }
+
+    /// Decides how the next send of a request to a service is made.
+    ///
+    /// After a send that made no connection, a delegate is used as soon as
+    /// nothing shows that the links are sound: a further connect timeout would
+    /// cost a short request its target.
+    pub fn send_path(
+        &mut self,
+        now: Timestamp,
+        service: &ServiceName,
+        failed: &FailedPaths<'_>,
+    ) -> SendPath {
+        let state = self.upstreams.link_state(now, service);
+        let is_unreached = failed.unconnected_at.is_some_and(|begun_at| {
+            self.upstreams.is_unreached_since(service, begun_at)
+        });
+        if state == LinkState::Reachable && !is_unreached {
+            return SendPath::Direct;
+        }
+        if let Some(ip) = self.choose_delegate(now, service, failed.delegates) {
+            return SendPath::Delegate(ip);
+        }
+        if state != LinkState::Lost {
+            return SendPath::Direct;
+        }
+        let text = format!(
+            "no upstream of {service} can be reached from here, nor through \
+             another instance",
+        );
+        SendPath::None(self.retryable_refusal(RefusalCode::NoUpstream, &text))
+    }
+
+    /// Chooses one of the instances with links to a service: of a few random
+    /// ones that with the fewest requests, and among equal ones one of this
+    /// instance's failure domain.
+    fn choose_delegate(
+        &mut self,
+        now: Timestamp,
+        service: &ServiceName,
+        excluded: &[IpAddr],
+    ) -> Option<IpAddr> {
+        if excluded.len() >= DELEGATES_MAX {
+            return None;
+        }
+        let mut delegates = self.members.delegates(now, service);
+        delegates.retain(|(ip, ..)| !excluded.contains(ip));
+        let compared = delegates
+            .choose_multiple(&mut self.rng, DELEGATES_COMPARED)
+            .min_by_key(|(ip, instance, domain)| {
+                let reported = self.load_table.peer_requests(instance);
+                let delegated = self.delegated.get(ip).copied();
+                let is_foreign = **domain != self.settings.failure_domain;
+                (reported + delegated.unwrap_or_default(), is_foreign)
+            });
+        compared.map(|(ip, ..)| *ip)
+    }
+
+    /// Counts a request that a delegate sends for this instance.
+    pub fn begin_delegation(&mut self, ip: IpAddr) {
+        *self.delegated.entry(ip).or_default() += 1;
+    }
+
+    /// Ends the count of [`Self::begin_delegation`].
+    pub fn end_delegation(&mut self, ip: IpAddr) {
+        if let Some(count) = self.delegated.get_mut(&ip) {
+            *count -= 1;
+            if *count == 0 {
+                self.delegated.remove(&ip);
+            }
+        }
+    }
+
+    /// Records that an instance failed as a delegate; returns for how long it
+    /// is avoided.
+    pub fn record_delegate_failure(
+        &mut self,
+        now: Timestamp,
+        ip: IpAddr,
+    ) -> Duration {
+        self.members
+            .avoid_delegate(ip, now.after(DELEGATE_AVOIDANCE));
+        DELEGATE_AVOIDANCE
+    }
 }
--- a/lib/src/gateway/gateway_core/placing.rs
+++ b/lib/src/gateway/gateway_core/placing.rs
@@ -46,7 +46,7 @@
         let limits = self.engine_limits(request, &spec);
         let own = self.settings.ip;
         let limiter = &mut self.dispatch_limiter;
-        limiter.set_members(self.members.alive(now));
+        limiter.set_members(service, self.members.reaching(now, service));
         let bounds = &self.settings.bounds;
         let cold_limit = (spec.cold_requests_per_s * bounds.cold_factor
             + bounds.cold_slack)
--- a/lib/src/gateway/load_table.rs
+++ b/lib/src/gateway/load_table.rs
@@ -258,6 +258,14 @@
         self.deferred = self.deferred.saturating_sub(prefill);
     }
 
+    /// Requests in flight on another instance, by its last report; zero if it
+    /// has sent none.
+    pub fn peer_requests(&self, peer: &InstanceId) -> u32 {
+        let report = self.peers.get(peer);
+        let loads = report.map(|report| report.loads.values());
+        loads.map_or(0, |loads| loads.map(UpstreamLoad::requests).sum())
+    }
+
     /// Prefill demand of this instance's callers.
     pub fn local_demand(&self, now: Timestamp) -> PrefillDemand {
         PrefillDemand {
--- a/lib/src/gateway/member_table.rs
+++ b/lib/src/gateway/member_table.rs
@@ -11,7 +11,7 @@
 use std::{collections::BTreeMap, net::IpAddr, time::Duration};
 
 use crate::{
-    ids::{DomainId, InstanceId, UpstreamId},
+    ids::{DomainId, InstanceId, ServiceName, UpstreamId},
     units::{Incarnation, Timestamp},
     value_type,
 };
@@ -80,6 +80,10 @@
     /// Data that followed the last heartbeat; `None` if the member's build
     /// sends none.
     trailer: Option<HeartbeatTrailer>,
+    /// Services whose upstreams the member may be unable to reach.
+    unreachable: Vec<ServiceName>,
+    /// Until when the member is not used as a delegate, after a failure.
+    avoided_until: Timestamp,
 }
 
 /// A change of the members.
@@ -147,6 +151,9 @@
         let before = self.members.get(&heartbeat.ip);
         let restarted = before
             .is_some_and(|member| member.incarnation != heartbeat.incarnation);
+        let avoided_until = before
+            .filter(|_| !restarted)
+            .map_or(Timestamp::ZERO, |member| member.avoided_until);
         let was_serving = before.is_some_and(|member| member.serving);
         let was_silent = self.silent.contains(&heartbeat.ip);
         let known = before.is_some() && !was_silent && !restarted;
@@ -160,6 +167,8 @@
                 serving: heartbeat.serving,
                 last_heartbeat_at: now,
                 trailer,
+                unreachable: Vec::new(),
+                avoided_until,
             },
         );
         if !known {
@@ -244,6 +253,68 @@
         members.into_iter().map(|(_, ip)| ip).collect()
     }
 
+    /// Sets the services whose upstreams a member may be unable to reach, as
+    /// its last heartbeat says.
+    pub fn set_unreachable(
+        &mut self,
+        ip: IpAddr,
+        unreachable: Vec<ServiceName>,
+    ) {
+        if let Some(member) = self.members.get_mut(&ip) {
+            member.unreachable = unreachable;
+        }
+    }
+
+    /// Members with recent heartbeats that reach upstreams of a service.
+    pub fn reaching(
+        &self,
+        now: Timestamp,
+        service: &ServiceName,
+    ) -> Vec<IpAddr> {
+        let members = self.members.iter().filter(|(_, member)| {
+            now.since(member.last_heartbeat_at) <= HEARTBEAT_TIMEOUT
+                && !member.unreachable.contains(service)
+        });
+        members.map(|(ip, _)| *ip).collect()
+    }
+
+    /// Members that may send requests to a service for this instance. Those
+    /// whose last heartbeat is older than two intervals are left out unless no
+    /// others remain: they may have failed.
+    pub fn delegates(
+        &self,
+        now: Timestamp,
+        service: &ServiceName,
+    ) -> Vec<(IpAddr, &InstanceId, &DomainId)> {
+        let members: Vec<_> = self
+            .members
+            .iter()
+            .filter(|(_, member)| {
+                member.serving
+                    && now.since(member.last_heartbeat_at) <= HEARTBEAT_TIMEOUT
+                    && member.avoided_until <= now
+                    && !member.unreachable.contains(service)
+            })
+            .collect();
+        let fresh = self.heartbeat_interval(now) * 2;
+        let is_fresh = |member: &MemberStatus| {
+            now.since(member.last_heartbeat_at) <= fresh
+        };
+        let any_fresh = members.iter().any(|(_, member)| is_fresh(member));
+        members
+            .into_iter()
+            .filter(|(_, member)| is_fresh(member) || !any_fresh)
+            .map(|(ip, member)| (*ip, &member.instance, &member.domain))
+            .collect()
+    }
+
+    /// Does not use a member as a delegate for some time.
+    pub fn avoid_delegate(&mut self, ip: IpAddr, until: Timestamp) {
+        if let Some(member) = self.members.get_mut(&ip) {
+            member.avoided_until = until;
+        }
+    }
+
     /// Number of instances among which limits are shared: this one and the
     /// members with recent heartbeats.
     pub fn instance_count(&self, now: Timestamp) -> usize {
--- a/lib/src/gateway/reachability.rs
+++ b/lib/src/gateway/reachability.rs
@@ -121,13 +121,19 @@
             .is_some_and(|since| now.since(since) < RETURN_HOLD)
     }
 
-    fn record_reached(&mut self, now: Timestamp, begun_at: Timestamp) {
+    fn record_reached(
+        &mut self,
+        now: Timestamp,
+        begun_at: Timestamp,
+    ) -> Option<Timestamp> {
+        let before = self.reached_at;
         self.reached_at = self.reached_at.max(begun_at);
         self.failed.retain(|_, failed_at| *failed_at > begun_at);
-        if self.lost_since.is_some() && self.failed.is_empty() {
-            self.lost_since = None;
+        if self.failed.is_empty() && self.lost_since.take().is_some() {
             self.returning_since = Some(now);
+            return Some(before);
         }
+        None
     }
 
     /// Records a failed connection to one of `count` upstreams.
@@ -143,7 +149,7 @@
         }
         self.failed.insert(upstream.clone(), begun_at);
         let is_lost = self.recent_failures(now) >= LOST_UPSTREAMS.min(count);
-        if self.lost_since.is_none() && (is_lost || self.is_returning(now)) {
+        if self.lost_since.is_none() && is_lost {
             self.lost_since = Some(now);
             self.returning_since = None;
         }
@@ -157,10 +163,15 @@
         upstreams: &BTreeSet<UpstreamId>,
         doubtful: bool,
     ) -> Vec<UpstreamId> {
-        let (interval, count) = match (self.lost_since, doubtful) {
-            (Some(_), _) => (LOST_PROBE_INTERVAL, 1),
-            (None, true) => (DOUBT_PROBE_INTERVAL, LOST_UPSTREAMS),
-            (None, false) => return Vec::new(),
+        let is_lost = self.lost_since.is_some();
+        let is_untried = |id: &UpstreamId| !self.failed.contains_key(id);
+        let any_untried = upstreams.iter().any(is_untried);
+        let (interval, count) = if is_lost && !any_untried {
+            (LOST_PROBE_INTERVAL, 1)
+        } else if is_lost || doubtful {
+            (DOUBT_PROBE_INTERVAL, LOST_UPSTREAMS)
+        } else {
+            return Vec::new();
         };
         if self.probed_at.is_some_and(|at| now.since(at) < interval) {
             return Vec::new();
@@ -195,15 +206,16 @@
 
 impl ReachabilityTable {
     /// Records that a connection to an upstream, begun at `begun_at`, was
-    /// established.
+    /// established. If the links were lost, returns the begin of the last
+    /// connection before the loss.
     pub fn record_reached(
         &mut self,
         now: Timestamp,
         begun_at: Timestamp,
         group: LinkGroup,
-    ) {
+    ) -> Option<Timestamp> {
         let links = self.groups.entry(group).or_default();
-        links.record_reached(now, begun_at);
+        links.record_reached(now, begun_at)
     }
 
     /// Records that a connection to an upstream, begun at `begun_at`, was not
@@ -306,15 +318,39 @@
             })
     }
 
+    /// What this instance tells the others.
+    pub fn report(&self, now: Timestamp, targets: &LinkTargets) -> LinkReport {
+        if !self.has_evidence() {
+            return LinkReport::default();
+        }
+        let unreachable = services_of(targets).into_iter().filter(|service| {
+            matches!(
+                self.state(now, service, targets),
+                LinkState::Doubtful | LinkState::Lost
+            )
+        });
+        LinkReport {
+            unreachable: unreachable.collect(),
+        }
+    }
+
+    /// Whether any connection has failed lately or links were lost.
+    fn has_evidence(&self) -> bool {
+        self.groups
+            .values()
+            .any(|links| !links.failed.is_empty() || links.lost_since.is_some())
+    }
+
     /// Upstreams to probe now.
     pub fn next_probes(
         &mut self,
         now: Timestamp,
         targets: &LinkTargets,
     ) -> Vec<UpstreamId> {
-        let services: BTreeSet<_> =
-            targets.keys().map(|group| group.service.clone()).collect();
-        let doubtful: BTreeSet<_> = services
+        if !self.has_evidence() {
+            return Vec::new();
+        }
+        let doubtful: BTreeSet<_> = services_of(targets)
             .into_iter()
             .filter(|service| {
                 self.state(now, service, targets) == LinkState::Doubtful
@@ -358,10 +394,12 @@
         now: Timestamp,
         targets: &LinkTargets,
     ) -> Vec<LinkChange> {
-        let services: BTreeSet<_> =
-            targets.keys().map(|group| group.service.clone()).collect();
+        let is_calm = |state: &LinkState| *state == LinkState::Reachable;
+        if !self.has_evidence() && self.reported.values().all(is_calm) {
+            return Vec::new();
+        }
         let mut changes = Vec::new();
-        for service in services {
+        for service in services_of(targets) {
             let state = self.state(now, &service, targets);
             let before = self.reported.insert(service.clone(), state);
             if before.unwrap_or(LinkState::Reachable) == state {
@@ -386,6 +424,10 @@
     }
 }
 
+fn services_of(targets: &LinkTargets) -> BTreeSet<ServiceName> {
+    targets.keys().map(|group| group.service.clone()).collect()
+}
+
 fn of_service<'a>(
     targets: &'a LinkTargets,
     service: &'a ServiceName,
--- a/lib/src/gateway/upstream_table.rs
+++ b/lib/src/gateway/upstream_table.rs
@@ -24,7 +24,8 @@
 };
 
 use super::reachability::{
-    LinkChange, LinkGroup, LinkState, LinkTargets, ReachabilityTable,
+    LinkChange, LinkGroup, LinkReport, LinkState, LinkTargets,
+    ReachabilityTable,
 };
 use crate::{
     ids::{DomainId, ServiceName, UpstreamId},
@@ -151,6 +152,7 @@
     failures: u32,
     /// Moving average of failed requests, from 0 to 1.
     failure_share: f64,
+    failed_at: Timestamp,
     avoid_until: Timestamp,
 }
 
@@ -165,6 +167,7 @@
             displaced: false,
             failures: 0,
             failure_share: 0.0,
+            failed_at: Timestamp::ZERO,
             avoid_until: Timestamp::ZERO,
         }
     }
@@ -437,7 +440,10 @@
             .iter()
             .copied()
             .filter(|upstream| {
-                !upstream.is_avoided(now) && upstream.failure_share <= limit
+                let group = upstream.entry.link_group();
+                !upstream.is_avoided(now)
+                    && upstream.failure_share <= limit
+                    && !self.links.is_lost(now, &group)
             })
             .collect();
         if healthy.is_empty() {
@@ -466,11 +472,14 @@
         count >= SUSPECTING_INSTANCES_MIN
     }
 
-    /// Upstreams that are avoided after a recent failure.
-    pub fn avoided(&self, now: Timestamp) -> Vec<UpstreamId> {
-        let avoided =
-            self.upstreams().filter(|upstream| upstream.is_avoided(now));
-        avoided.map(|upstream| upstream.entry.id.clone()).collect()
+    /// Upstreams that are avoided after a recent failure, without those whose
+    /// failures may be due to this instance's own links.
+    pub fn suspects_to_report(&self, now: Timestamp) -> Vec<UpstreamId> {
+        let suspects = self.upstreams().filter(|upstream| {
+            upstream.is_avoided(now)
+                && !self.links.is_doubtful(now, &upstream.entry.link_group())
+        });
+        suspects.map(|upstream| upstream.entry.id.clone()).collect()
     }
 
     /// Records a completed request, which ends the avoidance.
@@ -495,6 +504,7 @@
         let backoff = AVOID_MIN.saturating_mul(1 << upstream.failures.min(8));
         let avoidance = backoff.min(AVOID_MAX);
         upstream.failures += 1;
+        upstream.failed_at = now;
         upstream.failure_share +=
             FAILURE_WEIGHT * (1.0 - upstream.failure_share);
         upstream.avoid_until = now.after(avoidance);
@@ -551,9 +561,29 @@
         begun_at: Timestamp,
         id: &UpstreamId,
     ) {
-        if let Some(upstream) = self.upstreams.get(id) {
-            let group = upstream.entry.link_group();
-            self.links.record_reached(now, begun_at, group);
+        let Some(upstream) = self.upstreams.get(id) else {
+            return;
+        };
+        let group = upstream.entry.link_group();
+        let was_lost = self.links.is_lost(now, &group);
+        let unreached_since =
+            self.links.record_reached(now, begun_at, group.clone());
+        if let (true, Some(since)) = (was_lost, unreached_since) {
+            self.forget_failures(&group, since);
+        }
+    }
+
+    /// Forgets failures of the upstreams of a group since `since`: they were
+    /// due to this instance's links.
+    fn forget_failures(&mut self, group: &LinkGroup, since: Timestamp) {
+        for upstream in self.upstreams.values_mut() {
+            if upstream.entry.link_group() == *group
+                && upstream.failed_at >= since
+            {
+                upstream.failures = 0;
+                upstream.failure_share = 0.0;
+                upstream.avoid_until = Timestamp::ZERO;
+            }
         }
     }
 
@@ -584,6 +614,58 @@
         self.links.state(now, service, &targets)
     }
 
+    /// Whether no upstream of a service was reached by a connection begun
+    /// after `begun_at`.
+    pub fn is_unreached_since(
+        &self,
+        service: &ServiceName,
+        begun_at: Timestamp,
+    ) -> bool {
+        self.links.is_unreached_since(service, begun_at)
+    }
+
+    /// What this instance tells the others of its links.
+    pub fn link_report(&mut self, now: Timestamp) -> LinkReport {
+        let targets = self.link_targets();
+        self.links.report(now, &targets)
+    }
+
+    /// Other upstreams like the given one: those of its failure domain, or of
+    /// the others if it is the only one there.
+    pub fn others_like(&mut self, id: &UpstreamId) -> Vec<UpstreamEntry> {
+        let targets = self.link_targets();
+        let Some(upstream) = self.upstreams.get(id) else {
+            return Vec::new();
+        };
+        let group = upstream.entry.link_group();
+        let others = |in_domain: bool| {
+            let groups = targets.iter().filter(|(other, _)| {
+                other.service == group.service
+                    && (other.domain == group.domain) == in_domain
+            });
+            let ids = groups.flat_map(|(_, ids)| ids);
+            let others = ids.filter(|other| *other != id);
+            let entries = others.filter_map(|id| self.upstreams.get(id));
+            entries.map(|it| it.entry.clone()).collect::<Vec<_>>()
+        };
+        let near = others(true);
+        if near.is_empty() { others(false) } else { near }
+    }
+
+    /// Upstreams to probe now, with their addresses.
+    pub fn next_probes(
+        &mut self,
+        now: Timestamp,
+    ) -> Vec<(UpstreamId, SocketAddr)> {
+        let targets = self.link_targets();
+        let ids = self.links.next_probes(now, &targets).into_iter();
+        ids.filter_map(|id| {
+            let address = self.upstreams.get(&id)?.entry.address;
+            Some((id, address))
+        })
+        .collect()
+    }
+
     /// Returns the services whose links have changed since the last call.
     pub fn take_link_changes(&mut self, now: Timestamp) -> Vec<LinkChange> {
         let targets = self.link_targets();
--- a/lib/src/log_event.rs
+++ b/lib/src/log_event.rs
@@ -111,6 +111,8 @@
     MemoryOrderFailed = 605, "memory_order_failed", Warn;
     /// The connection of a caller failed.
     CallerConnectionFailed = 606, "caller_connection_failed", Debug;
+    /// A request is sent to an upstream through another instance.
+    RequestDelegated = 607, "request_delegated", Info;
     /// An upstream was added to the instance list, changed or removed.
     UpstreamChanged = 610, "upstream_changed", Info;
     /// A failure domain was closed or reopened.
--- a/lib/tests/gateway/test_request_limits.rs
+++ b/lib/tests/gateway/test_request_limits.rs
@@ -45,7 +45,7 @@
     let limiters = all.iter().map(|own| {
         let mut limiter = DispatchLimiter::default();
         let others = all.iter().copied().filter(|ip| ip != own);
-        limiter.set_members(others.collect());
+        limiter.set_members(&id("service-a"), others.collect());
         (*own, limiter)
     });
     limiters.collect()
@@ -120,7 +120,7 @@
             let alive: Vec<_> = alive.collect();
             for (own, limiter) in &mut fleet {
                 let others = alive.iter().copied().filter(|ip| ip != own);
-                limiter.set_members(others.collect());
+                limiter.set_members(&id("service-a"), others.collect());
             }
         }
         for (own, limiter) in &mut fleet {
--- a/testutils/src/forwarder.rs
+++ b/testutils/src/forwarder.rs
@@ -135,12 +135,18 @@
     };
     let mut listener = Some(listener);
     let mut silent_port = None;
+    let mut refused_port = None;
     let mut link = forwarder.link.subscribe();
     loop {
         let state = *link.borrow_and_update();
         if state.refuse || state.silent {
             listener = None;
         }
+        if !state.refuse {
+            refused_port = None;
+        } else if refused_port.is_none() {
+            refused_port = reserve_port(address).ok();
+        }
         if !state.silent {
             silent_port = None;
         } else if silent_port.is_none() {
@@ -172,6 +178,15 @@
     }
 }
 
+/// Binds a port without listening, so that connections are refused and nobody
+/// else gets the port meanwhile.
+fn reserve_port(address: SocketAddr) -> io::Result<TcpSocket> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    Ok(socket)
+}
+
 /// A listener whose queue is full, so that the system drops further attempts
 /// to connect.
 struct SilentPort {
