gateway: heed Server-Leaving and the Retry-After of an upstream's 503

Neither header was read. A process that said it is leaving gets no more requests whatever its list entry says, also when the answer came through another instance; a paused upstream gets none until the time is over, and a refusal for want of others tells callers to return after it.

--- a/cli/src/gateway/delegation.rs
+++ b/cli/src/gateway/delegation.rs
@@ -173,6 +173,13 @@
                 return Err(SendError::Ended(before, outcome));
             }
         };
+        let process = {
+            let core = self.context.core();
+            core.upstreams().get(&upstream).map(|it| it.entry.process())
+        };
+        if let Some(process) = process {
+            self.record_departure(process, &head);
+        }
         let time_to_first_event = Duration::from_millis(expected_ms);
         self.timings.expected = time_to_first_event;
         Ok(UpstreamReply {
--- a/cli/src/gateway/forward.rs
+++ b/cli/src/gateway/forward.rs
@@ -17,7 +17,7 @@
         request_limit::RequestLimit,
         request_timings::{AnswerLateness, RequestTimings},
         routing_config::{AnswerForm, CallerIdentity},
-        upstream_table::UpstreamEntry,
+        upstream_table::{UpstreamEntry, UpstreamProcess},
         wire::{
             CallerRequest, DispatchMetadata, GatewayWire, PartId, ReplyKind,
         },
@@ -466,6 +466,10 @@
         let attempt = self.request.attempt.as_ref();
         let kind = self.context.wire.read_reply(attempt, &head);
         self.record_limit(&started.entry, kind, &head);
+        if kind != ReplyKind::Foreign && kind != ReplyKind::Misdirected {
+            self.record_departure(started.entry.process(), &head);
+            self.record_pause(&upstream, &head);
+        }
         let outcome = match kind {
             ReplyKind::Answer => None,
             ReplyKind::Failure => {
@@ -493,6 +497,44 @@
         })
     }
 
+    /// Records whether the reply says that the upstream is leaving.
+    pub(super) fn record_departure(
+        &self,
+        process: UpstreamProcess,
+        head: &ResponseParts,
+    ) {
+        if !self.context.wire.is_leaving(head) {
+            return;
+        }
+        let now = self.context.now();
+        let upstream = process.upstream.clone();
+        if self.context.core().mark_leaving(now, process) {
+            log_decision!(
+                LogEvent::UpstreamChanged,
+                { request = self.id(), upstream = upstream, state = "leaving" },
+                "{upstream} says in a reply that it is leaving",
+            );
+        }
+    }
+
+    /// Records for how long the upstream wants no more requests.
+    fn record_pause(&self, upstream: &UpstreamId, head: &ResponseParts) {
+        let Some(pause) = self.context.wire.pause(head) else {
+            return;
+        };
+        let now = self.context.now();
+        self.context.core().pause_upstream(now, upstream, pause);
+        log_decision!(
+            LogEvent::UpstreamPaused,
+            {
+                request = self.id(),
+                upstream = upstream,
+                pause_ms = pause.as_millis(),
+            },
+            "{upstream} wants no requests for {pause:?}",
+        );
+    }
+
     /// Records the limit that an upstream named in its reply. Only an answer
     /// shows that it names none: other replies may leave it out.
     fn record_limit(
--- a/lib/src/gateway/gateway_core.rs
+++ b/lib/src/gateway/gateway_core.rs
@@ -38,7 +38,9 @@
     routing_config::{CallerIdentity, ConfigVersion, RouteSpec, RoutingConfig},
     store_era::{EraChange, EraTracker, StoreEra},
     topic_copy::TopicCopy,
-    upstream_table::{UpstreamChange, UpstreamEntry, UpstreamTable},
+    upstream_table::{
+        UpstreamChange, UpstreamEntry, UpstreamProcess, UpstreamTable,
+    },
     wire::StoreTopic,
 };
 use crate::{
@@ -481,6 +483,27 @@
         self.upstreams.record_failure(now, id)
     }
 
+    /// Records that a process said in a reply that it is leaving; returns
+    /// whether that is new.
+    pub fn mark_leaving(
+        &mut self,
+        now: Timestamp,
+        process: UpstreamProcess,
+    ) -> bool {
+        self.upstreams.mark_leaving(now, process)
+    }
+
+    /// Records that an upstream wants no requests of this instance for some
+    /// time.
+    pub fn pause_upstream(
+        &mut self,
+        now: Timestamp,
+        id: &UpstreamId,
+        pause: Duration,
+    ) {
+        self.upstreams.pause(now, id, pause);
+    }
+
     /// Records that a different upstream answered at an upstream's address.
     pub fn mark_displaced(&mut self, id: &UpstreamId) {
         self.upstreams.mark_displaced(id);
--- a/lib/src/gateway/gateway_core/placing.rs
+++ b/lib/src/gateway/gateway_core/placing.rs
@@ -105,7 +105,7 @@
                 }
                 _ => None,
             };
-            return Err(self.no_placement(request, prompt));
+            return Err(self.no_placement(now, request, prompt));
         };
         let gated = placed.in_flight.long && !request.is_resumed;
         if let (true, Some(engine), Some(size)) =
@@ -175,13 +175,19 @@
     /// missing: it waits for memory as long as it can still meet its target.
     fn no_placement(
         &mut self,
+        now: Timestamp,
         request: &PlacementRequest<'_>,
         prompt: Option<(&EngineProfile, PromptSize)>,
     ) -> NotPlaced {
         let service = &request.admitted.service;
         let Some((engine, size)) = prompt else {
             let text = format!("no upstream of {service} can take the request");
-            return self.not_placed(RefusalCode::NoCapacity, &text);
+            let code = RefusalCode::NoCapacity;
+            let refusal = self.retryable_refusal(code, &text);
+            let random = refusal.retry_after.unwrap_or_default();
+            let paused = self.upstreams.pause_left(now, service);
+            let wait = paused.unwrap_or_default() + random;
+            return NotPlaced::Refused(refusal.with_retry_after(wait));
         };
         let prefill = engine.prefill_time(size.prompt);
         let target = request.admitted.route.latency_target;
--- a/lib/src/gateway/upstream_table.rs
+++ b/lib/src/gateway/upstream_table.rs
@@ -43,6 +43,8 @@
 /// Time for which an upstream is avoided after its first failure; it doubles
 /// with each further one.
 const AVOID_MIN: Duration = Duration::from_millis(500);
+/// Longest pause that an upstream may ask for.
+const PAUSE_MAX: Duration = Duration::from_secs(60);
 /// Longest time for which an upstream is avoided.
 const AVOID_MAX: Duration = Duration::from_secs(4);
 /// Weight of the newest outcome in the moving average of failures.
@@ -154,6 +156,8 @@
     failure_share: f64,
     failed_at: Timestamp,
     avoid_until: Timestamp,
+    /// Until when the upstream wants no requests of this instance.
+    paused_until: Timestamp,
 }
 
 impl TrackedUpstream {
@@ -169,6 +173,7 @@
             failure_share: 0.0,
             failed_at: Timestamp::ZERO,
             avoid_until: Timestamp::ZERO,
+            paused_until: Timestamp::ZERO,
         }
     }
 
@@ -211,6 +216,8 @@
     /// Number of other instances that avoid each upstream.
     suspects: BTreeMap<UpstreamId, usize>,
     links: ReachabilityTable,
+    /// Processes that said in a reply that they are leaving, and when.
+    leaving: BTreeMap<UpstreamProcess, Timestamp>,
     /// Usable upstreams by service and failure domain; `None` after a change.
     link_targets: Option<Arc<LinkTargets>>,
 }
@@ -406,8 +413,50 @@
         self.upstreams.values()
     }
 
-    /// Upstreams of a service that may receive a request: ready, in an open
-    /// failure domain and not in `excluded`. Those that failed recently are
+    /// Records that a process said that it is leaving; returns whether that is
+    /// new. It gets no more requests, whatever its list entry says.
+    pub fn mark_leaving(
+        &mut self,
+        now: Timestamp,
+        process: UpstreamProcess,
+    ) -> bool {
+        let upstreams = &self.upstreams;
+        self.leaving.retain(|process, at| {
+            let known = upstreams.get(&process.upstream);
+            let is_listed = known.is_some_and(|known| {
+                known.entry.incarnation == process.incarnation
+            });
+            is_listed || now.since(*at) < DEPARTED_TIME
+        });
+        self.link_targets = None;
+        self.leaving.insert(process, now).is_none()
+    }
+
+    /// Records that an upstream wants no requests of this instance for some
+    /// time.
+    pub fn pause(&mut self, now: Timestamp, id: &UpstreamId, pause: Duration) {
+        if let Some(upstream) = self.upstreams.get_mut(id) {
+            let until = now.after(pause.min(PAUSE_MAX));
+            upstream.paused_until = upstream.paused_until.max(until);
+        }
+    }
+
+    /// Time until the first paused upstream of a service may be used again;
+    /// `None` if none is paused.
+    pub fn pause_left(
+        &self,
+        now: Timestamp,
+        service: &ServiceName,
+    ) -> Option<Duration> {
+        let paused = self.upstreams.values().filter(|upstream| {
+            upstream.entry.service == *service && upstream.paused_until > now
+        });
+        let left = paused.map(|upstream| upstream.paused_until.since(now));
+        left.min()
+    }
+
+    /// Upstreams of a service that may receive a request: ready, not leaving or
+    /// paused, in an open failure domain and not in `excluded`. Those that failed recently are
     /// left out unless no others remain.
     pub fn candidates(
         &self,
@@ -421,6 +470,8 @@
             .filter(|upstream| {
                 upstream.entry.service == *service
                     && upstream.entry.state == UpstreamState::Ready
+                    && !self.leaving.contains_key(&upstream.entry.process())
+                    && upstream.paused_until <= now
                     && !upstream.displaced
                     && !self.closed.contains(&upstream.entry.domain)
                     && !excluded.contains(&upstream.entry.id)
@@ -537,6 +588,7 @@
         }
         let usable = self.upstreams.values().filter(|upstream| {
             upstream.entry.state == UpstreamState::Ready
+                && !self.leaving.contains_key(&upstream.entry.process())
                 && !upstream.removed
                 && !upstream.displaced
                 && !self.closed.contains(&upstream.entry.domain)
--- a/lib/src/gateway/wire.rs
+++ b/lib/src/gateway/wire.rs
@@ -290,6 +290,13 @@
     /// reply names a limit.
     fn request_limit(&self, head: &ResponseParts) -> Option<RequestLimit>;
 
+    /// Whether the reply says that the upstream is leaving.
+    fn is_leaving(&self, head: &ResponseParts) -> bool;
+
+    /// Time for which the upstream wants no more requests of this instance, if
+    /// the reply turns a request away and names one.
+    fn pause(&self, head: &ResponseParts) -> Option<Duration>;
+
     /// Whether the reply is marked as produced by the upstream itself, so that
     /// it may be forwarded as it is.
     fn is_authentic_answer(&self, head: &ResponseParts) -> bool;
--- a/lib/src/log_event.rs
+++ b/lib/src/log_event.rs
@@ -122,6 +122,8 @@
     /// The links of the instance to the upstreams of a service were lost, are
     /// in doubt or are back.
     LinksChanged = 614, "links_changed", Warn;
+    /// An upstream turned a request away and wants none for some time.
+    UpstreamPaused = 615, "upstream_paused", Warn;
     /// The platform's topic store does not respond.
     StoreLost = 620, "store_lost", Warn;
     /// A topic can be read again after the store was unavailable.
