--- a/lib/src/gateway/reachability.rs
+++ b/lib/src/gateway/reachability.rs
@@ -38,6 +38,9 @@
 const DOUBT_PROBE_INTERVAL: Duration = Duration::from_millis(250);
 /// Time between two probes of a failure domain while its links are lost.
 const LOST_PROBE_INTERVAL: Duration = Duration::from_millis(500);
+/// Probes of one round, over all groups; a group that got none goes first in the
+/// next. It bounds the cost where there are many services and failure domains.
+const PROBES_MAX: usize = 32;
 /// Time between the first connection after a loss and the use of the links.
 /// Longer than the longest interval of heartbeats, so that the shares of limits
 /// have been divided anew by then.
@@ -356,8 +359,15 @@
                 self.state(now, service, targets) == LinkState::Doubtful
             })
             .collect();
+        let mut groups: Vec<_> = targets.iter().collect();
+        groups.sort_by_key(|(group, _)| {
+            self.groups.get(*group).and_then(|links| links.probed_at)
+        });
         let mut probes = Vec::new();
-        for (group, upstreams) in targets {
+        for (group, upstreams) in groups {
+            if probes.len() >= PROBES_MAX {
+                break;
+            }
             let Some(doubt) =
                 self.group_doubt(now, group, upstreams.len(), &doubtful)
             else {
--- a/lib/tests/gateway/test_reachability.rs
+++ b/lib/tests/gateway/test_reachability.rs
@@ -240,3 +240,32 @@
         core.next_heartbeat(at(130)).trailer;
     assert_eq!(suspects, []);
 }
+
+/// Guards against probes that grow with the number of services and failure
+/// domains, and against a group that never gets its turn.
+#[test]
+fn test_reachability_probes_are_bounded_in_large_fleets() {
+    let mut core = core(0);
+    let entries = (0..360).map(|index| {
+        let mut entry = entry(&format!("i-{index}"));
+        entry.domain = id(&format!("domain-{}", index % 18));
+        entry.service = id(&format!("models-{}", index / 18 % 10));
+        entry
+    });
+    core.replace_upstreams(at(0), entries.collect());
+    for index in 0..360 {
+        let upstream: UpstreamId = id(&format!("i-{index}"));
+        core.record_unreached(at(10), at(10), &upstream);
+    }
+    let mut probed = BTreeSet::new();
+    for step in 1..=12 {
+        let probes = fail_probes(&mut core, at(10 + step * 250));
+        assert!(probes.len() <= 34, "{}", probes.len());
+        let groups = probes.iter().map(|upstream| {
+            let upstream = core.upstreams().get(upstream);
+            upstream.expect("listed").entry.link_group()
+        });
+        probed.extend(groups);
+    }
+    assert_eq!(probed.len(), 180);
+}
