--- a/cli/src/gateway/delegation.rs
+++ b/cli/src/gateway/delegation.rs
@@ -14,14 +14,12 @@
         },
         wire::GatewayWire,
     },
+    ids::UpstreamId,
     log_event::LogEvent,
-    refusal::{Refusal, RunState},
+    refusal::{Refusal, RefusalCode, RunState},
 };
 use bytes::Bytes;
-use http::{
-    HeaderName, HeaderValue, Request, Uri, header,
-    response::Parts as ResponseParts,
-};
+use http::{HeaderName, HeaderValue, Request, Uri, header};
 use http_body_util::Full;
 
 use super::{
@@ -43,6 +41,15 @@
 /// timeout.
 const REPORT_MARGIN: Duration = Duration::from_millis(100);
 
+/// Headers of the caller's connection.
+const CONNECTION_HEADERS: [HeaderName; 5] = [
+    header::CONNECTION,
+    header::TRANSFER_ENCODING,
+    header::TE,
+    header::UPGRADE,
+    header::EXPECT,
+];
+
 /// Counts a request that another instance sends, until it is dropped.
 #[derive(Debug)]
 pub(super) struct DelegationGuard<W: GatewayWire> {
@@ -123,72 +130,86 @@
                 return Err(SendError::Ended(before, outcome));
             }
         };
-        let (upstream, expected_ms) = match read_reply(&mut head) {
-            Some(DelegatedReply::Reply {
+        let report = match head.headers.remove(REPLY_HEADER) {
+            Some(value) => parse_report(&value),
+            // An older build rejects what it does not know before it does
+            // anything.
+            None => DelegatedReply::refused(&Refusal::new(
+                RefusalCode::NotReady,
+                format!("status {} without a report", head.status),
+            )),
+        };
+        let (upstream, time_to_first_event) =
+            self.apply_report(ip, before, report)?;
+        let process = {
+            let core = self.context.core();
+            core.upstreams().get(&upstream).map(|it| it.entry.process())
+        };
+        if let Some(process) = process {
+            self.record_departure(process, &head);
+        }
+        self.timings.expected = time_to_first_event;
+        Ok(UpstreamReply {
+            head,
+            body,
+            upstream,
+            path: ReplyPath::Delegated(guard),
+            time_to_first_event,
+        })
+    }
+
+    /// Applies the report of a delegate on its send. `before` is the run state
+    /// before it. Returns the upstream that replied and the predicted time to
+    /// the first event.
+    fn apply_report(
+        &mut self,
+        ip: IpAddr,
+        before: RunState,
+        report: DelegatedReply,
+    ) -> Result<(UpstreamId, Duration), SendError> {
+        let outcome = match report {
+            DelegatedReply::Reply {
                 upstream,
                 expected_ms,
-            }) => (upstream, expected_ms),
-            Some(DelegatedReply::Ended { upstream, outcome }) => {
+            } => return Ok((upstream, Duration::from_millis(expected_ms))),
+            DelegatedReply::Ended { upstream, outcome } => {
                 let text = format!("the delegate {ip} reports it");
                 match upstream {
                     Some(id) => self.record_failed_send(&id, outcome, &text),
                     None => self.record_failed_delegate(ip, outcome, &text),
                 }
-                return Err(SendError::Ended(before, outcome));
+                outcome
             }
-            Some(DelegatedReply::Refused {
+            DelegatedReply::Refused {
                 code,
                 message,
                 run_state: RunState::NotRun,
                 retry_after_ms,
-            }) => {
-                if is_refused_by_instance(code) {
-                    let outcome = SendOutcome::NotConnected;
-                    let text = format!("{code}: {message}");
-                    self.record_failed_delegate(ip, outcome, &text);
-                    return Err(SendError::Ended(before, outcome));
-                }
-                let refusal = Refusal {
+            } if !is_refused_by_instance(code) => {
+                let now = self.context.now();
+                let declined = SendOutcome::Declined;
+                self.record.finish_send(now, before, declined);
+                return Err(SendError::Refused(Refusal {
                     retry_after: retry_after_ms.map(Duration::from_millis),
                     ..Refusal::new(code, message)
-                };
-                self.record.finish_send(
-                    self.context.now(),
-                    before,
-                    SendOutcome::Declined,
-                );
-                return Err(SendError::Refused(refusal));
+                }));
             }
-            Some(DelegatedReply::Refused { code, message, .. }) => {
+            DelegatedReply::Refused {
+                code,
+                message,
+                run_state,
+                ..
+            } => {
+                let outcome = match run_state {
+                    RunState::NotRun => SendOutcome::NotConnected,
+                    _ => SendOutcome::Lost,
+                };
                 let text = format!("{code}: {message}");
-                self.record_failed_delegate(ip, SendOutcome::Lost, &text);
-                return Err(SendError::Ended(before, SendOutcome::Lost));
-            }
-            None => {
-                // An older build rejects what it does not know before it does
-                // anything.
-                let outcome = SendOutcome::NotConnected;
-                let text = format!("status {} without a report", head.status);
                 self.record_failed_delegate(ip, outcome, &text);
-                return Err(SendError::Ended(before, outcome));
+                outcome
             }
         };
-        let process = {
-            let core = self.context.core();
-            core.upstreams().get(&upstream).map(|it| it.entry.process())
-        };
-        if let Some(process) = process {
-            self.record_departure(process, &head);
-        }
-        let time_to_first_event = Duration::from_millis(expected_ms);
-        self.timings.expected = time_to_first_event;
-        Ok(UpstreamReply {
-            head,
-            body,
-            upstream,
-            path: ReplyPath::Delegated(guard),
-            time_to_first_event,
-        })
+        Err(SendError::Ended(before, outcome))
     }
 
     fn delegated_request(
@@ -213,7 +234,7 @@
         *request.method_mut() = self.head.method.clone();
         *request.headers_mut() = self.head.headers.clone();
         let headers = request.headers_mut();
-        for name in [header::CONNECTION, header::TRANSFER_ENCODING] {
+        for name in CONNECTION_HEADERS {
             headers.remove(name);
         }
         // A body that arrived in chunks has a known length by now.
@@ -253,11 +274,14 @@
     }
 }
 
-/// Takes the report of the delegate out of the head of its response; `None` if
-/// there is none.
-fn read_reply(head: &mut ResponseParts) -> Option<DelegatedReply> {
-    let value = head.headers.remove(REPLY_HEADER)?;
-    value.to_str().ok()?.parse().ok()
+/// Report in a response of the delegate. One that cannot be read does not say
+/// that the request has not run.
+fn parse_report(value: &HeaderValue) -> DelegatedReply {
+    let report = value.to_str().ok().and_then(|text| text.parse().ok());
+    report.unwrap_or(DelegatedReply::Ended {
+        upstream: None,
+        outcome: SendOutcome::Lost,
+    })
 }
 
 /// Value of a header with data in JSON.
