--- a/cli/src/gateway/prompt_quarantine.rs
+++ b/cli/src/gateway/prompt_quarantine.rs
@@ -133,9 +133,24 @@
     let process = entry.process();
     let is_known = context.core().has_crash(&process);
     if !is_known {
-        if !has_crashed(&context, &entry).await {
-            return;
-        }
+        let text = match find_sign_of_life(&context, &entry).await {
+            None => {
+                "the engine refuses connections after it broke off a request"
+            }
+            Some(sign) => {
+                log_decision!(
+                    LogEvent::CrashUnconfirmed,
+                    {
+                        request = attempt,
+                        upstream = entry.id,
+                        address = entry.address,
+                        reason = sign,
+                    },
+                    "the engine broke off a request and may not have crashed",
+                );
+                return;
+            }
+        };
         log_decision!(
             LogEvent::EngineCrashed,
             {
@@ -143,7 +158,7 @@
                 upstream = entry.id,
                 address = entry.address,
             },
-            "the engine refuses connections after it broke off a request",
+            "{text}",
         );
     }
     let now = context.now();
@@ -151,25 +166,27 @@
     context.heartbeat_due.notify_one();
 }
 
-/// Whether an upstream that broke off a request has crashed: it refuses
-/// connections of this instance and of those that are asked. If none of them
-/// knows, another upstream must accept connections, since this instance's own
+/// Why an upstream that broke off a request may not have crashed; `None` if it
+/// refuses connections of this instance and of those that are asked. If none of
+/// them knows, another upstream must accept connections, since this instance's own
 /// links may be lost.
-async fn has_crashed<W: GatewayWire>(
+async fn find_sign_of_life<W: GatewayWire>(
     context: &SharedGateway<W>,
     entry: &UpstreamEntry,
-) -> bool {
+) -> Option<&'static str> {
     if !refuses_connections(entry.address).await {
-        return false;
+        return Some("not_refused_here");
     }
-    if let Some(refused) = links::is_refused_elsewhere(context, &entry.id).await
-    {
-        return refused;
+    match links::is_refused_elsewhere(context, &entry.id).await {
+        Some(true) => return None,
+        Some(false) => return Some("accepted_elsewhere"),
+        None => {}
     }
     let others = context.core().others_not_crashed(&entry.id);
     let has_others = !others.is_empty();
     let accepted = join_all(others.into_iter().map(accepts_connections)).await;
-    accepted.contains(&true) || !has_others
+    let is_sound = accepted.contains(&true) || !has_others;
+    (!is_sound).then_some("links_unknown")
 }
 
 /// Logs the changes of the quarantine, and passes them to the writer and to
--- a/lib/src/log_event.rs
+++ b/lib/src/log_event.rs
@@ -150,4 +150,6 @@
     PartQuarantined = 641, "part_quarantined", Warn;
     /// A part of prompts has left the quarantine.
     PartReleased = 642, "part_released", Info;
+    /// An upstream broke off a request and has not been shown to have crashed.
+    CrashUnconfirmed = 643, "crash_unconfirmed", Info;
 }
