gateway: look again at upstreams that may have crashed

Callers whose request crashes upstreams got it sent on: a crash was looked at once, and lost for the quarantine if that look did not confirm it.

Causes, from the reasons in crash_unconfirmed: a process closes its connections before its listener, so that one more connection is accepted (not_refused_here); and while instances do not know each other yet, upstreams that crash within the same milliseconds each wait for another one to accept connections (links_unknown).

crash_confirmation looks up to five times, tells an accepted connection that stays open from one that is closed at once, and asks instances with links first; one that refuses all upstreams alike no longer counts as a witness, so that cut instances do not confirm each other. Requests of one upstream share the looks, and a crash counts from the time of the break. serve, which had the first cause, uses the same probe.

--- a/cli/src/gateway.rs
+++ b/cli/src/gateway.rs
@@ -7,6 +7,7 @@
 
 mod body;
 mod caller_listener;
+mod crash_confirmation;
 mod delegate;
 mod delegation;
 mod endpoints;
@@ -54,8 +55,13 @@
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
-use self::{metrics::GatewayMetrics, prompt_quarantine::QuarantineTasks};
-use crate::{http_client::HttpClient, log_decision};
+use self::{
+    crash_confirmation::CrashSuspicions, metrics::GatewayMetrics,
+    prompt_quarantine::QuarantineTasks,
+};
+use crate::{
+    connection_probe::CONNECT_TIMEOUT, http_client::HttpClient, log_decision,
+};
 
 /// Time for which new requests are accepted after a planned stop has begun. By
 /// then most callers have queried the directory again ([`ADDRESS_TTL`]); a
@@ -65,10 +71,6 @@
 const EXIT_RESERVE: Duration = Duration::from_millis(500);
 /// Time for which callers may cache an answer of the directory.
 const ADDRESS_TTL: Duration = Duration::from_secs(2);
-/// Connect timeout for upstreams: far above the round-trip time, and short
-/// enough to try another upstream within the latency target of a short
-/// request.
-const UPSTREAM_CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Connect timeout for the store.
 const STORE_CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -99,6 +101,7 @@
     /// Records of the quarantine to write to the store, and the requests that
     /// wait while a quarantine may begin.
     quarantine: QuarantineTasks,
+    suspicions: CrashSuspicions,
     started: Instant,
     stopping: AtomicBool,
     open_connections: AtomicU64,
@@ -131,7 +134,7 @@
             core: Mutex::new(core),
             metrics: GatewayMetrics::new(),
             upstreams: HttpClient::without_reuse_with_connect_timeout(
-                UPSTREAM_CONNECT_TIMEOUT,
+                CONNECT_TIMEOUT,
             ),
             store: HttpClient::with_connect_timeout(STORE_CONNECT_TIMEOUT),
             peers: HttpClient::with_connect_timeout(PEER_CONNECT_TIMEOUT),
@@ -141,6 +144,7 @@
             copy_changes: watch::Sender::new(()),
             store_eras: watch::Sender::new(None),
             quarantine: QuarantineTasks::default(),
+            suspicions: CrashSuspicions::default(),
             started: Instant::now(),
             stopping: AtomicBool::new(false),
             open_connections: AtomicU64::new(0),
--- a/cli/src/gateway/peer_listener.rs
+++ b/cli/src/gateway/peer_listener.rs
@@ -11,9 +11,8 @@
 use super::{
     SharedGateway,
     caller_listener::AnswerBody,
-    delegate,
+    crash_confirmation, delegate,
     forward::buffered_body,
-    links,
     listener::{empty_response, serve_requests},
     peer_copies,
 };
@@ -47,8 +46,11 @@
     if delegate::is_delegated(&request) {
         return delegate::answer(context, request).await;
     }
-    if let Some(upstream) = links::asked_upstream(request.uri().path()) {
-        let status = links::answer_question(context, &upstream).await;
+    if let Some(upstream) =
+        crash_confirmation::asked_upstream(request.uri().path())
+    {
+        let status =
+            crash_confirmation::answer_question(context, &upstream).await;
         return empty_response(status).map(Either::Left);
     }
     let copy = peer_copies::answer(context, request).await;
--- a/cli/src/gateway/prompt_quarantine.rs
+++ b/cli/src/gateway/prompt_quarantine.rs
@@ -1,5 +1,5 @@
-//! Requests that crash upstreams: confirms crashes, logs the quarantine and keeps
-//! its records in the store.
+//! Requests that crash upstreams: logs the quarantine and keeps its records in the
+//! store.
 
 use std::{
     collections::BTreeMap,
@@ -9,32 +9,23 @@
 
 use borageline_lib::{
     gateway::{
-        crash_evidence::SuspectPrompt,
         prompt_quarantine::{QuarantineChange, QuarantineReport},
-        upstream_table::UpstreamEntry,
         wire::{GatewayWire, PartId, QuarantineRecord, StoreTopic},
     },
-    ids::UpstreamId,
     log_event::LogEvent,
     refusal::Refusal,
     units::Timestamp,
 };
-use futures::future::join_all;
 use http::StatusCode;
 use tokio::sync::{Notify, watch};
-use xxhash_rust::xxh3::xxh3_64;
 
 use super::{
     SharedGateway,
     forward::CallerAttempt,
-    links::{self, accepts_connections},
     store_client::{STORE_TIMEOUT, call_store},
     unix_millis,
 };
-use crate::{
-    log_decision, logging,
-    quarantine::{log_change, refuses_connections},
-};
+use crate::{logging, quarantine::log_change};
 
 /// Pause after the records were written, so that further crashes of a part
 /// cause few calls.
@@ -95,23 +86,6 @@
         }
     }
 
-    /// Finds out whether an upstream crashed that broke off this prompt before
-    /// or shortly after the beginning of its answer.
-    pub(super) fn suspect_crash(&self, upstream: &UpstreamId) {
-        let core = self.context.core();
-        let Some(upstream) = core.upstreams().get(upstream) else {
-            return;
-        };
-        let prompt = SuspectPrompt {
-            attempt: xxh3_64(self.id().as_bytes()),
-            parts: self.contents.clone(),
-        };
-        let entry = upstream.entry.clone();
-        let context = self.context.clone();
-        let attempt = self.id().to_owned();
-        tokio::spawn(confirm_crash(context, entry, attempt, prompt));
-    }
-
     /// Records that the answer, which began at `begun_at`, shows the prompt to
     /// be sound.
     pub(super) fn record_sound_prompt(&self, begun_at: Timestamp) {
@@ -122,73 +96,6 @@
     }
 }
 
-/// Records a request whose answer broke off at its beginning, if the engine has
-/// crashed.
-async fn confirm_crash<W: GatewayWire>(
-    context: SharedGateway<W>,
-    entry: UpstreamEntry,
-    attempt: String,
-    prompt: SuspectPrompt,
-) {
-    let process = entry.process();
-    let is_known = context.core().has_crash(&process);
-    if !is_known {
-        let text = match find_sign_of_life(&context, &entry).await {
-            None => {
-                "the engine refuses connections after it broke off a request"
-            }
-            Some(sign) => {
-                log_decision!(
-                    LogEvent::CrashUnconfirmed,
-                    {
-                        request = attempt,
-                        upstream = entry.id,
-                        address = entry.address,
-                        reason = sign,
-                    },
-                    "the engine broke off a request and may not have crashed",
-                );
-                return;
-            }
-        };
-        log_decision!(
-            LogEvent::EngineCrashed,
-            {
-                request = attempt,
-                upstream = entry.id,
-                address = entry.address,
-            },
-            "{text}",
-        );
-    }
-    let now = context.now();
-    context.core().record_crash(now, process, prompt);
-    context.heartbeat_due.notify_one();
-}
-
-/// Why an upstream that broke off a request may not have crashed; `None` if it
-/// refuses connections of this instance and of those that are asked. If none of
-/// them knows, another upstream must accept connections, since this instance's own
-/// links may be lost.
-async fn find_sign_of_life<W: GatewayWire>(
-    context: &SharedGateway<W>,
-    entry: &UpstreamEntry,
-) -> Option<&'static str> {
-    if !refuses_connections(entry.address).await {
-        return Some("not_refused_here");
-    }
-    match links::is_refused_elsewhere(context, &entry.id).await {
-        Some(true) => return None,
-        Some(false) => return Some("accepted_elsewhere"),
-        None => {}
-    }
-    let others = context.core().others_not_crashed(&entry.id);
-    let has_others = !others.is_empty();
-    let accepted = join_all(others.into_iter().map(accepts_connections)).await;
-    let is_sound = accepted.contains(&true) || !has_others;
-    (!is_sound).then_some("links_unknown")
-}
-
 /// Logs the changes of the quarantine, and passes them to the writer and to
 /// requests that wait for an answer.
 pub(super) fn handle_changes<W: GatewayWire>(context: &SharedGateway<W>) {
--- a/cli/src/lib.rs
+++ b/cli/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod buffer;
 pub mod callers;
 pub mod commands;
+mod connection_probe;
 pub mod context;
 pub mod core_handle;
 pub mod credentials;
--- a/cli/src/quarantine.rs
+++ b/cli/src/quarantine.rs
@@ -14,6 +14,7 @@
 use borageline_lib::{
     core::PublishedState,
     gateway::{
+        crash_confirmation::{ConnectionView, ROUND_INTERVAL, ROUNDS_MAX},
         crash_evidence::SuspectPrompt,
         prompt_quarantine::{
             PromptQuarantine, PromptReport, QuarantineChange, QuarantinedPrompt,
@@ -29,16 +30,14 @@
 };
 use futures::StreamExt;
 use rand::seq::IndexedRandom;
-use tokio::{net::TcpStream, sync::Notify};
+use tokio::sync::Notify;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::{
-    core_handle::CoreClock, driver::CoreHandle, gateway::unix_millis,
-    log_decision, peers::PeerPool,
+    connection_probe::view_connection, core_handle::CoreClock,
+    driver::CoreHandle, gateway::unix_millis, log_decision, peers::PeerPool,
 };
 
-/// Time within which an upstream that has not crashed accepts a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Shortest time between two reports to all instances.
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 /// Reports to all instances after a crash. Later ones carry what the responses to
@@ -232,10 +231,18 @@
 
 /// Whether an upstream has crashed: one that accepts connections has only reset
 /// one, and where nothing answers, this instance may be cut off.
-pub(crate) async fn refuses_connections(address: SocketAddr) -> bool {
-    let connect = TcpStream::connect(address);
-    let connected = tokio::time::timeout(CONNECT_TIMEOUT, connect).await;
-    matches!(connected, Ok(Err(_)))
+async fn refuses_connections(address: SocketAddr) -> bool {
+    for _ in 0..ROUNDS_MAX {
+        match view_connection(address).await {
+            ConnectionView::Refused => return true,
+            ConnectionView::Accepted | ConnectionView::Silent => return false,
+            // Its listener may be about to close.
+            ConnectionView::Dropped => {
+                tokio::time::sleep(ROUND_INTERVAL).await;
+            }
+        }
+    }
+    false
 }
 
 fn log_changes(state: &mut PromptQuarantine) {
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -14,6 +14,7 @@
 
 pub mod attempt;
 pub mod cost_model;
+pub mod crash_confirmation;
 pub mod crash_evidence;
 pub mod delegation;
 pub mod dispatch_rate;
--- a/lib/src/gateway/crash_evidence.rs
+++ b/lib/src/gateway/crash_evidence.rs
@@ -347,14 +347,15 @@
         self.distinct_times(part, &crashes).len()
     }
 
-    /// Crashes that this instance saw itself after `since`, newest first, with
-    /// the parts that are not known to be sound.
+    /// Crashes that this instance saw itself and learned of after `since`,
+    /// newest first, with the parts that are not known to be sound.
     pub fn seen_crashes(
         &self,
         since: Timestamp,
     ) -> Vec<(&UpstreamProcess, Timestamp, Vec<SuspectPrompt>)> {
         let crashes = self.crashes.iter();
-        let seen = crashes.filter(|(_, it)| it.seen_here && it.at >= since);
+        let seen =
+            crashes.filter(|(_, it)| it.seen_here && it.learned_at >= since);
         let mut seen: Vec<_> = seen
             .map(|(process, crash)| {
                 (process, crash.at, self.suspect_prompts(crash))
--- a/lib/src/gateway/gateway_core/links.rs
+++ b/lib/src/gateway/gateway_core/links.rs
@@ -85,11 +85,20 @@
         addresses.take(COMPARED_UPSTREAMS).collect()
     }
 
-    /// Instances to ask whether they reach an upstream.
-    pub fn instances_to_ask(&mut self, now: Timestamp) -> Vec<IpAddr> {
+    /// Instances to ask whether they reach an upstream of a service; those that
+    /// have no links to it only if there are no others.
+    pub fn instances_to_ask(
+        &mut self,
+        now: Timestamp,
+        service: &ServiceName,
+    ) -> Vec<IpAddr> {
         let domain = &self.settings.failure_domain;
-        let serving = self.members.serving(now, domain);
-        let asked = serving.choose_multiple(&mut self.rng, INSTANCES_ASKED);
+        let mut instances = self.members.serving(now, domain);
+        let reaching = self.members.reaching(now, service);
+        if instances.iter().any(|ip| reaching.contains(ip)) {
+            instances.retain(|ip| reaching.contains(ip));
+        }
+        let asked = instances.choose_multiple(&mut self.rng, INSTANCES_ASKED);
         asked.copied().collect()
     }
 
--- a/lib/src/gateway/gateway_core/quarantine.rs
+++ b/lib/src/gateway/gateway_core/quarantine.rs
@@ -72,15 +72,16 @@
         refusal
     }
 
-    /// Records a prompt that an engine had not answered, or had just begun to
-    /// answer, when it crashed.
+    /// Records a crash of an upstream that broke off requests at `broken_at`.
     pub fn record_crash(
         &mut self,
         now: Timestamp,
         process: UpstreamProcess,
-        prompt: SuspectPrompt,
+        broken_at: Timestamp,
+        prompts: Vec<SuspectPrompt>,
     ) {
-        self.quarantine.record_crash(now, process, prompt);
+        self.quarantine
+            .record_past_crash(now, process, broken_at, prompts);
     }
 
     /// Whether a crash of the process is known.
--- a/lib/src/gateway/prompt_quarantine.rs
+++ b/lib/src/gateway/prompt_quarantine.rs
@@ -172,7 +172,18 @@
         process: UpstreamProcess,
         prompt: SuspectPrompt,
     ) {
-        self.evidence.add_crash(now, process, now, [prompt], true);
+        self.record_past_crash(now, process, now, vec![prompt]);
+    }
+
+    /// Records a crash at an earlier time, which was confirmed only now.
+    pub fn record_past_crash(
+        &mut self,
+        now: Timestamp,
+        process: UpstreamProcess,
+        at: Timestamp,
+        prompts: Vec<SuspectPrompt>,
+    ) {
+        self.evidence.add_crash(now, process, at, prompts, true);
     }
 
     /// Records that the answer to a prompt with these parts, which began at
--- a/lib/tests/gateway/main.rs
+++ b/lib/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod fixtures;
 mod test_attempt;
 mod test_config;
+mod test_crash_confirmation;
 mod test_engine_limits;
 mod test_heartbeat_relay;
 mod test_members;
