--- a/cli/tests/test_faults/fixture.rs
+++ b/cli/tests/test_faults/fixture.rs
@@ -70,6 +70,9 @@
     pub(crate) log: LogConfig,
     /// Limits in each instance's settings.
     pub(crate) limits: Value,
+    /// Whether the first instance has its own forwarders to engines and
+    /// services, and its own list with their addresses.
+    pub(crate) has_own_links: bool,
 }
 
 impl Default for FleetPlan {
@@ -83,6 +86,7 @@
             policy: "product",
             log: LogConfig::default(),
             limits: json!({}),
+            has_own_links: false,
         }
     }
 }
@@ -123,6 +127,10 @@
     pub(crate) service: Handle<PlainService>,
     pub(crate) engines: Vec<TestEngine>,
     pub(crate) instances: Vec<TestInstance>,
+    /// Forwarders of the first instance to engines and services; empty unless
+    /// it has its own.
+    own_links: Vec<ForwarderHandle>,
+    own_list: Option<Handle<InstanceList>>,
     directory: TempDir,
 }
 
@@ -257,12 +265,17 @@
             service,
             engines,
             instances: Vec::new(),
+            own_links: Vec::new(),
+            own_list: None,
             directory: TempDir::new().unwrap(),
         };
         fleet.configure(&plan);
         let addresses = free_addresses(2 * plan.domains);
         let (callers, peers) = addresses.split_at(plan.domains);
         fleet.list_all(peers);
+        if plan.has_own_links {
+            fleet.start_own_links(lag).await;
+        }
         for (index, caller) in callers.iter().enumerate() {
             fleet.add_instance(&plan, index, *caller, peers).await;
         }
@@ -334,6 +347,34 @@
         }
     }
 
+    /// Copies the list for the first instance, with forwarders in place of the
+    /// engines and services.
+    async fn start_own_links(&mut self, lag: Duration) {
+        let config = ListConfig {
+            lag,
+            ..ListConfig::default()
+        };
+        let list = instance_list::spawn(any_port(), config).await.unwrap();
+        for mut process in self.list.control.current().instances {
+            if process.kind != ProcessKind::Instance {
+                let link =
+                    forwarder::spawn(any_port(), process.address, any_port());
+                let link = link.await.unwrap();
+                process.address = link.address;
+                self.own_links.push(link);
+            }
+            list.control.add(process);
+        }
+        self.own_list = Some(list);
+    }
+
+    /// Injects a fault into the first instance's links to engines and services.
+    pub(crate) fn fault_own_links(&self, fault: &Fault) {
+        for link in &self.own_links {
+            link.control.control(fault.clone()).unwrap();
+        }
+    }
+
     async fn add_instance(
         &mut self,
         plan: &FleetPlan,
@@ -347,6 +388,8 @@
         let name = format!("instance-{index}");
         let mut limits = plan.limits.clone();
         limits["address_ttl_ms"] = json!(1_000);
+        let own_list = self.own_list.as_ref().filter(|_| index == 0);
+        let list = own_list.unwrap_or(&self.list).address;
         let settings = json!({
             "instance": name,
             "failure_domain": domain_name(index),
@@ -355,7 +398,7 @@
             "seeds": peers,
             "fleet_secret": SECRET,
             "log_service": log_link.address,
-            "instance_list": self.list.address,
+            "instance_list": list,
             "policy": plan.policy,
             "limits": limits,
         });
--- a/cli/tests/test_faults/main.rs
+++ b/cli/tests/test_faults/main.rs
@@ -17,6 +17,7 @@
 mod test_domains;
 mod test_engines;
 mod test_leaving;
+mod test_links;
 mod test_orders;
 mod test_security;
 mod test_stops;
