gateway: watch an accepted connection for longer before a crash is ruled out

An accepted connection is now watched for 1.5 s in place of 100 ms; if the listener ends, the connection is reset and the upstream is looked at again at once.

--- a/cli/src/connection_probe.rs
+++ b/cli/src/connection_probe.rs
@@ -9,15 +9,19 @@
 /// enough to try another upstream within the latency target of a short
 /// request.
 pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
-/// Time for which an accepted connection must stay open. The system also accepts
-/// for a listener that is about to be closed, and then resets the connection.
-const OPEN_TIME: Duration = Duration::from_millis(100);
-
-/// How an upstream responds to an attempt to connect.
-pub(crate) async fn view_connection(address: SocketAddr) -> ConnectionView {
+/// Time for which a connection must stay open to show that its upstream has not
+/// crashed. A busy machine may take as long to end a process.
+pub(crate) const OPEN_TIME: Duration = Duration::from_millis(1_500);
+/// How an upstream responds to an attempt to connect. An accepted connection is
+/// watched for `open_time`: the system also accepts for a listener that is about
+/// to be closed, and then resets the connection.
+pub(crate) async fn view_connection(
+    address: SocketAddr,
+    open_time: Duration,
+) -> ConnectionView {
     let connect = TcpStream::connect(address);
     match tokio::time::timeout(CONNECT_TIMEOUT, connect).await {
-        Ok(Ok(stream)) => match stays_open(stream).await {
+        Ok(Ok(stream)) => match stays_open(stream, open_time).await {
             true => ConnectionView::Accepted,
             false => ConnectionView::Dropped,
         },
@@ -26,9 +30,9 @@
     }
 }
 
-async fn stays_open(mut stream: TcpStream) -> bool {
+async fn stays_open(mut stream: TcpStream, time: Duration) -> bool {
     let mut byte = [0];
-    let read = tokio::time::timeout(OPEN_TIME, stream.read(&mut byte));
+    let read = tokio::time::timeout(time, stream.read(&mut byte));
     !matches!(read.await, Ok(Ok(0) | Err(_)))
 }
 
--- a/cli/src/gateway/crash_confirmation.rs
+++ b/cli/src/gateway/crash_confirmation.rs
@@ -31,7 +31,7 @@
 
 use super::{SharedGateway, forward::CallerAttempt};
 use crate::{
-    connection_probe::{accepts_connections, view_connection},
+    connection_probe::{OPEN_TIME, accepts_connections, view_connection},
     http_client::{CallTarget, plain_request},
     log_decision,
 };
@@ -41,6 +41,10 @@
 /// Time for the answer, which takes up to two connect timeouts.
 const ASK_TIMEOUT: Duration = Duration::from_millis(750);
 
+/// Time for which an accepted connection must stay open here. The instance that
+/// asks was refused before, so the listener is not just being closed.
+const ASKED_OPEN_TIME: Duration = Duration::from_millis(100);
+
 /// Most requests that are kept of an upstream while it is looked at.
 const SUSPECTS_MAX: usize = 16;
 
@@ -156,7 +160,8 @@
     context: &SharedGateway<W>,
     entry: &UpstreamEntry,
 ) -> CrashFindings {
-    let mut findings = CrashFindings::new(view_connection(entry.address).await);
+    let own = view_connection(entry.address, OPEN_TIME).await;
+    let mut findings = CrashFindings::new(own);
     if findings.own == ConnectionView::Refused {
         findings.peers = ask_instances(context, entry).await;
         if findings.peers.is_empty() {
@@ -229,7 +234,7 @@
     let Some(entry) = entry else {
         return StatusCode::NOT_FOUND;
     };
-    match view_connection(entry.address).await {
+    match view_connection(entry.address, ASKED_OPEN_TIME).await {
         ConnectionView::Accepted => StatusCode::OK,
         ConnectionView::Dropped | ConnectionView::Silent => {
             StatusCode::NOT_FOUND
--- a/cli/src/quarantine.rs
+++ b/cli/src/quarantine.rs
@@ -34,8 +34,12 @@
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::{
-    connection_probe::view_connection, core_handle::CoreClock,
-    driver::CoreHandle, gateway::unix_millis, log_decision, peers::PeerPool,
+    connection_probe::{OPEN_TIME, view_connection},
+    core_handle::CoreClock,
+    driver::CoreHandle,
+    gateway::unix_millis,
+    log_decision,
+    peers::PeerPool,
 };
 
 /// Shortest time between two reports to all instances.
@@ -233,7 +237,7 @@
 /// one, and where nothing answers, this instance may be cut off.
 async fn refuses_connections(address: SocketAddr) -> bool {
     for _ in 0..ROUNDS_MAX {
-        match view_connection(address).await {
+        match view_connection(address, OPEN_TIME).await {
             ConnectionView::Refused => return true,
             ConnectionView::Accepted | ConnectionView::Silent => return false,
             // Its listener may be about to close.
--- a/lib/src/gateway/crash_confirmation.rs
+++ b/lib/src/gateway/crash_confirmation.rs
@@ -25,7 +25,7 @@
 pub enum ConnectionView {
     /// It accepted the connection and kept it open.
     Accepted,
-    /// It accepted the connection and closed it at once.
+    /// It accepted the connection and closed it soon.
     Dropped,
     /// It refused the connection.
     Refused,
