gateway: let a delegate use upstreams that only this instance cannot reach

Callers of an instance without links got 503 although another instance reached the upstream, where a service has a single one. An upstream to which the first send made no connection must not get the request again, and that list went to the delegate as well, which then had nothing left to choose from.

Upstreams that this instance alone could not connect to are now left out of the list for the delegate; those that a delegate could not reach stay in it.

Found by the tests of endless replies over a delegate, written before this change: six of six failed on ("the request was sent"), and both cases of test_reachability_only_upstream_is_used_through_delegate with 503. All eight pass now, as do the 15 other tests of test_reachability.

--- a/cli/src/gateway/delegation.rs
+++ b/cli/src/gateway/delegation.rs
@@ -175,7 +175,10 @@
             DelegatedReply::Ended { upstream, outcome } => {
                 let text = format!("the delegate {ip} reports it");
                 match upstream {
-                    Some(id) => self.record_failed_send(&id, outcome, &text),
+                    Some(id) => {
+                        self.unreached.retain(|unreached| *unreached != id);
+                        self.record_failed_send(&id, outcome, &text);
+                    }
                     None => self.record_failed_delegate(ip, outcome, &text),
                 }
                 outcome
@@ -226,7 +229,7 @@
             reply_wait_ms: millis(reply_wait),
             was_placed: self.was_placed,
             resume_after,
-            excluded: self.excluded.clone(),
+            excluded: self.excluded_elsewhere(),
             tried: self.tried.clone(),
         };
         let body = self.body.as_ref().map(|body| body.bytes());
@@ -250,6 +253,15 @@
         request
     }
 
+    /// Upstreams that must not get the request from another instance either.
+    fn excluded_elsewhere(&self) -> Vec<UpstreamId> {
+        let excluded = self.excluded.iter();
+        excluded
+            .filter(|id| !self.unreached.contains(id))
+            .cloned()
+            .collect()
+    }
+
     /// Records that an instance could not send the request.
     fn record_failed_delegate(
         &mut self,
--- a/cli/src/gateway/forward.rs
+++ b/cli/src/gateway/forward.rs
@@ -68,6 +68,8 @@
     pub(super) arrival: Timestamp,
     /// Upstreams that must not get the request again.
     pub(super) excluded: Vec<UpstreamId>,
+    /// Those of `excluded` that only this instance could not connect to.
+    pub(super) unreached: Vec<UpstreamId>,
     /// Upstreams on which the request failed after it may have started.
     pub(super) tried: Vec<UpstreamId>,
     /// Whether the request was placed before; it counts as demand only once.
@@ -249,6 +251,7 @@
             record,
             arrival: context.now(),
             excluded: Vec::new(),
+            unreached: Vec::new(),
             tried: Vec::new(),
             was_placed: false,
             is_delegated: false,
@@ -451,6 +454,7 @@
                 let outcome = match &error {
                     HttpError::ConnectFailed { .. } => {
                         self.unconnected_at = Some(begun_at);
+                        self.unreached.push(upstream.clone());
                         SendOutcome::NotConnected
                     }
                     _ => SendOutcome::Lost,
