gateway: borrow retries from other instances

Callers saw streams cut off midway although the limit on retries had room: each instance may use an equal part of it, which at 84 instances is one or two in ten seconds, and an instance whose links are reset loses several streams at once. A crashed engine does the same to the instance with most streams on it.

An instance whose part is spent asks up to three others for one of theirs, which the lender counts as its own, so that the sum over all instances keeps its bound. Where none has one left it asks again after a second only. A stalled stream pays before it is given up, as before.

--- a/cli/src/gateway.rs
+++ b/cli/src/gateway.rs
@@ -23,6 +23,7 @@
 mod registration;
 mod reload;
 mod reservations;
+mod retry_loan;
 mod store_client;
 mod stream;
 mod topic_reader;
--- a/cli/src/gateway/delegate.rs
+++ b/cli/src/gateway/delegate.rs
@@ -78,7 +78,7 @@
         };
         // Only a send that reached no upstream is repeated here.
         if outcome != SendOutcome::NotConnected
-            || !attempt.authorize_resend(before, outcome)
+            || !attempt.authorize_resend(before, outcome).await
         {
             let text = format!("the send ended with {outcome:?}");
             attempt.record_end(RequestEnd::Delegated, &text);
--- a/cli/src/gateway/forward.rs
+++ b/cli/src/gateway/forward.rs
@@ -74,6 +74,8 @@
     pub(super) tried: Vec<UpstreamId>,
     /// Whether the request was placed before; it counts as demand only once.
     pub(super) was_placed: bool,
+    /// Whether the next resend is counted against the retry budget already.
+    is_resend_paid: bool,
     /// Whether another instance asked for one send of the request.
     pub(super) is_delegated: bool,
     /// Begin of the last direct send, if it made no connection.
@@ -254,6 +256,7 @@
             unreached: Vec::new(),
             tried: Vec::new(),
             was_placed: false,
+            is_resend_paid: false,
             is_delegated: false,
             unconnected_at: None,
             failed_delegates: Vec::new(),
@@ -764,7 +767,7 @@
 
     /// Whether the request may be sent again after a failed send. If so, the
     /// resend is counted against the retry budget.
-    pub(super) fn authorize_resend(
+    pub(super) async fn authorize_resend(
         &mut self,
         before: RunState,
         outcome: SendOutcome,
@@ -773,17 +776,23 @@
         match self.record.finish_send(now, before, outcome) {
             NextStep::End(_) => false,
             NextStep::Resend { budgeted } => {
-                let service = &self.admitted.service;
-                let allowed =
-                    !budgeted || self.context.core().spend_retry(now, service);
+                let allowed = !budgeted
+                    || std::mem::take(&mut self.is_resend_paid)
+                    || self.pay_for_resend().await;
                 if allowed {
-                    let reason = retry_reason(outcome);
-                    self.context.metrics.count_retry(reason);
+                    self.context.metrics.count_retry(retry_reason(outcome));
                 }
                 allowed
             }
         }
     }
+
+    /// Counts the next resend against the retry budget, if that allows one.
+    pub(super) async fn prepay_resend(&mut self) -> bool {
+        self.is_resend_paid =
+            self.is_resend_paid || self.pay_for_resend().await;
+        self.is_resend_paid
+    }
 }
 
 impl<W: GatewayWire> Drop for CallerAttempt<W> {
--- a/cli/src/gateway/metrics.rs
+++ b/cli/src/gateway/metrics.rs
@@ -71,6 +71,7 @@
     pub(super) config_version: IntGauge,
     pub(super) members: IntGauge,
     link_changes: IntCounterVec,
+    retry_loans: IntCounterVec,
 }
 
 impl GatewayMetrics {
@@ -120,6 +121,11 @@
                 "changes of the links to a service, by the new state",
                 "state",
             ),
+            retry_loans: counters(
+                "borageline_gateway_retry_loans_total",
+                "retries asked of other instances, by outcome",
+                "outcome",
+            ),
         };
         metrics.register_all();
         metrics
@@ -136,6 +142,7 @@
         self.register(&self.config_version);
         self.register(&self.members);
         self.register(&self.link_changes);
+        self.register(&self.retry_loans);
         for end in RequestEnd::ALL {
             self.ends.with_label_values(&[end.as_str()]);
         }
@@ -148,6 +155,9 @@
         for state in LinkState::ALL {
             self.link_changes.with_label_values(&[state.as_str()]);
         }
+        for outcome in ["lent", "refused"] {
+            self.retry_loans.with_label_values(&[outcome]);
+        }
         for outcome in ["answered", "failed"] {
             self.store_calls.with_label_values(&[outcome]);
         }
@@ -171,6 +181,11 @@
         self.retries.with_label_values(&[reason.as_str()]).inc();
     }
 
+    pub(super) fn count_retry_loan(&self, is_lent: bool) {
+        let outcome = if is_lent { "lent" } else { "refused" };
+        self.retry_loans.with_label_values(&[outcome]).inc();
+    }
+
     pub(super) fn count_link_change(&self, state: LinkState) {
         self.link_changes.with_label_values(&[state.as_str()]).inc();
     }
--- a/cli/src/gateway/peer_listener.rs
+++ b/cli/src/gateway/peer_listener.rs
@@ -1,5 +1,6 @@
 //! Listener for the requests of other instances: copies of topics, questions
-//! about upstreams, and callers' requests that this instance sends for another.
+//! about upstreams, loans of retries, and callers' requests that this instance
+//! sends for another.
 
 use std::{io, time::Duration};
 
@@ -14,7 +15,7 @@
     crash_confirmation, delegate,
     forward::buffered_body,
     listener::{empty_response, serve_requests},
-    peer_copies,
+    peer_copies, retry_loan,
 };
 use crate::server::bind_callers;
 
@@ -53,6 +54,10 @@
             crash_confirmation::answer_question(context, &upstream).await;
         return empty_response(status).map(Either::Left);
     }
+    if let Some(service) = retry_loan::asked_service(request.uri().path()) {
+        let status = retry_loan::answer(context, &service);
+        return empty_response(status).map(Either::Left);
+    }
     let copy = peer_copies::answer(context, request).await;
     let (head, body) = copy.into_parts();
     Response::from_parts(head, buffered_body(body))
--- a/cli/src/gateway/stream.rs
+++ b/cli/src/gateway/stream.rs
@@ -65,7 +65,7 @@
             Ok(reply) => reply,
             Err(SendError::Refused(refusal)) => return attempt.refuse(refusal),
             Err(SendError::Ended(before, outcome)) => {
-                if attempt.authorize_resend(before, outcome) {
+                if attempt.authorize_resend(before, outcome).await {
                     continue;
                 }
                 let refusal = attempt.refusal_after(outcome);
@@ -77,7 +77,7 @@
                 Ok(response) => return response,
                 Err(outcome) => {
                     let before = attempt.record.run_state();
-                    if attempt.authorize_resend(before, outcome) {
+                    if attempt.authorize_resend(before, outcome).await {
                         continue;
                     }
                     let refusal = attempt.refusal_after(outcome);
@@ -93,7 +93,7 @@
                 text,
             );
             let before = attempt.record.run_state();
-            if attempt.authorize_resend(before, SendOutcome::Lost) {
+            if attempt.authorize_resend(before, SendOutcome::Lost).await {
                 continue;
             }
             let refusal = attempt.refusal_after(SendOutcome::Lost);
@@ -142,7 +142,7 @@
         drop(reply);
         cursor.restart();
         let before = attempt.record.run_state();
-        if !attempt.authorize_resend(before, SendOutcome::Lost) {
+        if !attempt.authorize_resend(before, SendOutcome::Lost).await {
             let refusal = attempt.refusal_after(SendOutcome::Lost);
             return attempt.refuse(refusal);
         }
@@ -333,12 +333,15 @@
                     self.abort("the deadline has passed").await;
                     return;
                 }
-                // A stall alone does not end a stream: unless another upstream
-                // can take over, it keeps waiting.
-                StreamStep::Stalled(_) if !self.can_fail_over() => {
-                    self.ignore_stalls = true;
-                }
                 StreamStep::Stalled(limit) => {
+                    // A stall alone does not end a stream: unless another
+                    // upstream can take over, it keeps waiting.
+                    if self.cursor.last_id().is_none()
+                        || !self.attempt.prepay_resend().await
+                    {
+                        self.ignore_stalls = true;
+                        continue;
+                    }
                     let text = format!("no event for {limit:?}");
                     match self.fail_over(reply, &text).await {
                         Some(next) => reply = next,
@@ -358,14 +361,6 @@
         }
     }
 
-    /// Whether another upstream could continue the stream.
-    fn can_fail_over(&self) -> bool {
-        let service = &self.attempt.admitted.service;
-        let now = self.attempt.context.now();
-        self.cursor.last_id().is_some()
-            && self.attempt.context.core().can_retry(now, service)
-    }
-
     fn record_gap(&mut self) {
         let now = self.attempt.context.now();
         let gap = now.since(self.last_event);
@@ -428,7 +423,9 @@
         let mut outcome = SendOutcome::Lost;
         loop {
             let resumable = self.cursor.last_id().is_some();
-            if !resumable || !self.attempt.authorize_resend(before, outcome) {
+            if !resumable
+                || !self.attempt.authorize_resend(before, outcome).await
+            {
                 self.abort("the stream cannot be resumed").await;
                 return None;
             }
--- a/cli/src/gateway/whole_answer.rs
+++ b/cli/src/gateway/whole_answer.rs
@@ -39,7 +39,7 @@
                     return self.refuse(refusal);
                 }
                 Err(SendError::Ended(before, outcome)) => {
-                    if self.authorize_resend(before, outcome) {
+                    if self.authorize_resend(before, outcome).await {
                         continue;
                     }
                     let refusal = self.refusal_after(outcome);
@@ -50,7 +50,7 @@
                 Ok(response) => return response,
                 Err(outcome) => {
                     let before = self.record.run_state();
-                    if !self.authorize_resend(before, outcome) {
+                    if !self.authorize_resend(before, outcome).await {
                         let refusal = self.refusal_after(outcome);
                         return self.refuse(refusal);
                     }
--- a/lib/src/gateway/gateway_core.rs
+++ b/lib/src/gateway/gateway_core.rs
@@ -524,14 +524,6 @@
         self.upstreams.record_error(id);
     }
 
-    /// Whether the retry budget has room for one more send to a service.
-    pub fn can_retry(&mut self, now: Timestamp, service: &ServiceName) -> bool {
-        let limit = self.settings.bounds.retry_limit();
-        let instance_count = self.members.instance_count(now);
-        let budget = self.retry_budgets.entry(service.clone()).or_default();
-        budget.allows(now, &limit, instance_count)
-    }
-
     /// Counts one more send to a service against the retry budget; returns
     /// false, without counting it, if the budget is spent.
     pub fn spend_retry(
@@ -545,6 +537,38 @@
         budget.spend(now, &limit, instance_count)
     }
 
+    /// Like [`Self::spend_retry`], for another instance.
+    pub fn lend_retry(
+        &mut self,
+        now: Timestamp,
+        service: &ServiceName,
+    ) -> bool {
+        let config = self.config.as_ref();
+        let is_known =
+            config.is_some_and(|it| it.find_service(service).is_some());
+        is_known && self.spend_retry(now, service)
+    }
+
+    /// Instances to ask for a retry, in turn; none while borrowing is paused.
+    pub fn retry_lenders(
+        &mut self,
+        now: Timestamp,
+        service: &ServiceName,
+    ) -> Vec<IpAddr> {
+        let budget = self.retry_budgets.entry(service.clone()).or_default();
+        if budget.may_borrow(now) {
+            self.instances_to_ask(now, service)
+        } else {
+            Vec::new()
+        }
+    }
+
+    /// Records that no instance that was asked has lent a retry.
+    pub fn pause_borrowing(&mut self, now: Timestamp, service: &ServiceName) {
+        let budget = self.retry_budgets.entry(service.clone()).or_default();
+        budget.pause_borrowing(now);
+    }
+
     /// Creates a refusal with a randomized `Retry-After`.
     pub fn retryable_refusal(
         &mut self,
--- a/lib/src/gateway/retry_budget.rs
+++ b/lib/src/gateway/retry_budget.rs
@@ -3,7 +3,8 @@
 //! In any window, the retries of all instances together may not exceed a share
 //! of the requests plus a constant. Each instance uses the share of its own
 //! requests plus an equal part of the constant, so that no coordination is
-//! needed.
+//! needed. An instance whose part is spent may borrow single retries from
+//! others, which count them as their own.
 
 use std::{collections::VecDeque, time::Duration};
 
@@ -24,11 +25,16 @@
 /// have left or that this one does not know yet.
 const USED_SHARE: f64 = 0.5;
 
+/// Time for which no retries are borrowed after other instances had none to
+/// lend: where all requests fail, asking would add load and delay refusals.
+const BORROWING_PAUSE: Duration = Duration::from_secs(1);
+
 /// Requests and retries of one service on this instance within the window.
 #[derive(Clone, Debug, Default)]
 pub struct ServiceRetryBudget {
     requests: VecDeque<Timestamp>,
     retries: VecDeque<Timestamp>,
+    borrowing_paused_until: Timestamp,
 }
 
 impl ServiceRetryBudget {
@@ -66,6 +72,16 @@
         allowed
     }
 
+    /// Whether other instances may be asked for retries.
+    pub fn may_borrow(&self, now: Timestamp) -> bool {
+        now >= self.borrowing_paused_until
+    }
+
+    /// Records that the instances that were asked had no retry to lend.
+    pub fn pause_borrowing(&mut self, now: Timestamp) {
+        self.borrowing_paused_until = now.after(BORROWING_PAUSE);
+    }
+
     /// Drops requests and retries that have left the window.
     fn drop_expired(&mut self, now: Timestamp, window: Duration) {
         for times in [&mut self.requests, &mut self.retries] {
--- a/lib/tests/gateway/test_attempt.rs
+++ b/lib/tests/gateway/test_attempt.rs
@@ -15,7 +15,7 @@
 };
 use rstest::rstest;
 
-use crate::fixtures::{at, ms, route};
+use crate::fixtures::{at, core, id, ms, route};
 
 /// Random histories per property; the seed is fixed, so that results are
 /// reproducible.
@@ -198,3 +198,19 @@
     assert!(!window.spend(at(500), &bound, 1));
     assert!(window.spend(at(1_500), &bound, 1));
 }
+
+/// Guards against retries that are lent beyond the lender's own part of the
+/// limit, or for services that the desired state does not name.
+#[test]
+fn test_retry_budget_loans_are_the_lenders_own() {
+    let mut lender = core(0);
+    let service = id("models");
+    assert!(!lender.lend_retry(at(0), &id("unknown")));
+    let mut lent = 0;
+    while lender.lend_retry(at(0), &service) {
+        lent += 1;
+    }
+    // Half of the slack of 100, as one instance that is alone may use.
+    assert_eq!(lent, 50);
+    assert!(!lender.spend_retry(at(0), &service));
+}
