gateway: continue silent streams elsewhere once links are lost

Callers left streams whose instance had lost its links silently: a stream was continued elsewhere after 1.8 s without an event, and the callers leave after 2 s, before another engine has read the prompt again. A request that waited for its first event waited for three times its target.

A stream, or a request for one, that has brought nothing for 1 s is now sent elsewhere if the links to its failure domain have been lost for 0.5 s and the retry budget allows it. Silence alone changes nothing: an upstream may be silent for a second.

--- a/cli/src/gateway/forward.rs
+++ b/cli/src/gateway/forward.rs
@@ -114,6 +114,11 @@
 }
 
 impl<W: GatewayWire> ReplyPath<W> {
+    /// Whether the reply comes over this instance's links.
+    pub(super) fn is_direct(&self) -> bool {
+        matches!(self, Self::Direct(_))
+    }
+
     /// Records the first event of the answer.
     pub(super) fn record_first_event(&self) {
         if let Self::Direct(in_flight) = self {
@@ -448,6 +453,14 @@
             refusal = self.wait_until_held() => {
                 return Err(SendError::Refused(refusal));
             }
+            silence = self.wait_until_silenced(&started.entry.id) => {
+                self.is_resend_paid = true;
+                Err(HttpError::TimedOut {
+                    step: target.step,
+                    peer: target.peer,
+                    after: silence,
+                })
+            }
         };
         let upstream = started.entry.id.clone();
         links::record_connection(&self.context, begun_at, &upstream, &sent);
--- a/cli/src/gateway/links.rs
+++ b/cli/src/gateway/links.rs
@@ -3,12 +3,15 @@
 use std::{net::SocketAddr, time::Duration};
 
 use borageline_lib::{
-    gateway::wire::GatewayWire, ids::UpstreamId, log_event::LogEvent,
+    gateway::{gateway_core::SILENCE_MIN, wire::GatewayWire},
+    ids::UpstreamId,
+    log_event::LogEvent,
     units::Timestamp,
 };
 use futures::future::join_all;
+use tokio::time::Instant;
 
-use super::SharedGateway;
+use super::{SharedGateway, forward::CallerAttempt};
 use crate::{
     connection_probe::accepts_connections, http_client::HttpError, log_decision,
 };
@@ -73,6 +76,39 @@
     log_changes(context);
 }
 
+impl<W: GatewayWire> CallerAttempt<W> {
+    /// Whether the links to an upstream that has sent nothing for `silence` are
+    /// lost.
+    pub(super) fn is_silenced(
+        &self,
+        upstream: &UpstreamId,
+        silence: Duration,
+    ) -> bool {
+        let now = self.context.now();
+        self.context.core().is_silenced(now, upstream, silence)
+    }
+
+    /// Returns the silence of an upstream once its links are lost and the
+    /// request can be sent again, which is counted against the retry budget
+    /// then. Any other request keeps waiting: the links may be back in time.
+    pub(super) async fn wait_until_silenced(
+        &self,
+        upstream: &UpstreamId,
+    ) -> Duration {
+        if !self.record.is_stream() || !self.record.can_resend() {
+            return std::future::pending().await;
+        }
+        let begun_at = Instant::now();
+        tokio::time::sleep(SILENCE_MIN).await;
+        while !self.is_silenced(upstream, begun_at.elapsed())
+            || !self.pay_for_resend().await
+        {
+            tokio::time::sleep(PROBE_TICK).await;
+        }
+        begun_at.elapsed()
+    }
+}
+
 /// Logs and counts the services whose links have changed, and tells the other
 /// instances.
 pub(super) fn log_changes<W: GatewayWire>(context: &SharedGateway<W>) {
--- a/cli/src/gateway/stream.rs
+++ b/cli/src/gateway/stream.rs
@@ -7,8 +7,9 @@
 
 use borageline_lib::{
     gateway::{
-        attempt::SendOutcome, prompt_quarantine::SOUND_ANSWER_TIME,
-        stream_cursor::StreamCursor, wire::GatewayWire,
+        attempt::SendOutcome, gateway_core::SILENCE_MIN,
+        prompt_quarantine::SOUND_ANSWER_TIME, stream_cursor::StreamCursor,
+        wire::GatewayWire,
     },
     refusal::{Refusal, RefusalCode},
     units::Timestamp,
@@ -16,7 +17,7 @@
 use bytes::Bytes;
 use http::{Response, header, response::Parts as ResponseParts};
 use http_body_util::{BodyExt, Either};
-use tokio::sync::mpsc;
+use tokio::{sync::mpsc, time::Instant};
 
 use super::{
     caller_listener::{AnswerBody, EventBody},
@@ -36,6 +37,18 @@
 /// waits for one that has died continues or breaks off within 1.5 s.
 const STALL_TIME_MIN: Duration = Duration::from_millis(1_800);
 
+/// Time between two looks at the links of a silent stream.
+const LINK_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Silence after which a stream counts as stalled.
+#[derive(Clone, Copy, Debug)]
+struct StallLimit {
+    /// Silence in any case.
+    silence: Duration,
+    /// Whether a shorter one is enough if the links to the upstream are lost.
+    heeds_links: bool,
+}
+
 /// What happened next in a stream.
 enum StreamStep {
     /// Complete events arrived.
@@ -102,13 +115,14 @@
         let mut reply = reply;
         let elapsed = attempt.context.now().since(started_at);
         let limit = wait(reply.time_to_first_event).saturating_sub(elapsed);
-        let step = next_step(&attempt, &mut cursor, &mut reply, limit, None);
-        let step = tokio::select! {
-            biased;
-            step = step => step,
-            refusal = attempt.wait_until_held() => {
-                return attempt.refuse(refusal);
-            }
+        let limit = StallLimit {
+            silence: limit,
+            heeds_links: attempt.record.can_resend(),
+        };
+        let step = first_step(&mut attempt, &mut cursor, &mut reply, limit);
+        let step = match step.await {
+            Ok(step) => step,
+            Err(refusal) => return attempt.refuse(refusal),
         };
         let text = match step {
             StreamStep::Events(events) => {
@@ -167,19 +181,52 @@
     }
 }
 
+/// Waits for the first events of an upstream. Fails if the request is held
+/// back meanwhile. A stream whose links are lost counts as stalled only if the
+/// request can be sent again.
+async fn first_step<W: GatewayWire>(
+    attempt: &mut CallerAttempt<W>,
+    cursor: &mut StreamCursor,
+    reply: &mut UpstreamReply<W>,
+    mut limit: StallLimit,
+) -> Result<StreamStep, Refusal> {
+    loop {
+        let step = tokio::select! {
+            biased;
+            step = next_step(attempt, cursor, reply, limit, None) => step,
+            refusal = attempt.wait_until_held() => return Err(refusal),
+        };
+        match step {
+            StreamStep::Stalled(silence)
+                if silence < limit.silence
+                    && !attempt.prepay_resend().await =>
+            {
+                limit = StallLimit {
+                    silence: limit.silence.saturating_sub(silence),
+                    heeds_links: false,
+                };
+            }
+            step => return Ok(step),
+        }
+    }
+}
+
 /// Waits for the next events of an upstream. `caller` is watched for a closed
 /// connection, if the response has started.
 async fn next_step<W: GatewayWire>(
     attempt: &CallerAttempt<W>,
     cursor: &mut StreamCursor,
     reply: &mut UpstreamReply<W>,
-    limit: Duration,
+    limit: StallLimit,
     caller: Option<&mpsc::Sender<io::Result<Bytes>>>,
 ) -> StreamStep {
     let left = attempt.time_left();
     let deadline = tokio::time::sleep(left);
     tokio::pin!(deadline);
-    let stall = tokio::time::sleep(limit.min(left));
+    let begun_at = Instant::now();
+    let heeds_links = limit.heeds_links && reply.path.is_direct();
+    let first_look = if heeds_links { SILENCE_MIN } else { left };
+    let stall = tokio::time::sleep(limit.silence.min(left).min(first_look));
     tokio::pin!(stall);
     loop {
         let mut events = Vec::new();
@@ -201,7 +248,17 @@
             frame = reply.body.frame() => frame,
             () = &mut deadline => return StreamStep::DeadlinePassed,
             () = &mut stall => {
-                return StreamStep::Stalled(limit);
+                let silence = begun_at.elapsed();
+                if silence >= limit.silence.min(left)
+                    || attempt.is_silenced(&reply.upstream, silence)
+                {
+                    return StreamStep::Stalled(silence);
+                }
+                let next = begun_at + limit.silence.min(left);
+                stall
+                    .as_mut()
+                    .reset(next.min(Instant::now() + LINK_CHECK_INTERVAL));
+                continue;
             }
         };
         match frame {
@@ -308,12 +365,17 @@
                 return;
             }
             let gap = self.attempt.admitted.route.gap_target * STALL_GAPS;
-            let limit =
-                if self.attempt.record.can_resend() && !self.ignore_stalls {
-                    gap.max(STALL_TIME_MIN)
-                } else {
-                    self.attempt.time_left()
-                };
+            let heeds_links =
+                self.attempt.record.can_resend() && !self.ignore_stalls;
+            let silence = if heeds_links {
+                gap.max(STALL_TIME_MIN)
+            } else {
+                self.attempt.time_left()
+            };
+            let limit = StallLimit {
+                silence,
+                heeds_links,
+            };
             let step = next_step(
                 &self.attempt,
                 &mut self.cursor,
@@ -333,7 +395,7 @@
                     self.abort("the deadline has passed").await;
                     return;
                 }
-                StreamStep::Stalled(limit) => {
+                StreamStep::Stalled(silence) => {
                     // A stall alone does not end a stream: unless another
                     // upstream can take over, it keeps waiting.
                     if self.cursor.last_id().is_none()
@@ -342,7 +404,7 @@
                         self.ignore_stalls = true;
                         continue;
                     }
-                    let text = format!("no event for {limit:?}");
+                    let text = format!("no event for {silence:?}");
                     match self.fail_over(reply, &text).await {
                         Some(next) => reply = next,
                         None => return,
--- a/lib/src/gateway/gateway_core.rs
+++ b/lib/src/gateway/gateway_core.rs
@@ -23,7 +23,7 @@
 
 pub use self::{
     heartbeats::{HeartbeatPlan, HeartbeatReceipt},
-    links::{FailedPaths, SendPath},
+    links::{FailedPaths, SILENCE_MIN, SendPath},
 };
 use super::{
     dispatch_rate::DispatchLimiter,
--- a/lib/src/gateway/gateway_core/links.rs
+++ b/lib/src/gateway/gateway_core/links.rs
@@ -28,6 +28,14 @@
 /// Other instances that are asked whether they reach an upstream.
 const INSTANCES_ASKED: usize = 3;
 
+/// Shortest silence after which a request is sent elsewhere because the links
+/// to its upstream are lost. A sound upstream may be silent for a second; the
+/// platform's callers leave after two.
+pub const SILENCE_MIN: Duration = Duration::from_secs(1);
+/// Time for which the links must have been lost by then, so that a short loss
+/// costs no second run.
+const LOSS_TIME_MIN: Duration = Duration::from_millis(500);
+
 /// How a request gets to an upstream.
 #[derive(Clone, Debug, PartialEq)]
 pub enum SendPath {
@@ -116,6 +124,20 @@
         matches!(state, LinkState::Reachable | LinkState::Returning)
     }
 
+    /// Whether nothing more is to be expected of an upstream that has sent
+    /// nothing for `silence`: links that were lost for some time seldom return
+    /// before the callers leave.
+    pub fn is_silenced(
+        &self,
+        now: Timestamp,
+        id: &UpstreamId,
+        silence: Duration,
+    ) -> bool {
+        let lost_since = self.upstreams.links_lost_since(id);
+        silence >= SILENCE_MIN
+            && lost_since.is_some_and(|since| now.since(since) >= LOSS_TIME_MIN)
+    }
+
     /// Decides how the next send of a request to a service is made.
     ///
     /// After a send that made no connection, a delegate is used as soon as
--- a/lib/src/gateway/reachability.rs
+++ b/lib/src/gateway/reachability.rs
@@ -313,6 +313,11 @@
         })
     }
 
+    /// Since when the links to a group have been lost; `None` if they are not.
+    pub fn lost_since(&self, group: &LinkGroup) -> Option<Timestamp> {
+        self.groups.get(group)?.lost_since
+    }
+
     /// Whether failures of an upstream of the group may be due to lost links.
     pub fn is_doubtful(&self, now: Timestamp, group: &LinkGroup) -> bool {
         self.is_lost(now, group)
--- a/lib/src/gateway/upstream_table.rs
+++ b/lib/src/gateway/upstream_table.rs
@@ -676,6 +676,13 @@
         self.links.is_unreached_since(service, begun_at)
     }
 
+    /// Since when the links to an upstream have been lost; `None` if they are
+    /// not.
+    pub fn links_lost_since(&self, id: &UpstreamId) -> Option<Timestamp> {
+        let upstream = self.upstreams.get(id)?;
+        self.links.lost_since(&upstream.entry.link_group())
+    }
+
     /// What this instance tells the others of its links.
     pub fn link_report(&mut self, now: Timestamp) -> LinkReport {
         let targets = self.link_targets();
--- a/lib/tests/gateway/test_reachability.rs
+++ b/lib/tests/gateway/test_reachability.rs
@@ -269,3 +269,23 @@
     }
     assert_eq!(probed.len(), 180);
 }
+
+/// Guards against requests that are sent elsewhere although their upstream was
+/// silent for a moment only, or the links were lost for one, and against ones
+/// that wait for links that stay lost.
+#[test]
+fn test_reachability_silence_counts_only_over_lost_links() {
+    let mut core = lost_core();
+    let upstream: UpstreamId = id("i-2");
+    let silenced = |core: &GatewayCore, now, silence| {
+        core.is_silenced(now, &upstream, silence)
+    };
+    assert!(!silenced(&core, at(600), ms(2_000)));
+    assert!(!silenced(&core, at(900), ms(900)));
+    assert!(silenced(&core, at(900), ms(1_100)));
+    assert!(!silenced(&fleet_core(), at(900), ms(1_700)));
+    let (probed, _) = core.next_probes(at(1_000)).remove(0);
+    core.record_reached(at(1_001), at(1_000), &probed);
+    let is_here = probed < id("i-4");
+    assert_eq!(!silenced(&core, at(1_100), ms(1_300)), is_here);
+}
