--- a/cli/src/commands/serve.rs
+++ b/cli/src/commands/serve.rs
@@ -31,7 +31,7 @@
     engine_client::EngineClient,
     logging,
     metrics::ServerMetrics,
-    peers::{PeerPool, PoolConfig, serve_peers_relaying},
+    peers::{PeerPool, PoolConfig, serve_peers_metered},
     platform::PlatformClient,
     relay::{RelayClient, RelayServer},
     server::{bind_callers, serve_callers},
@@ -186,11 +186,11 @@
                 }
             }
         };
-        let peers = tokio::spawn(serve_peers_relaying(
+        let peers = tokio::spawn(serve_peers_metered(
             peers,
             secret,
             meter,
-            relay_server.clone(),
+            Some(relay_server.clone()),
             answer,
         ));
         let text = format!(
--- a/cli/src/peers.rs
+++ b/cli/src/peers.rs
@@ -22,7 +22,7 @@
 use crate::traffic::CountedStream;
 pub use crate::traffic::{TrafficCount, TrafficMeter};
 pub use pool::{PeerPool, PoolConfig};
-pub use server::{serve_peers, serve_peers_metered, serve_peers_relaying};
+pub use server::{serve_peers, serve_peers_metered};
 
 /// Largest frame, in bytes; a larger one ends the connection.
 pub const FRAME_MAX_BYTES: usize = 4 << 20;
--- a/cli/src/peers/server.rs
+++ b/cli/src/peers/server.rs
@@ -78,48 +78,14 @@
         + 'static,
     F: Future<Output = PeerResponse> + Send + 'static,
 {
-    serve_peers_metered(listener, secret, TrafficMeter::new(), handler).await
+    let meter = TrafficMeter::new();
+    serve_peers_metered(listener, secret, meter, None, handler).await
 }
 
-/// Like [`serve_peers`], and adds the bytes exchanged to `meter`.
+/// Like [`serve_peers`], and adds the bytes exchanged to `meter`. Passes the
+/// connections on to upstreams that `handler` has opened in `relays`, if there
+/// are any.
 pub async fn serve_peers_metered<H, F>(
-    listener: TcpListener,
-    secret: Arc<str>,
-    meter: TrafficMeter,
-    handler: H,
-) -> io::Result<()>
-where
-    H: Fn(InstanceId, Incarnation, PeerRequest) -> F
-        + Clone
-        + Send
-        + Sync
-        + 'static,
-    F: Future<Output = PeerResponse> + Send + 'static,
-{
-    serve_all(listener, secret, meter, None, handler).await
-}
-
-/// Like [`serve_peers_metered`], and passes the connections on to upstreams that
-/// `handler` has opened in `relays`.
-pub async fn serve_peers_relaying<H, F>(
-    listener: TcpListener,
-    secret: Arc<str>,
-    meter: TrafficMeter,
-    relays: Arc<RelayServer>,
-    handler: H,
-) -> io::Result<()>
-where
-    H: Fn(InstanceId, Incarnation, PeerRequest) -> F
-        + Clone
-        + Send
-        + Sync
-        + 'static,
-    F: Future<Output = PeerResponse> + Send + 'static,
-{
-    serve_all(listener, secret, meter, Some(relays), handler).await
-}
-
-async fn serve_all<H, F>(
     listener: TcpListener,
     secret: Arc<str>,
     meter: TrafficMeter,
@@ -168,27 +134,30 @@
         let relays = relays.clone();
         let handler = handler.clone();
         tasks.spawn(async move {
-            match relays {
-                Some(relays) if begins_relay(&stream).await => {
+            if let Some(relays) = relays {
+                let Some(first) = first_byte(&stream).await else {
+                    return;
+                };
+                if RelayServer::is_relay(first) {
                     // The relays have a limit of their own.
                     drop((connection, permit));
                     relays.serve(stream).await;
-                }
-                _ => {
-                    serve_connection(stream, connection, meter, handler).await;
-                    drop(permit);
+                    return;
                 }
             }
+            serve_connection(stream, connection, meter, handler).await;
+            drop(permit);
         });
     }
 }
 
-/// Whether a new connection is to be passed on to an upstream.
-async fn begins_relay(stream: &TcpStream) -> bool {
+/// First byte of a new connection, which stays to be read. `None` if the
+/// connection ends, or none arrives in time.
+async fn first_byte(stream: &TcpStream) -> Option<u8> {
     let mut first = [0];
     let peeked = stream.peek(&mut first);
     let peeked = tokio::time::timeout(AUTHENTICATION_TIMEOUT, peeked).await;
-    matches!(peeked, Ok(Ok(1))) && RelayServer::is_relay(first[0])
+    matches!(peeked, Ok(Ok(1))).then_some(first[0])
 }
 
 async fn serve_connection<H, F>(
--- a/cli/src/relay.rs
+++ b/cli/src/relay.rs
@@ -7,8 +7,8 @@
 //! grants its memory, the claim of an idempotency key is made where the caller
 //! is connected, and a connection that breaks is the same for both kinds.
 //!
-//! [`connector`] races both ways, [`server`] is the side that passes bytes on.
-//! It connects to upstreams directly only, so that no connection is passed on
+//! `connector` races both ways, `server` is the side that passes bytes on. It
+//! connects to upstreams directly only, so that no connection is passed on
 //! twice, and asks its own list for their addresses.
 
 mod connector;
--- a/cli/tests/test_peers.rs
+++ b/cli/tests/test_peers.rs
@@ -521,8 +521,13 @@
     let address = listener.local_addr().unwrap();
     let meter = TrafficMeter::new();
     let handler = |_, _, message| answer(message);
-    let server =
-        serve_peers_metered(listener, SECRET.into(), meter.clone(), handler);
+    let server = serve_peers_metered(
+        listener,
+        SECRET.into(),
+        meter.clone(),
+        None,
+        handler,
+    );
     let server = tokio::spawn(server);
     let pool = make_pool();
     let reply = pool.call(address, query("a"), TIMEOUT).await;
