review: add case 3, bodies that are arriving count toward no limit

Claim: long bodies that callers send at the same time bring a gateway over the memory of its machine, so that it is killed and other callers' streams are cut off (LOST).

--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -31,10 +31,6 @@
         self.start.split(' ').nth(index).unwrap_or_default()
     }
 
-    pub fn method(&self) -> &str {
-        self.word(0)
-    }
-
     /// Path without the query.
     pub fn path(&self) -> &str {
         self.word(1).split('?').next().unwrap_or_default()
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -17,6 +17,7 @@
 mod site;
 mod stale_entry;
 mod store;
+mod uploads;
 
 use std::{path::PathBuf, process::ExitCode};
 
@@ -57,6 +58,7 @@
     let played = match name.as_str() {
         "planned-stop" => planned_stop::run(&scene),
         "stale-entry" => stale_entry::run(&scene),
+        "uploads" => uploads::run(&scene),
         _ => Err(format!("no scene {name}")),
     };
     match played {
