review: add case 3, a harmful part far back in prompts is never found

Claim: a part that crashes engines is not quarantined if 16 shared parts or more precede it; requests with it go on crashing engines (BUDGET).

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -6,6 +6,6 @@
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
 [ -x target/review/review-standin ] || exit 2
-timeout -k 5 110 target/review/review-standin uploads "$here/record.txt" "$folder"
+timeout -k 5 110 target/review/review-standin harmful-part "$here/record.txt" "$folder"
 status=$?
 case $status in 0 | 1) exit $status ;; *) exit 2 ;; esac
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -8,7 +8,9 @@
 //! disruption. FOLDER is for temporary files.
 
 mod callers;
+mod crashing;
 mod gateway;
+mod harmful_part;
 mod http;
 mod model;
 mod plain;
@@ -56,6 +58,7 @@
         with_trouble: std::env::var("TROUBLE").as_deref() != Ok("0"),
     };
     let played = match name.as_str() {
+        "harmful-part" => harmful_part::run(&scene),
         "planned-stop" => planned_stop::run(&scene),
         "stale-entry" => stale_entry::run(&scene),
         "uploads" => uploads::run(&scene),
--- a/review/standin/record.rs
+++ b/review/standin/record.rs
@@ -38,7 +38,8 @@
     /// Writes a line here and on standard output.
     pub fn say(&self, text: &str) {
         self.line(text);
-        println!("{text}");
+        // Nobody may read the output.
+        let _ = writeln!(std::io::stdout(), "{text}");
     }
 
     pub fn sleep_until(&self, at: Duration) {
