--- a/review/standin/plain.rs
+++ b/review/standin/plain.rs
@@ -36,8 +36,9 @@
     work: Duration,
     record: Record,
     store: Arc<Store>,
-    /// Whether the engine no longer writes its entry.
-    pub is_silent: AtomicBool,
+    /// Whether the engine is leaving: it no longer writes its entry, and says so
+    /// in all its answers.
+    pub is_leaving: AtomicBool,
     has_ended: AtomicBool,
     /// Delay after which the store carries out the next entry, whose answer
     /// is lost.
@@ -68,7 +69,7 @@
             work,
             record: record.clone(),
             store: store.clone(),
-            is_silent: AtomicBool::new(false),
+            is_leaving: AtomicBool::new(false),
             has_ended: AtomicBool::new(false),
             next_is_late: Mutex::new(None),
             connections: Mutex::new(Vec::new()),
@@ -79,7 +80,7 @@
         std::thread::spawn(move || {
             loop {
                 std::thread::sleep(heartbeat);
-                if beating.is_silent.load(Ordering::SeqCst) {
+                if beating.is_leaving.load(Ordering::SeqCst) {
                     return;
                 }
                 beating.write_entry();
@@ -133,7 +134,7 @@
 
     /// Removes the engine's entry; it goes on serving.
     pub fn leave(&self) -> Duration {
-        self.is_silent.store(true, Ordering::SeqCst);
+        self.is_leaving.store(true, Ordering::SeqCst);
         self.store.put("keyed.servers", &self.id, b"");
         let id = &self.id;
         self.record
@@ -142,7 +143,7 @@
 
     /// Ends the engine and all its connections.
     pub fn exit(&self) -> Duration {
-        self.is_silent.store(true, Ordering::SeqCst);
+        self.is_leaving.store(true, Ordering::SeqCst);
         self.has_ended.store(true, Ordering::SeqCst);
         // Wakes the listener, which then closes.
         let _ = TcpStream::connect(self.address);
@@ -193,8 +194,11 @@
             return Err(io::ErrorKind::ConnectionReset.into());
         }
         let seal = format!("seal.{id}.{attempt}");
-        let headers =
-            [("Attempt-Id", attempt.as_str()), ("Answer-Seal", &seal)];
+        let mut headers =
+            vec![("Attempt-Id", attempt.as_str()), ("Answer-Seal", &seal)];
+        if self.is_leaving.load(Ordering::SeqCst) {
+            headers.push(("Server-Leaving", "1"));
+        }
         http::respond(out, "200 OK", &headers, &[b'n'; 800])?;
         self.runs.lock().expect("no panic")[index].answered = true;
         Ok(())
