--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -19,6 +19,7 @@
 mod site;
 mod stale_entry;
 mod store;
+mod tenant_name;
 mod uploads;
 
 use std::{path::PathBuf, process::ExitCode};
@@ -61,6 +62,7 @@
         "harmful-part" => harmful_part::run(&scene),
         "planned-stop" => planned_stop::run(&scene),
         "stale-entry" => stale_entry::run(&scene),
+        "tenant-name" => tenant_name::run(&scene),
         "uploads" => uploads::run(&scene),
         _ => Err(format!("no scene {name}")),
     };
--- a/review/standin/site.rs
+++ b/review/standin/site.rs
@@ -12,6 +12,8 @@
 pub const CONTACT: Duration = Duration::from_millis(3_000);
 /// `drainMs`
 pub const DRAIN: Duration = Duration::from_millis(2_000);
+/// `configApplyMs`
+pub const CONFIG_APPLY: Duration = Duration::from_millis(2_000);
 /// `memoryMb` of a machine.
 pub const MEMORY_MB: f64 = 260.0;
 /// `heartbeatMs`
@@ -38,6 +40,11 @@
 
 /// A desired state with the kinds of request of the site's sheet.
 pub fn desired_state() -> String {
+    desired_state_with(7, r#"{"name":"liit","apiKeys":["key-a"],"priority":1}"#)
+}
+
+/// A desired state with this version and these tenants.
+pub fn desired_state_with(version: u32, tenants: &str) -> String {
     let route = |name: &str, kind: &str, service: &str, times: [u32; 3]| {
         let [timeout, target, gap] = times;
         let resumable = kind == "streaming";
@@ -82,19 +89,20 @@
     );
     format!(
         concat!(
-            r#"{{"version":7,"routes":[{}],"services":[{{"name":"{}","#,
+            r#"{{"version":{},"routes":[{}],"services":[{{"name":"{}","#,
             r#""healthPath":"/health","maxConnections":334,"coldS":3.0,"#,
             r#""coldPerS":36.0,"engine":{}}},{{"name":"{}","#,
             r#""healthPath":"/health","maxConnections":48,"coldS":0.0,"#,
             r#""coldPerS":0.0}}],"limits":{{"maxHeaderBytes":16384,"#,
             r#""maxBodyBytes":4194304,"headerTimeoutMs":3000,"#,
-            r#""idleTimeoutMs":15000}},"tenants":[{{"name":"liit","#,
-            r#""apiKeys":["key-a"],"priority":1}}]}}"#
+            r#""idleTimeoutMs":15000}},"tenants":[{}]}}"#
         ),
+        version,
         routes.join(","),
         MODEL_SERVICE,
         engine,
         PLAIN_SERVICE,
+        tenants,
     )
 }
 
