--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -4,8 +4,14 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.."
 folder=$(mktemp -d) || exit 2
-trap 'rm -rf "$folder"' EXIT
+end_all() {
+    for file in "$folder"/*.pid; do
+        [ -e "$file" ] && kill -KILL "$(cat "$file")" 2>/dev/null
+    done
+    rm -rf "$folder"
+}
+trap end_all EXIT
 [ -x target/review/review-standin ] || exit 2
-timeout -k 5 110 target/review/review-standin uploads "$here/record.txt" "$folder"
+timeout -k 5 110 target/review/review-standin tenant-name "$here/record.txt" "$folder"
 status=$?
 case $status in 0 | 1) exit $status ;; *) exit 2 ;; esac
--- a/review/standin/gateway.rs
+++ b/review/standin/gateway.rs
@@ -39,6 +39,7 @@
 /// One gateway process.
 pub struct Gateway {
     pub child: Child,
+    pid_file: PathBuf,
     pub ip: Ipv4Addr,
     pub front: SocketAddr,
     pub ready: SocketAddr,
@@ -48,6 +49,7 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        let _ = fs::remove_file(&self.pid_file);
     }
 }
 
@@ -143,8 +145,13 @@
         let path = plan.folder.join(format!("{ip}.jsonc"));
         fs::write(&path, settings).map_err(|it| it.to_string())?;
         let child = spawn(&role, &path, plan.folder.join(format!("{ip}.log")))?;
+        // The script ends what is left, should this program be killed.
+        let pid_file = plan.folder.join(format!("{ip}.pid"));
+        fs::write(&pid_file, child.id().to_string())
+            .map_err(|it| it.to_string())?;
         gateways.push(Gateway {
             child,
+            pid_file,
             ip: *ip,
             front: SocketAddr::new(IpAddr::V4(*ip), front),
             ready: SocketAddr::new(IpAddr::V4(*ip), ready),
