--- a/cli/src/commands/gateway.rs
+++ b/cli/src/commands/gateway.rs
@@ -63,6 +63,8 @@
     let result = runtime.and_then(|runtime| {
         runtime.block_on(run_gateway(path, settings, wire))
     });
+    // The thread that writes the log ends with the process.
+    log::logger().flush();
     match result {
         Ok(()) => ExitReason::Done.into(),
         Err(error) => {
--- a/cli/src/logging/bounded.rs
+++ b/cli/src/logging/bounded.rs
@@ -6,9 +6,9 @@
     sync::{
         Mutex, PoisonError,
         atomic::{AtomicU64, Ordering},
-        mpsc::{Receiver, SyncSender, sync_channel},
+        mpsc::{Receiver, SyncSender, TrySendError, sync_channel},
     },
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use borageline_lib::log_event::LogEvent;
@@ -16,6 +16,11 @@
     Append, Diagnostic, Error, Layout, layout::JsonLayout, record::Record,
 };
 
+/// Longest time that a flush takes: nobody may read standard output.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(100);
+/// Pause before a flush is queued again after it found the queue full.
+const FLUSH_RETRY_PAUSE: Duration = Duration::from_millis(1);
+
 /// Limits on the log lines that a process writes.
 #[derive(Clone, Copy, Debug)]
 pub struct LineLimits {
@@ -45,6 +50,15 @@
     refilled_at: Instant,
 }
 
+/// Work for the writing thread.
+#[derive(Debug)]
+enum OutputJob {
+    /// Writes a line.
+    Write(Vec<u8>),
+    /// Reports that all lines before it were written.
+    Flush(SyncSender<()>),
+}
+
 /// Appender with a token bucket, a bounded queue and a writing thread.
 #[derive(Debug)]
 pub struct BoundedStdout {
@@ -52,7 +66,7 @@
     limits: LineLimits,
     bucket: Mutex<TokenBucket>,
     dropped: AtomicU64,
-    sender: SyncSender<Vec<u8>>,
+    sender: SyncSender<OutputJob>,
 }
 
 impl BoundedStdout {
@@ -106,7 +120,7 @@
         });
         let mut line = line.to_string().into_bytes();
         line.push(b'\n');
-        if self.sender.try_send(line).is_err() {
+        if self.sender.try_send(OutputJob::Write(line)).is_err() {
             self.dropped.fetch_add(dropped, Ordering::Relaxed);
         }
     }
@@ -125,20 +139,46 @@
         self.report_dropped();
         let mut line = self.layout.format(record, diagnostics)?;
         line.push(b'\n');
-        if self.sender.try_send(line).is_err() {
+        if self.sender.try_send(OutputJob::Write(line)).is_err() {
             self.dropped.fetch_add(1, Ordering::Relaxed);
         }
         Ok(())
     }
 
+    /// Waits until the queued lines are written, at most [`FLUSH_TIMEOUT`].
     fn flush(&self) -> Result<(), Error> {
+        let until = Instant::now() + FLUSH_TIMEOUT;
+        let (written, receiver) = sync_channel(1);
+        let mut job = OutputJob::Flush(written);
+        while let Err(error) = self.sender.try_send(job) {
+            match error {
+                TrySendError::Full(unsent) if Instant::now() < until => {
+                    job = unsent;
+                    std::thread::sleep(FLUSH_RETRY_PAUSE);
+                }
+                TrySendError::Full(_) | TrySendError::Disconnected(_) => {
+                    return Ok(());
+                }
+            }
+        }
+        // After the timeout the lines that are left are lost.
+        let left = until.saturating_duration_since(Instant::now());
+        let _ = receiver.recv_timeout(left);
         Ok(())
     }
 }
 
-fn write_lines(receiver: &Receiver<Vec<u8>>) {
+fn write_lines(receiver: &Receiver<OutputJob>) {
     let mut output = std::io::stdout();
-    while let Ok(line) = receiver.recv() {
+    while let Ok(job) = receiver.recv() {
+        let line = match job {
+            OutputJob::Write(line) => line,
+            OutputJob::Flush(written) => {
+                // Whoever asked may have stopped waiting.
+                let _ = written.try_send(());
+                continue;
+            }
+        };
         // If standard output is closed, there is nowhere to report that.
         if output
             .write_all(&line)
