gateway: decide by the time left of a stop what a request may do

What callers saw: around the planned stop of an instance, requests ended with neither an answer nor a refusal. The instance accepted requests for 2.9 s after SIGTERM and then waited until 0.5 s before the end of the grace period; whatever was open then was dropped with the process.

Cause: nothing on the path of a request knew of the stop. A deferred prompt went on waiting as long as its caller would, a request was sent whatever its length, a body was awaited to the caller's limit, and every wait ended by the request's own deadline only.

Now a request ends at the earlier of its deadline and the end of the stop, and a placement compares the time left of the stop with the time that the request needs. A request that may run once must fit with its own deadline; others with the duration of recent answers of their service, and late in the stop with the longest one. What does not fit is refused at once as not run. What was sent and outlives the stop is ended 0.5 s before the grace period is over (1/16 of a short one), with a failure or an incomplete stream, and a line in the log. The log names the predicted longest duration of each send. New connections are accepted for three times the validity of directory answers, since some callers keep them for so long.

--- a/cli/src/gateway.rs
+++ b/cli/src/gateway.rs
@@ -18,6 +18,7 @@
 mod metrics;
 mod peer_copies;
 mod peer_listener;
+mod planned_stop;
 mod prompt_quarantine;
 mod record_applier;
 mod registration;
@@ -35,7 +36,7 @@
     path::PathBuf,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicU64, Ordering},
     },
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
@@ -64,14 +65,12 @@
     connection_probe::CONNECT_TIMEOUT, http_client::HttpClient, log_decision,
 };
 
-/// Time for which new requests are accepted after a planned stop has begun. By
-/// then most callers have queried the directory again ([`ADDRESS_TTL`]); a
-/// later request might not complete within the grace period.
-const STOP_ACCEPTING_AFTER: Duration = Duration::from_millis(2_900);
-/// Part of the grace period that is left for the exit of the process.
-const EXIT_RESERVE: Duration = Duration::from_millis(500);
 /// Time for which callers may cache an answer of the directory.
 const ADDRESS_TTL: Duration = Duration::from_secs(2);
+/// Time for which new connections are accepted after a planned stop has begun:
+/// some callers keep an answer of the directory three times as long as they
+/// may.
+const STOP_ACCEPTING_AFTER: Duration = ADDRESS_TTL.saturating_mul(3);
 /// Connect timeout for the store.
 const STORE_CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -104,7 +103,8 @@
     quarantine: QuarantineTasks,
     suspicions: CrashSuspicions,
     started: Instant,
-    stopping: AtomicBool,
+    /// Notifies requests that are open that a planned stop has begun.
+    stop_begun: watch::Sender<bool>,
     open_connections: AtomicU64,
     /// Requests whose response head was not returned yet.
     open_requests: AtomicU64,
@@ -116,8 +116,6 @@
     probe_due: Notify,
     /// Requests that this instance sends for others.
     delegated_requests: TaskTracker,
-    /// Whether the time in which new requests are accepted is over.
-    has_stopped_accepting: AtomicBool,
 }
 
 /// Reference-counted [`GatewayContext`].
@@ -147,14 +145,13 @@
             quarantine: QuarantineTasks::default(),
             suspicions: CrashSuspicions::default(),
             started: Instant::now(),
-            stopping: AtomicBool::new(false),
+            stop_begun: watch::Sender::new(false),
             open_connections: AtomicU64::new(0),
             open_requests: AtomicU64::new(0),
             buffered_body_bytes: AtomicU64::new(0),
             heartbeat_due: Notify::new(),
             probe_due: Notify::new(),
             delegated_requests: TaskTracker::new(),
-            has_stopped_accepting: AtomicBool::new(false),
         }
     }
 
@@ -183,7 +180,7 @@
     }
 
     fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Relaxed)
+        *self.stop_begun.borrow()
     }
 }
 
@@ -221,26 +218,14 @@
     prompt_quarantine::start(&context);
     reload::start(&context, path)?;
     terminate.recv().await;
-    let grace = settings.bounds.grace();
-    let begun = Instant::now();
-    context.stopping.store(true, Ordering::Relaxed);
-    context.core().begin_stop();
-    log_decision!(
-        LogEvent::StopBegun,
-        { requests = context.open_requests.load(Ordering::Relaxed) },
-        "planned stop begun; grace period is {grace:?}",
-    );
-    let accept_until =
-        STOP_ACCEPTING_AFTER.min(grace.saturating_sub(EXIT_RESERVE));
-    tokio::time::sleep(accept_until).await;
+    let planned = planned_stop::begin(&context);
+    let accept_time = planned.ends_at().since(context.now());
+    tokio::time::sleep(STOP_ACCEPTING_AFTER.min(accept_time)).await;
     stop.cancel();
-    context.has_stopped_accepting.store(true, Ordering::Relaxed);
     context.delegated_requests.close();
-    let left = grace
-        .saturating_sub(EXIT_RESERVE)
-        .saturating_sub(begun.elapsed());
     let requests =
         async { tokio::join!(callers, context.delegated_requests.wait()) };
+    let left = planned.exits_by().since(context.now());
     let drained = tokio::time::timeout(left, requests).await.is_ok();
     log_decision!(
         LogEvent::StopDone,
--- a/cli/src/gateway/delegate.rs
+++ b/cli/src/gateway/delegate.rs
@@ -112,10 +112,6 @@
         .wire
         .read_request(&head)
         .map_err(|error| malformed(error.to_string()))?;
-    if context.has_stopped_accepting.load(Ordering::Relaxed) {
-        let text = "the instance is shutting down";
-        return Err(Refusal::new(RefusalCode::Stopping, text));
-    }
     let open = context.open_connections.load(Ordering::Relaxed)
         + context.delegated_requests.len() as u64;
     if open > context.settings().connections_max() {
@@ -130,7 +126,11 @@
     }
     let time_left = Duration::from_millis(data.time_left_ms);
     caller.timeout = Some(time_left);
-    let body = read_body(context, &caller, body).await?;
+    let body = tokio::select! {
+        biased;
+        body = read_body(context, &caller, body) => body?,
+        refusal = context.wait_until_stop_ends() => return Err(refusal),
+    };
     let target = (&*caller.host, head.uri.path());
     let admitted = context.core().admit_delegated(
         data.config_version,
@@ -196,14 +196,13 @@
 impl<W: GatewayWire> ReplyForwarder<W> {
     async fn run(mut self, mut reply: UpstreamReply<W>) {
         loop {
-            let left = self.attempt.time_left();
             let frame = tokio::select! {
                 biased;
                 () = self.sender.closed() => return,
                 frame = reply.body.frame() => frame,
-                () = tokio::time::sleep(left) => {
-                    self.abort(RequestEnd::Delegated, "the deadline has passed")
-                        .await;
+                expiry = self.attempt.wait_until_expired() => {
+                    let text = expiry.to_string();
+                    self.abort(RequestEnd::Delegated, &text).await;
                     return;
                 }
             };
@@ -218,7 +217,16 @@
                         self.attempt.timings.first_event = Some(time);
                         reply.path.record_first_event();
                     }
-                    if self.sender.send(Ok(bytes)).await.is_err() {
+                    let sent = tokio::select! {
+                        biased;
+                        sent = self.sender.send(Ok(bytes)) => sent,
+                        stop = self.attempt.context.wait_until_stop_ends() => {
+                            let text = stop.to_string();
+                            self.abort(RequestEnd::Delegated, &text).await;
+                            return;
+                        }
+                    };
+                    if sent.is_err() {
                         return;
                     }
                 }
--- a/cli/src/gateway/delegation.rs
+++ b/cli/src/gateway/delegation.rs
@@ -116,6 +116,9 @@
             refusal = self.wait_until_held() => {
                 return Err(SendError::Refused(refusal));
             }
+            refusal = self.context.wait_until_stop_ends() => {
+                return Err(SendError::Refused(refusal));
+            }
         };
         let (mut head, body) = match sent {
             Ok(response) => response.into_parts(),
--- a/cli/src/gateway/forward.rs
+++ b/cli/src/gateway/forward.rs
@@ -85,6 +85,8 @@
     /// Sends made so far.
     pub(super) sends: u32,
     pub(super) timings: RequestTimings,
+    /// Time of the last direct send, and the longest duration of its answer.
+    pub(super) forecast: Option<(Timestamp, Duration)>,
     /// Limit that the last upstream named in its reply.
     upstream_limit: Option<RequestLimit>,
     /// Whether the end was recorded; otherwise the caller has left.
@@ -160,7 +162,12 @@
             return reject(context, None, &refusal);
         }
     };
-    let body = match read_body(context, &caller, body).await {
+    let body = tokio::select! {
+        biased;
+        body = read_body(context, &caller, body) => body,
+        refusal = context.wait_until_stop_ends() => Err(refusal),
+    };
+    let body = match body {
         Ok(body) => body,
         Err(refusal) => return reject(context, Some(&caller), &refusal),
     };
@@ -267,6 +274,7 @@
             failed_delegates: Vec::new(),
             sends: 0,
             timings: RequestTimings::default(),
+            forecast: None,
             upstream_limit: None,
             ended: false,
         }
@@ -283,8 +291,8 @@
         self.request.attempt.as_ref().map_or("-", |id| id.as_str())
     }
 
-    /// Time until the attempt's deadline.
-    pub(super) fn time_left(&self) -> Duration {
+    /// Time until the attempt's own deadline.
+    pub(super) fn deadline_left(&self) -> Duration {
         self.record.deadline().since(self.context.now())
     }
 
@@ -370,9 +378,8 @@
     /// Refusal to send to the caller after a send that ended without an
     /// answer.
     pub(super) fn refusal_after(&self, outcome: SendOutcome) -> Refusal {
-        if self.time_left() == Duration::ZERO {
-            let text = "the deadline has passed";
-            return Refusal::new(RefusalCode::DeadlineExceeded, text);
+        if let Some(expiry) = self.expiry() {
+            return expiry;
         }
         let text =
             format!("the last send to an upstream ended with {outcome:?}");
@@ -392,6 +399,7 @@
         match self.send_path() {
             SendPath::Direct => self.send_direct(resume_after, wait).await,
             SendPath::Delegate(ip) => {
+                self.check_delegation(resume_after)?;
                 self.send_through(ip, resume_after, wait).await
             }
             SendPath::None(refusal) => Err(SendError::Refused(refusal)),
@@ -447,12 +455,16 @@
         };
         let request = self.upstream_request(&metadata, &started);
         let begun_at = self.context.now();
+        self.forecast = started.duration.map(|duration| (begun_at, duration));
         let sent = tokio::select! {
             biased;
             sent = self.context.upstreams.send(target, request) => sent,
             refusal = self.wait_until_held() => {
                 return Err(SendError::Refused(refusal));
             }
+            refusal = self.context.wait_until_stop_ends() => {
+                return Err(SendError::Refused(refusal));
+            }
             silence = self.wait_until_silenced(&started.entry.id) => {
                 self.is_resend_paid = true;
                 Err(HttpError::TimedOut {
@@ -626,6 +638,33 @@
         }
     }
 
+    /// What a placement must know of the request.
+    fn placement_request(&self, is_resumed: bool) -> PlacementRequest<'_> {
+        PlacementRequest {
+            admitted: &self.admitted,
+            size: self.request.size,
+            is_resumed,
+            is_new: !self.was_placed,
+            excluded: &self.excluded,
+            tried: &self.tried,
+            waited: self.elapsed(),
+            time_left: self.deadline_left(),
+        }
+    }
+
+    /// Whether a planned stop lets the request be sent through another
+    /// instance.
+    fn check_delegation(
+        &self,
+        resume_after: Option<u64>,
+    ) -> Result<(), SendError> {
+        let is_resumed = resume_after != self.request.resume_after;
+        let request = self.placement_request(is_resumed);
+        let now = self.context.now();
+        let checked = self.context.core().check_delegation(now, &request);
+        checked.map_err(SendError::Refused)
+    }
+
     /// Chooses an upstream; waits as long as the prompt is deferred.
     async fn place(&self, is_resumed: bool) -> Result<StartedRequest, Refusal> {
         let mut deferred = None;
@@ -634,14 +673,8 @@
                 return Err(refusal);
             }
             let request = PlacementRequest {
-                admitted: &self.admitted,
-                size: self.request.size,
-                is_resumed,
                 is_new: !self.was_placed && deferred.is_none(),
-                excluded: &self.excluded,
-                tried: &self.tried,
-                waited: self.elapsed(),
-                time_left: self.time_left(),
+                ..self.placement_request(is_resumed)
             };
             let now = self.context.now();
             let placed = self.context.core().place(now, &request);
@@ -693,6 +726,7 @@
                 prompt = self.prompt_tokens(),
                 parts = self.content_ids(),
                 expected_ms = started.time_to_first_event.as_millis(),
+                longest_ms = started.duration.map_or(0, |it| it.as_millis()),
                 time_left_ms = self.time_left().as_millis(),
             },
             "send {} to {}", self.sends + 1, started.entry.address,
--- a/cli/src/gateway/stream.rs
+++ b/cli/src/gateway/stream.rs
@@ -61,8 +61,8 @@
     Stalled(Duration),
     /// The caller closed its connection.
     CallerLeft,
-    /// The attempt's deadline passed.
-    DeadlinePassed,
+    /// No time is left, for the given reason.
+    Expired(Refusal),
 }
 
 /// Answers with an event stream.
@@ -146,8 +146,9 @@
                 text
             }
             StreamStep::Stalled(limit) => format!("no event for {limit:?}"),
-            StreamStep::DeadlinePassed | StreamStep::CallerLeft => {
-                let text = "no event came before the deadline";
+            StreamStep::Expired(expiry) => return attempt.refuse(expiry),
+            StreamStep::CallerLeft => {
+                let text = "the caller left before the first event";
                 let code = RefusalCode::DeadlineExceeded;
                 return attempt.refuse(Refusal::new(code, text));
             }
@@ -221,8 +222,8 @@
     caller: Option<&mpsc::Sender<io::Result<Bytes>>>,
 ) -> StreamStep {
     let left = attempt.time_left();
-    let deadline = tokio::time::sleep(left);
-    tokio::pin!(deadline);
+    let expiry = attempt.wait_until_expired();
+    tokio::pin!(expiry);
     let begun_at = Instant::now();
     let heeds_links = limit.heeds_links && reply.path.is_direct();
     let first_look = if heeds_links { SILENCE_MIN } else { left };
@@ -246,7 +247,7 @@
             biased;
             () = caller_left(caller) => return StreamStep::CallerLeft,
             frame = reply.body.frame() => frame,
-            () = &mut deadline => return StreamStep::DeadlinePassed,
+            expiry = &mut expiry => return StreamStep::Expired(expiry),
             () = &mut stall => {
                 let silence = begun_at.elapsed();
                 if silence >= limit.silence.min(left)
@@ -356,7 +357,15 @@
     ) {
         loop {
             for event in events.drain(..) {
-                if self.sender.send(Ok(event)).await.is_err() {
+                let sent = tokio::select! {
+                    biased;
+                    sent = self.sender.send(Ok(event)) => sent,
+                    stop = self.attempt.context.wait_until_stop_ends() => {
+                        self.abort(&stop.to_string()).await;
+                        return;
+                    }
+                };
+                if sent.is_err() {
                     return;
                 }
             }
@@ -391,8 +400,8 @@
                 }
                 StreamStep::Complete => complete = true,
                 StreamStep::CallerLeft => return,
-                StreamStep::DeadlinePassed => {
-                    self.abort("the deadline has passed").await;
+                StreamStep::Expired(expiry) => {
+                    self.abort(&expiry.to_string()).await;
                     return;
                 }
                 StreamStep::Stalled(silence) => {
@@ -454,6 +463,13 @@
             self.attempt.record_sound_prompt(begun_at);
         }
         context.core().record_success(&reply.upstream);
+        if let (1, Some((sent_at, longest))) =
+            (self.attempt.sends, self.attempt.forecast)
+        {
+            let actual = context.now().since(sent_at);
+            let service = &self.attempt.admitted.service;
+            context.core().record_duration(service, longest, actual);
+        }
         let events = self.cursor.events();
         let text = format!("{events} events of {}", reply.upstream);
         self.attempt.record_end(RequestEnd::Answered, &text);
--- a/cli/src/gateway/whole_answer.rs
+++ b/cli/src/gateway/whole_answer.rs
@@ -88,7 +88,11 @@
         } = reply;
         let limit = usize::try_from(WHOLE_ANSWER_MAX.get());
         let body = Limited::new(body, limit.unwrap_or(usize::MAX)).collect();
-        let read = tokio::time::timeout(self.time_left(), body).await;
+        let read = tokio::select! {
+            biased;
+            read = body => Ok(read),
+            expiry = self.wait_until_expired() => Err(expiry),
+        };
         let text = match read {
             Ok(Ok(body)) if self.context.wire.is_authentic_answer(&head) => {
                 drop(path);
@@ -101,7 +105,7 @@
                 self.suspect_crash(&upstream);
                 format!("the answer broke off: {error}")
             }
-            Err(_) => "the answer was not complete in time".into(),
+            Err(expiry) => format!("the answer was not complete: {expiry}"),
         };
         self.record_failed_send(&upstream, SendOutcome::Lost, &text);
         Err(SendOutcome::Lost)
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -12,6 +12,7 @@
 //! tasks belong to the binary; the encoding of requests, replies and records
 //! belongs to an implementation of the traits in [`wire`].
 
+pub mod answer_durations;
 pub mod attempt;
 pub mod cost_model;
 pub mod crash_confirmation;
@@ -26,6 +27,7 @@
 pub mod load_table;
 pub mod member_table;
 pub mod placement;
+pub mod planned_stop;
 pub mod prefill_gate;
 pub mod prompt_quarantine;
 pub mod reachability;
--- a/lib/src/gateway/cost_model.rs
+++ b/lib/src/gateway/cost_model.rs
@@ -52,6 +52,20 @@
         Duration::from_secs_f64(linear + quadratic)
     }
 
+    /// Time to decode an answer of `tokens` for one of `sequences` requests,
+    /// without the prefill of others.
+    pub fn decode_time(
+        &self,
+        tokens: TokenCount,
+        sequences: u32,
+        context: TokenCount,
+    ) -> Duration {
+        let steps = tokens.get() as f64 / f64::from(self.steps_per_pass.max(1));
+        let pass = self.decode_pass(sequences, context).as_secs_f64();
+        Duration::try_from_secs_f64(pass * steps.ceil())
+            .unwrap_or(Duration::MAX)
+    }
+
     /// Time of a pass that decodes for `sequences` requests and prefills
     /// nothing. `context` is the sum of the requests' contexts.
     pub fn decode_pass(&self, sequences: u32, context: TokenCount) -> Duration {
--- a/lib/src/gateway/gateway_core.rs
+++ b/lib/src/gateway/gateway_core.rs
@@ -8,6 +8,7 @@
 mod heartbeats;
 mod links;
 mod placing;
+mod planned_stop;
 mod quarantine;
 mod request_limits;
 
@@ -26,11 +27,13 @@
     links::{FailedPaths, SILENCE_MIN, SendPath},
 };
 use super::{
+    answer_durations::AnswerDurations,
     dispatch_rate::DispatchLimiter,
     gateway_settings::GatewaySettings,
     load_table::{InFlightId, LoadTable},
     member_table::MemberTable,
     placement::PromptSize,
+    planned_stop::PlannedStop,
     prompt_quarantine::PromptQuarantine,
     reader_selection::{ReadSource, ReaderSelector},
     request_limit::LimitTable,
@@ -142,6 +145,9 @@
     pub time_to_first_event: Duration,
     /// Mean prefill time that was left on the chosen engines.
     pub backlog: Duration,
+    /// Longest time from now to the end of the answer, by the tokens that it may
+    /// have; `None` if nothing is known of it.
+    pub duration: Option<Duration>,
     /// Whether a heartbeat should be sent at once, so that other instances
     /// include the request in their placements.
     pub needs_heartbeat: bool,
@@ -157,8 +163,9 @@
     config: Option<Arc<RoutingConfig>>,
     /// Whether the list of upstreams was read.
     upstreams_loaded: bool,
-    /// Whether new requests are accepted; false once a planned stop has begun.
-    serving: bool,
+    /// The planned stop; `None` before it has begun.
+    stop: Option<PlannedStop>,
+    answer_durations: AnswerDurations,
     store_era: EraTracker,
     /// When the records of the restored store are complete.
     restored_until: Option<Timestamp>,
@@ -195,7 +202,8 @@
             incarnation,
             config: None,
             upstreams_loaded: false,
-            serving: true,
+            stop: None,
+            answer_durations: AnswerDurations::default(),
             store_era: EraTracker::default(),
             restored_until: None,
             upstreams: UpstreamTable::default(),
@@ -235,6 +243,8 @@
         if version.is_some_and(|version| version >= config.version) {
             return false;
         }
+        self.answer_durations
+            .retain(|service| config.find_service(service).is_some());
         self.config = Some(Arc::new(config));
         true
     }
@@ -357,12 +367,7 @@
     /// Whether the instance can serve callers: it has a desired state and the
     /// list of upstreams, and is not stopping.
     pub fn is_ready(&self) -> bool {
-        self.serving && self.config.is_some() && self.upstreams_loaded
-    }
-
-    /// Marks the instance as stopping; it is no longer ready from then on.
-    pub fn begin_stop(&mut self) {
-        self.serving = false;
+        self.stop.is_none() && self.config.is_some() && self.upstreams_loaded
     }
 
     /// Routes and authenticates a request, and draws the service that takes
--- a/lib/src/gateway/gateway_core/placing.rs
+++ b/lib/src/gateway/gateway_core/placing.rs
@@ -4,6 +4,7 @@
 
 use super::{
     GatewayCore, NotPlaced, PlacementRequest, StartedRequest, memory_wait_max,
+    planned_stop::predicted_duration,
 };
 use crate::{
     gateway::{
@@ -107,6 +108,10 @@
             };
             return Err(self.no_placement(now, request, prompt));
         };
+        let load = loads.get(&placed.upstream).copied().unwrap_or_default();
+        let duration = predicted_duration(request, &spec, &placed, &load);
+        self.check_stop(now, request, duration)
+            .map_err(NotPlaced::Refused)?;
         let gated = placed.in_flight.long && !request.is_resumed;
         if let (true, Some(engine), Some(size)) =
             (gated, &spec.engine, request.size)
@@ -114,7 +119,7 @@
             let prefill = engine.prefill_time(size.prompt);
             self.check_gate(request, &placed, prefill, &limits)?;
         }
-        Ok(self.start_request(now, placed))
+        Ok(self.start_request(now, placed, duration))
     }
 
     /// Limits on the load of a service's engines; without meaning for other
@@ -218,6 +223,7 @@
         &mut self,
         now: Timestamp,
         placed: Placement,
+        duration: Option<Duration>,
     ) -> StartedRequest {
         let tracked = |id: &UpstreamId| {
             self.upstreams
@@ -246,6 +252,7 @@
             in_flight_id,
             time_to_first_event: placed.time_to_first_event,
             backlog: placed.backlog,
+            duration,
             needs_heartbeat,
             entry_age,
         }
--- a/lib/tests/gateway/main.rs
+++ b/lib/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod test_heartbeat_relay;
 mod test_members;
 mod test_placement;
+mod test_planned_stop;
 mod test_prompt_quarantine;
 mod test_reachability;
 mod test_request_limits;
--- a/lib/tests/gateway/test_heartbeat_relay.rs
+++ b/lib/tests/gateway/test_heartbeat_relay.rs
@@ -99,7 +99,7 @@
 #[test]
 fn test_heartbeat_relay_is_not_used_by_leaving_instance() {
     let mut core = large_fleet(at(0), 19, true);
-    core.begin_stop();
+    core.begin_stop(at(0));
     let plan = core.next_heartbeat(at(100));
     let expected = (18 + 76 + PROBED_SEEDS, 0);
     assert_eq!((plan.direct.len(), plan.relays.len()), expected);
--- a/lib/tests/gateway/test_members.rs
+++ b/lib/tests/gateway/test_members.rs
@@ -35,7 +35,7 @@
     assert_eq!(leaving.change, Some(MemberChange::Leaving(id("entry-3"))));
     let own: std::net::IpAddr = OWN.into();
     assert_eq!(core.serving_addresses(at(200)), [own]);
-    core.begin_stop();
+    core.begin_stop(at(0));
     assert!(core.serving_addresses(at(200)).is_empty());
 }
 
