serve: decide by the time left of a stop what a request may do

In a planned stop of `borageline serve`, a request that waited or was at work when `limits.stop_timeout_ms` ended was closed with neither an answer nor a refusal, streams broke, and nothing was logged. A request that came after SIGTERM and could not finish any more was kept until then. The process took `address_ttl_ms` and half a second longer than the limit, and up to the limit and `address_ttl_ms` again for relays and the core, so that a platform that allows no more than the limit killed it.

The cause: requests only knew their own deadlines. The stop waited for them and then closed their connections.

`StopSchedule` now fixes, at SIGTERM, when the listener closes, when all requests end and when connections close; all of it lies within the limit. Each step of a request that can wait runs through one `StopSignal`: reading the body, the claim of a key, the call to a service, a completion, a query and an order. The core limits its requests in the same way and places those that were not sent anew, so that the owners of engines refuse what cannot finish. Such requests are refused at once with `stopping` and `not_run`. What may not be repeated is sent only if its own deadline lies within the time left. What was sent and outlives the stop fails with `may_have_run` or `ran`. Each of them is logged as `request_stopped`.

The core reports the end of its stop no earlier than the listener is closed. Before, it did so once it was idle for a moment, and calls that came later were not waited for.

--- a/cli/src/buffer.rs
+++ b/cli/src/buffer.rs
@@ -202,6 +202,8 @@
     _reserve: ByteReservation,
     reader_dropped: bool,
     sender_dropped: bool,
+    // Whether a streamed answer has begun, so that a failure has no status.
+    answer_begun: bool,
     waker: Option<Waker>,
 }
 
@@ -276,6 +278,7 @@
         _reserve: reserve,
         reader_dropped: false,
         sender_dropped: false,
+        answer_begun: false,
         waker: None,
     };
     let shared = Arc::new(SharedQueue {
@@ -357,8 +360,11 @@
     }
 
     /// Ends the stream with its last item, for which there is always room.
-    pub fn finish(self, item: StreamItem) {
-        self.shared.lock().items.push_back(item);
+    /// Returns whether the caller's answer has begun.
+    pub fn finish(self, item: StreamItem) -> bool {
+        let mut queue = self.shared.lock();
+        queue.items.push_back(item);
+        queue.answer_begun
     }
 
     /// Waits until half of the bytes buffered now have been read. If the
@@ -414,15 +420,19 @@
         poll_fn(|context| self.poll_item(context)).await
     }
 
-    /// Waits for the first item and returns its kind, without removing it.
+    /// Waits for the first item and returns its kind, without removing it. A
+    /// completion that has already failed counts as failed from the start.
     pub async fn peek_start(&mut self) -> CompletionStart {
         poll_fn(|context| {
             let mut queue = self.shared.lock();
-            match queue.items.front() {
+            match queue.items.back() {
                 Some(StreamItem::Failure(refusal)) => {
                     Poll::Ready(CompletionStart::Failed(refusal.clone()))
                 }
-                Some(_) => Poll::Ready(CompletionStart::Streaming),
+                Some(_) => {
+                    queue.answer_begun = true;
+                    Poll::Ready(CompletionStart::Streaming)
+                }
                 None if queue.sender_dropped => {
                     Poll::Ready(CompletionStart::Lost)
                 }
--- a/cli/src/callers.rs
+++ b/cli/src/callers.rs
@@ -37,8 +37,8 @@
     context::SharedContext,
     operators, prompt,
     reply::{
-        BodyLimits, CallerRequest, bytes_response, error_response,
-        json_response, parse_json, read_body, stream_response,
+        BodyLimits, BufferedBody, CallerRequest, bytes_response,
+        error_response, json_response, parse_json, read_body, stream_response,
     },
     request_task::{BufferedPrompt, RequestTask},
     services,
@@ -240,13 +240,21 @@
     Ok((workspace, rule))
 }
 
-/// Limits on request bodies, from the instance's settings.
-pub fn body_limits(context: &SharedContext) -> BodyLimits {
+/// Reads a request body within the limits of the instance's settings, and until
+/// a planned stop ends all requests.
+pub async fn read_whole_body(
+    context: &SharedContext,
+    call: &CallerRequest,
+    body: Body,
+) -> Result<BufferedBody, Refusal> {
     let limits = &context.settings.limits;
-    BodyLimits {
+    let limits = BodyLimits {
         size: limits.body_bytes,
         timeout: limits.body_timeout,
-    }
+    };
+    let budget = context.body_budget.clone();
+    let read = read_body(body, &call.headers, limits, budget);
+    context.stop.until_end(read).await?
 }
 
 async fn completions(
@@ -256,9 +264,7 @@
 ) -> Result<Response<Body>, Refusal> {
     let published = context.handle.published();
     let (workspace, rule) = authenticate(&context, &published, &call)?;
-    let limits = body_limits(&context);
-    let budget = context.body_budget.clone();
-    let body = read_body(body, &call.headers, limits, budget).await?;
+    let body = read_whole_body(&context, &call, body).await?;
     let request: CompletionRequest = parse_json(&body.bytes)?;
     let descriptor = build_descriptor(
         &context, &published, &call, workspace, rule, &request,
--- a/cli/src/commands/serve.rs
+++ b/cli/src/commands/serve.rs
@@ -5,13 +5,14 @@
     path::PathBuf,
     process::ExitCode,
     sync::Arc,
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::{SystemTime, UNIX_EPOCH},
 };
 
 use borageline_lib::{
     core::{CoreSetup, ServingCore},
     log_event::LogEvent,
     peer_api::{PeerRequest, PeerResponse},
+    planned_stop::StopSchedule,
     settings::{InstanceSettings, SettingOverride},
     units::Incarnation,
 };
@@ -21,8 +22,8 @@
     net::TcpListener,
     signal::unix::{SignalKind, signal},
     task::JoinHandle,
+    time::timeout_at,
 };
-use tokio_util::sync::CancellationToken;
 
 use super::{load_settings, set_flags};
 use crate::{
@@ -39,9 +40,6 @@
 
 /// Exit code for invalid settings.
 const SETTINGS_ERROR: u8 = 2;
-/// Time within which the other instances learn of a planned stop, and list the
-/// address no longer.
-const LEAVE_PROPAGATION: Duration = Duration::from_millis(500);
 
 /// Run one instance until it is told to stop.
 #[derive(Clone, Debug, Bpaf)]
@@ -106,7 +104,6 @@
 #[derive(Debug)]
 pub struct RunningInstance {
     context: SharedContext,
-    stop: CancellationToken,
     callers: JoinHandle<usize>,
     peers: JoinHandle<io::Result<()>>,
     relays: Arc<RelayServer>,
@@ -154,9 +151,7 @@
             relays,
             metrics,
         ));
-        let stop = CancellationToken::new();
-        let callers =
-            tokio::spawn(serve_callers(callers, context.clone(), stop.clone()));
+        let callers = tokio::spawn(serve_callers(callers, context.clone()));
         let secret = settings.fleet_secret.clone();
         let quarantine = context.quarantine.clone();
         let sharing =
@@ -200,7 +195,6 @@
         logging::event(LogEvent::InstanceStarted, &text);
         Ok(Self {
             context,
-            stop,
             callers,
             peers,
             relays: relay_server,
@@ -219,26 +213,25 @@
         &self.context.handle
     }
 
-    /// Makes a planned stop. Until the last address list with its address has
-    /// expired, the instance still serves callers; then it closes the listener
-    /// and waits for running requests.
+    /// Makes a planned stop within the `stop_timeout` of the settings. Until
+    /// the last address list with its address has expired, the instance still
+    /// serves callers; then it closes the listener and waits for running
+    /// requests.
     pub async fn stop(self) {
+        let clock = self.context.handle.clock();
         let limits = &self.context.settings.limits;
-        self.context.begin_stop();
+        let schedule = StopSchedule::new(clock.now(), limits);
+        let until = clock.instant(schedule.connections_close());
+        self.context.stop.begin(schedule);
         self.relays.stop();
-        self.context.handle.stop().await;
-        tokio::time::sleep(limits.address_ttl + LEAVE_PROPAGATION).await;
-        self.stop.cancel();
+        self.context.handle.stop(schedule).await;
         // An error means that the task of the listener panicked.
         let open_connections = self.callers.await.unwrap_or_default();
         // The core hands its ownership over and withdraws its claims.
-        let core_timeout = limits.address_ttl;
-        let core =
-            tokio::time::timeout(core_timeout, self.context.handle.stopped());
+        let core = timeout_at(until, self.context.handle.stopped());
         let finished = core.await.is_ok();
         // Requests of other instances that go through this one.
-        let relays = self.relays.drained();
-        let relays = tokio::time::timeout(limits.stop_timeout, relays);
+        let relays = timeout_at(until, self.relays.drained());
         let relays_ended = relays.await.is_ok();
         self.peers.abort();
         self.sharing.abort();
--- a/cli/src/context.rs
+++ b/cli/src/context.rs
@@ -4,7 +4,7 @@
     panic::{RefUnwindSafe, UnwindSafe},
     sync::{
         Arc,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicU64, Ordering},
     },
 };
 
@@ -22,6 +22,7 @@
     quarantine::RequestQuarantine,
     relay::RelayClient,
     request_task::TaskContext,
+    stop_signal::StopSignal,
     upstream_client::UpstreamClient,
 };
 
@@ -53,7 +54,8 @@
     /// Index of the keys in the newest configuration.
     pub credentials: CredentialCache,
     sequence: AtomicU64,
-    stopping: AtomicBool,
+    /// Planned stop of the instance.
+    pub stop: StopSignal,
 }
 
 impl ServerContext {
@@ -75,6 +77,7 @@
             limits.body_bytes_total,
             metrics.body_bytes.clone(),
         );
+        let stop = StopSignal::new(handle.clock());
         let own_address = settings.caller_address;
         let quarantine =
             RequestQuarantine::new(handle.clock(), own_address, relays.clone());
@@ -94,7 +97,7 @@
             body_budget: Arc::new(body_budget),
             credentials: CredentialCache::default(),
             sequence: AtomicU64::new(0),
-            stopping: AtomicBool::new(false),
+            stop,
         }
     }
 
@@ -110,14 +113,9 @@
         self.sequence.fetch_add(1, Ordering::Relaxed)
     }
 
-    /// Records that a planned stop has begun.
-    pub fn begin_stop(&self) {
-        self.stopping.store(true, Ordering::Release);
-    }
-
     /// Whether a planned stop has begun.
     pub fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Acquire)
+        self.stop.schedule().is_some()
     }
 
     /// State for the task of one request.
@@ -127,6 +125,7 @@
             engines: self.engines.clone(),
             quarantine: self.quarantine.clone(),
             metrics: self.metrics.clone(),
+            stop: self.stop.clone(),
         }
     }
 }
--- a/cli/src/core_handle.rs
+++ b/cli/src/core_handle.rs
@@ -24,6 +24,7 @@
         CallKey, CallResult, ClaimResponse, OrderReport, PeerRequest,
         PeerResponse,
     },
+    planned_stop::StopSchedule,
     query::MergeInput,
     refusal::{Refusal, RefusalCode, RunState},
     units::{Incarnation, Timestamp},
@@ -36,7 +37,7 @@
 /// Capacity of the event channel. Senders wait while it is full.
 pub(crate) const EVENT_QUEUE_CAPACITY: usize = 4_096;
 /// Time after which an order is reported to have an unknown outcome.
-const ORDER_TIMEOUT: Duration = Duration::from_secs(5);
+pub(crate) const ORDER_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time after which an operator's query fails. The core's own timeout for
 /// queries is shorter.
 const QUERY_TIMEOUT: Duration = Duration::from_secs(4);
@@ -419,8 +420,8 @@
     }
 
     /// Starts a planned stop of the core.
-    pub async fn stop(&self) {
-        self.send(CoreEvent::StopRequested).await;
+    pub async fn stop(&self, schedule: StopSchedule) {
+        self.send(CoreEvent::StopRequested(schedule)).await;
     }
 
     /// Waits until the core has finished its planned stop, so that no request
--- a/cli/src/lib.rs
+++ b/cli/src/lib.rs
@@ -31,5 +31,6 @@
 pub mod server;
 pub mod service_route;
 pub mod services;
+pub mod stop_signal;
 mod traffic;
 pub mod upstream_client;
--- a/cli/src/operators.rs
+++ b/cli/src/operators.rs
@@ -1,6 +1,6 @@
 //! HTTP handlers for operators: queries, orders and their outcomes.
 
-use std::sync::Arc;
+use std::{future::ready, sync::Arc};
 
 use borageline_lib::{
     core::InstanceReadiness,
@@ -17,9 +17,10 @@
 use percent_encoding::percent_decode_str;
 
 use crate::{
-    callers::{body_limits, malformed, not_ready},
+    callers::{malformed, not_ready, read_whole_body},
     context::SharedContext,
-    reply::{CallerRequest, json_response, parse_json, read_body},
+    core_handle::ORDER_TIMEOUT,
+    reply::{CallerRequest, json_response, parse_json},
 };
 
 value_type! {
@@ -77,13 +78,12 @@
     body: Body,
 ) -> Result<Response<Body>, Refusal> {
     authenticate(&context, &call)?;
-    let limits = body_limits(&context);
-    let budget = context.body_budget.clone();
-    let body = read_body(body, &call.headers, limits, budget).await?;
+    let body = read_whole_body(&context, &call, body).await?;
     let request: QueryRequest = parse_json(&body.bytes)?;
     let text = request.query;
     parse_query(&text).map_err(|error| malformed(error.render(&text)))?;
-    let input = context.handle.query(text).await?;
+    let query = context.handle.query(text);
+    let input = context.stop.until_end(query).await??;
     // Merging many rows takes long, and must not block the other tasks of this
     // thread.
     let answer = tokio::task::spawn_blocking(move || merge(*input)).await;
@@ -131,9 +131,7 @@
     body: Body,
 ) -> Result<Response<Body>, Refusal> {
     let (operator, role) = authenticate(&context, &call)?;
-    let limits = body_limits(&context);
-    let budget = context.body_budget.clone();
-    let body = read_body(body, &call.headers, limits, budget).await?;
+    let body = read_whole_body(&context, &call, body).await?;
     let request: OrderRequest = parse_json(&body.bytes)?;
     if let Some(name) = request.issued_by.as_ref()
         && *name != operator
@@ -163,17 +161,26 @@
             })?;
         return Ok(json_response(StatusCode::OK, &call.request, &preview));
     }
+    // An order whose outcome the operator would not learn is not submitted.
+    let deadline = context.handle.clock().now().after(ORDER_TIMEOUT);
+    context.stop.unless_outlived(deadline, ready(())).await?;
     // Runs in a task of its own, so that the order continues even if the
     // operator disconnects.
     let handle = context.handle.clone();
     let report = tokio::spawn(async move { handle.order(order).await });
-    let report = report.await.map_err(|error| {
+    let report = context.stop.until_end(report).await;
+    let report = report.map_err(outcome_unknown)?.map_err(|error| {
         Refusal::new(RefusalCode::Internal, error.to_string())
             .with_run_state(RunState::MayHaveRun)
     })?;
     report_answer(&call, &report)
 }
 
+/// Refusal of a request that waited for the outcome of an order.
+fn outcome_unknown(refusal: Refusal) -> Refusal {
+    refusal.with_run_state(RunState::MayHaveRun)
+}
+
 /// Role required for a change; only administrators may change credentials.
 fn required_role(change: &FleetChange) -> OperatorRole {
     match change {
@@ -197,7 +204,9 @@
     let id: OrderId = id.parse().map_err(|error| {
         malformed(format!("the path names no order: {error}"))
     })?;
-    let report = context.handle.order_outcome(id.clone()).await;
+    let report = context.handle.order_outcome(id.clone());
+    let report = context.stop.until_end(report).await;
+    let report = report.map_err(outcome_unknown)?;
     if report.accepted.is_none() && report.run_state == RunState::NotRun {
         let text = format!("order {id} is not known");
         return Err(Refusal::new(RefusalCode::UnknownOrder, text));
--- a/cli/src/reply.rs
+++ b/cli/src/reply.rs
@@ -8,6 +8,7 @@
 use borageline_lib::{
     api::{ErrorBody, REQUEST_ID_HEADER},
     ids::RequestId,
+    log_event::LogEvent,
     refusal::{Refusal, RefusalCode},
     units::{ByteSize, Timestamp},
 };
@@ -25,6 +26,7 @@
 use crate::{
     buffer::{ByteBudget, ByteReservation},
     context::SharedContext,
+    log_decision,
 };
 
 /// Marks a response that was built by a handler, as opposed to one that gotham
@@ -213,9 +215,7 @@
     refusal: &Refusal,
 ) -> Response<Body> {
     context.metrics.count_refusal(refusal.code);
-    let text = format!("{request}: {refusal}");
-    let event = borageline_lib::log_event::LogEvent::RequestRefused;
-    crate::logging::event(event, &text);
+    log_refusal(request, refusal);
     let body = ErrorBody::new(refusal, Some(request.clone()));
     let status = StatusCode::from_u16(refusal.code.status())
         .expect("codes have valid statuses");
@@ -226,8 +226,13 @@
         let seconds = u64::try_from(seconds).unwrap_or(u64::MAX);
         headers.insert(header::RETRY_AFTER, HeaderValue::from(seconds));
     }
-    // The rest of the body was not read, so the connection can't be reused.
-    let unread = [RefusalCode::SlowSender, RefusalCode::BodyTooLarge];
+    // The rest of the body may not have been read, so the connection can't be
+    // reused.
+    let unread = [
+        RefusalCode::SlowSender,
+        RefusalCode::BodyTooLarge,
+        RefusalCode::Stopping,
+    ];
     if unread.contains(&refusal.code) {
         let close = HeaderValue::from_static("close");
         headers.insert(header::CONNECTION, close);
@@ -235,6 +240,24 @@
     response
 }
 
+/// Logs that a request was refused or failed. One that a planned stop ended is
+/// always logged, since its cause lies in the instance alone.
+pub fn log_refusal(request: &RequestId, refusal: &Refusal) {
+    let event = match refusal.code {
+        RefusalCode::Stopping => LogEvent::RequestStopped,
+        _ => LogEvent::RequestRefused,
+    };
+    log_decision!(
+        event,
+        {
+            request = request,
+            code = refusal.code,
+            run_state = refusal.run_state,
+        },
+        "{request}: {refusal}",
+    );
+}
+
 /// Converts a request id to a header value.
 pub fn id_value(request: &RequestId) -> HeaderValue {
     HeaderValue::from_str(request.as_str())
--- a/cli/src/request_task.rs
+++ b/cli/src/request_task.rs
@@ -2,9 +2,9 @@
 //!
 //! The core decides which engines get the request. The task sends it there,
 //! checks the chunks of the completion, moves them into the caller's buffer,
-//! and reports progress to the core. The request ends at its deadline, or when
-//! the caller disconnects; the task then cancels it at every engine to which
-//! it was sent.
+//! and reports progress to the core. The request ends at its deadline, when a
+//! planned stop ends all requests, or when the caller disconnects; the task
+//! then cancels it at every engine to which it was sent.
 
 use std::{sync::Arc, time::Duration};
 
@@ -21,6 +21,7 @@
     engine_api::{EngineRequest, KvState, PrefillRequest},
     gateway::{prompt_quarantine::SOUND_ANSWER_TIME, wire::PartId},
     log_event::LogEvent,
+    planned_stop::RequestLimit,
     refusal::{Refusal, RefusalCode, RunState},
     units::{Timestamp, TokenCount},
 };
@@ -36,6 +37,8 @@
     metrics::ServerMetrics,
     prompt::split_prompt,
     quarantine::RequestQuarantine,
+    reply::log_refusal,
+    stop_signal::StopSignal,
 };
 
 /// Longest time between two chunks of a completion. Engines may suspend the
@@ -62,6 +65,8 @@
     pub quarantine: Arc<RequestQuarantine>,
     /// Metrics of the instance.
     pub metrics: Arc<ServerMetrics>,
+    /// Planned stop of the instance.
+    pub stop: StopSignal,
 }
 
 /// How a request ended.
@@ -72,7 +77,7 @@
     /// Withdrawn from the core, which did not refuse it itself.
     Withdrawn(Refusal),
     CallerDisconnected,
-    DeadlinePassed,
+    LimitPassed(RequestLimit),
 }
 
 /// A failed attempt at an engine, and why it failed.
@@ -159,16 +164,16 @@
 
     /// Serves the request until it has ended.
     pub async fn run(mut self, sender: CompletionSender) {
-        let clock = self.context.handle.clock();
-        let deadline = clock.instant(self.descriptor.deadline);
+        let deadline = self.descriptor.deadline;
+        let stop = self.context.stop.clone();
         let caller = sender.monitor();
         let mut request_handle =
             self.context.handle.submit(self.descriptor.clone()).await;
         let end = tokio::select! {
             biased;
             () = caller.disconnected() => RequestEnd::CallerDisconnected,
-            () = tokio::time::sleep_until(deadline) => {
-                RequestEnd::DeadlinePassed
+            limit = stop.limit_passed(deadline) => {
+                RequestEnd::LimitPassed(limit)
             }
             end = self.serve(&mut request_handle, &sender) => end,
         };
@@ -186,16 +191,10 @@
                     .await;
             }
             RequestEnd::Refused(refusal) => {
-                self.cancel_active();
-                sender.finish(StreamItem::Failure(
-                    self.with_combined_run_state(refusal),
-                ));
+                self.fail(refusal, sender);
             }
             RequestEnd::Withdrawn(refusal) => {
-                self.cancel_active();
-                sender.finish(StreamItem::Failure(
-                    self.with_combined_run_state(refusal),
-                ));
+                self.fail(refusal, sender);
                 request_handle
                     .report(RequestProgress::CallerDisconnected)
                     .await;
@@ -206,15 +205,9 @@
                     .report(RequestProgress::CallerDisconnected)
                     .await;
             }
-            RequestEnd::DeadlinePassed => {
-                self.cancel_active();
-                let refusal = Refusal::new(
-                    RefusalCode::DeadlineExceeded,
-                    "the deadline passed before the answer was complete",
-                );
-                sender.finish(StreamItem::Failure(
-                    self.with_combined_run_state(refusal),
-                ));
+            RequestEnd::LimitPassed(limit) => {
+                let text = "the deadline passed before the answer was complete";
+                self.fail(limit.refusal(text), sender);
                 request_handle
                     .report(RequestProgress::CallerDisconnected)
                     .await;
@@ -222,6 +215,16 @@
         }
     }
 
+    /// Ends the completion with a failure and cancels it at the engines.
+    fn fail(&mut self, refusal: Refusal, sender: CompletionSender) {
+        self.cancel_active();
+        let refusal = self.with_combined_run_state(refusal);
+        let item = StreamItem::Failure(refusal.clone());
+        if sender.finish(item) {
+            log_refusal(&self.descriptor.request, &refusal);
+        }
+    }
+
     async fn serve(
         &mut self,
         request_handle: &mut RequestHandle,
@@ -666,9 +669,10 @@
         request: &'a borageline_lib::ids::RequestId,
     ) -> RequestHeaders<'a> {
         let now = self.context.handle.clock().now();
+        let limit = self.context.stop.limit(self.descriptor.deadline);
         RequestHeaders {
             request,
-            time_left: self.descriptor.deadline.since(now),
+            time_left: limit.ends_at().since(now),
         }
     }
 }
--- a/cli/src/server.rs
+++ b/cli/src/server.rs
@@ -132,15 +132,14 @@
     socket.listen(ACCEPT_QUEUE)
 }
 
-/// Serves the listener until `stop` is cancelled. Then closes the listener,
-/// waits at most the `stop_timeout` of the settings for running requests, and
-/// closes the connections that are left.
+/// Serves the listener until a planned stop closes it, waits for running
+/// requests, and closes the connections that are left at the time in the
+/// stop's schedule.
 ///
-/// Returns the number of connections that were still open after that wait.
+/// Returns the number of connections that were still open then.
 pub async fn serve_callers(
     listener: TcpListener,
     context: SharedContext,
-    stop: CancellationToken,
 ) -> usize {
     let graceful = GracefulShutdown::new();
     let force_close = CancellationToken::new();
@@ -153,10 +152,12 @@
         table: Mutex::default(),
         context: context.clone(),
     });
-    loop {
+    let closed = context.stop.listener_closed();
+    tokio::pin!(closed);
+    let schedule = loop {
         let accepted = tokio::select! {
             biased;
-            () = stop.cancelled() => break,
+            schedule = &mut closed => break schedule,
             accepted = listener.accept() => accepted,
         };
         let (stream, address) = match accepted {
@@ -182,10 +183,11 @@
                 tokio::spawn(reject(stream, refusal));
             }
         }
-    }
+    };
     drop(listener);
-    let wait = context.settings.limits.stop_timeout;
-    let drained = tokio::time::timeout(wait, graceful.shutdown()).await;
+    let clock = context.handle.clock();
+    let until = clock.instant(schedule.connections_close());
+    let drained = tokio::time::timeout_at(until, graceful.shutdown()).await;
     let remaining = limiter.lock().total as usize;
     force_close.cancel();
     if drained.is_ok() { 0 } else { remaining }
--- a/cli/src/services.rs
+++ b/cli/src/services.rs
@@ -5,7 +5,7 @@
 //! claims the key, is sent at most once, and its outcome is recorded under the
 //! key, so that a repeated call gets the recorded outcome.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{future::ready, net::SocketAddr, sync::Arc, time::Duration};
 
 use borageline_lib::{
     api::{DEADLINE_HEADER, IDEMPOTENCY_KEY_HEADER, REQUEST_ID_HEADER},
@@ -28,11 +28,11 @@
 
 use crate::{
     buffer::ByteReservation,
-    callers::{authenticate, body_limits, stale_configuration},
+    callers::{authenticate, read_whole_body, stale_configuration},
     context::SharedContext,
     credentials::hex_digest,
     http_client::{CallTarget, HttpError, read_response_body},
-    reply::{CallerRequest, RenderedResponse, id_value, read_body},
+    reply::{CallerRequest, RenderedResponse, id_value},
     service_route::{ServicePath, forwardable_headers},
     upstream_client::UpstreamClient,
 };
@@ -41,6 +41,8 @@
 const PROCESS_ATTEMPTS_MAX: usize = 3;
 /// Largest body that is recorded; of larger ones only the digest is recorded.
 const RECORDED_BODY_MAX_BYTES: usize = 16 << 10;
+/// Cause of a refusal for want of time.
+const NOT_SENT: &str = "the deadline passed before the call was sent";
 /// UUID version of idempotency keys; it contains the timestamp that limits a
 /// key's age.
 const KEY_UUID_VERSION: usize = 7;
@@ -90,12 +92,16 @@
         let text = format!("service {} is not known", path.service);
         return Err(Refusal::new(RefusalCode::UnknownService, text));
     }
-    let limits = body_limits(&context);
-    let budget = context.body_budget.clone();
-    let body = read_body(body, &call.headers, limits, budget).await?;
     let rule = rule.unwrap_or_else(|| default_rule(&context));
     let idempotent = path.is_idempotent(&rule, &call.method);
     let timeout = Duration::from_millis(rule.timeout_ms);
+    let deadline = call.arrived.after(timeout);
+    let body = read_whole_body(&context, &call, body);
+    let body = if idempotent {
+        body.await?
+    } else {
+        context.stop.unless_outlived(deadline, body).await??
+    };
     let key = call.headers.get(IDEMPOTENCY_KEY_HEADER).cloned();
     let contents = content_ids(&call.method, &path, &workspace, &body.bytes);
     let call = ServiceCall {
@@ -106,7 +112,7 @@
         headers: forwardable_headers(&call.headers),
         body: body.bytes,
         contents,
-        deadline: call.arrived.after(timeout),
+        deadline,
         _reservation: body.reservation,
     };
     if idempotent {
@@ -221,12 +227,13 @@
         match last {
             Some(Ok(answer)) => Ok(self.build_response(answer)),
             Some(Err(error)) => {
-                Err(error_refusal(&error).with_run_state(run_state))
+                let refusal = self.error_refusal(context, &error);
+                Err(refusal.with_run_state(run_state))
+            }
+            None => {
+                let limit = context.stop.limit(self.deadline);
+                Err(limit.refusal(NOT_SENT))
             }
-            None => Err(Refusal::new(
-                RefusalCode::DeadlineExceeded,
-                "the deadline passed before the call was sent",
-            )),
         }
     }
 
@@ -249,10 +256,11 @@
         let handle = &context.handle;
         let attempt = self.request.clone();
         let digest = self.digest();
-        let answer = handle
-            .claim(key.clone(), attempt.clone(), digest, self.deadline)
-            .await;
-        match answer {
+        // A claim that is won after the call was refused is released.
+        let claim =
+            handle.claim(key.clone(), attempt.clone(), digest, self.deadline);
+        let claim = context.stop.unless_outlived(self.deadline, claim);
+        match claim.await? {
             ClaimResponse::Won => {}
             ClaimResponse::Recorded(outcome) => return self.replay(outcome),
             other => return Err(claim_refusal(other)),
@@ -287,6 +295,10 @@
             // Since the list of processes was read, a failure domain may have
             // been closed or the deadline may have passed.
             self.check_sendable(context)?;
+            context
+                .stop
+                .unless_outlived(self.deadline, ready(()))
+                .await?;
             let time_left = self.time_left(context);
             let client = &context.at_most_once_client;
             self.check_content(context)?;
@@ -297,13 +309,13 @@
                     last = Some(error);
                 }
                 Err(error) => {
-                    return Err(error_refusal(&error)
-                        .with_run_state(RunState::MayHaveRun));
+                    let refusal = self.error_refusal(context, &error);
+                    return Err(refusal.with_run_state(RunState::MayHaveRun));
                 }
             }
         }
         let error = last.expect("at least one process was tried");
-        Err(error_refusal(&error))
+        Err(self.error_refusal(context, &error))
     }
 
     /// Refuses to send a call that has crashed upstreams.
@@ -322,10 +334,8 @@
             return Err(stale_configuration());
         }
         if self.time_left(context).is_zero() {
-            return Err(Refusal::new(
-                RefusalCode::DeadlineExceeded,
-                "the deadline passed before the call was sent",
-            ));
+            let limit = context.stop.limit(self.deadline);
+            return Err(limit.refusal(NOT_SENT));
         }
         Ok(())
     }
@@ -365,9 +375,15 @@
         process: &ServiceProcess,
         timeout: Duration,
     ) -> Result<ServiceResponse, HttpError> {
-        let result = self
-            .exchange(context, client, process.address, timeout)
-            .await;
+        let exchange = self.exchange(context, client, process.address, timeout);
+        let result = context.stop.until_end(exchange).await;
+        let result = result.unwrap_or_else(|_| {
+            Err(HttpError::TimedOut {
+                step: "call service",
+                peer: process.address,
+                after: timeout,
+            })
+        });
         let quarantine = &context.quarantine;
         match &result {
             Ok(answer) if !answer.status.is_server_error() => {
@@ -459,7 +475,8 @@
     }
 
     fn time_left(&self, context: &SharedContext) -> Duration {
-        self.deadline.since(context.handle.clock().now())
+        let limit = context.stop.limit(self.deadline);
+        limit.ends_at().since(context.handle.clock().now())
     }
 
     fn build_response(&self, answer: ServiceResponse) -> Response<Body> {
@@ -473,6 +490,22 @@
         response
     }
 
+    /// Refusal of a call that failed with an error.
+    fn error_refusal(
+        &self,
+        context: &SharedContext,
+        error: &HttpError,
+    ) -> Refusal {
+        let code = match error {
+            HttpError::TimedOut { .. } => RefusalCode::DeadlineExceeded,
+            HttpError::ConnectFailed { .. } => RefusalCode::NoUpstream,
+            _ => RefusalCode::UpstreamFailed,
+        };
+        let refusal = Refusal::new(code, error.to_string())
+            .with_run_state(error.run_state());
+        context.stop.limit(self.deadline).restate(refusal)
+    }
+
     /// Answers a repeated call with the outcome of the call that ran.
     fn replay(&self, outcome: CallOutcome) -> Result<Response<Body>, Refusal> {
         let Some(body) = outcome.body else {
@@ -542,13 +575,3 @@
     };
     Refusal::new(code, text)
 }
-
-/// Refusal of a call that failed with an error.
-fn error_refusal(error: &HttpError) -> Refusal {
-    let code = match error {
-        HttpError::TimedOut { .. } => RefusalCode::DeadlineExceeded,
-        HttpError::ConnectFailed { .. } => RefusalCode::NoUpstream,
-        _ => RefusalCode::UpstreamFailed,
-    };
-    Refusal::new(code, error.to_string()).with_run_state(error.run_state())
-}
--- a/cli/tests/test_faults/fixture.rs
+++ b/cli/tests/test_faults/fixture.rs
@@ -458,6 +458,14 @@
         self.instances[index].child = self.start_process(&name);
     }
 
+    /// Lines that an instance has logged.
+    pub(crate) fn log_lines(&self, index: usize) -> Vec<String> {
+        let name = &self.instances[index].name;
+        let file = self.directory.path().join(format!("{name}.log"));
+        let text = fs::read_to_string(file).unwrap();
+        text.lines().map(str::to_owned).collect()
+    }
+
     /// Kills an instance.
     pub(crate) fn kill_instance(&mut self, index: usize) {
         self.instances[index].child.kill().unwrap();
--- a/cli/tests/test_serve/fixture.rs
+++ b/cli/tests/test_serve/fixture.rs
@@ -234,7 +234,9 @@
                 CoreEvent::CallSettled { result, .. } => {
                     self.settled_calls.lock().unwrap().push(result);
                 }
-                CoreEvent::StopRequested => actions.push(CoreAction::StopDone),
+                CoreEvent::StopRequested(_) => {
+                    actions.push(CoreAction::StopDone)
+                }
                 _ => {}
             }
         }
--- a/lib/src/core.rs
+++ b/lib/src/core.rs
@@ -37,6 +37,7 @@
         CallKey, CallResult, ClaimResponse, OrderReport, PeerRequest,
         PeerResponse,
     },
+    planned_stop::StopSchedule,
     platform_api::{
         AppendResponse, InstanceListing, ListedProcess, ProcessKind, RecordPage,
     },
@@ -289,7 +290,7 @@
         result: CallResult,
     },
     /// A planned stop of the process was requested.
-    StopRequested,
+    StopRequested(StopSchedule),
 }
 
 /// Output of the core.
--- a/lib/src/core/request_routing.rs
+++ b/lib/src/core/request_routing.rs
@@ -18,6 +18,7 @@
         GrantNotice, GrantRequest, GrantResponse, MemberState, PeerRequest,
         PeerResponse,
     },
+    planned_stop::StopSchedule,
     units::Timestamp,
 };
 
@@ -91,6 +92,19 @@
         self.handle_entry(now, event, output);
     }
 
+    /// Limits the requests in flight to the time that a planned stop leaves.
+    pub(super) fn limit_requests(
+        &mut self,
+        now: Timestamp,
+        schedule: StopSchedule,
+        output: &mut TickOutput,
+    ) {
+        let view = fleet_view!(self, now);
+        let actions = self.entries.begin_stop(now, schedule, &view);
+        self.trace_outcome(now, None, false, &actions);
+        self.route_entry(now, actions, output);
+    }
+
     /// Runs the timers of the owner side and the entry side.
     pub(super) fn tick_requests(
         &mut self,
--- a/lib/src/core/serving_core.rs
+++ b/lib/src/core/serving_core.rs
@@ -24,6 +24,7 @@
     order_tracker::OrderTracker,
     owner::OwnerTable,
     ownership::{OwnershipTable, stream_owner},
+    planned_stop::StopSchedule,
     request_trace::RequestTraces,
     units::Timestamp,
 };
@@ -60,7 +61,7 @@
     pub(super) next_lender: usize,
     pub(super) pending_calls: BTreeMap<OutboundCallId, CallPurpose>,
     pub(super) next_call: u64,
-    stopping: bool,
+    stop: Option<StopSchedule>,
     stop_done: bool,
     slow_update_due: Timestamp,
     stream_owners_version: Option<u64>,
@@ -107,7 +108,7 @@
             next_lender: 0,
             pending_calls: BTreeMap::new(),
             next_call: 0,
-            stopping: false,
+            stop: None,
             stop_done: false,
             slow_update_due: Timestamp::ZERO,
             stream_owners_version: None,
@@ -158,11 +159,13 @@
     pub(super) fn begin_stop(
         &mut self,
         now: Timestamp,
+        schedule: StopSchedule,
         output: &mut TickOutput,
     ) {
-        if std::mem::replace(&mut self.stopping, true) {
+        if self.stop.is_some() {
             return;
         }
+        self.stop = Some(schedule);
         self.members.leave();
         let peers: Vec<InstanceId> =
             self.members.members().keys().cloned().collect();
@@ -173,6 +176,7 @@
             LogEvent::StopBegun,
             "removed from the addresses for callers",
         );
+        self.limit_requests(now, schedule, output);
     }
 
     fn tick_components(&mut self, now: Timestamp, output: &mut TickOutput) {
@@ -200,7 +204,10 @@
         self.expire_queries(now, output);
         self.report_freshness(now, output);
         let idle = self.entries.is_empty() && self.call_entries.is_empty();
-        if self.stopping && idle && !self.stop_done {
+        // Until the listener is closed, further requests may arrive.
+        let closed =
+            self.stop.is_some_and(|stop| now >= stop.listener_closes());
+        if closed && idle && !self.stop_done {
             self.stop_done = true;
             output.actions.push(CoreAction::StopDone);
         }
@@ -296,7 +303,7 @@
 
     /// Whether this instance accepts new requests.
     pub(super) fn readiness(&self, now: Timestamp) -> InstanceReadiness {
-        if self.stopping {
+        if self.stop.is_some() {
             InstanceReadiness::Stopping
         } else if !self.reader.is_ready() {
             InstanceReadiness::Starting
@@ -393,7 +400,9 @@
             CoreEvent::Progress(request, progress) => {
                 self.handle_progress(now, request, progress, output);
             }
-            CoreEvent::StopRequested => self.begin_stop(now, output),
+            CoreEvent::StopRequested(schedule) => {
+                self.begin_stop(now, schedule, output);
+            }
             other => self.route_event(now, other, output),
         }
     }
--- a/lib/src/entry.rs
+++ b/lib/src/entry.rs
@@ -5,7 +5,8 @@
 //! candidate engines, one after the other. It is sent only under a valid grant.
 //! A prompt that exceeds the memory of one engine is placed on a group of
 //! engines, which is reserved completely or not at all. Every request ends at
-//! its deadline at the latest. A refusal says `not_run` only if no dispatch was
+//! its deadline at the latest, or when a planned stop ends all requests. A
+//! refusal says `not_run` only if no dispatch was
 //! decided, or if every engine that the request was sent to reported that it
 //! did not accept it.
 //!
@@ -35,6 +36,7 @@
         EngineSummary, GrantEvent, GrantNotice, GrantRequest, GrantResponse,
     },
     placement::{CandidateTable, RoundRobin},
+    planned_stop::{RequestLimit, StopSchedule},
     refusal::{Refusal, RefusalCode, RetryReason, RunState},
     retry::{RetryBudget, backoff},
     units::{Incarnation, Timestamp, TokenCount},
@@ -184,6 +186,8 @@
 struct InFlightRequest {
     descriptor: RequestDescriptor,
     arrived: Timestamp,
+    /// When the request has to end.
+    limit: RequestLimit,
     /// Workspace limits that the request counts against.
     counted_limits: CountedLimits,
     phase: Phase,
@@ -214,11 +218,17 @@
 }
 
 impl InFlightRequest {
-    fn new(now: Timestamp, descriptor: RequestDescriptor) -> Self {
+    fn new(
+        now: Timestamp,
+        descriptor: RequestDescriptor,
+        stop: Option<StopSchedule>,
+    ) -> Self {
+        let limit = RequestLimit::new(descriptor.deadline, stop);
         Self {
-            timer_due: descriptor.deadline,
+            timer_due: limit.ends_at(),
             descriptor,
             arrived: now,
+            limit,
             counted_limits: CountedLimits::default(),
             phase: Phase::BackingOff,
             allocations: Vec::new(),
@@ -237,6 +247,15 @@
         }
     }
 
+    /// Prepares for a new placement round.
+    fn reset_round(&mut self) {
+        self.phase = Phase::BackingOff;
+        self.tried_engines.clear();
+        self.remaining_candidates.clear();
+        self.failure_is_temporary = false;
+        self.grouped = false;
+    }
+
     /// Priority at the engine: short prompts before long ones, then by class.
     fn priority(&self) -> u8 {
         let short = self.descriptor.prompt <= SHORT_PROMPT_MAX;
@@ -272,6 +291,7 @@
     policy: PolicyName,
     round_robin: RoundRobin,
     rng: ChaCha8Rng,
+    stop: Option<StopSchedule>,
     drain_check_due: Timestamp,
     candidate_cleanup_due: Timestamp,
 }
@@ -295,6 +315,7 @@
             policy,
             round_robin: RoundRobin::default(),
             rng: ChaCha8Rng::seed_from_u64(seed),
+            stop: None,
             drain_check_due: Timestamp::ZERO,
             candidate_cleanup_due: Timestamp::ZERO,
         }
@@ -353,6 +374,44 @@
         actions
     }
 
+    /// Limits all requests to the time that a planned stop leaves. Those that
+    /// were not sent yet are placed anew: owners grant only what can finish in
+    /// that time.
+    pub fn begin_stop(
+        &mut self,
+        now: Timestamp,
+        schedule: StopSchedule,
+        view: &FleetView,
+    ) -> Vec<EntryAction> {
+        let mut actions = Vec::new();
+        self.stop = Some(schedule);
+        let outlives = |inflight: &&InFlightRequest| {
+            schedule.is_outlived_by(inflight.limit.ends_at())
+        };
+        let ids: Vec<RequestId> = self
+            .requests
+            .values()
+            .filter(outlives)
+            .map(|inflight| inflight.descriptor.request.clone())
+            .collect();
+        for id in ids {
+            let Some(mut inflight) = self.remove(&id) else {
+                continue;
+            };
+            inflight.limit =
+                RequestLimit::new(inflight.descriptor.deadline, self.stop);
+            if matches!(inflight.phase, Phase::Dispatched) {
+                let due = inflight.timer_due;
+                self.reinsert(inflight, due);
+            } else {
+                self.release(&mut inflight, &mut actions);
+                inflight.reset_round();
+                self.place(now, inflight, view, &mut actions);
+            }
+        }
+        actions
+    }
+
     /// Runs the timers that are due.
     pub fn tick(
         &mut self,
@@ -411,11 +470,11 @@
         &self.candidates
     }
 
-    /// Puts a request back into the table and sets its timer, at its deadline
-    /// at the latest.
+    /// Puts a request back into the table and sets its timer, at its limit at
+    /// the latest.
     fn reinsert(&mut self, mut inflight: InFlightRequest, due: Timestamp) {
         let request = inflight.descriptor.request.clone();
-        inflight.timer_due = due.min(inflight.descriptor.deadline);
+        inflight.timer_due = due.min(inflight.limit.ends_at());
         self.timers.insert((inflight.timer_due, request.clone()));
         self.requests.insert(request, inflight);
     }
@@ -437,8 +496,8 @@
         if self.requests.contains_key(&descriptor.request) {
             return;
         }
-        let mut inflight = InFlightRequest::new(now, descriptor);
-        if now >= inflight.descriptor.deadline {
+        let mut inflight = InFlightRequest::new(now, descriptor, self.stop);
+        if now >= inflight.limit.ends_at() {
             return self.refuse(inflight, deadline_exceeded(), actions);
         }
         if !view.configuration_fresh {
@@ -463,7 +522,7 @@
         view: &FleetView,
         actions: &mut Vec<EntryAction>,
     ) {
-        if now >= inflight.descriptor.deadline {
+        if now >= inflight.limit.ends_at() {
             return self.end_past_deadline(inflight, actions);
         }
         match inflight.phase {
@@ -513,6 +572,7 @@
         refusal: Refusal,
         actions: &mut Vec<EntryAction>,
     ) {
+        let refusal = inflight.limit.restate(refusal);
         let refusal = refusal.with_run_state(inflight.run_state);
         actions.push(EntryAction::CountRefusal(refusal.code));
         let decision = RequestDecision::End(refusal);
@@ -561,15 +621,11 @@
         let next = now.after(pause);
         let gone = refusal.code == RefusalCode::NoUpstream
             && now.since(inflight.arrived) >= NO_UPSTREAM_WAIT;
-        if gone || next >= inflight.descriptor.deadline {
+        if gone || next >= inflight.limit.ends_at() {
             let refusal = refusal.with_retry_after(pause);
             return self.end(inflight, refusal, actions);
         }
-        inflight.phase = Phase::BackingOff;
-        inflight.tried_engines.clear();
-        inflight.remaining_candidates.clear();
-        inflight.failure_is_temporary = false;
-        inflight.grouped = false;
+        inflight.reset_round();
         self.reinsert(inflight, next);
     }
 
--- a/lib/src/entry/group.rs
+++ b/lib/src/entry/group.rs
@@ -40,7 +40,7 @@
         // therefore uses engines without long prompts only if the others could
         // never hold it, or after it has waited for them for some time.
         let waited = now.since(inflight.arrived);
-        let all = inflight.descriptor.deadline.since(inflight.arrived);
+        let all = inflight.limit.ends_at().since(inflight.arrived);
         let waits_for_long = waited < all / LONG_ONLY_WAIT_DIVISOR;
         let long_only = waits_for_long
             && self.plan(&inflight, view, true, memory).is_some();
--- a/lib/src/entry/placing.rs
+++ b/lib/src/entry/placing.rs
@@ -124,7 +124,7 @@
             prompt: segment.prompt,
             output: segment.output,
             prefix: inflight.descriptor.prefix,
-            time_left: inflight.descriptor.deadline.since(now),
+            time_left: inflight.limit.ends_at().since(now),
             may_queue,
             grouped,
         }
@@ -395,7 +395,7 @@
         }
         let send_before = inflight.allocations[0]
             .use_before
-            .min(inflight.descriptor.deadline);
+            .min(inflight.limit.ends_at());
         let assignment = Assignment {
             engines,
             send_before,
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod ownership;
 pub mod peer_api;
 pub mod placement;
+pub mod planned_stop;
 pub mod platform_api;
 pub mod query;
 pub mod refusal;
--- a/lib/src/log_event.rs
+++ b/lib/src/log_event.rs
@@ -62,6 +62,8 @@
     AnswerTruncated = 203, "answer_truncated", Warn;
     /// A connection to an upstream was made through another instance.
     UpstreamRelayed = 204, "upstream_relayed", Info;
+    /// A planned stop refused a request, or ended it before its deadline.
+    RequestStopped = 205, "request_stopped", Info;
     /// A call to a peer failed.
     PeerUnreachable = 300, "peer_unreachable", Warn;
     /// The state of a member changed.
--- a/lib/src/refusal.rs
+++ b/lib/src/refusal.rs
@@ -25,6 +25,16 @@
     }
 }
 
+impl Display for RunState {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str(match self {
+            Self::NotRun => "not_run",
+            Self::MayHaveRun => "may_have_run",
+            Self::Ran => "ran",
+        })
+    }
+}
+
 /// Defines the refusal codes with their code text and HTTP status.
 macro_rules! refusal_codes {
     ($($(#[$meta:meta])* $name:ident = $code:literal, $status:literal;)*) => {
--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -84,7 +84,7 @@
     pub default_timeout: Duration,
     /// Maximum time limit that a caller may request.
     pub longest_timeout: Duration,
-    /// Maximum time for which a graceful shutdown waits for running requests.
+    /// Maximum time from the start of a planned stop to the end of the process.
     pub stop_timeout: Duration,
 }
 
--- a/lib/src/settings/table.rs
+++ b/lib/src/settings/table.rs
@@ -368,7 +368,7 @@
         stop_timeout,
         100,
         24 * HOUR_MS,
-        "longest time that a planned stop waits for running requests"
+        "longest time from the start of a planned stop to the end of the process"
     ),
 ];
 
--- a/lib/tests/serving/sim/mod.rs
+++ b/lib/tests/serving/sim/mod.rs
@@ -26,7 +26,9 @@
     ids::{DomainId, InstanceId, RequestId, UpstreamId},
     owner::{OwnerAction, OwnerEvent, OwnerTable, TakeoverState},
     peer_api::{Grant, GrantResponse},
+    planned_stop::StopSchedule,
     refusal::{Refusal, RunState},
+    settings::InstanceLimits,
     units::{Incarnation, Timestamp, TokenCount, TokenRate},
 };
 use rand::Rng;
@@ -248,6 +250,20 @@
         request
     }
 
+    /// Begins a planned stop of an instance, with a time limit.
+    pub(crate) fn begin_stop(&mut self, index: usize, stop_timeout: Duration) {
+        let limits = InstanceLimits {
+            stop_timeout,
+            ..InstanceLimits::default()
+        };
+        let now = self.now;
+        let schedule = StopSchedule::new(now, &limits);
+        let actions = self.with_tables(index, |tables, view| {
+            tables.0.begin_stop(now, schedule, view)
+        });
+        self.entry_actions(index, actions);
+    }
+
     pub(crate) fn disconnect_caller(&mut self, request: &RequestId) {
         if self.ends.contains_key(request) {
             return;
--- a/lib/tests/serving/test_entry.rs
+++ b/lib/tests/serving/test_entry.rs
@@ -1,5 +1,7 @@
 //! Tests of requests from arrival to end, with simulated owners and engines.
 
+use std::time::Duration;
+
 use crate::sim::{SimConfig, Simulation, engine_id, id};
 use borageline_lib::{
     api::PriorityClass,
@@ -264,3 +266,49 @@
         assert_eq!(simulation.overcommitted, 0, "seed {seed}");
     }
 }
+
+/// Guards against requests that wait at a stopping instance for an engine that
+/// cannot finish them in time, and against a request without an answer when the
+/// stop ends. A request with an earlier deadline does not end for the stop.
+#[test]
+fn test_entry_stop_limits_requests() {
+    const REQUESTS: usize = 24;
+    const TIMEOUT_MS: u64 = 600_000;
+    let mut simulation = simulation(1);
+    let send = |simulation: &mut Simulation| {
+        let class = PriorityClass::Standard;
+        simulation.send_request(0, class, 1_000, 20_000, TIMEOUT_MS)
+    };
+    let requests: Vec<_> =
+        (0..REQUESTS).map(|_| send(&mut simulation)).collect();
+    simulation.run_for(300);
+    let is_sent = |simulation: &Simulation, request: &RequestId| {
+        simulation.accepted.contains(request)
+    };
+    let (sent, waiting): (Vec<_>, Vec<_>) = requests
+        .into_iter()
+        .partition(|request| is_sent(&simulation, request));
+    assert!(!sent.is_empty() && !waiting.is_empty(), "{sent:?}");
+    let ended = simulation.ends.len();
+    assert_eq!(ended, 0, "no request has ended before the stop");
+    simulation.begin_stop(0, Duration::from_secs(8));
+    let late = send(&mut simulation);
+    let short =
+        simulation.send_request(0, PriorityClass::Standard, 100, 5, 5_000);
+    simulation.run_for(500);
+    for request in waiting.iter().chain([&late]) {
+        let refusal = refusal(&simulation, request);
+        let end = (refusal.code, refusal.run_state);
+        assert_eq!(end, (RefusalCode::Stopping, RunState::NotRun));
+    }
+    simulation.run_for(6_000);
+    for request in &sent {
+        let refusal = refusal(&simulation, request);
+        assert_eq!(refusal.code, RefusalCode::Stopping);
+        assert_ne!(refusal.run_state, RunState::NotRun);
+    }
+    let (_, end) = &simulation.ends[&short];
+    let end = end.as_ref().map(|refusal| refusal.code);
+    assert_ne!(end, Some(RefusalCode::Stopping));
+    assert_eq!(simulation.open_requests(), 0);
+}
--- a/lib/tests/test_settings.rs
+++ b/lib/tests/test_settings.rs
@@ -313,7 +313,7 @@
     limits.address_ttl_ms             whole number       5000                              100 to 3600000 ms                                           how long callers may keep the list of addresses
     limits.default_timeout_ms         whole number       60000                             100 to 86400000 ms                                          time for a request whose caller names none
     limits.longest_timeout_ms         whole number       3600000                           100 to 86400000 ms                                          longest time that a caller may ask for
-    limits.stop_timeout_ms            whole number       600000                            100 to 86400000 ms                                          longest time that a planned stop waits for running requests
+    limits.stop_timeout_ms            whole number       600000                            100 to 86400000 ms                                          longest time from the start of a planned stop to the end of the process
     "#);
 }
 
