serve: give a test of the stop the time that its requests had

The fixture's `stop_timeout` of 5 s counted from the closing of the listener, so requests in test_stop_finishes_running_requests had 6 s from the beginning of the stop. Since the limit counts from the beginning, they had 3.75 s, and beside load (average of 17 to 20 on 8 cores) the test failed in 7 of 13 runs of the file: the completion of 4 MB lacked its end. The one run that printed the end had `stopping` and `ran`. With 8 s they have the same 6 s as before; four runs of four pass beside the same load. No check changes; the messages name the end.

--- a/cli/tests/test_serve/test_bounds.rs
+++ b/cli/tests/test_serve/test_bounds.rs
@@ -192,6 +192,8 @@
     let engine = start_endless(2_000, 2_000).await;
     let mut setup = TestSetup::new(engine.address);
     setup.limits.address_ttl = Duration::from_millis(500);
+    // Requests end two seconds before the limit.
+    setup.limits.stop_timeout = Duration::from_secs(8);
     let server = setup.start().await;
     let mut running = TcpStream::connect(server.address).await.unwrap();
     let request = completion(KEY, STREAMED);
@@ -205,7 +207,12 @@
     let answer = exchange(address, ready).await;
     assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
     let answer = exchange(address, &completion(KEY, STREAMED)).await;
-    assert!(answer.contains("data: [DONE]"));
+    let end = answer.lines().rfind(|line| line.starts_with("data: "));
+    assert!(
+        answer.contains("data: [DONE]"),
+        "{} B, {end:?}",
+        answer.len()
+    );
     // Closes once the address is in no list, while the first request runs.
     let until = Instant::now() + Duration::from_secs(10);
     while TcpStream::connect(address).await.is_ok() {
@@ -213,7 +220,12 @@
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
     let answer = read_all(&mut running).await;
-    assert!(answer.contains("data: [DONE]"));
+    let end = answer.lines().rfind(|line| line.starts_with("data: "));
+    assert!(
+        answer.contains("data: [DONE]"),
+        "{} B, {end:?}",
+        answer.len()
+    );
     stop.await.unwrap();
 }
 
