serve: close kept connections with the answers during a stop

A caller that kept its HTTP/1.1 connection to a stopping instance went on using it, and lost the request that it sent just as the instance closed idle connections with the listener. Now each answer during the stop has `connection: close`, so that no caller holds an idle connection by then that was used during the stop.

test_stop_closes_kept_connections failed before (no such header in the answer), and passes now. A connection that is not used between SIGTERM and the closing of the listener, and then just at that moment, may still be lost.

--- a/cli/src/server.rs
+++ b/cli/src/server.rs
@@ -21,7 +21,7 @@
 use gotham::{
     helpers::http::Body, router::Router, service::call_handler, state::State,
 };
-use http::{Request, Response, StatusCode};
+use http::{HeaderValue, Request, Response, StatusCode, header};
 use hyper::{body::Incoming, service::service_fn};
 use hyper_util::{
     rt::{TokioExecutor, TokioIo, TokioTimer},
@@ -272,10 +272,17 @@
         }
         let router = self.router.clone();
         let answer = call_handler(router, AssertUnwindSafe(state)).await;
-        Ok(match answer {
+        let mut response = match answer {
             Ok(response) => self.with_error_body(response, &path),
             Err(error) => self.internal_error(&error.to_string()),
-        })
+        };
+        // Otherwise a request that arrives on a kept connection just as the
+        // listener closes would be lost. HTTP/2 announces the closing itself.
+        if http1 && self.context.is_stopping() {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(header::CONNECTION, close);
+        }
+        Ok(response)
     }
 
     /// Replaces a response that gotham made itself by an error response with
--- a/cli/tests/test_serve/test_bounds.rs
+++ b/cli/tests/test_serve/test_bounds.rs
@@ -229,6 +229,25 @@
     stop.await.unwrap();
 }
 
+/// Guards against a caller that keeps a connection to a stopping instance, and
+/// whose next request is lost when the connection is closed with the listener.
+#[tokio::test]
+async fn test_stop_closes_kept_connections() {
+    let engine = start_endless(1, 1).await;
+    let mut setup = TestSetup::new(engine.address);
+    setup.limits.address_ttl = Duration::from_millis(500);
+    let server = setup.start().await;
+    let mut socket = TcpStream::connect(server.address).await.unwrap();
+    let stop = tokio::spawn(server.instance.stop());
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let request = "GET /healthz HTTP/1.1\r\nhost: x\r\n\r\n";
+    socket.write_all(request.as_bytes()).await.unwrap();
+    let answer = read_all(&mut socket).await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert!(answer.contains("connection: close"), "{answer}");
+    stop.await.unwrap();
+}
+
 /// Guards against slow readers that together use up the instance's buffer and
 /// so block fast ones, or that exceed the buffer.
 #[tokio::test]
