gateway: bound the numbers that others state

Cause: `Duration::from_secs_f64` and sums of `u32` on numbers as stated. The reach of both is every number that enters the placement from a request, a desired state or a heartbeat.

Errors of parsers are cut at 300 bytes: they quote the value, which may be a record of 256 KiB that is written again each second.

--- a/lib/src/gateway/cost_model.rs
+++ b/lib/src/gateway/cost_model.rs
@@ -8,7 +8,7 @@
 
 use std::time::Duration;
 
-use crate::units::TokenCount;
+use crate::units::{TokenCount, bounded_time};
 
 /// Pairs of tokens to which [`EngineProfile::per_million_pairs`] refers.
 const PAIRS_UNIT: f64 = 1e6;
@@ -39,7 +39,9 @@
 }
 
 impl EngineProfile {
-    /// Time to prefill a prompt on an idle engine.
+    /// Time to prefill a prompt on an idle engine; at most
+    /// [`TIME_MAX`](crate::units::TIME_MAX), as callers may state any number of
+    /// tokens.
     pub fn prefill_time(&self, prompt: TokenCount) -> Duration {
         let tokens = prompt.get() as f64;
         let pairs = tokens * tokens / 2.0 / PAIRS_UNIT;
@@ -49,16 +51,17 @@
             0.0
         };
         let quadratic = self.per_million_pairs.as_secs_f64() * pairs;
-        Duration::from_secs_f64(linear + quadratic)
+        bounded_time(linear + quadratic)
     }
 
     /// Time of a pass that decodes for `sequences` requests and prefills
-    /// nothing. `context` is the sum of the requests' contexts.
+    /// nothing; at most [`TIME_MAX`](crate::units::TIME_MAX). `context` is the
+    /// sum of the requests' contexts.
     pub fn decode_pass(&self, sequences: u32, context: TokenCount) -> Duration {
         let context = context.get() as f64 / CONTEXT_UNIT;
         let decode_step = self.decode_step.as_secs_f64()
             + self.per_sequence.as_secs_f64() * f64::from(sequences)
             + self.per_thousand_context.as_secs_f64() * context;
-        Duration::from_secs_f64(decode_step * f64::from(self.steps_per_pass))
+        bounded_time(decode_step * f64::from(self.steps_per_pass))
     }
 }
--- a/lib/src/gateway/dispatch_rate.rs
+++ b/lib/src/gateway/dispatch_rate.rs
@@ -22,7 +22,7 @@
 };
 use crate::{
     ids::{ServiceName, UpstreamId},
-    units::Timestamp,
+    units::{Timestamp, bounded_time},
 };
 
 /// Window in which the requests to a cold upstream are counted.
@@ -162,7 +162,8 @@
             LIMIT_WINDOW
         } else {
             let longest = LIMIT_WINDOW_MAX.as_secs_f64();
-            Duration::from_secs_f64((1.0 / per_second).min(longest))
+            // Reports of other instances may hold any number.
+            bounded_time((1.0 / per_second).min(longest))
         };
         let budget = (per_second * window.as_secs_f64()).max(1.0);
         let rank = self.rank(own, upstream);
--- a/lib/src/gateway/load_table.rs
+++ b/lib/src/gateway/load_table.rs
@@ -85,6 +85,12 @@
     pub fn short_engines(&self) -> f64 {
         self.short_ms as f64 / SHORT_DEMAND_WINDOW.as_millis() as f64
     }
+
+    fn add(&mut self, other: &Self) {
+        self.deferred_ms = self.deferred_ms.saturating_add(other.deferred_ms);
+        self.long_ms = self.long_ms.saturating_add(other.long_ms);
+        self.short_ms = self.short_ms.saturating_add(other.short_ms);
+    }
 }
 
 /// Arrival times and prefill times of recent prompts.
@@ -112,7 +118,7 @@
 impl UpstreamLoad {
     /// Requests in flight.
     pub fn requests(&self) -> u32 {
-        self.short + self.long
+        self.short.saturating_add(self.long)
     }
 
     /// Predicted prefill time left.
@@ -121,9 +127,10 @@
     }
 
     fn add(&mut self, other: &Self) {
-        self.short += other.short;
-        self.long += other.long;
-        self.long_in_prefill += other.long_in_prefill;
+        self.short = self.short.saturating_add(other.short);
+        self.long = self.long.saturating_add(other.long);
+        self.long_in_prefill =
+            self.long_in_prefill.saturating_add(other.long_in_prefill);
         self.prefill_left_ms =
             self.prefill_left_ms.saturating_add(other.prefill_left_ms);
         self.kv_tokens = self.kv_tokens.saturating_add(other.kv_tokens);
@@ -263,7 +270,9 @@
     pub fn peer_requests(&self, peer: &InstanceId) -> u32 {
         let report = self.peers.get(peer);
         let loads = report.map(|report| report.loads.values());
-        loads.map_or(0, |loads| loads.map(UpstreamLoad::requests).sum())
+        loads.map_or(0, |loads| {
+            saturating_sum(loads.map(UpstreamLoad::requests))
+        })
     }
 
     /// Prefill demand of this instance's callers.
@@ -280,9 +289,7 @@
         let mut demand = self.local_demand(now);
         for peer in self.peers.values() {
             if now.since(peer.at) <= REPORT_MAX_AGE {
-                demand.deferred_ms += peer.demand.deferred_ms;
-                demand.long_ms += peer.demand.long_ms;
-                demand.short_ms += peer.demand.short_ms;
+                demand.add(&peer.demand);
             }
         }
         demand
@@ -348,6 +355,11 @@
     }
 }
 
+/// Sum of numbers that other instances report, saturating at [`u32::MAX`].
+pub(super) fn saturating_sum(counts: impl Iterator<Item = u32>) -> u32 {
+    counts.fold(0, u32::saturating_add)
+}
+
 fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/lib/src/gateway/placement.rs
+++ b/lib/src/gateway/placement.rs
@@ -21,7 +21,10 @@
     cost_model::EngineProfile,
     engine_limits::EngineLimits,
     kv_split::{EngineCapacity, split_kv, usable_kv},
-    load_table::{EngineShare, InFlightRequest, PrefillDemand, UpstreamLoad},
+    load_table::{
+        EngineShare, InFlightRequest, PrefillDemand, UpstreamLoad,
+        saturating_sum,
+    },
     upstream_table::TrackedUpstream,
 };
 use crate::{
@@ -191,7 +194,7 @@
             .iter()
             .map(|candidate| self.load(candidate))
             .collect();
-        let long: u32 = loads.iter().map(|load| load.long).sum();
+        let long = saturating_sum(loads.iter().map(|load| load.long));
         let unfinished: Duration =
             loads.iter().map(UpstreamLoad::prefill_left).sum();
         let deferred = Duration::from_millis(self.demand.deferred_ms);
@@ -202,22 +205,23 @@
         let decoding = long.div_ceil(LONG_PER_ENGINE) as usize;
         let count = self.candidates.len();
         let max_count = count.saturating_sub(LONG_ENGINES_MIN).max(1);
-        let spare = count.saturating_sub(prefilling + decoding);
-        let short: u32 = loads.iter().map(|load| load.short).sum();
-        let useful = (short + 1).div_ceil(SHORT_PER_SPARE_ENGINE) as usize;
-        let useful = useful + SHORT_SPARE;
+        let spare = count.saturating_sub(prefilling.saturating_add(decoding));
+        let short = saturating_sum(loads.iter().map(|load| load.short));
+        let useful =
+            short.saturating_add(1).div_ceil(SHORT_PER_SPARE_ENGINE) as usize;
+        let useful = useful.saturating_add(SHORT_SPARE);
         self.short_pool_min().max(spare.min(useful)).min(max_count)
     }
 
     /// Number of engines at the front of the order that short requests need.
     fn short_pool_min(&self) -> usize {
-        let short: u32 = self
-            .candidates
-            .iter()
-            .map(|candidate| self.load(candidate).short)
-            .sum();
+        let candidates = self.candidates.iter();
+        let short = saturating_sum(
+            candidates.map(|candidate| self.load(candidate).short),
+        );
         let decoding =
-            (short + 1).div_ceil(self.limits.short_requests) as usize;
+            short.saturating_add(1).div_ceil(self.limits.short_requests)
+                as usize;
         // A flood appears in the arrivals before it appears in the requests in
         // flight.
         let arriving = self.demand.short_engines() / SHORT_PREFILL_SHARE;
@@ -227,7 +231,7 @@
             .len()
             .saturating_sub(LONG_ENGINES_MIN)
             .max(1);
-        (needed + SHORT_SPARE).min(max_count)
+        needed.saturating_add(SHORT_SPARE).min(max_count)
     }
 
     /// Chooses the engine with the shortest predicted time to the first event,
@@ -282,7 +286,8 @@
     ) -> Duration {
         let load = self.load(candidate);
         let context = TokenCount::new(load.kv_tokens);
-        let pass = engine.decode_pass(load.requests() + 1, context);
+        let pass =
+            engine.decode_pass(load.requests().saturating_add(1), context);
         let mut wait = load.prefill_left() + prefill + pass;
         if load.requests() > 0 {
             // The current pass has to end first.
@@ -298,7 +303,7 @@
             // The request has to wait for a free slot, which is worse than an
             // engine outside the short pool with free slots.
             wait += self.limits.long_prefill_min;
-            wait += pass * (load.requests() + 1 - engine.slots);
+            wait += pass * (load.requests() - engine.slots).saturating_add(1);
         }
         if !in_short_pool {
             // An engine outside the short pool is worth it only if it saves
@@ -504,7 +509,7 @@
                 kv_reservation: tokens,
             });
         }
-        let decoders = self.load(answering).requests() + 1;
+        let decoders = self.load(answering).requests().saturating_add(1);
         let expected = longest + engine.decode_pass(decoders, size.prompt);
         Placement {
             upstream: answering.entry.id.clone(),
--- a/lib/src/gateway/routing_config.rs
+++ b/lib/src/gateway/routing_config.rs
@@ -92,13 +92,15 @@
     /// Chooses a service by weight; `draw` is a random number from 0 to below
     /// 1. `None` if the weights are all 0.
     pub fn draw_service(&self, draw: f64) -> Option<&ServiceName> {
-        let total: u32 = self.services.iter().map(|share| share.weight).sum();
-        let mut left = (draw * f64::from(total)) as u32;
+        let weights = self.services.iter().map(|it| u64::from(it.weight));
+        let total: u64 = weights.sum();
+        let mut left = (draw * total as f64) as u64;
         for share in &self.services {
-            if left < share.weight {
+            let weight = u64::from(share.weight);
+            if left < weight {
                 return Some(&share.service);
             }
-            left -= share.weight;
+            left -= weight;
         }
         None
     }
--- a/lib/src/gateway/wire.rs
+++ b/lib/src/gateway/wire.rs
@@ -239,6 +239,21 @@
     pub message: Arc<str>,
 }
 
+/// Longest description of an error in bytes. Errors of parsers quote what they
+/// were given, which may be the largest record.
+const MESSAGE_MAX_BYTES: usize = 300;
+
+impl WireError {
+    /// Creates an error; a long description is cut.
+    pub fn new(step: &'static str, message: &str) -> Self {
+        let end = message.floor_char_boundary(MESSAGE_MAX_BYTES);
+        Self {
+            step,
+            message: message[..end].into(),
+        }
+    }
+}
+
 impl Display for WireError {
     fn fmt(&self, formatter: &mut Formatter<'_>) -> std::fmt::Result {
         write!(formatter, "{}: {}", self.step, self.message)
--- a/lib/src/units.rs
+++ b/lib/src/units.rs
@@ -46,6 +46,19 @@
     LogTime, " ms"
 }
 
+/// Longest time that is taken from a number that others state. It exceeds all
+/// times in which requests end, and sums and multiples of it do not overflow.
+pub const TIME_MAX: Duration = Duration::from_secs(24 * 60 * 60);
+
+/// Converts seconds, at most [`TIME_MAX`]; zero for a negative number and NaN.
+pub fn bounded_time(seconds: f64) -> Duration {
+    let seconds = seconds.clamp(0.0, TIME_MAX.as_secs_f64());
+    if seconds.is_nan() {
+        return Duration::ZERO;
+    }
+    Duration::from_secs_f64(seconds)
+}
+
 impl Timestamp {
     /// Adds a duration, saturating at the largest timestamp.
     pub fn after(self, duration: Duration) -> Self {
@@ -66,9 +79,9 @@
 }
 
 impl LogOffset {
-    /// The offset after this one.
+    /// The offset after this one, saturating at the largest offset.
     pub fn next(self) -> Self {
-        Self(self.0 + 1)
+        Self(self.0.saturating_add(1))
     }
 }
 
