config: refuse faulty parts of a desired state alone

A desired state with one workspace whose name holds a space was skipped as a whole, so that the older one stayed in force: a dropped key went on being served, and the new workspace got 401. The same held for any route, service or limit that could not be read.

Cause: all parts were decoded at once, and names of workspaces were ids. They are now any text that a header can carry unchanged (`WorkspaceName`). Routes, services, workspaces and limits are decoded one by one. The requests of a route, service or workspace that cannot be used get 503 (not run). Where it is not known which they are, unknown paths and keys get 503, too, since 404 and 401 are final for callers. What is left out is in the log and in the new metric `borageline_gateway_config_faults`. A state whose version, list of routes or list of services is missing is still skipped.

`tenants` that are present, but empty or no list, opened all routes. They now require a key, as the pages say ("if the desired state contains `tenants`"); without the field routes stay open.

--- a/cli/src/gateway/metrics.rs
+++ b/cli/src/gateway/metrics.rs
@@ -3,12 +3,15 @@
 use std::time::Duration;
 
 use borageline_lib::{
-    gateway::{reachability::LinkState, request_timings::AnswerLateness},
+    gateway::{
+        reachability::LinkState, request_timings::AnswerLateness,
+        routing_config::ConfigFault,
+    },
     refusal::{RefusalCode, RetryReason},
 };
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Registry,
-    TextEncoder, core::Collector,
+    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec,
+    Opts, Registry, TextEncoder, core::Collector,
 };
 
 use crate::metrics::{counters, gauge};
@@ -69,6 +72,7 @@
     store_calls: IntCounterVec,
     pub(super) connections: IntGauge,
     pub(super) config_version: IntGauge,
+    config_faults: IntGaugeVec,
     pub(super) members: IntGauge,
     link_changes: IntCounterVec,
     retry_loans: IntCounterVec,
@@ -112,6 +116,7 @@
                 "borageline_gateway_config_version",
                 "version of the desired state in force",
             ),
+            config_faults: config_faults(),
             members: gauge(
                 "borageline_gateway_members",
                 "instances heard, this one included",
@@ -140,6 +145,7 @@
         self.register(&self.store_calls);
         self.register(&self.connections);
         self.register(&self.config_version);
+        self.register(&self.config_faults);
         self.register(&self.members);
         self.register(&self.link_changes);
         self.register(&self.retry_loans);
@@ -173,6 +179,15 @@
         self.ends.with_label_values(&[end.as_str()]).inc();
     }
 
+    /// Sets the parts of the desired state in force that cannot be used.
+    pub(super) fn set_config_faults(&self, faults: &[ConfigFault]) {
+        self.config_faults.reset();
+        for fault in faults {
+            let labels = [fault.kind, &*fault.name];
+            self.config_faults.with_label_values(&labels).inc();
+        }
+    }
+
     pub(super) fn count_refusal(&self, code: RefusalCode) {
         self.refusals.with_label_values(&[code.as_str()]).inc();
     }
@@ -217,6 +232,13 @@
     }
 }
 
+fn config_faults() -> IntGaugeVec {
+    let name = "borageline_gateway_config_faults";
+    let help = "parts of the desired state in force that cannot be used";
+    IntGaugeVec::new(Opts::new(name, help), &["part", "name"])
+        .expect("name and labels are valid")
+}
+
 fn latency() -> HistogramVec {
     let name = "borageline_gateway_latency_seconds";
     let help = "times of requests, by form";
--- a/cli/src/gateway/record_applier.rs
+++ b/cli/src/gateway/record_applier.rs
@@ -5,6 +5,7 @@
 
 use borageline_lib::{
     gateway::{
+        routing_config::ConfigFault,
         upstream_table::{UpstreamChange, UpstreamEntry},
         wire::{ControlRecord, GatewayWire, KeyedRecord, StoreTopic},
     },
@@ -103,6 +104,7 @@
         if let Some(config) = newest {
             let version = config.version;
             let routes = config.route_count();
+            let faults = config.faults().to_vec();
             if self.context.core().apply_config(*config) {
                 let gauge = i64::try_from(version.get()).unwrap_or(i64::MAX);
                 self.context.metrics.config_version.set(gauge);
@@ -111,11 +113,25 @@
                     { config_version = version, routes = routes },
                     "desired state version {version} in force",
                 );
+                self.report_faults(&faults);
             }
         }
         closed
     }
 
+    /// Reports the parts of the desired state in force that cannot be used.
+    fn report_faults(&self, faults: &[ConfigFault]) {
+        self.context.metrics.set_config_faults(faults);
+        for fault in faults {
+            log_decision!(
+                LogEvent::RecordSkipped,
+                { part = fault.kind, name = fault.name },
+                "part of the desired state left out: {}",
+                fault.reason,
+            );
+        }
+    }
+
     fn set_closed(&self, domain: &DomainId, closed: bool) {
         if self.context.core().set_closed(domain.clone(), closed) {
             log_domain(domain, closed);
--- a/lib/src/gateway/gateway_core.rs
+++ b/lib/src/gateway/gateway_core.rs
@@ -383,6 +383,11 @@
         };
         let Some(route) = config.find_route(host, path) else {
             let text = format!("no route for {path} on {host}");
+            if config.has_unread_routes() {
+                return Err(
+                    self.retryable_refusal(RefusalCode::NoUpstream, &text)
+                );
+            }
             return Err(Refusal::new(RefusalCode::UnknownPath, text));
         };
         let identity = config.identify(&route, key);
@@ -390,6 +395,10 @@
             let text = "the key is missing or belongs to no workspace";
             return Err(Refusal::new(RefusalCode::Unauthenticated, text));
         }
+        if identity == CallerIdentity::Unusable {
+            let text = "the workspace of the key cannot be used";
+            return Err(self.retryable_refusal(RefusalCode::NoUpstream, text));
+        }
         let draw = self.rng.random::<f64>();
         let Some(service) = route.draw_service(draw).cloned() else {
             let text = format!("route {} has no service", route.name);
@@ -437,8 +446,11 @@
             return stale(format!("route {name} does not lead to {service}"));
         }
         let identity = config.identify(&route, key);
-        if identity == CallerIdentity::Unknown {
-            return stale("the key belongs to no workspace".into());
+        if matches!(
+            identity,
+            CallerIdentity::Unknown | CallerIdentity::Unusable
+        ) {
+            return stale("the key belongs to no usable workspace".into());
         }
         Ok(AdmittedRequest {
             route,
--- a/lib/src/gateway/routing_config.rs
+++ b/lib/src/gateway/routing_config.rs
@@ -3,14 +3,18 @@
 //! A version is applied as a whole. An instance never returns to a version
 //! below the newest one that it has applied.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeMap,
+    fmt::{Display, Formatter},
+    str::FromStr,
+    sync::Arc,
+    time::Duration,
+};
+
+use http::HeaderValue;
 
 use super::cost_model::EngineProfile;
-use crate::{
-    ids::{ServiceName, WorkspaceId},
-    quantity_type,
-    units::ByteSize,
-};
+use crate::{ids::ServiceName, quantity_type, units::ByteSize};
 
 quantity_type! {
     /// Version of the desired state; a newer version is larger.
@@ -119,11 +123,72 @@
     pub engine: Option<EngineProfile>,
 }
 
+/// Longest name of a workspace in bytes, so that it leaves room for the other
+/// headers of a request.
+const WORKSPACE_NAME_MAX_BYTES: usize = 1_024;
+
+/// Name of a workspace as the operators write it: any text that a header can
+/// carry unchanged.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct WorkspaceName(Arc<str>);
+
+impl WorkspaceName {
+    /// The name as a string slice.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+/// Error for a name that no header can carry.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WorkspaceNameError;
+
+impl Display for WorkspaceNameError {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> std::fmt::Result {
+        write!(
+            formatter,
+            "the name of a workspace has 1 to {WORKSPACE_NAME_MAX_BYTES} \
+             bytes, no control characters, and no space at its ends",
+        )
+    }
+}
+
+impl std::error::Error for WorkspaceNameError {}
+
+impl FromStr for WorkspaceName {
+    type Err = WorkspaceNameError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        // Receivers drop spaces and tabs at the ends of a header's value, so
+        // that the name would become another one.
+        let is_whole = text.trim_matches([' ', '\t']) == text;
+        let has_length = (1..=WORKSPACE_NAME_MAX_BYTES).contains(&text.len());
+        let is_value = HeaderValue::from_bytes(text.as_bytes()).is_ok();
+        if is_whole && has_length && is_value {
+            Ok(Self(text.into()))
+        } else {
+            Err(WorkspaceNameError)
+        }
+    }
+}
+
+/// A part of a desired state that cannot be used. The other parts are in force
+/// without it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ConfigFault {
+    /// Kind of the part.
+    pub kind: &'static str,
+    /// Name of the part, as far as it can be read.
+    pub name: Arc<str>,
+    /// Why it cannot be used.
+    pub reason: Arc<str>,
+}
+
 /// Configuration of one workspace.
 #[derive(Clone, Debug, PartialEq)]
 pub struct WorkspaceSpec {
     /// Name of the workspace.
-    pub name: WorkspaceId,
+    pub name: WorkspaceName,
     /// Priority that replaces the route's; `None` keeps it.
     pub priority: Option<u8>,
 }
@@ -163,8 +228,14 @@
     services: BTreeMap<ServiceName, Arc<ServiceSpec>>,
     /// Shortest pause that the streams of each service accept.
     shortest_pauses: BTreeMap<ServiceName, Duration>,
-    keys: BTreeMap<Arc<str>, Arc<WorkspaceSpec>>,
+    /// Workspace of each key; `None` if the workspace cannot be used.
+    keys: BTreeMap<Arc<str>, Option<Arc<WorkspaceSpec>>>,
     requires_keys: bool,
+    /// Whether there may be keys that were not read.
+    has_unread_keys: bool,
+    /// Whether there may be routes that were not read.
+    has_unread_routes: bool,
+    faults: Vec<ConfigFault>,
 }
 
 /// Result of the authentication of a request.
@@ -174,6 +245,9 @@
     Anonymous,
     /// The key belongs to this workspace.
     Workspace(Arc<WorkspaceSpec>),
+    /// The key belongs to a workspace that cannot be used, or perhaps to one
+    /// that was not read.
+    Unusable,
     /// The key is missing or belongs to no workspace.
     Unknown,
 }
@@ -217,6 +291,75 @@
         self
     }
 
+    /// Adds a route that cannot be used, unless there is one with the same host
+    /// and prefix. Its requests are refused before their keys are looked at.
+    pub fn with_unusable_route(self, host: Arc<str>, prefix: Arc<str>) -> Self {
+        let prefixes = self.routes.get(&host);
+        if prefixes.is_some_and(|known| known.contains_key(&prefix)) {
+            return self;
+        }
+        self.with_route(RouteSpec {
+            name: format!("{host}{prefix}").into(),
+            host,
+            prefix,
+            retry_safety: RetrySafety::AtMostOnce,
+            form: AnswerForm::Whole,
+            timeout: Duration::ZERO,
+            latency_target: Duration::ZERO,
+            gap_target: Duration::ZERO,
+            priority: 0,
+            services: Vec::new(),
+            sends_max: 0,
+            anonymous: true,
+        })
+    }
+
+    /// Adds a part that cannot be used.
+    pub fn with_fault(mut self, fault: ConfigFault) -> Self {
+        self.faults.push(fault);
+        self
+    }
+
+    /// Records that there may be routes that were not read.
+    pub fn with_unread_routes(mut self) -> Self {
+        self.has_unread_routes = true;
+        self
+    }
+
+    /// Records that there may be keys that were not read.
+    pub fn with_unread_keys(mut self) -> Self {
+        self.has_unread_keys = true;
+        self
+    }
+
+    /// Requires keys on all routes that are not anonymous, also if there is no
+    /// workspace.
+    pub fn with_required_keys(mut self) -> Self {
+        self.requires_keys = true;
+        self
+    }
+
+    /// Adds keys of a workspace that cannot be used.
+    pub fn with_unusable_keys(
+        mut self,
+        keys: impl IntoIterator<Item = Arc<str>>,
+    ) -> Self {
+        for key in keys {
+            self.keys.entry(key).or_insert(None);
+        }
+        self.with_required_keys()
+    }
+
+    /// Parts that cannot be used.
+    pub fn faults(&self) -> &[ConfigFault] {
+        &self.faults
+    }
+
+    /// Whether a path without a route may have one that was not read.
+    pub fn has_unread_routes(&self) -> bool {
+        self.has_unread_routes
+    }
+
     /// Adds a workspace with its keys. As soon as there is a workspace, all
     /// routes that are not anonymous need a key.
     pub fn with_workspace(
@@ -227,7 +370,7 @@
         let workspace = Arc::new(workspace);
         self.requires_keys = true;
         for key in keys {
-            self.keys.insert(key, workspace.clone());
+            self.keys.insert(key, Some(workspace.clone()));
         }
         self
     }
@@ -279,7 +422,13 @@
             return CallerIdentity::Anonymous;
         }
         match key.and_then(|key| self.keys.get(key)) {
-            Some(workspace) => CallerIdentity::Workspace(workspace.clone()),
+            Some(Some(workspace)) => {
+                CallerIdentity::Workspace(workspace.clone())
+            }
+            Some(None) => CallerIdentity::Unusable,
+            None if key.is_some() && self.has_unread_keys => {
+                CallerIdentity::Unusable
+            }
             None => CallerIdentity::Unknown,
         }
     }
--- a/lib/src/gateway/wire.rs
+++ b/lib/src/gateway/wire.rs
@@ -19,13 +19,16 @@
 };
 
 use super::{
-    member_table::Heartbeat, placement::PromptSize,
-    request_limit::RequestLimit, routing_config::RoutingConfig,
-    store_era::StoreEra, upstream_table::UpstreamChange,
+    member_table::Heartbeat,
+    placement::PromptSize,
+    request_limit::RequestLimit,
+    routing_config::{RoutingConfig, WorkspaceName},
+    store_era::StoreEra,
+    upstream_table::UpstreamChange,
 };
 use crate::{
     id_type,
-    ids::{DomainId, UpstreamId, WorkspaceId},
+    ids::{DomainId, UpstreamId},
     refusal::Refusal,
     units::{LogOffset, TokenCount},
     value_type,
@@ -72,7 +75,7 @@
     /// Time until the request's deadline.
     pub time_left: Duration,
     /// Workspace of the caller; `None` for an anonymous request.
-    pub workspace: Option<WorkspaceId>,
+    pub workspace: Option<WorkspaceName>,
     /// Priority among other requests; 0 is the highest.
     pub priority: u8,
     /// Id of the last event that the caller has received; `None` for a new
