upstreams: let entries of unknown services displace none

An entry of a service that the desired state does not name, at the address of an upstream and with a later start, kept that upstream out of use: its requests were refused though it served. Such an entry names no upstream to use. The entries at one address are now compared only if the desired state names the services of both, and again when a desired state is applied, as the list may be read first.

Evidence: test_upstreams_of_unknown_service_displace_none, 2 cases, failed before (0 candidates of 1) and pass.

--- a/lib/src/gateway/gateway_core.rs
+++ b/lib/src/gateway/gateway_core.rs
@@ -235,6 +235,8 @@
         if version.is_some_and(|version| version >= config.version) {
             return false;
         }
+        let services = config.services().map(|it| it.name.clone());
+        self.upstreams.set_services(services.collect());
         self.config = Some(Arc::new(config));
         true
     }
--- a/lib/src/gateway/upstream_table.rs
+++ b/lib/src/gateway/upstream_table.rs
@@ -208,6 +208,8 @@
     upstreams: BTreeMap<UpstreamId, TrackedUpstream>,
     departed: BTreeMap<UpstreamId, DepartedUpstream>,
     closed: BTreeSet<DomainId>,
+    /// Services of the desired state; `None` before one was read.
+    services: Option<BTreeSet<ServiceName>>,
     store_recovered_at: Option<Timestamp>,
     /// Number of restores of the store.
     restores: u64,
@@ -295,9 +297,15 @@
         }
         self.link_targets = None;
         let mut displaced = false;
+        let services = self.services.as_ref();
+        let is_known = contains(services, &entry.service);
         for upstream in self.upstreams.values_mut() {
             let other = &upstream.entry;
-            if other.address != entry.address || other.id == entry.id {
+            if other.address != entry.address
+                || other.id == entry.id
+                || !is_known
+                || !contains(services, &other.service)
+            {
                 continue;
             }
             upstream.displaced |= other.incarnation < entry.incarnation;
@@ -310,6 +318,40 @@
         }
     }
 
+    /// Replaces the services of the desired state. An entry of another service
+    /// names no upstream to use, and does not displace one at its address.
+    pub fn set_services(&mut self, services: BTreeSet<ServiceName>) {
+        self.services = Some(services);
+        let displaced = self.upstreams.values().filter(|it| it.displaced);
+        let restored: Vec<_> = displaced
+            .filter(|upstream| self.is_displaced_by_unknown(&upstream.entry))
+            .map(|upstream| upstream.entry.id.clone())
+            .collect();
+        for id in restored {
+            self.link_targets = None;
+            if let Some(upstream) = self.upstreams.get_mut(&id) {
+                upstream.displaced = false;
+            }
+        }
+    }
+
+    fn is_known(&self, service: &ServiceName) -> bool {
+        contains(self.services.as_ref(), service)
+    }
+
+    /// Whether the newer entries at an entry's address are all of unknown
+    /// services; false if there are none.
+    fn is_displaced_by_unknown(&self, entry: &UpstreamEntry) -> bool {
+        let others = self.upstreams.values().map(|it| &it.entry);
+        let mut newer = others.filter(|other| {
+            other.address == entry.address
+                && other.incarnation > entry.incarnation
+        });
+        let first = newer.next();
+        first.is_some_and(|first| !self.is_known(&first.service))
+            && newer.all(|other| !self.is_known(&other.service))
+    }
+
     fn upsert(&mut self, now: Timestamp, entry: UpstreamEntry) {
         match self.upstreams.get_mut(&entry.id) {
             Some(upstream)
@@ -731,3 +773,11 @@
         self.links.take_changes(now, &targets)
     }
 }
+
+/// Whether a service is one of `services`; all are before these are known.
+fn contains(
+    services: Option<&BTreeSet<ServiceName>>,
+    service: &ServiceName,
+) -> bool {
+    services.is_none_or(|services| services.contains(service))
+}
--- a/lib/tests/gateway/test_upstreams.rs
+++ b/lib/tests/gateway/test_upstreams.rs
@@ -1,14 +1,21 @@
 //! List of upstreams during outages of the store and failures of upstreams.
 
+use std::sync::Arc;
+
 use borageline_lib::{
-    gateway::upstream_table::{
-        UpstreamChange, UpstreamEntry, UpstreamState, UpstreamTable,
+    gateway::{
+        gateway_core::GatewayCore,
+        upstream_table::{
+            UpstreamChange, UpstreamEntry, UpstreamState, UpstreamTable,
+        },
     },
     ids::UpstreamId,
     units::{Incarnation, Timestamp},
 };
 
-use crate::fixtures::{at, entry, id, ms};
+use rstest::rstest;
+
+use crate::fixtures::{at, config, core, entry, id, ms, settings};
 
 fn table(count: usize) -> UpstreamTable {
     let mut table = UpstreamTable::default();
@@ -206,3 +213,29 @@
     table.apply(at(3_000), UpstreamChange::Set(restarted));
     assert!(names(&table, at(3_000)).is_empty());
 }
+
+/// Guards against an upstream that is no longer used since an entry of a
+/// service that the desired state does not name has its address, whichever was
+/// read first.
+#[rstest]
+#[case(true)]
+#[case(false)]
+fn test_upstreams_of_unknown_service_displace_none(#[case] late: bool) {
+    let mut core = core(1);
+    if late {
+        let settings = Arc::new(settings());
+        core = GatewayCore::new(settings, Incarnation::new(1), 7);
+        core.replace_upstreams(at(0), vec![entry("i-0")]);
+    }
+    let odd = UpstreamEntry {
+        id: id("i-odd"),
+        service: id("elsewhere"),
+        incarnation: Incarnation::new(9),
+        ..entry("i-0")
+    };
+    core.apply_upstream(at(1), UpstreamChange::Set(odd));
+    core.apply_config(config(2));
+    let service = id("models");
+    let candidates = core.upstreams().candidates(at(2), &service, &[]);
+    assert_eq!(candidates.len(), 1);
+}
