gateway: ignore list entries that the store carries out late

Callers' requests reached an upstream later than `drainMs` after it had left: the store carried out an entry seconds after its writer had stopped waiting, and the entry made the upstream a candidate again. An earlier `ready` after `draining`, or an entry of a former process with the same id, did the same.

Cause: `UpstreamTable` compared what an entry states (start of its process and its number) with the known one only after the store was restored; otherwise the entry that was read last counted.

Now an entry that precedes the known one, or the last one of an upstream that has left, is ignored whenever it is read. A later process, or a later entry of the same one, is used at once. An entry that is equal to the last one is ignored only after an explicit removal: a full read may lack an entry because the read is older. Entries without the start of their process are taken as they come while the upstream is listed, as before.

Not covered: an upstream that is removed without `draining`, and a late entry with a higher number than that of the last entry that was read.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -17,6 +17,7 @@
 pub mod crash_confirmation;
 pub mod crash_evidence;
 pub mod delegation;
+pub mod departure_log;
 pub mod dispatch_rate;
 pub mod engine_limits;
 pub mod gateway_core;
--- a/lib/src/gateway/upstream_table.rs
+++ b/lib/src/gateway/upstream_table.rs
@@ -6,10 +6,15 @@
 //! but used only if more than half of its service is removed: a few removed
 //! entries are upstreams that leave.
 //!
+//! The store may carry out a write seconds after its writer has stopped
+//! waiting, so the order in which entries are read is not that in which they
+//! were written. An entry states the start of its process and its number among
+//! the entries of that process. One that precedes the known entry, or the last
+//! one of an upstream that has left ([`DepartureLog`]), is ignored.
+//!
 //! After the store was restored from an earlier copy of itself, the list may be
 //! outdated until the upstreams have written again and those that have left have
-//! lapsed. In that time an entry that is older than a known one is ignored, and
-//! an upstream that the list lacks is still used.
+//! lapsed. In that time an upstream that the list lacks is still used.
 //!
 //! An upstream that fails requests is avoided for a while if others can serve
 //! instead, but stays a candidate as long as it is listed. An upstream at
@@ -23,9 +28,15 @@
     time::Duration,
 };
 
-use super::reachability::{
-    LinkChange, LinkGroup, LinkReport, LinkState, LinkTargets,
-    ReachabilityTable,
+use super::{
+    departure_log::{
+        DEPARTED_TIME, DepartedUpstream, DepartureKind, DepartureLog,
+        EntryRevision,
+    },
+    reachability::{
+        LinkChange, LinkGroup, LinkReport, LinkState, LinkTargets,
+        ReachabilityTable,
+    },
 };
 use crate::{
     ids::{DomainId, ServiceName, UpstreamId},
@@ -35,11 +46,6 @@
 
 /// Time after the store's recovery in which lapsed entries are written again.
 pub const RECOVERY_GRACE: Duration = Duration::from_millis(1_900);
-/// Time for which an upstream that has left is remembered; longer than the age
-/// of a copy from which the store is restored.
-const DEPARTED_TIME: Duration = Duration::from_secs(60);
-/// Most upstreams that are remembered after they have left.
-const DEPARTED_MAX: usize = 4_096;
 /// Time for which an upstream is avoided after its first failure; it doubles
 /// with each further one.
 const AVOID_MIN: Duration = Duration::from_millis(500);
@@ -120,13 +126,13 @@
 
     /// Order in which the entries of an upstream were written.
     fn revision(&self) -> EntryRevision {
-        (self.incarnation, self.sequence)
+        EntryRevision {
+            incarnation: self.incarnation,
+            sequence: self.sequence,
+        }
     }
 }
 
-/// Start of the process that wrote an entry, and the number of the entry.
-type EntryRevision = (Incarnation, u64);
-
 /// A change of the list.
 #[derive(Clone, Debug, PartialEq)]
 pub enum UpstreamChange {
@@ -143,6 +149,8 @@
     pub entry: UpstreamEntry,
     /// Time at which the newest entry was read.
     pub read_at: Timestamp,
+    /// Time at which the first entry of the process was read.
+    listed_at: Timestamp,
     cold_until: Timestamp,
     /// Whether the entry was removed from the list during the grace period.
     removed: bool,
@@ -166,6 +174,7 @@
             cold_until: now.after(entry.cold_for),
             entry,
             read_at: now,
+            listed_at: now,
             removed: false,
             restores,
             displaced: false,
@@ -193,20 +202,13 @@
     }
 }
 
-/// An upstream that was removed from the list.
-#[derive(Clone, Copy, Debug)]
-struct DepartedUpstream {
-    revision: EntryRevision,
-    /// Restores of the store before the removal.
-    restores: u64,
-    at: Timestamp,
-}
-
 /// All listed upstreams and the closed failure domains.
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamTable {
     upstreams: BTreeMap<UpstreamId, TrackedUpstream>,
-    departed: BTreeMap<UpstreamId, DepartedUpstream>,
+    /// Upstreams that are not listed, including those that are kept in the
+    /// grace period.
+    departures: DepartureLog,
     closed: BTreeSet<DomainId>,
     store_recovered_at: Option<Timestamp>,
     /// Number of restores of the store.
@@ -247,7 +249,9 @@
     pub fn apply(&mut self, now: Timestamp, change: UpstreamChange) {
         match change {
             UpstreamChange::Set(entry) => self.set(now, entry),
-            UpstreamChange::Removed(id) => self.remove(now, &id),
+            UpstreamChange::Removed(id) => {
+                self.remove(now, &id, DepartureKind::Removed);
+            }
         }
     }
 
@@ -255,10 +259,18 @@
     pub fn replace(&mut self, now: Timestamp, entries: Vec<UpstreamEntry>) {
         let ids: BTreeSet<_> =
             entries.iter().map(|entry| entry.id.clone()).collect();
+        let is_outdated = self.may_be_outdated(now);
         for entry in entries {
+            let departed = self.departures.get(&entry.id);
+            // The entry would have lapsed in the restored list by now if the
+            // upstream had left.
+            if !is_outdated
+                && departed.is_some_and(|it| it.restores < self.restores)
+            {
+                self.departures.remove(&entry.id);
+            }
             self.set(now, entry);
         }
-        let is_outdated = self.may_be_outdated(now);
         let missing = self.upstreams.iter().filter(|(id, upstream)| {
             // An upstream that started after the copy was made is listed again
             // when it has written.
@@ -267,24 +279,31 @@
         });
         let missing: Vec<_> = missing.map(|(id, _)| id.clone()).collect();
         for id in missing {
-            self.remove(now, &id);
+            self.remove(now, &id, DepartureKind::Missing);
         }
     }
 
-    /// Whether an entry from before the restore of the store is newer.
+    /// Whether an entry precedes the newest one of the upstream.
     fn is_superseded(&self, now: Timestamp, entry: &UpstreamEntry) -> bool {
         let may_be_outdated = self.may_be_outdated(now);
-        if let Some(known) = self.upstreams.get(&entry.id) {
-            let same_process = known.entry.incarnation == entry.incarnation;
-            return known.restores < self.restores
-                && (may_be_outdated || same_process)
-                && entry.revision() < known.entry.revision();
+        let revision = entry.revision();
+        if let Some(departed) = self.departures.get(&entry.id) {
+            let is_from_copy =
+                may_be_outdated && departed.restores < self.restores;
+            return departed.supersedes(now, revision)
+                || is_from_copy && revision <= departed.revision;
         }
-        self.departed.get(&entry.id).is_some_and(|departed| {
-            may_be_outdated
-                && departed.restores < self.restores
-                && entry.revision() <= departed.revision
-        })
+        let Some(known) = self.upstreams.get(&entry.id) else {
+            return false;
+        };
+        let same_process = known.entry.incarnation == entry.incarnation;
+        let is_from_copy = may_be_outdated && known.restores < self.restores;
+        // A process that is still listed after this time although the entry's
+        // started earlier: the clock was set back between the two starts.
+        let is_former = entry.incarnation > Incarnation::default()
+            && now.since(known.listed_at) < DEPARTED_TIME;
+        revision < known.entry.revision()
+            && (same_process || is_from_copy || is_former)
     }
 
     /// Adds or updates an entry, and compares it with the other entries at the
@@ -304,6 +323,7 @@
             displaced |= other.incarnation > entry.incarnation;
         }
         let id = entry.id.clone();
+        self.departures.remove(&id);
         self.upsert(now, entry);
         if let Some(upstream) = self.upstreams.get_mut(&id) {
             upstream.displaced = displaced;
@@ -330,37 +350,22 @@
     }
 
     /// Removes an entry, or only marks it during the grace period.
-    fn remove(&mut self, now: Timestamp, id: &UpstreamId) {
+    fn remove(&mut self, now: Timestamp, id: &UpstreamId, kind: DepartureKind) {
         let Some(upstream) = self.upstreams.get_mut(id) else {
             return;
         };
         let departed = DepartedUpstream {
             revision: upstream.entry.revision(),
+            kind,
             restores: self.restores,
             at: now,
         };
         upstream.removed = true;
         self.link_targets = None;
-        self.remember_departed(now, id, departed);
+        self.departures.insert(id.clone(), departed);
         self.expire(now);
     }
 
-    fn remember_departed(
-        &mut self,
-        now: Timestamp,
-        id: &UpstreamId,
-        departed: DepartedUpstream,
-    ) {
-        self.departed
-            .retain(|_, it| now.since(it.at) < DEPARTED_TIME);
-        if self.departed.len() >= DEPARTED_MAX {
-            let oldest = self.departed.iter().min_by_key(|(_, it)| it.at);
-            let oldest = oldest.map(|(id, _)| id.clone());
-            oldest.and_then(|id| self.departed.remove(&id));
-        }
-        self.departed.insert(id.clone(), departed);
-    }
-
     fn in_recovery_grace(&self, now: Timestamp) -> bool {
         self.store_recovered_at
             .is_some_and(|at| now.since(at) < RECOVERY_GRACE)
