gateway: repeat a release after any order without an answer

Engines kept KV cache for nobody after a request had ended: an order to renew the reservation that had timed out, or that was cut off when the request ended, may be carried out up to 12 s later, after the release, and sets the memory aside again until it expires (3 s).

Cause: the release was repeated only if the first order to reserve was not answered. Renewals did not count, nor did a first order that was cut off because its caller left, as the outcome was recorded after the wait.

Now `ReservationOrders` (lib) counts the orders of one reservation, from before they are sent, and decides whether its release is repeated: if an order is pending, or one has remained without an answer in the last 12.5 s. So a dropped wait counts as unanswered. The engines that answered all orders of a request get no repeated release any more when another one did not answer.

--- a/cli/src/gateway/reservations.rs
+++ b/cli/src/gateway/reservations.rs
@@ -4,14 +4,19 @@
 //! Reservations expire soon and are renewed while the request runs, so that
 //! the KV cache is free again shortly after an instance dies. An order that
 //! was not answered may still be carried out seconds later, so its release is
-//! repeated.
+//! repeated ([`ReservationOrders`]).
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
 
 use borageline_lib::{
     gateway::{
         gateway_core::StartedRequest,
         load_table::InFlightId,
+        reservation_orders::{OrderEffect, ReservationOrders},
         wire::{GatewayWire, ReservationOrder},
     },
     log_event::LogEvent,
@@ -34,23 +39,6 @@
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Timeout for the answer to an order; engines answer without queueing.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
-/// Delays before repeated releases after an order that was not answered. Such
-/// an order may be carried out up to 12 s later.
-const RELEASE_RETRY_DELAYS: [Duration; 5] = [
-    Duration::from_millis(1_500),
-    Duration::from_millis(2_000),
-    Duration::from_millis(2_500),
-    Duration::from_millis(3_000),
-    Duration::from_millis(3_500),
-];
-
-/// Whether an order took effect.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum OrderEffect {
-    Done,
-    Refused,
-    Unknown,
-}
 
 /// One reservation on an engine.
 #[derive(Clone, Debug)]
@@ -58,6 +46,14 @@
     address: SocketAddr,
     id: Arc<str>,
     tokens: TokenCount,
+    /// Shared by the task that renews the reservation.
+    orders: Arc<Mutex<ReservationOrders>>,
+}
+
+impl Reservation {
+    fn orders(&self) -> MutexGuard<'_, ReservationOrders> {
+        self.orders.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 /// All reservations of one send; released on drop.
@@ -66,8 +62,6 @@
     context: SharedGateway<W>,
     helpers: Vec<(SocketAddr, Option<Arc<str>>)>,
     reservations: Vec<Reservation>,
-    /// Whether an order may have taken effect although it was not answered.
-    outcome_unknown: bool,
     renewal: Option<JoinHandle<()>>,
 }
 
@@ -93,13 +87,13 @@
                 address: entry.address,
                 id,
                 tokens: *tokens,
+                orders: Arc::default(),
             });
         }
         let mut set = Self {
             context: context.clone(),
             helpers,
             reservations,
-            outcome_unknown: false,
             renewal: None,
         };
         if set.reservations.is_empty() {
@@ -118,8 +112,6 @@
             return Ok(set);
         }
         let refused = count(OrderEffect::Refused);
-        set.outcome_unknown =
-            count(OrderEffect::Done) + refused != set.reservations.len();
         let text = format!(
             "KV cache for a prompt was refused by {refused} of {} engines",
             set.reservations.len(),
@@ -162,11 +154,12 @@
         }
         let context = self.context.clone();
         let reservations = std::mem::take(&mut self.reservations);
-        let outcome_unknown = self.outcome_unknown;
         tokio::spawn(async move {
-            join_all(reservations.iter().map(|reservation| {
-                release(&context, reservation, outcome_unknown)
-            }))
+            join_all(
+                reservations
+                    .iter()
+                    .map(|reservation| release(&context, reservation)),
+            )
             .await;
         });
     }
@@ -182,26 +175,26 @@
         ttl: RESERVATION_TTL
             .min(context.settings().bounds.reservation_ttl_max()),
     };
-    send_order(context, reservation, &order).await
+    reservation.orders().begin();
+    let effect = send_order(context, reservation, &order).await;
+    // Not reached if the caller leaves or the renewal is aborted meanwhile.
+    reservation.orders().finish(context.now(), effect);
+    effect
 }
 
-/// Releases a reservation. The order is repeated unless it succeeded and every
-/// reserving order was answered: an unanswered one may still be carried out
-/// later.
+/// Releases a reservation, and again if an order that reserves or renews it may
+/// be carried out after the release.
 async fn release<W: GatewayWire>(
     context: &SharedGateway<W>,
     reservation: &Reservation,
-    outcome_unknown: bool,
 ) {
     let order = ReservationOrder::Release {
         id: reservation.id.clone(),
     };
     let effect = send_order(context, reservation, &order).await;
-    if effect == OrderEffect::Done && !outcome_unknown {
-        return;
-    }
-    for pause in RELEASE_RETRY_DELAYS {
-        tokio::time::sleep(pause).await;
+    let delays = reservation.orders().release_retries(context.now(), effect);
+    for delay in delays {
+        tokio::time::sleep(*delay).await;
         send_order(context, reservation, &order).await;
     }
 }
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -34,6 +34,7 @@
 pub mod request_content;
 pub mod request_limit;
 pub mod request_timings;
+pub mod reservation_orders;
 pub mod retry_budget;
 pub mod routing_config;
 pub mod store_era;
--- a/lib/tests/gateway/main.rs
+++ b/lib/tests/gateway/main.rs
@@ -13,6 +13,7 @@
 mod test_reachability;
 mod test_request_limits;
 mod test_request_quarantine;
+mod test_reservation_orders;
 mod test_store_era;
 mod test_stream;
 mod test_topic_copies;
