gateway: keep the newest of several desired states read at once

Callers could be served by an outdated desired state: if the store carried out an older version after a newer one and an instance read both together, it applied neither (or, with a still older one in force, the older one), and never read the newer one again.

Cause: `RecordApplier` kept the last record of a batch, whatever its version. Now it keeps the one with the highest version.

--- a/cli/src/gateway/record_applier.rs
+++ b/cli/src/gateway/record_applier.rs
@@ -5,6 +5,7 @@
 
 use borageline_lib::{
     gateway::{
+        routing_config::RoutingConfig,
         upstream_table::{UpstreamChange, UpstreamEntry},
         wire::{ControlRecord, GatewayWire, KeyedRecord, StoreTopic},
     },
@@ -80,11 +81,17 @@
     /// they close.
     fn apply_control(&self, records: &[KeyedRecord]) -> Vec<DomainId> {
         let mut closed = Vec::new();
-        // Only the last of several desired states is applied.
-        let mut newest = None;
+        // Only the newest of several desired states is applied. It need not be
+        // the last one: the store may carry out a write late.
+        let mut newest: Option<Box<RoutingConfig>> = None;
         for record in records {
             match self.context.wire.read_control(record) {
-                Ok(ControlRecord::Config(config)) => newest = Some(config),
+                Ok(ControlRecord::Config(config)) => {
+                    let known = newest.as_ref().map(|config| config.version);
+                    if known < Some(config.version) {
+                        newest = Some(config);
+                    }
+                }
                 Ok(ControlRecord::CloseDomain(domain)) => {
                     self.set_closed(&domain, true);
                     closed.push(domain);
