--- a/lib/src/gateway/upstream_table.rs
+++ b/lib/src/gateway/upstream_table.rs
@@ -298,8 +298,8 @@
         };
         let same_process = known.entry.incarnation == entry.incarnation;
         let is_from_copy = may_be_outdated && known.restores < self.restores;
-        // A process that is still listed after this time although the entry's
-        // started earlier: the clock was set back between the two starts.
+        // After this time an earlier start is no late write: the clock was set
+        // back between the starts of the two processes.
         let is_former = entry.incarnation > Incarnation::default()
             && now.since(known.listed_at) < DEPARTED_TIME;
         revision < known.entry.revision()
