gateway: bound the evidence of crashes by parts, not by requests

Callers of long prompts, or of engines with many unanswered requests, met a harmful part that was never found, or had sound prompts refused with it. The evidence kept 16 requests of a crash, 16 while the crash was confirmed, and a report named 8 of them and the first 32 sound parts, always the same ones, so that the harmful request was left out at random and other instances blamed parts that this one knew to be sound. A report of some prompts of 400 parts exceeded a datagram and was lost.

A report has a bound in bytes; what was reported least often goes first, and while one is incomplete the next heartbeat follows after 50 ms. The formats are unchanged, so that older builds read all of it. serve shares the evidence; its requests name no parts, so that only the bounds on requests concerned it.

--- a/cli/src/gateway/crash_confirmation.rs
+++ b/cli/src/gateway/crash_confirmation.rs
@@ -45,19 +45,18 @@
 /// asks was refused before, so the listener is not just being closed.
 const ASKED_OPEN_TIME: Duration = Duration::from_millis(100);
 
-/// Most requests that are kept of an upstream while it is looked at.
-const SUSPECTS_MAX: usize = 16;
+/// Most parts of requests that are kept of all upstreams while these are looked
+/// at, 16 bytes each. A further request is left out.
+const SUSPECT_PARTS_MAX: usize = 262_144;
+
+type SuspectsByProcess = BTreeMap<UpstreamProcess, Vec<SuspectPrompt>>;
 
 /// Upstreams that are looked at, with the requests that they broke off.
 #[derive(Debug, Default)]
-pub(super) struct CrashSuspicions(
-    Mutex<BTreeMap<UpstreamProcess, Vec<SuspectPrompt>>>,
-);
+pub(super) struct CrashSuspicions(Mutex<SuspectsByProcess>);
 
 impl CrashSuspicions {
-    fn lock(
-        &self,
-    ) -> MutexGuard<'_, BTreeMap<UpstreamProcess, Vec<SuspectPrompt>>> {
+    fn lock(&self) -> MutexGuard<'_, SuspectsByProcess> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -65,8 +64,10 @@
     fn add(&self, process: &UpstreamProcess, prompt: SuspectPrompt) -> bool {
         let mut suspicions = self.lock();
         let is_new = !suspicions.contains_key(process);
+        let kept = suspicions.values().flatten();
+        let kept: usize = kept.map(|it| it.parts.len()).sum();
         let prompts = suspicions.entry(process.clone()).or_default();
-        if prompts.len() < SUSPECTS_MAX {
+        if kept + prompt.parts.len() <= SUSPECT_PARTS_MAX {
             prompts.push(prompt);
         }
         is_new
--- a/lib/src/gateway/gateway_core/heartbeats.rs
+++ b/lib/src/gateway/gateway_core/heartbeats.rs
@@ -22,6 +22,9 @@
     units::Timestamp,
 };
 
+/// Time to the next heartbeat if one could not hold all that was learned of harmful
+/// prompts. Several follow within the time after which a crash counts.
+const PARTIAL_REPORT_PAUSE: Duration = Duration::from_millis(50);
 /// One heartbeat in so many is a full report, in a small fleet.
 const FULL_REPORT_INTERVAL: u64 = 8;
 
@@ -102,6 +105,12 @@
             relayed,
         );
         let is_full = self.is_full_report(now, sequence);
+        let prompts = self.quarantine.report(now, is_full);
+        let interval = self.members.heartbeat_interval(now);
+        let pause = match self.quarantine.is_report_partial() {
+            true => interval.min(PARTIAL_REPORT_PAUSE),
+            false => interval,
+        };
         HeartbeatPlan {
             heartbeat,
             trailer: HeartbeatTrailer {
@@ -109,12 +118,12 @@
                 relay: false,
                 suspects: self.upstreams.suspects_to_report(now),
             },
-            prompts: self.quarantine.report(now, is_full),
+            prompts,
             limits: self.request_limits.report(now, is_full),
             links: self.upstreams.link_report(now),
             direct: self.peer_addresses(targets.direct),
             relays: self.peer_addresses(targets.relays),
-            pause: self.members.heartbeat_interval(now),
+            pause,
         }
     }
 
--- a/lib/src/gateway/prompt_quarantine.rs
+++ b/lib/src/gateway/prompt_quarantine.rs
@@ -32,20 +32,11 @@
 const TRIAL_INTERVAL: Duration = Duration::from_secs(10);
 /// Most parts in quarantine.
 const QUARANTINED_MAX: usize = 256;
-/// Time for which a crash is reported to other instances; several heartbeats
-/// may be lost.
-const REPORT_TIME: Duration = Duration::from_secs(3);
 /// Time for which a new quarantine is in each report; an instance that was cut
 /// off may have it alone, and learns by then that others know better.
 const CHANGE_REPORT_TIME: Duration = Duration::from_secs(10);
-/// Most crashes in one report.
-const REPORTED_CRASHES_MAX: usize = 8;
-/// Most crashes with suspects in one report.
-const SUSPICIOUS_CRASHES_MAX: usize = REPORTED_CRASHES_MAX - 1;
-/// Most prompts of one crash in a report.
-const REPORTED_PROMPTS_MAX: usize = 8;
-/// Most parts of one kind in a report.
-const REPORTED_PARTS_MAX: usize = 32;
+/// Most quarantines in a report.
+const REPORTED_QUARANTINES_MAX: usize = 32;
 /// Longest time between two evaluations of unchanged evidence.
 const EVALUATION_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -156,6 +147,8 @@
     changes: Vec<QuarantineChange>,
     /// Version of the evidence at the last evaluation, and its time.
     evaluated: Option<(u64, Timestamp)>,
+    /// Whether the last report left out what no other had.
+    is_report_partial: bool,
 }
 
 impl PromptQuarantine {
@@ -210,6 +203,9 @@
         owns_trials: impl Fn(&PartId) -> bool,
     ) -> Result<(), QuarantinedPrompt> {
         self.update(now);
+        if self.entries.is_empty() {
+            return Ok(());
+        }
         for part in parts {
             let Some(entry) = self.entries.get_mut(part) else {
                 continue;
@@ -254,25 +250,18 @@
     /// quarantines if it is a full one.
     pub fn report(&mut self, now: Timestamp, is_full: bool) -> PromptReport {
         self.update(now);
-        let since = now.before(REPORT_TIME).unwrap_or(Timestamp::ZERO);
-        let crashes = self.evidence.seen_crashes(since).into_iter();
-        // Crashes without a suspect show that others coincide with them.
-        let (suspicious, explained): (Vec<_>, Vec<_>) =
-            crashes.partition(|(.., prompts)| !prompts.is_empty());
-        let suspicious = suspicious.into_iter().take(SUSPICIOUS_CRASHES_MAX);
-        let crashes = suspicious.chain(explained);
-        let crashes = crashes.map(|(process, at, mut prompts)| {
-            prompts.truncate(REPORTED_PROMPTS_MAX);
-            CrashReport {
-                process: process.clone(),
-                age_ms: age_ms(now, at),
-                prompts,
-            }
+        let crashes = self.evidence.take_crashes_to_report(now);
+        let sound = self.evidence.take_sound_to_report(self.released.keys());
+        self.is_report_partial = crashes.is_partial || sound.is_partial;
+        let crashes = crashes.crashes.into_iter();
+        let crashes = crashes.map(|(process, at, prompts)| CrashReport {
+            process,
+            age_ms: age_ms(now, at),
+            prompts,
         });
-        let released = self.released.keys();
-        let sound = self.evidence.seen_sound_parts(released).into_iter();
+        let sound = sound.parts.into_iter();
         let sound = sound.map(|(part, begun_at)| SoundReport {
-            part: part.clone(),
+            part,
             age_ms: age_ms(now, begun_at),
         });
         let mut entries: Vec<_> = self
@@ -285,15 +274,27 @@
         entries.sort_by_key(|(_, it)| Reverse(it.last_crash_at));
         let entries = entries.into_iter();
         PromptReport {
-            crashes: crashes.take(REPORTED_CRASHES_MAX).collect(),
-            sound: sound.take(REPORTED_PARTS_MAX).collect(),
+            crashes: crashes.collect(),
+            sound: sound.collect(),
             quarantined: entries
-                .take(REPORTED_PARTS_MAX)
+                .take(REPORTED_QUARANTINES_MAX)
                 .map(|(part, entry)| entry.report(now, part))
                 .collect(),
         }
     }
 
+    /// Whether the last report left out what no report had yet, so that another
+    /// one should follow soon.
+    pub fn is_report_partial(&self) -> bool {
+        self.is_report_partial
+    }
+
+    /// Number of entries for parts that are remembered: occurrences in crashes,
+    /// and sound parts in none.
+    pub fn part_entries(&self) -> (usize, usize) {
+        self.evidence.part_entries()
+    }
+
     /// All quarantines, and `None` for parts that have left it lately.
     pub fn records(
         &self,
@@ -386,9 +387,7 @@
         self.evidence.expire(now);
         self.released
             .retain(|_, at| now.since(*at) < TRIAL_INTERVAL);
-        let entries = &self.entries;
-        let culprits =
-            self.evidence.culprits(now, |it| entries.contains_key(it));
+        let culprits = self.evidence.culprits(now, self.entries.keys());
         for (part, times) in &culprits {
             self.add_crashes(now, part, times);
         }
--- a/lib/tests/gateway/main.rs
+++ b/lib/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod test_crash_confirmation;
 mod test_engine_limits;
 mod test_heartbeat_relay;
+mod test_long_prompts;
 mod test_members;
 mod test_placement;
 mod test_prompt_quarantine;
