--- a/cli/src/gateway/prompt_quarantine.rs
+++ b/cli/src/gateway/prompt_quarantine.rs
@@ -30,6 +30,8 @@
 /// Pause after the records were written, so that further crashes of a part
 /// cause few calls.
 const WRITE_INTERVAL: Duration = Duration::from_millis(500);
+/// Most ids of a request's content in a log line.
+const LOGGED_IDS_MAX: usize = 64;
 /// Pause after a failed call to the store.
 const RETRY_PAUSE: Duration = Duration::from_millis(1_000);
 
@@ -50,10 +52,16 @@
 }
 
 impl<W: GatewayWire> CallerAttempt<W> {
-    /// Ids of the request's content for the log.
+    /// Ids of the request's content for the log, the most specific ones if there
+    /// are many; those before them are only counted.
     pub(super) fn content_ids(&self) -> String {
-        let ids = self.contents.iter().map(PartId::as_str);
-        ids.collect::<Vec<_>>().join(" ")
+        let omitted = self.contents.len().saturating_sub(LOGGED_IDS_MAX);
+        let ids = self.contents[omitted..].iter().map(PartId::as_str);
+        let ids = ids.collect::<Vec<_>>().join(" ");
+        match omitted {
+            0 => ids,
+            _ => format!("({omitted} more) {ids}"),
+        }
     }
 
     /// Whether the prompt may be sent to an engine now.
