--- a/lib/tests/gateway/main.rs
+++ b/lib/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod test_faulty_reports;
 mod test_heartbeat_relay;
 mod test_late_entries;
+mod test_long_prompts;
 mod test_members;
 mod test_placement;
 mod test_planned_stop;
