gateway: count arriving bodies and answers toward the memory limit

Cause: a body counted only once it was complete, whole answers counted nowhere, and joining the parts of a body held it twice.

Bodies and whole answers are read into one buffer within a share of a memory account (7/16 of memory_mb). A body of known length is granted as a whole before it is read, so that one that has begun can be completed; one of unknown length starts with 64 KiB. While a share waits, nothing is read, and SO_RCVBUF bounds what the sender can have in flight. Beyond one queue of waiting bodies a refusal (503 overloaded, Retry-After) comes at once; the rest of a refused body is read and dropped, since a reset would hide the refusal. Bodies that arrive too slowly lose their shares while others wait.

Not included: bytes of events queued for slow readers, and heads that arrive slowly, count toward no account.

--- a/cli/src/gateway.rs
+++ b/cli/src/gateway.rs
@@ -15,6 +15,7 @@
 mod heartbeats;
 mod links;
 mod listener;
+mod memory_shares;
 mod metrics;
 mod peer_copies;
 mod peer_listener;
@@ -57,8 +58,8 @@
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use self::{
-    crash_confirmation::CrashSuspicions, metrics::GatewayMetrics,
-    prompt_quarantine::QuarantineTasks,
+    crash_confirmation::CrashSuspicions, memory_shares::GatewayMemory,
+    metrics::GatewayMetrics, prompt_quarantine::QuarantineTasks,
 };
 use crate::{
     connection_probe::CONNECT_TIMEOUT, http_client::HttpClient, log_decision,
@@ -108,8 +109,8 @@
     open_connections: AtomicU64,
     /// Requests whose response head was not returned yet.
     open_requests: AtomicU64,
-    /// Total size of the buffered request bodies.
-    buffered_body_bytes: AtomicU64,
+    /// Memory held for callers and upstreams.
+    memory: Arc<GatewayMemory>,
     /// Wakes the heartbeat task before its interval is over.
     heartbeat_due: Notify,
     /// Wakes the task that probes upstreams.
@@ -126,6 +127,8 @@
 impl<W: GatewayWire> GatewayContext<W> {
     fn new(settings: GatewaySettings, wire: W) -> Self {
         let settings = Arc::new(settings);
+        let account_bytes = settings.account_bytes();
+        let upstream_buffer = settings.upstream_receive_buffer();
         let incarnation = Incarnation::new(unix_millis());
         let core =
             GatewayCore::new(settings.clone(), incarnation, rand::random());
@@ -134,13 +137,15 @@
             wire,
             core: Mutex::new(core),
             metrics: GatewayMetrics::new(),
-            upstreams: HttpClient::without_reuse_with_connect_timeout(
+            upstreams: HttpClient::without_reuse_with_receive_buffer(
                 CONNECT_TIMEOUT,
+                upstream_buffer,
             ),
             store: HttpClient::with_connect_timeout(STORE_CONNECT_TIMEOUT),
             peers: HttpClient::with_connect_timeout(PEER_CONNECT_TIMEOUT),
-            delegates: HttpClient::without_reuse_with_connect_timeout(
+            delegates: HttpClient::without_reuse_with_receive_buffer(
                 PEER_CONNECT_TIMEOUT,
+                upstream_buffer,
             ),
             copy_changes: watch::Sender::new(()),
             store_eras: watch::Sender::new(None),
@@ -150,7 +155,7 @@
             stopping: AtomicBool::new(false),
             open_connections: AtomicU64::new(0),
             open_requests: AtomicU64::new(0),
-            buffered_body_bytes: AtomicU64::new(0),
+            memory: Arc::new(GatewayMemory::new(account_bytes)),
             heartbeat_due: Notify::new(),
             probe_due: Notify::new(),
             delegated_requests: TaskTracker::new(),
--- a/cli/src/gateway/caller_listener.rs
+++ b/cli/src/gateway/caller_listener.rs
@@ -23,7 +23,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::{SharedGateway, forward, listener::accept_connections};
-use crate::{logging, server::bind_callers};
+use crate::{logging, server::bind_with_receive_buffer};
 
 /// Largest read buffer of one connection.
 const CONNECTION_BUFFER_BYTES: usize = 64 << 10;
@@ -55,7 +55,11 @@
     stop: CancellationToken,
 ) -> io::Result<impl Future<Output = ()>> {
     let address = context.settings().listen.front;
-    let listener = address.map(bind_callers).transpose()?;
+    let buffer = context.settings().caller_receive_buffer().get();
+    let buffer = u32::try_from(buffer).unwrap_or(u32::MAX);
+    let listener = address
+        .map(|address| bind_with_receive_buffer(address, Some(buffer)))
+        .transpose()?;
     let task = tokio::spawn(async move {
         let graceful = GracefulShutdown::new();
         if let Some(listener) = listener {
--- a/cli/src/gateway/forward.rs
+++ b/cli/src/gateway/forward.rs
@@ -59,7 +59,7 @@
 pub(super) struct CallerAttempt<W: GatewayWire> {
     pub(super) context: SharedGateway<W>,
     pub(super) head: RequestParts,
-    pub(super) body: Option<BufferedBody<W>>,
+    pub(super) body: Option<BufferedBody>,
     pub(super) request: CallerRequest,
     /// Ids of the shared parts of the prompt and of the whole request.
     pub(super) contents: Vec<PartId>,
@@ -186,10 +186,10 @@
     }
 }
 
-fn content_ids<W: GatewayWire>(
+fn content_ids(
     head: &RequestParts,
     caller: &CallerRequest,
-    body: Option<&BufferedBody<W>>,
+    body: Option<&BufferedBody>,
     admitted: &AdmittedRequest,
 ) -> Vec<PartId> {
     let bytes = body.map(BufferedBody::bytes).unwrap_or_default();
@@ -242,7 +242,7 @@
     pub(super) fn new(
         context: &SharedGateway<W>,
         head: RequestParts,
-        body: Option<BufferedBody<W>>,
+        body: Option<BufferedBody>,
         request: CallerRequest,
         admitted: AdmittedRequest,
         record: AttemptRecord,
--- a/cli/src/gateway/peer_listener.rs
+++ b/cli/src/gateway/peer_listener.rs
@@ -17,7 +17,7 @@
     listener::{empty_response, serve_requests},
     peer_copies, retry_loan,
 };
-use crate::server::bind_callers;
+use crate::server::bind_with_receive_buffer;
 
 /// Idle timeout of connections from other instances.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
@@ -26,7 +26,12 @@
 pub(super) fn serve<W: GatewayWire>(
     context: &SharedGateway<W>,
 ) -> io::Result<()> {
-    let listener = bind_callers(context.settings().peer_address())?;
+    let settings = context.settings();
+    // Bodies of delegated requests arrive here.
+    let buffer = settings.caller_receive_buffer().get();
+    let buffer = u32::try_from(buffer).unwrap_or(u32::MAX);
+    let address = settings.peer_address();
+    let listener = bind_with_receive_buffer(address, Some(buffer))?;
     let context = context.clone();
     let served = serve_requests(
         listener,
--- a/cli/src/gateway/reload.rs
+++ b/cli/src/gateway/reload.rs
@@ -66,6 +66,7 @@
         Ok(settings) => {
             let settings = Arc::new(settings);
             context.core().apply_settings(settings.clone());
+            context.memory.set_total(settings.account_bytes());
             *context
                 .settings
                 .lock()
--- a/cli/src/gateway/whole_answer.rs
+++ b/cli/src/gateway/whole_answer.rs
@@ -14,9 +14,9 @@
 };
 use bytes::Bytes;
 use http::{Response, response::Parts as ResponseParts};
-use http_body_util::{BodyExt, Limited};
 
 use super::{
+    body::read_answer,
     caller_listener::AnswerBody,
     forward::{CallerAttempt, SendError, UpstreamReply, buffered_body},
     metrics::RequestEnd,
@@ -86,20 +86,22 @@
             path,
             ..
         } = reply;
-        let limit = usize::try_from(WHOLE_ANSWER_MAX.get());
-        let body = Limited::new(body, limit.unwrap_or(usize::MAX)).collect();
-        let read = tokio::time::timeout(self.time_left(), body).await;
+        let left = self.time_left();
+        let body = read_answer(&self.context, body, WHOLE_ANSWER_MAX, left);
+        let read = tokio::time::timeout(left, body).await;
         let text = match read {
             Ok(Ok(body)) if self.context.wire.is_authentic_answer(&head) => {
                 drop(path);
-                return self.forward_answer(&head, &upstream, body.to_bytes());
+                return self.forward_answer(&head, &upstream, body);
             }
             Ok(Ok(_)) => {
                 "the answer is not marked as produced by the upstream".into()
             }
             Ok(Err(error)) => {
-                self.suspect_crash(&upstream);
-                format!("the answer broke off: {error}")
+                if !error.is_overload() {
+                    self.suspect_crash(&upstream);
+                }
+                format!("the answer was not read: {error}")
             }
             Err(_) => "the answer was not complete in time".into(),
         };
--- a/cli/src/http_client.rs
+++ b/cli/src/http_client.rs
@@ -209,9 +209,17 @@
         Self::build(0, false, CONNECT_TIMEOUT)
     }
 
-    /// Like [`Self::without_reuse`], with a time to establish each connection.
-    pub fn without_reuse_with_connect_timeout(connect: Duration) -> Self {
-        Self::build(0, false, connect)
+    /// Like [`Self::without_reuse`], with a time to establish each connection
+    /// and the size of its receive buffer. By default, the system lets it grow
+    /// to several megabytes.
+    pub(crate) fn without_reuse_with_receive_buffer(
+        connect: Duration,
+        receive_buffer: ByteSize,
+    ) -> Self {
+        let mut connector = tcp_connector(connect);
+        let size = usize::try_from(receive_buffer.get()).unwrap_or(usize::MAX);
+        connector.set_recv_buffer_size(Some(size));
+        Self::build_with(connector, 0, false)
     }
 
     fn build(max_idle: usize, retry: bool, connect: Duration) -> Self {
--- a/cli/src/server.rs
+++ b/cli/src/server.rs
@@ -121,13 +121,25 @@
 
 /// Opens the listener for callers, with a bounded send buffer and accept queue.
 pub fn bind_callers(address: SocketAddr) -> io::Result<TcpListener> {
+    bind_with_receive_buffer(address, None)
+}
+
+/// Like [`bind_callers`], with the size of the receive buffer of connections;
+/// `None` leaves it to the system, which lets it grow to several megabytes.
+pub(crate) fn bind_with_receive_buffer(
+    address: SocketAddr,
+    receive_buffer: Option<u32>,
+) -> io::Result<TcpListener> {
     let socket = match address {
         SocketAddr::V4(_) => TcpSocket::new_v4()?,
         SocketAddr::V6(_) => TcpSocket::new_v6()?,
     };
     socket.set_reuseaddr(true)?;
-    // Accepted connections inherit the size.
+    // Accepted connections inherit the sizes.
     socket.set_send_buffer_size(SEND_BUFFER_BYTES)?;
+    if let Some(size) = receive_buffer {
+        socket.set_recv_buffer_size(size)?;
+    }
     socket.bind(address)?;
     socket.listen(ACCEPT_QUEUE)
 }
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -25,6 +25,7 @@
 pub mod kv_split;
 pub mod load_table;
 pub mod member_table;
+pub mod memory_account;
 pub mod placement;
 pub mod prefill_gate;
 pub mod prompt_quarantine;
--- a/lib/src/gateway/gateway_settings.rs
+++ b/lib/src/gateway/gateway_settings.rs
@@ -145,6 +145,19 @@
 const RESERVED_DESCRIPTORS: u64 = 200;
 /// Descriptors of one request: the caller's connection and the upstream's.
 const DESCRIPTORS_PER_REQUEST: u64 = 2;
+/// Part of the memory for bodies, answers and queued events, in sixteenths.
+/// The parts below and the receive buffers leave a quarter for everything else.
+const ACCOUNT_SIXTEENTHS: u64 = 7;
+/// Part of the memory for bytes that callers have sent and the process has not
+/// read, in sixteenths.
+const CALLER_SOCKET_SIXTEENTHS: u64 = 3;
+/// The same for bytes of upstreams.
+const UPSTREAM_SOCKET_SIXTEENTHS: u64 = 2;
+/// Smallest receive buffer of a socket: a few packets.
+const RECEIVE_BUFFER_MIN: u64 = 8 << 10;
+/// Largest receive buffer of a socket. It allows 13 MB/s over a round trip of
+/// 5 ms.
+const RECEIVE_BUFFER_MAX: u64 = 64 << 10;
 
 impl GatewaySettings {
     /// Reads and checks a settings file.
@@ -215,9 +228,28 @@
         (sockets / DESCRIPTORS_PER_REQUEST).max(1)
     }
 
-    /// Most bytes of buffered request bodies: a quarter of the memory.
-    pub fn body_bytes_max(&self) -> ByteSize {
-        ByteSize::new(self.memory_mb * (1 << 20) / 4)
+    /// Size of the account of bodies, answers and queued events.
+    pub fn account_bytes(&self) -> ByteSize {
+        ByteSize::new(self.memory_part(ACCOUNT_SIXTEENTHS))
+    }
+
+    /// Receive buffer of a caller's connection.
+    pub fn caller_receive_buffer(&self) -> ByteSize {
+        self.receive_buffer(CALLER_SOCKET_SIXTEENTHS)
+    }
+
+    /// Receive buffer of a connection to an upstream.
+    pub fn upstream_receive_buffer(&self) -> ByteSize {
+        self.receive_buffer(UPSTREAM_SOCKET_SIXTEENTHS)
+    }
+
+    fn receive_buffer(&self, sixteenths: u64) -> ByteSize {
+        let size = self.memory_part(sixteenths) / self.connections_max();
+        ByteSize::new(size.clamp(RECEIVE_BUFFER_MIN, RECEIVE_BUFFER_MAX))
+    }
+
+    fn memory_part(&self, sixteenths: u64) -> u64 {
+        self.memory_mb * (1 << 20) / 16 * sixteenths
     }
 }
 
--- a/lib/tests/gateway/main.rs
+++ b/lib/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 mod test_engine_limits;
 mod test_heartbeat_relay;
 mod test_members;
+mod test_memory_account;
 mod test_placement;
 mod test_prompt_quarantine;
 mod test_reachability;
