--- a/lib/tests/gateway/main.rs
+++ b/lib/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod test_late_entries;
 mod test_long_prompts;
 mod test_members;
+mod test_memory_account;
 mod test_placement;
 mod test_planned_stop;
 mod test_prompt_quarantine;
