gateway: read refused bodies to their end during a planned stop

The rest of a refused body was not read any more once a stop had begun, so that its sender saw a reset in place of the refusal. It is read until the stop ends.

--- a/cli/src/gateway/body.rs
+++ b/cli/src/gateway/body.rs
@@ -210,9 +210,16 @@
     let context = context.clone();
     tokio::spawn(async move {
         let mut body = Limited::new(body, to_length(limit));
-        while !context.is_stopping() {
+        let stop = context.wait_until_stop_ends();
+        tokio::pin!(stop);
+        loop {
             let until = deadline.min(Instant::now() + DISCARD_TIMEOUT);
-            match tokio::time::timeout_at(until, body.frame()).await {
+            let frame = tokio::select! {
+                biased;
+                _ = &mut stop => return,
+                frame = tokio::time::timeout_at(until, body.frame()) => frame,
+            };
+            match frame {
                 Ok(Some(Ok(_))) => {}
                 _ => return,
             }
