gateway: end waits for memory and bodies with a planned stop

A review of the stop found waits that it did not end: a prompt that waits for memory is not placed, so it was never compared with the time left, and the pauses before the next placement did not heed the stop; the refusal of a body that still arrived was reset, since its rest was not read. The learned share of short answers was also applied to the prefill of long prompts, and to placements without a stop.

Waits for memory are checked and end with the stop, the rest of a refused body is read, and only the decoding time is learned: the share that covers 99 of 100 recent answers. A stop that begins while memory is reserved is heeded before the send.

New connections are accepted for 2.9 s of a stop again.

--- a/cli/src/gateway.rs
+++ b/cli/src/gateway.rs
@@ -68,10 +68,12 @@
 
 /// Time for which callers may cache an answer of the directory.
 const ADDRESS_TTL: Duration = Duration::from_secs(2);
-/// Time for which new connections are accepted after a planned stop has begun:
-/// some callers keep an answer of the directory three times as long as they
-/// may.
-const STOP_ACCEPTING_AFTER: Duration = ADDRESS_TTL.saturating_mul(3);
+/// Time for which new connections are accepted after a planned stop has begun.
+/// By then most callers have queried the directory again. Others find the port
+/// closed and use another address at once; a refusal would let them come back
+/// to this one.
+const STOP_ACCEPTING_AFTER: Duration =
+    ADDRESS_TTL.saturating_add(Duration::from_millis(900));
 /// Connect timeout for the store.
 const STORE_CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
 
--- a/cli/src/gateway/body.rs
+++ b/cli/src/gateway/body.rs
@@ -103,7 +103,15 @@
     let wait = caller.timeout.unwrap_or(DEFAULT_BODY_TIMEOUT);
     let deadline = Instant::now() + wait;
     let read = collect(context, &mut body, MemoryUse::Body, limit, wait);
-    let error = match tokio::time::timeout_at(deadline, read).await {
+    let read = tokio::select! {
+        biased;
+        read = tokio::time::timeout_at(deadline, read) => read,
+        refusal = context.wait_until_stop_ends() => {
+            discard(body, limit, deadline);
+            return Err(refusal);
+        }
+    };
+    let error = match read {
         Ok(Ok(bytes)) => return Ok(Some(BufferedBody(bytes))),
         Ok(Err(error)) => error,
         Err(_) => {
@@ -113,7 +121,7 @@
     };
     let text = error.to_string();
     if error.is_overload() {
-        discard(context, body, limit, deadline);
+        discard(body, limit, deadline);
         let mut core = context.core();
         return Err(core.retryable_refusal(RefusalCode::Overloaded, &text));
     }
@@ -201,25 +209,12 @@
 
 /// Reads and drops the rest of a refused body. A connection that is closed
 /// with unread bytes is reset, and the sender would not see the refusal.
-fn discard<W: GatewayWire>(
-    context: &SharedGateway<W>,
-    body: Incoming,
-    limit: ByteSize,
-    deadline: Instant,
-) {
-    let context = context.clone();
+fn discard(body: Incoming, limit: ByteSize, deadline: Instant) {
     tokio::spawn(async move {
         let mut body = Limited::new(body, to_length(limit));
-        let stop = context.wait_until_stop_ends();
-        tokio::pin!(stop);
         loop {
             let until = deadline.min(Instant::now() + DISCARD_TIMEOUT);
-            let frame = tokio::select! {
-                biased;
-                _ = &mut stop => return,
-                frame = tokio::time::timeout_at(until, body.frame()) => frame,
-            };
-            match frame {
+            match tokio::time::timeout_at(until, body.frame()).await {
                 Ok(Some(Ok(_))) => {}
                 _ => return,
             }
--- a/cli/src/gateway/delegate.rs
+++ b/cli/src/gateway/delegate.rs
@@ -126,11 +126,7 @@
     }
     let time_left = Duration::from_millis(data.time_left_ms);
     caller.timeout = Some(time_left);
-    let body = tokio::select! {
-        biased;
-        body = read_body(context, &caller, body) => body?,
-        refusal = context.wait_until_stop_ends() => return Err(refusal),
-    };
+    let body = read_body(context, &caller, body).await?;
     let target = (&*caller.host, head.uri.path());
     let admitted = context.core().admit_delegated(
         data.config_version,
--- a/cli/src/gateway/forward.rs
+++ b/cli/src/gateway/forward.rs
@@ -8,6 +8,7 @@
 
 use borageline_lib::{
     gateway::{
+        answer_durations::AnswerForecast,
         attempt::{AttemptRecord, NextStep, SendOutcome},
         gateway_core::{
             AdmittedRequest, FailedPaths, NotPlaced, PlacementRequest,
@@ -85,8 +86,8 @@
     /// Sends made so far.
     pub(super) sends: u32,
     pub(super) timings: RequestTimings,
-    /// Time of the last direct send, and the longest duration of its answer.
-    pub(super) forecast: Option<(Timestamp, Duration)>,
+    /// Predicted times of the answer to the last direct send.
+    pub(super) forecast: Option<AnswerForecast>,
     /// Limit that the last upstream named in its reply.
     upstream_limit: Option<RequestLimit>,
     /// Whether the end was recorded; otherwise the caller has left.
@@ -162,12 +163,7 @@
             return reject(context, None, &refusal);
         }
     };
-    let body = tokio::select! {
-        biased;
-        body = read_body(context, &caller, body) => body,
-        refusal = context.wait_until_stop_ends() => Err(refusal),
-    };
-    let body = match body {
+    let body = match read_body(context, &caller, body).await {
         Ok(body) => body,
         Err(refusal) => return reject(context, Some(&caller), &refusal),
     };
@@ -399,7 +395,10 @@
         match self.send_path() {
             SendPath::Direct => self.send_direct(resume_after, wait).await,
             SendPath::Delegate(ip) => {
-                self.check_delegation(resume_after)?;
+                let is_resumed = resume_after != self.request.resume_after;
+                let request = self.placement_request(is_resumed);
+                let forecast = self.context.core().unplaced_forecast(&request);
+                self.check_stop(is_resumed, forecast)?;
                 self.send_through(ip, resume_after, wait).await
             }
             SendPath::None(refusal) => Err(SendError::Refused(refusal)),
@@ -431,6 +430,8 @@
             .place_with_memory(is_resumed)
             .await
             .map_err(SendError::Refused)?;
+        // A planned stop may have begun while memory was reserved.
+        self.check_stop(is_resumed, started.forecast)?;
         let metadata = DispatchMetadata {
             upstream: started.entry.id.clone(),
             time_left: self.time_left(),
@@ -455,7 +456,7 @@
         };
         let request = self.upstream_request(&metadata, &started);
         let begun_at = self.context.now();
-        self.forecast = started.duration.map(|duration| (begun_at, duration));
+        self.forecast = started.forecast;
         let sent = tokio::select! {
             biased;
             sent = self.context.upstreams.send(target, request) => sent,
@@ -632,7 +633,7 @@
                         return Err(refusal);
                     }
                     drop(in_flight);
-                    tokio::time::sleep(RESERVATION_RETRY_PAUSE).await;
+                    self.pause(RESERVATION_RETRY_PAUSE).await?;
                 }
             }
         }
@@ -652,19 +653,28 @@
         }
     }
 
-    /// Whether a planned stop lets the request be sent through another
-    /// instance.
-    fn check_delegation(
+    /// Refuses the request if a planned stop leaves too little time for it.
+    fn check_stop(
         &self,
-        resume_after: Option<u64>,
+        is_resumed: bool,
+        forecast: Option<AnswerForecast>,
     ) -> Result<(), SendError> {
-        let is_resumed = resume_after != self.request.resume_after;
         let request = self.placement_request(is_resumed);
         let now = self.context.now();
-        let checked = self.context.core().check_delegation(now, &request);
+        let checked = self.context.core().check_stop(now, &request, forecast);
         checked.map_err(SendError::Refused)
     }
 
+    /// Waits before the next placement. Fails if a planned stop ends the
+    /// request meanwhile.
+    async fn pause(&self, pause: Duration) -> Result<(), Refusal> {
+        tokio::select! {
+            biased;
+            () = tokio::time::sleep(pause) => Ok(()),
+            refusal = self.context.wait_until_stop_ends() => Err(refusal),
+        }
+    }
+
     /// Chooses an upstream; waits as long as the prompt is deferred.
     async fn place(&self, is_resumed: bool) -> Result<StartedRequest, Refusal> {
         let mut deferred = None;
@@ -686,7 +696,7 @@
                         DeferredPrompt::new(self.context.clone(), prefill)
                     });
                     let spread = 0.75 + 0.5 * rand::random::<f64>();
-                    tokio::time::sleep(pause.mul_f64(spread)).await;
+                    self.pause(pause.mul_f64(spread)).await?;
                 }
             }
         }
@@ -726,7 +736,9 @@
                 prompt = self.prompt_tokens(),
                 parts = self.content_ids(),
                 expected_ms = started.time_to_first_event.as_millis(),
-                longest_ms = started.duration.map_or(0, |it| it.as_millis()),
+                longest_ms = started
+                    .forecast
+                    .map_or(0, |it| it.longest().as_millis()),
                 time_left_ms = self.time_left().as_millis(),
             },
             "send {} to {}", self.sends + 1, started.entry.address,
--- a/cli/src/gateway/stream.rs
+++ b/cli/src/gateway/stream.rs
@@ -463,18 +463,25 @@
             self.attempt.record_sound_prompt(begun_at);
         }
         context.core().record_success(&reply.upstream);
-        if let (1, Some((sent_at, longest))) =
-            (self.attempt.sends, self.attempt.forecast)
-        {
-            let actual = context.now().since(sent_at);
-            let service = &self.attempt.admitted.service;
-            context.core().record_duration(service, longest, actual);
-        }
+        self.record_decoding();
         let events = self.cursor.events();
         let text = format!("{events} events of {}", reply.upstream);
         self.attempt.record_end(RequestEnd::Answered, &text);
     }
 
+    /// Records the decoding time of an answer that came from one upstream.
+    fn record_decoding(&self) {
+        let attempt = &self.attempt;
+        let times = (attempt.forecast, attempt.timings.first_event);
+        if let (1, (Some(forecast), Some(first_event))) = (attempt.sends, times)
+        {
+            let actual = attempt.elapsed().saturating_sub(first_event);
+            let service = &attempt.admitted.service;
+            let mut core = attempt.context.core();
+            core.record_decoding(service, &forecast, actual);
+        }
+    }
+
     async fn abort(&mut self, text: &str) {
         self.attempt.record_end(RequestEnd::BrokenOff, text);
         let error = io::Error::other("the stream was broken off");
--- a/lib/src/gateway/answer_durations.rs
+++ b/lib/src/gateway/answer_durations.rs
@@ -1,4 +1,4 @@
-//! Learns how long answers take compared with their predictions.
+//! Learns how long answers are decoded compared with their predictions.
 //!
 //! The prediction for a prompt covers the most tokens that its answer may have,
 //! while most answers are much shorter. Whether a request can end before a
@@ -12,14 +12,33 @@
 
 use crate::ids::ServiceName;
 
+/// Longest predicted decoding time from which something is learned.
+const PREDICTION_MAX: Duration = Duration::from_secs(120);
 /// Recent answers of a service that are remembered.
 const SAMPLES_MAX: usize = 256;
 /// Answers from which on their durations replace the prediction.
 const SAMPLES_MIN: usize = 32;
 /// Share of the recent answers that an expected duration covers.
-const COVERED_SHARE: f64 = 0.97;
+const COVERED_SHARE: f64 = 0.99;
 
-/// Durations of the recent answers of each service, as shares of their
+/// Predicted times of an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AnswerForecast {
+    /// Time from the send to the first event, or to a whole answer.
+    pub first_event: Duration,
+    /// Longest time from the first event to the end, by the tokens that the
+    /// answer may have.
+    pub decoding: Duration,
+}
+
+impl AnswerForecast {
+    /// Longest time from the send to the end of the answer.
+    pub fn longest(&self) -> Duration {
+        self.first_event.saturating_add(self.decoding)
+    }
+}
+
+/// Decoding times of the recent answers of each service, as shares of their
 /// predictions.
 #[derive(Clone, Debug, Default)]
 pub struct AnswerDurations {
@@ -27,14 +46,15 @@
 }
 
 impl AnswerDurations {
-    /// Records the duration of an answer that is complete.
+    /// Records the decoding time of an answer that is complete. A prediction
+    /// above [`PREDICTION_MAX`] says nothing of the answer.
     pub fn record(
         &mut self,
         service: &ServiceName,
         predicted: Duration,
         actual: Duration,
     ) {
-        if predicted.is_zero() {
+        if predicted.is_zero() || predicted > PREDICTION_MAX {
             return;
         }
         let shares = self.services.entry(service.clone()).or_default();
@@ -49,7 +69,7 @@
         self.services.retain(|service, _| is_configured(service));
     }
 
-    /// Duration that few answers with this prediction exceed.
+    /// Decoding time that few answers with this prediction exceed.
     pub fn expected(
         &self,
         service: &ServiceName,
--- a/lib/src/gateway/gateway_core.rs
+++ b/lib/src/gateway/gateway_core.rs
@@ -27,7 +27,7 @@
     links::{FailedPaths, SILENCE_MIN, SendPath},
 };
 use super::{
-    answer_durations::AnswerDurations,
+    answer_durations::{AnswerDurations, AnswerForecast},
     dispatch_rate::DispatchLimiter,
     gateway_settings::GatewaySettings,
     load_table::{InFlightId, LoadTable},
@@ -145,9 +145,8 @@
     pub time_to_first_event: Duration,
     /// Mean prefill time that was left on the chosen engines.
     pub backlog: Duration,
-    /// Longest time from now to the end of the answer, by the tokens that it may
-    /// have; `None` if nothing is known of it.
-    pub duration: Option<Duration>,
+    /// Predicted times of the answer; `None` if nothing is known of it.
+    pub forecast: Option<AnswerForecast>,
     /// Whether a heartbeat should be sent at once, so that other instances
     /// include the request in their placements.
     pub needs_heartbeat: bool,
--- a/lib/src/gateway/gateway_core/placing.rs
+++ b/lib/src/gateway/gateway_core/placing.rs
@@ -4,10 +4,11 @@
 
 use super::{
     GatewayCore, NotPlaced, PlacementRequest, StartedRequest, memory_wait_max,
-    planned_stop::predicted_duration,
+    planned_stop::answer_forecast,
 };
 use crate::{
     gateway::{
+        answer_durations::AnswerForecast,
         cost_model::EngineProfile,
         engine_limits::EngineLimits,
         placement::{
@@ -109,8 +110,9 @@
             return Err(self.no_placement(now, request, prompt));
         };
         let load = loads.get(&placed.upstream).copied().unwrap_or_default();
-        let duration = predicted_duration(request, &spec, &placed, &load);
-        self.check_stop(now, request, duration)
+        let first_event = placed.time_to_first_event;
+        let forecast = answer_forecast(request, &spec, &load, first_event);
+        self.check_stop(now, request, forecast)
             .map_err(NotPlaced::Refused)?;
         let gated = placed.in_flight.long && !request.is_resumed;
         if let (true, Some(engine), Some(size)) =
@@ -119,7 +121,7 @@
             let prefill = engine.prefill_time(size.prompt);
             self.check_gate(request, &placed, prefill, &limits)?;
         }
-        Ok(self.start_request(now, placed, duration))
+        Ok(self.start_request(now, placed, forecast))
     }
 
     /// Limits on the load of a service's engines; without meaning for other
@@ -195,6 +197,10 @@
             return NotPlaced::Refused(refusal.with_retry_after(wait));
         };
         let prefill = engine.prefill_time(size.prompt);
+        let forecast = self.unplaced_forecast(request);
+        if let Err(refusal) = self.check_stop(now, request, forecast) {
+            return NotPlaced::Refused(refusal);
+        }
         let target = request.admitted.route.latency_target;
         let wait_max = memory_wait_max(target);
         let first_event = request.waited + shared_prefill_min(prefill);
@@ -223,7 +229,7 @@
         &mut self,
         now: Timestamp,
         placed: Placement,
-        duration: Option<Duration>,
+        forecast: Option<AnswerForecast>,
     ) -> StartedRequest {
         let tracked = |id: &UpstreamId| {
             self.upstreams
@@ -252,7 +258,7 @@
             in_flight_id,
             time_to_first_event: placed.time_to_first_event,
             backlog: placed.backlog,
-            duration,
+            forecast,
             needs_heartbeat,
             entry_age,
         }
--- a/lib/src/gateway/gateway_core/planned_stop.rs
+++ b/lib/src/gateway/gateway_core/planned_stop.rs
@@ -7,8 +7,8 @@
 use super::{GatewayCore, PlacementRequest};
 use crate::{
     gateway::{
+        answer_durations::AnswerForecast,
         load_table::UpstreamLoad,
-        placement::Placement,
         planned_stop::{PlannedStop, SendForecast},
         routing_config::{AnswerForm, ServiceSpec},
     },
@@ -46,97 +46,88 @@
         Refusal::new(RefusalCode::Stopping, text).with_retry_after(wait)
     }
 
-    /// Records the duration of a complete answer, and what was predicted when
-    /// it was sent.
-    pub fn record_duration(
+    /// Records the decoding time of a complete answer, and what was predicted
+    /// when it was sent.
+    pub fn record_decoding(
         &mut self,
         service: &ServiceName,
-        predicted: Duration,
+        forecast: &AnswerForecast,
         actual: Duration,
     ) {
-        self.answer_durations.record(service, predicted, actual);
+        self.answer_durations
+            .record(service, forecast.decoding, actual);
+    }
+
+    /// Predicted times of a request that is not placed yet, or by another
+    /// instance; `None` if nothing is known of it.
+    pub fn unplaced_forecast(
+        &self,
+        request: &PlacementRequest<'_>,
+    ) -> Option<AnswerForecast> {
+        let config = self.config.as_ref()?;
+        let spec = config.find_service(&request.admitted.service)?;
+        let first_event = request.admitted.route.latency_target;
+        answer_forecast(request, spec, &UpstreamLoad::default(), first_event)
     }
 
     /// Refuses a request that could not end before a planned stop does. One
     /// whose caller already has a part of the answer goes on: a refusal would
     /// cut it off, too.
-    pub(super) fn check_stop(
+    pub fn check_stop(
         &mut self,
         now: Timestamp,
         request: &PlacementRequest<'_>,
-        duration: Option<Duration>,
+        forecast: Option<AnswerForecast>,
     ) -> Result<(), Refusal> {
+        let Some(stop) = self.stop.filter(|_| !request.is_resumed) else {
+            return Ok(());
+        };
         let service = &request.admitted.service;
-        let durations = &self.answer_durations;
-        let expected =
-            duration.map(|longest| durations.expected(service, longest));
-        let forecast = SendForecast {
+        let expected = forecast.map(|forecast| {
+            let durations = &self.answer_durations;
+            let decoding = durations.expected(service, forecast.decoding);
+            forecast.first_event.saturating_add(decoding)
+        });
+        let send = SendForecast {
             retry_safety: request.admitted.route.retry_safety,
             time_left: request.time_left,
             expected,
-            longest: duration,
+            longest: forecast.map(|forecast| forecast.longest()),
         };
-        let allowed = request.is_resumed
-            || self
-                .stop
-                .is_none_or(|stop| stop.allows_send(now, &forecast));
-        if allowed {
+        if stop.allows_send(now, &send) {
             return Ok(());
         }
         Err(self.stop_refusal())
     }
-
-    /// Like [`Self::place`], for a request that another instance will place:
-    /// refuses it if it could not end before a planned stop does.
-    pub fn check_delegation(
-        &mut self,
-        now: Timestamp,
-        request: &PlacementRequest<'_>,
-    ) -> Result<(), Refusal> {
-        let config = self.config.as_ref();
-        let spec = config
-            .and_then(|it| it.find_service(&request.admitted.service))
-            .cloned();
-        let duration = spec.and_then(|spec| {
-            let first = request.admitted.route.latency_target;
-            answer_duration(request, &spec, &UpstreamLoad::default(), first)
-        });
-        self.check_stop(now, request, duration)
-    }
 }
 
-/// Predicted time from now to the end of the answer of a placed request, given
-/// the load of its upstream without it; `None` if nothing is known of it.
-pub(super) fn predicted_duration(
-    request: &PlacementRequest<'_>,
-    spec: &ServiceSpec,
-    placed: &Placement,
-    load: &UpstreamLoad,
-) -> Option<Duration> {
-    answer_duration(request, spec, load, placed.time_to_first_event)
-}
-
-/// Predicted time to the end of an answer whose first event comes after
-/// `first_event`.
-fn answer_duration(
+/// Predicted times of an answer whose first event comes after `first_event`,
+/// given the load of its upstream without it; `None` if nothing is known of it.
+pub(super) fn answer_forecast(
     request: &PlacementRequest<'_>,
     spec: &ServiceSpec,
     load: &UpstreamLoad,
     first_event: Duration,
-) -> Option<Duration> {
+) -> Option<AnswerForecast> {
     let route = &request.admitted.route;
     match (&spec.engine, request.size) {
         (Some(engine), Some(size)) => {
             let own = size.prompt.saturating_add(size.output_max);
             let context = own.saturating_add(TokenCount::new(load.kv_tokens));
             let sequences = load.requests().saturating_add(1);
-            let decoding =
-                engine.decode_time(size.output_max, sequences, context);
-            Some(first_event.saturating_add(decoding))
-        }
-        _ if route.form == AnswerForm::Whole => {
-            Some(route.latency_target.mul_f64(WHOLE_ANSWER_TARGETS))
+            Some(AnswerForecast {
+                first_event,
+                decoding: engine.decode_time(
+                    size.output_max,
+                    sequences,
+                    context,
+                ),
+            })
         }
+        _ if route.form == AnswerForm::Whole => Some(AnswerForecast {
+            first_event: route.latency_target.mul_f64(WHOLE_ANSWER_TARGETS),
+            decoding: Duration::ZERO,
+        }),
         _ => None,
     }
 }
--- a/lib/tests/gateway/test_planned_stop.rs
+++ b/lib/tests/gateway/test_planned_stop.rs
@@ -52,16 +52,20 @@
     assert_eq!(place(&mut core, now, 4_960), refused);
 }
 
-/// Guards against a deferred prompt that keeps waiting in a stop although it
-/// cannot start in time, and so is never refused.
-#[test]
-fn test_planned_stop_refuses_deferred_prompts() {
+/// Guards against a prompt that keeps waiting in a stop, for its turn or for
+/// memory, although it cannot start in time, and so is never refused.
+#[rstest]
+#[case::for_its_turn(20_000)]
+#[case::for_memory(140_000)]
+fn test_planned_stop_refuses_waiting_prompts(#[case] prompt: u64) {
     let mut core = core(1);
     for _ in 0..2 {
         place(&mut core, at(1_000), 140_000);
     }
     let waiting = admitted(&mut core, at(1_010));
-    let request = placement_request(&waiting, 20_000);
+    let request = placement_request(&waiting, prompt);
+    let before = core.place(at(1_010), &request).map(|_| ());
+    assert!(matches!(before, Err(NotPlaced::Defer { .. })), "{before:?}");
     core.begin_stop(at(1_010));
     let late = at(1_000 + 6_500);
     let refused = core.place(late, &request).map(|_| ());
