--- a/lib/tests/gateway/test_planned_stop.rs
+++ b/lib/tests/gateway/test_planned_stop.rs
@@ -55,20 +55,24 @@
 /// Guards against a prompt that keeps waiting in a stop, for its turn or for
 /// memory, although it cannot start in time, and so is never refused.
 #[rstest]
-#[case::for_its_turn(20_000)]
-#[case::for_memory(140_000)]
-fn test_planned_stop_refuses_waiting_prompts(#[case] prompt: u64) {
+#[case::for_its_turn(40_000, 0)]
+#[case::for_memory(70_000, 2_000)]
+fn test_planned_stop_refuses_waiting_prompts(
+    #[case] prompt: u64,
+    #[case] interval_ms: u64,
+) {
     let mut core = core(1);
-    for _ in 0..2 {
-        place(&mut core, at(1_000), 140_000);
+    let admitted = admitted(&mut core, at(1_000));
+    let request = placement_request(&admitted, prompt);
+    let mut now_ms = 1_000;
+    let mut before = core.place(at(now_ms), &request);
+    while before.is_ok() {
+        now_ms += interval_ms;
+        before = core.place(at(now_ms), &request);
     }
-    let waiting = admitted(&mut core, at(1_010));
-    let request = placement_request(&waiting, prompt);
-    let before = core.place(at(1_010), &request).map(|_| ());
     assert!(matches!(before, Err(NotPlaced::Defer { .. })), "{before:?}");
-    core.begin_stop(at(1_010));
-    let late = at(1_000 + 6_500);
-    let refused = core.place(late, &request).map(|_| ());
+    core.begin_stop(at(now_ms));
+    let refused = core.place(at(now_ms + 7_400), &request).map(|_| ());
     let Err(NotPlaced::Refused(refusal)) = refused else {
         panic!("the prompt is neither sent nor refused: {refused:?}");
     };
