--- a/lib/src/gateway/answer_durations.rs
+++ b/lib/src/gateway/answer_durations.rs
@@ -47,7 +47,7 @@
 
 impl AnswerDurations {
     /// Records the decoding time of an answer that is complete. A prediction
-    /// above [`PREDICTION_MAX`] says nothing of the answer.
+    /// far beyond usual answers says nothing and is ignored.
     pub fn record(
         &mut self,
         service: &ServiceName,
