--- a/cli/src/logging/bounded.rs
+++ b/cli/src/logging/bounded.rs
@@ -145,7 +145,7 @@
         Ok(())
     }
 
-    /// Waits until the queued lines are written, at most [`FLUSH_TIMEOUT`].
+    /// Waits until the queued lines are written, for a bounded time.
     fn flush(&self) -> Result<(), Error> {
         let until = Instant::now() + FLUSH_TIMEOUT;
         let (written, receiver) = sync_channel(1);
