serve: read an instance list that holds odd lines

One line that another writer had left (very deeply nested, with a number too large, a port out of range or without a field) rejected the whole instance list, and the instances stopped following it: an upstream that left or came was not noticed.

Each line is read by itself now, and one that cannot be read names no process.

--- a/lib/src/platform_api.rs
+++ b/lib/src/platform_api.rs
@@ -3,6 +3,9 @@
 
 use std::net::SocketAddr;
 
+use serde::{Deserialize, Deserializer};
+use serde_json::value::RawValue;
+
 use crate::{
     ids::{DomainId, ServiceName},
     units::{LogOffset, LogTime},
@@ -59,11 +62,25 @@
     /// Response body of `GET /v1/instances`.
     #[derive(Default)]
     pub struct InstanceListing {
-        /// Instances and upstreams that are running or shutting down.
+        /// Instances and upstreams that are running or shutting down. Lines that
+        /// cannot be read name no process and are left out.
+        #[serde(deserialize_with = "readable_processes")]
         pub instances: Vec<ListedProcess>,
     }
 }
 
+/// Reads each line by itself: another writer may have left an odd one, which
+/// must not hide the others.
+fn readable_processes<'de, D: Deserializer<'de>>(
+    deserializer: D,
+) -> Result<Vec<ListedProcess>, D::Error> {
+    let lines = Vec::<Box<RawValue>>::deserialize(deserializer)?;
+    let processes = lines.iter();
+    Ok(processes
+        .filter_map(|line| serde_json::from_str(line.get()).ok())
+        .collect())
+}
+
 value_type! {
     /// A process in the instance list: a borageline instance or an upstream.
     pub struct ListedProcess {
