gateway: use upstreams that are listed again when they are known to be back

Callers' requests, calls that may run only once among them, reached upstreams up to 3.1 s after their entry was removed: the store had carried out an entry of the process late, and it made the upstream a candidate again.

Cause: compares the number of an entry with the last one that was read. The store's log need not have a record for entries that differ in their number alone, so a late entry has a higher number than any that was read, and passed for a return. No number can tell the two apart.

A process that is listed again after its removal is doubtful now and gets no requests, until it answers a status check, an entry is read 8 s after the removal or later, or its listing outlives the lapse of a late entry. Status checks are sent where the service may lack capacity: several of its upstreams left within 8 s, or no other can serve. While the store recovers and most of a service has lapsed, those listed again are used at once. A later start of a process is no return, nor is what follows the late removal of its former process. An instance that has just started treats unknown upstreams likewise.

--- a/cli/src/gateway.rs
+++ b/cli/src/gateway.rs
@@ -26,6 +26,7 @@
 mod reload;
 mod reservations;
 mod retry_loan;
+mod status_checks;
 mod store_client;
 mod stream;
 mod topic_reader;
@@ -117,6 +118,8 @@
     heartbeat_due: Notify,
     /// Wakes the task that probes upstreams.
     probe_due: Notify,
+    /// Wakes the task that checks the status of upstreams.
+    status_check_due: Notify,
     /// Requests that this instance sends for others.
     delegated_requests: TaskTracker,
 }
@@ -158,6 +161,7 @@
             memory: Arc::new(GatewayMemory::new(account_bytes)),
             heartbeat_due: Notify::new(),
             probe_due: Notify::new(),
+            status_check_due: Notify::new(),
             delegated_requests: TaskTracker::new(),
         }
     }
@@ -220,6 +224,7 @@
     heartbeats::start(&context).await?;
     peer_listener::serve(&context)?;
     links::start(&context);
+    status_checks::start(&context);
     topic_reader::start(&context);
     registration::start(&context);
     prompt_quarantine::start(&context);
--- a/cli/src/gateway/record_applier.rs
+++ b/cli/src/gateway/record_applier.rs
@@ -173,7 +173,11 @@
             .get(&id)
             .map(|upstream| upstream.entry.state);
         core.apply_upstream(now, change);
+        let is_doubtful = core.is_doubtful(now, &id);
         drop(core);
+        if is_doubtful {
+            self.context.status_check_due.notify_one();
+        }
         if before != state {
             log_decision!(
                 LogEvent::UpstreamChanged,
@@ -181,6 +185,7 @@
                     upstream = id,
                     before = format_args!("{before:?}"),
                     state = format_args!("{state:?}"),
+                    doubtful = is_doubtful,
                 },
                 "list entry of {id} changed",
             );
--- a/lib/benches/quarantine.rs
+++ b/lib/benches/quarantine.rs
@@ -109,6 +109,7 @@
             name: id("models"),
             cold_requests_per_s: 26.0,
             engine: Some(engine),
+            status_path: "/status".parse().ok(),
         })
         .with_route(route)
         .with_workspace(workspace, [Arc::from("key-a")])
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -43,5 +43,6 @@
 pub mod store_era;
 pub mod stream_cursor;
 pub mod topic_copy;
+pub mod upstream_return;
 pub mod upstream_table;
 pub mod wire;
--- a/lib/src/gateway/departure_log.rs
+++ b/lib/src/gateway/departure_log.rs
@@ -10,6 +10,7 @@
     time::Duration,
 };
 
+use super::upstream_return::LATE_ENTRY_TIME;
 use crate::{
     ids::UpstreamId,
     units::{Incarnation, Timestamp},
@@ -50,6 +51,9 @@
     pub revision: EntryRevision,
     /// How it left.
     pub kind: DepartureKind,
+    /// Whether its process had just replaced a former one, whose removal may
+    /// have been carried out late.
+    pub follows_restart: bool,
     /// Restores of the store before it left.
     pub restores: u64,
     /// When it left.
@@ -57,6 +61,18 @@
 }
 
 impl DepartedUpstream {
+    /// Whether an entry that is read after the departure may be one that the
+    /// same process wrote before it left.
+    pub fn may_precede(&self, now: Timestamp, revision: EntryRevision) -> bool {
+        // A full read that is older than the entry does not show a departure.
+        let is_read_again =
+            self.kind == DepartureKind::Missing && revision == self.revision;
+        revision.incarnation == self.revision.incarnation
+            && now.since(self.at) < LATE_ENTRY_TIME
+            && !is_read_again
+            && !self.follows_restart
+    }
+
     /// Whether an entry was written before the upstream left, by what the
     /// entry states.
     pub fn supersedes(&self, now: Timestamp, revision: EntryRevision) -> bool {
@@ -97,11 +113,11 @@
         self.departed.insert(id, departed);
     }
 
-    /// Forgets a departure.
-    pub fn remove(&mut self, id: &UpstreamId) {
-        if let Some(departed) = self.departed.remove(id) {
-            self.by_time.remove(&(departed.at, id.clone()));
-        }
+    /// Forgets a departure and returns it.
+    pub fn remove(&mut self, id: &UpstreamId) -> Option<DepartedUpstream> {
+        let departed = self.departed.remove(id)?;
+        self.by_time.remove(&(departed.at, id.clone()));
+        Some(departed)
     }
 
     /// Departure of an upstream; `None` if it is listed or not remembered.
--- a/lib/src/gateway/gateway_core.rs
+++ b/lib/src/gateway/gateway_core.rs
@@ -11,6 +11,7 @@
 mod planned_stop;
 mod quarantine;
 mod request_limits;
+mod status_checks;
 
 use std::{
     collections::BTreeMap,
@@ -25,6 +26,7 @@
 pub use self::{
     heartbeats::{HeartbeatPlan, HeartbeatReceipt},
     links::{FailedPaths, SILENCE_MIN, SendPath},
+    status_checks::StatusCheck,
 };
 use super::{
     answer_durations::{AnswerDurations, AnswerForecast},
@@ -196,6 +198,8 @@
         for seed in &settings.seeds {
             members.add_probe_address(seed.ip());
         }
+        let mut upstreams = UpstreamTable::default();
+        upstreams.set_lapse_time(settings.bounds.lapse_time());
         Self {
             settings,
             incarnation,
@@ -205,7 +209,7 @@
             answer_durations: AnswerDurations::default(),
             store_era: EraTracker::default(),
             restored_until: None,
-            upstreams: UpstreamTable::default(),
+            upstreams,
             load_table: LoadTable::default(),
             retry_budgets: BTreeMap::new(),
             dispatch_limiter: DispatchLimiter::default(),
@@ -227,6 +231,7 @@
                 self.members.add_probe_address(seed.ip());
             }
         }
+        self.upstreams.set_lapse_time(settings.bounds.lapse_time());
         self.settings = settings;
     }
 
--- a/lib/src/gateway/gateway_settings.rs
+++ b/lib/src/gateway/gateway_settings.rs
@@ -103,6 +103,12 @@
     /// from a copy: until upstreams that have left have lapsed, and one more
     /// heartbeat.
     pub fn restore_grace(&self) -> Duration {
+        self.lapse_time()
+    }
+
+    /// Time after which an entry that its upstream no longer writes is gone
+    /// from the list, with one heartbeat for the store and the read.
+    pub fn lapse_time(&self) -> Duration {
         let heartbeat = Duration::from_millis(self.upstream_heartbeat_ms);
         heartbeat * (LAPSE_HEARTBEATS + 1)
     }
--- a/lib/src/gateway/routing_config.rs
+++ b/lib/src/gateway/routing_config.rs
@@ -121,6 +121,56 @@
     /// Speed and capacity of the upstreams if they are engines; `None`
     /// otherwise.
     pub engine: Option<EngineProfile>,
+    /// Path at which the upstreams tell their status; `None` if it is not
+    /// known.
+    pub status_path: Option<StatusPath>,
+}
+
+/// Path at which the upstreams of a service tell whether they serve.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StatusPath(Arc<str>);
+
+impl StatusPath {
+    /// The path as a string slice.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+/// Error for a text that is no path.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StatusPathError(Arc<str>);
+
+impl Display for StatusPathError {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> std::fmt::Result {
+        write!(
+            formatter,
+            "{:?} is no path that begins with a slash",
+            self.0
+        )
+    }
+}
+
+impl std::error::Error for StatusPathError {}
+
+impl Display for StatusPath {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str(&self.0)
+    }
+}
+
+impl FromStr for StatusPath {
+    type Err = StatusPathError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let is_path = text.starts_with('/')
+            && text.parse::<http::uri::PathAndQuery>().is_ok();
+        if is_path {
+            Ok(Self(text.into()))
+        } else {
+            Err(StatusPathError(text.into()))
+        }
+    }
 }
 
 /// Longest name of a workspace in bytes, so that it leaves room for the other
--- a/lib/src/gateway/upstream_table.rs
+++ b/lib/src/gateway/upstream_table.rs
@@ -10,7 +10,9 @@
 //! waiting, so the order in which entries are read is not that in which they
 //! were written. An entry states the start of its process and its number among
 //! the entries of that process. One that precedes the known entry, or the last
-//! one of an upstream that has left ([`DepartureLog`]), is ignored.
+//! one of an upstream that has left ([`DepartureLog`]), is ignored. A later one
+//! of a process that has left is used when the process is known to be back
+//! ([`ReturnTable`]).
 //!
 //! After the store was restored from an earlier copy of itself, the list may be
 //! outdated until the upstreams have written again and those that have left have
@@ -28,6 +30,8 @@
     time::Duration,
 };
 
+use rand::{Rng, seq::IndexedRandom};
+
 use super::{
     departure_log::{
         DEPARTED_TIME, DepartedUpstream, DepartureKind, DepartureLog,
@@ -37,6 +41,7 @@
         LinkChange, LinkGroup, LinkReport, LinkState, LinkTargets,
         ReachabilityTable,
     },
+    upstream_return::{LATE_ENTRY_TIME, ReturnTable},
 };
 use crate::{
     ids::{DomainId, ServiceName, UpstreamId},
@@ -58,6 +63,9 @@
 /// Other instances that must avoid an upstream before this one does; a single
 /// one may itself be cut off.
 const SUSPECTING_INSTANCES_MIN: usize = 2;
+/// Entries of a process that it writes while it starts; a number above shows that
+/// it was listed before.
+const FIRST_ENTRIES: u64 = 3;
 /// Excess of an upstream's failure share over the mean of its service from
 /// which it is avoided.
 const FAILURE_EXCESS: f64 = 0.2;
@@ -156,6 +164,8 @@
     removed: bool,
     /// Restores of the store before the entry was read.
     restores: u64,
+    /// Whether the process has replaced a former one with the same id.
+    is_restarted: bool,
     /// Whether a newer upstream has its address.
     displaced: bool,
     /// Failures since the last success.
@@ -177,6 +187,7 @@
             listed_at: now,
             removed: false,
             restores,
+            is_restarted: false,
             displaced: false,
             failures: 0,
             failure_share: 0.0,
@@ -210,6 +221,10 @@
     /// grace period.
     departures: DepartureLog,
     closed: BTreeSet<DomainId>,
+    /// Listed upstreams that may have left.
+    returns: ReturnTable,
+    /// When the list was first read; `None` before.
+    first_read_at: Option<Timestamp>,
     /// Services of the desired state; `None` before one was read.
     services: Option<BTreeSet<ServiceName>>,
     store_recovered_at: Option<Timestamp>,
@@ -247,10 +262,18 @@
         now < self.outdated_until
     }
 
+    /// Sets the time in which an entry that is not written again lapses.
+    pub fn set_lapse_time(&mut self, time: Duration) {
+        self.returns.set_lapse_time(time);
+    }
+
     /// Applies one change of the list.
     pub fn apply(&mut self, now: Timestamp, change: UpstreamChange) {
         match change {
-            UpstreamChange::Set(entry) => self.set(now, entry),
+            UpstreamChange::Set(entry) => {
+                self.watch_new(now, &entry);
+                self.set(now, entry);
+            }
             UpstreamChange::Removed(id) => {
                 self.remove(now, &id, DepartureKind::Removed);
             }
@@ -283,6 +306,7 @@
         for id in missing {
             self.remove(now, &id, DepartureKind::Missing);
         }
+        self.first_read_at.get_or_insert(now);
     }
 
     /// Whether an entry precedes the newest one of the upstream.
@@ -330,14 +354,92 @@
             upstream.displaced |= other.incarnation < entry.incarnation;
             displaced |= other.incarnation > entry.incarnation;
         }
+        self.watch_return(now, &entry);
         let id = entry.id.clone();
-        self.departures.remove(&id);
-        self.upsert(now, entry);
+        let departed = self.departures.remove(&id);
+        let former = self.upstreams.get(&id).map(|it| it.entry.incarnation);
+        let former = former.or(departed.map(|it| it.revision.incarnation));
+        let is_restarted = former.is_some_and(|it| it != entry.incarnation);
+        self.upsert(now, entry, is_restarted);
         if let Some(upstream) = self.upstreams.get_mut(&id) {
             upstream.displaced = displaced;
         }
     }
 
+    /// Notes whether an entry may be one from before its upstream left.
+    fn watch_return(&mut self, now: Timestamp, entry: &UpstreamEntry) {
+        let departed = self.departures.get(&entry.id);
+        match departed.map(|it| (it.at, it.may_precede(now, entry.revision())))
+        {
+            Some((left_at, true)) => {
+                let needs_check = self.needs_check(now, entry);
+                self.returns.record_return(now, left_at, entry, needs_check);
+            }
+            _ => self.returns.record_entry(now, entry),
+        }
+    }
+
+    /// Notes whether an entry of an unknown upstream may be one from before it
+    /// left: an instance that has just started knows of no removal before.
+    fn watch_new(&mut self, now: Timestamp, entry: &UpstreamEntry) {
+        let Some(first_read_at) = self.first_read_at else {
+            return;
+        };
+        let is_known = self.upstreams.contains_key(&entry.id)
+            || self.departures.get(&entry.id).is_some();
+        let is_first = entry.sequence <= FIRST_ENTRIES;
+        if is_known || is_first || now.since(first_read_at) >= LATE_ENTRY_TIME {
+            return;
+        }
+        let (service, id) = (&entry.service, &entry.id);
+        self.returns.record_departure(first_read_at, service, id);
+        let needs_check = self.needs_check(now, entry);
+        self.returns
+            .record_return(now, first_read_at, entry, needs_check);
+    }
+
+    /// Whether the service of an upstream that is listed again may lack capacity
+    /// without it: it is not the only one that left, or no other can serve.
+    fn needs_check(&self, now: Timestamp, entry: &UpstreamEntry) -> bool {
+        if self.returns.recent_departures(now, &entry.service) > 1 {
+            return true;
+        }
+        let excluded = std::slice::from_ref(&entry.id);
+        let others = self.candidates(now, &entry.service, excluded);
+        others.iter().all(|upstream| upstream.is_avoided(now))
+    }
+
+    /// Processes whose status is to be checked now, at most `limit`, since
+    /// they may have left. Which of them is random, so that instances do not all
+    /// ask the same one.
+    pub fn next_status_checks(
+        &mut self,
+        now: Timestamp,
+        limit: usize,
+        rng: &mut impl Rng,
+    ) -> Vec<UpstreamEntry> {
+        self.returns.expire(now);
+        let due = self.returns.due_checks(now);
+        let mut chosen = Vec::new();
+        for id in due.choose_multiple(rng, limit) {
+            self.returns.begin_check(now, id);
+            let upstream = self.upstreams.get(id);
+            chosen.extend(upstream.map(|it| it.entry.clone()));
+        }
+        chosen
+    }
+
+    /// Records that a process has answered a status check and is not leaving;
+    /// returns whether that was in doubt.
+    pub fn confirm(&mut self, process: &UpstreamProcess) -> bool {
+        self.returns.confirm(process)
+    }
+
+    /// Whether a listed upstream may have left.
+    pub fn is_doubtful(&self, now: Timestamp, id: &UpstreamId) -> bool {
+        self.returns.is_doubtful(now, id)
+    }
+
     /// Replaces the services of the desired state. An entry of another service
     /// names no upstream to use, and does not displace one at its address.
     pub fn set_services(&mut self, services: BTreeSet<ServiceName>) {
@@ -372,7 +474,12 @@
             && newer.all(|other| !self.is_known(&other.service))
     }
 
-    fn upsert(&mut self, now: Timestamp, entry: UpstreamEntry) {
+    fn upsert(
+        &mut self,
+        now: Timestamp,
+        entry: UpstreamEntry,
+        is_restarted: bool,
+    ) {
         match self.upstreams.get_mut(&entry.id) {
             Some(upstream)
                 if upstream.entry.incarnation == entry.incarnation =>
@@ -385,7 +492,9 @@
             }
             _ => {
                 let id = entry.id.clone();
-                let upstream = TrackedUpstream::new(now, entry, self.restores);
+                let mut upstream =
+                    TrackedUpstream::new(now, entry, self.restores);
+                upstream.is_restarted = is_restarted;
                 self.upstreams.insert(id, upstream);
             }
         }
@@ -396,13 +505,18 @@
         let Some(upstream) = self.upstreams.get_mut(id) else {
             return;
         };
+        let listed_for = now.since(upstream.listed_at);
         let departed = DepartedUpstream {
             revision: upstream.entry.revision(),
             kind,
+            follows_restart: upstream.is_restarted
+                && listed_for < LATE_ENTRY_TIME,
             restores: self.restores,
             at: now,
         };
         upstream.removed = true;
+        self.returns
+            .record_departure(now, &upstream.entry.service, id);
         self.link_targets = None;
         self.departures.insert(id.clone(), departed);
         self.expire(now);
@@ -524,12 +638,20 @@
                     && !excluded.contains(&upstream.entry.id)
             })
             .collect();
-        let removed = open.iter().filter(|upstream| upstream.removed).count();
-        let open: Vec<_> = if removed * 2 > open.len() {
+        let is_recovering = self.in_recovery_grace(now);
+        // If most of a service has lapsed, those listed again are back.
+        let trusts_returns = is_recovering
+            && self.returns.recent_departures(now, service) * 2 > open.len();
+        let is_held = |upstream: &TrackedUpstream| {
+            let is_doubtful = self.is_doubtful(now, &upstream.entry.id);
+            upstream.removed || is_doubtful && !trusts_returns
+        };
+        let held = open.iter().filter(|upstream| is_held(upstream)).count();
+        let open: Vec<_> = if is_recovering && held * 2 > open.len() {
             open
         } else {
             open.into_iter()
-                .filter(|upstream| !upstream.removed)
+                .filter(|upstream| !is_held(upstream))
                 .collect()
         };
         let sum: f64 = open.iter().map(|upstream| upstream.failure_share).sum();
--- a/lib/src/gateway/wire.rs
+++ b/lib/src/gateway/wire.rs
@@ -22,7 +22,7 @@
     member_table::Heartbeat,
     placement::PromptSize,
     request_limit::RequestLimit,
-    routing_config::{RoutingConfig, WorkspaceName},
+    routing_config::{RoutingConfig, StatusPath, WorkspaceName},
     store_era::StoreEra,
     upstream_table::UpstreamChange,
 };
@@ -319,6 +319,17 @@
     /// it may be forwarded as it is.
     fn is_authentic_answer(&self, head: &ResponseParts) -> bool;
 
+    /// Creates a status check of an upstream, which no other one answers.
+    fn status_check(
+        &self,
+        upstream: &UpstreamId,
+        path: &StatusPath,
+    ) -> Request<Bytes>;
+
+    /// Whether the reply to a status check says that the upstream serves and is
+    /// not leaving.
+    fn is_serving(&self, upstream: &UpstreamId, head: &ResponseParts) -> bool;
+
     /// Creates the request for a reservation order.
     fn reservation_order(&self, metadata: &ReservationOrder) -> Request<Bytes>;
 }
--- a/lib/tests/gateway/main.rs
+++ b/lib/tests/gateway/main.rs
@@ -21,4 +21,5 @@
 mod test_store_era;
 mod test_stream;
 mod test_topic_copies;
+mod test_upstream_returns;
 mod test_upstreams;
--- a/lib/tests/gateway/test_upstreams.rs
+++ b/lib/tests/gateway/test_upstreams.rs
@@ -172,8 +172,10 @@
         sequence: 6,
         ..entry("i-2")
     };
+    let process = written_again.process();
     table.apply(at(3_000), UpstreamChange::Set(written_again));
     assert_eq!(names(&table, at(3_000)), ["i-2", "i-3"]);
+    assert!(table.confirm(&process), "its status is checked");
     // The entry of i-1 did not lapse in the store, so the upstream is there.
     table.replace(until, copied());
     assert_eq!(names(&table, until), ["i-1", "i-2", "i-3"]);
