gateway, serve: answer on connections made just before a planned stop closes

Cause: the listener's close began a graceful shutdown of all connections, and that closes at once what has not begun a request. A connection that was just accepted is in that state: its first request is on the way. Connections that the system had established, but the process had not accepted, were reset.

The first request of a connection is now awaited for 500 ms, and connections that are established when the listener closes are accepted. Whether a request that arrives there is served is decided as before, by the time left.

--- a/cli/src/gateway/caller_listener.rs
+++ b/cli/src/gateway/caller_listener.rs
@@ -15,15 +15,15 @@
 use http_body::{Body, Frame};
 use http_body_util::{Either, Full};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
-use hyper_util::{
-    rt::{TokioIo, TokioTimer},
-    server::graceful::{GracefulShutdown, Watcher},
-};
+use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{net::TcpStream, sync::mpsc};
 use tokio_util::sync::CancellationToken;
 
 use super::{SharedGateway, forward, listener::accept_connections};
-use crate::{logging, server::bind_with_receive_buffer};
+use crate::{
+    listener_connections::ListenerConnections, logging,
+    server::bind_with_receive_buffer,
+};
 
 /// Largest read buffer of one connection.
 const CONNECTION_BUFFER_BYTES: usize = 64 << 10;
@@ -61,19 +61,23 @@
         .map(|address| bind_with_receive_buffer(address, Some(buffer)))
         .transpose()?;
     let task = tokio::spawn(async move {
-        let graceful = GracefulShutdown::new();
+        let connections = ListenerConnections::default();
         if let Some(listener) = listener {
             accept_connections(listener, &stop, |stream| {
                 let open = context.open_connections.load(Ordering::Relaxed);
                 // Above the limit, a connection is closed before anything is
                 // read, so the caller can tell that the request did not run.
                 let free = open < context.settings().connections_max();
-                let watcher = graceful.watcher();
-                free.then(|| serve_connection(context.clone(), stream, watcher))
+                let served = serve_connection(
+                    context.clone(),
+                    stream,
+                    connections.clone(),
+                );
+                free.then(|| connections.track(served))
             })
             .await;
         }
-        graceful.shutdown().await;
+        connections.close_all().await;
     });
     Ok(async move {
         if let Err(error) = task.await {
@@ -85,7 +89,7 @@
 async fn serve_connection<W: GatewayWire>(
     context: SharedGateway<W>,
     stream: TcpStream,
-    watcher: Watcher,
+    connections: ListenerConnections,
 ) {
     if let Err(error) = stream.set_nodelay(true) {
         // The connection is already closed.
@@ -100,14 +104,18 @@
     let limits = context.core().config().map(|config| config.limits);
     let idle = limits.unwrap_or_default().idle_timeout;
     let served = context.clone();
-    let service = service_fn(move |request| answer(served.clone(), request));
+    let first_request = CancellationToken::new();
+    let service = service_fn(|request| {
+        first_request.cancel();
+        answer(served.clone(), request)
+    });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         // This timer also runs while a connection is idle.
         .header_read_timeout(idle)
         .max_buf_size(CONNECTION_BUFFER_BYTES)
         .serve_connection(TokioIo::new(stream), service);
-    if let Err(error) = watcher.watch(connection).await {
+    if let Err(error) = connections.serve(connection, &first_request).await {
         // Callers may close their connections at any time.
         logging::event(LogEvent::CallerConnectionFailed, &error.to_string());
     }
--- a/cli/src/gateway/listener.rs
+++ b/cli/src/gateway/listener.rs
@@ -18,8 +18,10 @@
 /// free.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Passes each connection to `serve` until `stop` is cancelled. `serve`
-/// returns the task that handles the connection, or `None` to close it.
+/// Passes each connection to `serve` until `stop` is cancelled, those included
+/// that are established and not yet accepted then: their callers have sent their
+/// requests. `serve` returns the task that handles the connection, or `None` to
+/// close it.
 pub(super) async fn accept_connections<F>(
     listener: TcpListener,
     stop: &CancellationToken,
@@ -30,8 +32,8 @@
     loop {
         let accepted = tokio::select! {
             biased;
-            () = stop.cancelled() => return,
             accepted = listener.accept() => accepted,
+            () = stop.cancelled() => return,
         };
         match accepted {
             Ok((stream, _)) => {
@@ -41,6 +43,9 @@
             }
             Err(error) => {
                 logging::event(LogEvent::AcceptFailed, &error.to_string());
+                if stop.is_cancelled() {
+                    return;
+                }
                 tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
--- /dev/null
+++ b/cli/src/listener_connections.rs
@@ -0,0 +1,64 @@
+//! Closes callers' connections in a planned stop, once their requests are
+//! answered.
+//!
+//! A connection that is idle is closed at once, as the peer can tell that no
+//! request of it was read. One that was accepted just before is not idle: its
+//! first request is on its way, and a close would leave it without an answer.
+
+use std::{future::Future, pin::pin, time::Duration};
+
+use hyper_util::server::graceful::GracefulConnection;
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
+
+/// Time in which the first request of an accepted connection must arrive during
+/// a stop. Callers send it at once; this exceeds the round trip and the
+/// repetition of a lost packet.
+const FIRST_REQUEST_TIME: Duration = Duration::from_millis(500);
+
+/// All connections of one listener.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ListenerConnections {
+    closing: CancellationToken,
+    connections: TaskTracker,
+}
+
+impl ListenerConnections {
+    /// Counts a connection as open until `served` completes.
+    pub(crate) fn track<F: Future>(
+        &self,
+        served: F,
+    ) -> impl Future<Output = F::Output> + use<F> {
+        self.connections.track_future(served)
+    }
+
+    /// Closes all connections as soon as they are idle, and waits until the last
+    /// one has ended. The listener must be closed.
+    pub(crate) async fn close_all(&self) {
+        self.closing.cancel();
+        self.connections.close();
+        self.connections.wait().await;
+    }
+
+    /// Serves a connection until it ends; `first_request` is cancelled when its
+    /// first request begins.
+    pub(crate) async fn serve<C: GracefulConnection>(
+        &self,
+        connection: C,
+        first_request: &CancellationToken,
+    ) -> Result<(), C::Error> {
+        let mut connection = pin!(connection);
+        let closing = async {
+            self.closing.cancelled().await;
+            let begun = first_request.cancelled();
+            // The time is up or the request has begun; both end the wait.
+            let _ = tokio::time::timeout(FIRST_REQUEST_TIME, begun).await;
+        };
+        tokio::select! {
+            ended = connection.as_mut() => ended,
+            () = closing => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
+        }
+    }
+}
--- a/cli/src/server.rs
+++ b/cli/src/server.rs
@@ -25,7 +25,7 @@
 use hyper::{body::Incoming, service::service_fn};
 use hyper_util::{
     rt::{TokioExecutor, TokioIo, TokioTimer},
-    server::{conn::auto::Builder, graceful::GracefulShutdown},
+    server::conn::auto::Builder,
 };
 use tokio::{
     io::AsyncWriteExt,
@@ -36,6 +36,7 @@
 use crate::{
     callers::build_router,
     context::SharedContext,
+    listener_connections::ListenerConnections,
     logging,
     reply::{ConnectionCloser, RenderedResponse, error_response},
 };
@@ -153,7 +154,7 @@
     listener: TcpListener,
     context: SharedContext,
 ) -> usize {
-    let graceful = GracefulShutdown::new();
+    let connections = ListenerConnections::default();
     let force_close = CancellationToken::new();
     let server = Arc::new(CallerServer {
         router: build_router(&context),
@@ -169,26 +170,29 @@
     let schedule = loop {
         let accepted = tokio::select! {
             biased;
-            schedule = &mut closed => break schedule,
+            // Connections that are established already have a request.
             accepted = listener.accept() => accepted,
+            schedule = &mut closed => break schedule,
         };
         let (stream, address) = match accepted {
             Ok(accepted) => accepted,
             Err(error) => {
                 logging::event(LogEvent::AcceptFailed, &error.to_string());
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-                continue;
+                tokio::select! {
+                    schedule = &mut closed => break schedule,
+                    () = tokio::time::sleep(ACCEPT_PAUSE) => continue,
+                }
             }
         };
         match limiter.admit(address.ip()) {
             Ok(slot) => {
                 let server = server.clone();
                 let force_close = force_close.child_token();
-                let watcher = graceful.watcher();
-                tokio::spawn(async move {
-                    server.serve(stream, address, watcher, force_close).await;
+                let open = connections.clone();
+                tokio::spawn(connections.track(async move {
+                    server.serve(stream, address, open, force_close).await;
                     drop(slot);
-                });
+                }));
             }
             Err(refusal) => {
                 context.metrics.count_refusal(refusal.code);
@@ -199,7 +203,7 @@
     drop(listener);
     let clock = context.handle.clock();
     let until = clock.instant(schedule.connections_close());
-    let drained = tokio::time::timeout_at(until, graceful.shutdown()).await;
+    let drained = tokio::time::timeout_at(until, connections.close_all()).await;
     let remaining = limiter.lock().total as usize;
     force_close.cancel();
     if drained.is_ok() { 0 } else { remaining }
@@ -232,7 +236,7 @@
         self: Arc<Self>,
         stream: TcpStream,
         address: SocketAddr,
-        watcher: hyper_util::server::graceful::Watcher,
+        connections: ListenerConnections,
         force_close: CancellationToken,
     ) {
         // If this fails, small writes may be delayed, which is acceptable.
@@ -247,7 +251,7 @@
         });
         let io = TokioIo::new(stream);
         let connection = self.builder.serve_connection(io, service);
-        let connection = watcher.watch(connection);
+        let connection = connections.serve(connection, &request_begun);
         tokio::select! {
             // An error means that the caller closed the connection; its
             // requests end by themselves.
--- a/cli/tests/test_faults/test_stops.rs
+++ b/cli/tests/test_faults/test_stops.rs
@@ -178,6 +178,44 @@
     assert!(record.answered(), "{record:?}");
 }
 
+/// Interval between two connections to an instance that stops.
+const CONNECT_INTERVAL: Duration = Duration::from_millis(5);
+
+/// Connects to an instance, sends a request 30 ms later and reads the begin of
+/// the answer, empty if there is none; `None` if there is no connection.
+async fn call_after_connect(address: SocketAddr) -> Option<String> {
+    let mut stream = TcpStream::connect(address).await.ok()?;
+    sleep(Duration::from_millis(30)).await;
+    let request = "GET /v1/addresses HTTP/1.1\r\nhost: instance\r\n\r\n";
+    let _ = stream.write_all(request.as_bytes()).await;
+    let mut begin = [0; 9];
+    let read = stream.read_exact(&mut begin).await.is_ok();
+    let begin = if read { &begin[..] } else { b"" };
+    Some(String::from_utf8_lossy(begin).into_owned())
+}
+
+/// Guards against connections that are made just before the listener closes, and
+/// are closed with no answer to the request that follows.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn test_stops_answer_on_last_connections() {
+    let mut fleet = TestFleet::start(FleetPlan::default()).await;
+    let leaving = fleet.addresses()[0];
+    fleet.signal(0, ChildSignal::Terminate);
+    let mut calls = Vec::new();
+    while let Ok(probe) = TcpStream::connect(leaving).await {
+        drop(probe);
+        calls.push(tokio::spawn(call_after_connect(leaving)));
+        sleep(CONNECT_INTERVAL).await;
+    }
+    let mut answers = Vec::new();
+    for call in calls {
+        answers.extend(call.await.unwrap());
+    }
+    assert!(!answers.is_empty());
+    answers.dedup();
+    assert_eq!(answers, ["HTTP/1.1 "]);
+}
+
 /// Time limit of a planned stop that requests outlive.
 const SHORT_STOP: Duration = Duration::from_secs(6);
 /// Time after [`SHORT_STOP`] by which the process must have ended, for a
