gateway: do not take an unreadable entry for the departure of an upstream

An entry of another writer that replaces that of a sound upstream for a moment left it out until its next one.

Cause: an entry that cannot be read was applied as the removal of the upstream. It is now a change of its own, after which the next readable entry counts at once.

Evidence: test_upstream_returns_after_unreadable_entry_at_once failed with the change applied as a removal (1 of 2 upstreams used) and holds now.

--- a/cli/src/gateway/record_applier.rs
+++ b/cli/src/gateway/record_applier.rs
@@ -45,6 +45,9 @@
                         Some(UpstreamChange::Set(entry)) => {
                             entries.push(entry);
                         }
+                        Some(change @ UpstreamChange::Unreadable(_)) => {
+                            self.apply_upstream(change);
+                        }
                         Some(UpstreamChange::Removed(_)) | None => {}
                     }
                 }
@@ -156,7 +159,7 @@
                 // The address in a malformed entry is unknown, so the upstream
                 // cannot be used.
                 let id = record.key.parse().ok()?;
-                Some(UpstreamChange::Removed(id))
+                Some(UpstreamChange::Unreadable(id))
             }
         }
     }
@@ -166,7 +169,9 @@
         let mut core = self.context.core();
         let (id, state) = match &change {
             UpstreamChange::Set(entry) => (entry.id.clone(), Some(entry.state)),
-            UpstreamChange::Removed(id) => (id.clone(), None),
+            UpstreamChange::Removed(id) | UpstreamChange::Unreadable(id) => {
+                (id.clone(), None)
+            }
         };
         let before = core
             .upstreams()
--- a/lib/src/gateway/departure_log.rs
+++ b/lib/src/gateway/departure_log.rs
@@ -42,6 +42,8 @@
     /// A full read lacked its entry. The read may have been older than the
     /// entry.
     Missing,
+    /// Its entry was replaced by one that cannot be read.
+    Unreadable,
 }
 
 /// An upstream that is no longer listed.
@@ -64,12 +66,15 @@
     /// Whether an entry that is read after the departure may be one that the
     /// same process wrote before it left.
     pub fn may_precede(&self, now: Timestamp, revision: EntryRevision) -> bool {
-        // A full read that is older than the entry does not show a departure.
-        let is_read_again =
-            self.kind == DepartureKind::Missing && revision == self.revision;
-        revision.incarnation == self.revision.incarnation
+        let has_left = match self.kind {
+            DepartureKind::Removed => true,
+            // A read that is older than the entry shows no departure.
+            DepartureKind::Missing => revision != self.revision,
+            DepartureKind::Unreadable => false,
+        };
+        has_left
+            && revision.incarnation == self.revision.incarnation
             && now.since(self.at) < LATE_ENTRY_TIME
-            && !is_read_again
             && !self.follows_restart
     }
 
--- a/lib/src/gateway/upstream_table.rs
+++ b/lib/src/gateway/upstream_table.rs
@@ -146,8 +146,11 @@
 pub enum UpstreamChange {
     /// A new entry, or a newer version of one.
     Set(UpstreamEntry),
-    /// The upstream has left, or its entry cannot be read.
+    /// The upstream has left.
     Removed(UpstreamId),
+    /// The entry cannot be read, so the upstream cannot be used. Another writer
+    /// may have written it.
+    Unreadable(UpstreamId),
 }
 
 /// One upstream with its observed status.
@@ -277,6 +280,9 @@
             UpstreamChange::Removed(id) => {
                 self.remove(now, &id, DepartureKind::Removed);
             }
+            UpstreamChange::Unreadable(id) => {
+                self.remove(now, &id, DepartureKind::Unreadable);
+            }
         }
     }
 
--- a/lib/tests/gateway/test_upstream_returns.rs
+++ b/lib/tests/gateway/test_upstream_returns.rs
@@ -182,6 +182,18 @@
     assert_eq!(used(&table, back_at).len(), 2);
 }
 
+/// Guards against a sound upstream that is left out for long because another
+/// writer's entry, which cannot be read, has replaced its own for a moment.
+#[test]
+fn test_upstream_returns_after_unreadable_entry_at_once() {
+    let mut table = table(&["i-0", "i-1"]);
+    table.apply(LEFT_AT, UpstreamChange::Unreadable(id("i-0")));
+    assert_eq!(used(&table, LEFT_AT), [id("i-1")]);
+    let back_at = LEFT_AT.after(ms(1_000));
+    set(&mut table, back_at, written("i-0", 40));
+    assert_eq!(used(&table, back_at).len(), 2);
+}
+
 /// Guards against a restarted upstream that is left out because the removal of
 /// its former process is carried out late and hides it.
 #[test]
