gateway: start although the port of the peers is that of the metrics

A gateway whose first peer port is 9464, the fixed port of the metrics, did not start: the metrics took the port, and the listener for other instances failed.

The listeners for other instances open first now; without a port the metrics are left out with a log line, as before.

--- a/cli/src/gateway.rs
+++ b/cli/src/gateway.rs
@@ -220,9 +220,10 @@
     );
     let stop = CancellationToken::new();
     let callers = caller_listener::serve(context.clone(), stop.clone())?;
-    endpoints::serve(&context)?;
     heartbeats::start(&context).await?;
     peer_listener::serve(&context)?;
+    // The metrics are served at a fixed port, which may be that of the peers.
+    endpoints::serve(&context)?;
     links::start(&context);
     status_checks::start(&context);
     topic_reader::start(&context);
