--- a/lib/src/gateway/upstream_table.rs
+++ b/lib/src/gateway/upstream_table.rs
@@ -45,7 +45,7 @@
 };
 use crate::{
     ids::{DomainId, ServiceName, UpstreamId},
-    units::{Incarnation, Timestamp},
+    units::{Incarnation, TIME_MAX, Timestamp},
     value_type,
 };
 
@@ -54,8 +54,6 @@
 /// Time for which an upstream is avoided after its first failure; it doubles
 /// with each further one.
 const AVOID_MIN: Duration = Duration::from_millis(500);
-/// Longest pause that an upstream may ask for.
-const PAUSE_MAX: Duration = Duration::from_secs(60);
 /// Longest time for which an upstream is avoided.
 const AVOID_MAX: Duration = Duration::from_secs(4);
 /// Weight of the newest outcome in the moving average of failures.
@@ -603,7 +601,7 @@
     /// time.
     pub fn pause(&mut self, now: Timestamp, id: &UpstreamId, pause: Duration) {
         if let Some(upstream) = self.upstreams.get_mut(id) {
-            let until = now.after(pause.min(PAUSE_MAX));
+            let until = now.after(pause.min(TIME_MAX));
             upstream.paused_until = upstream.paused_until.max(until);
         }
     }
--- a/lib/tests/gateway/test_upstreams.rs
+++ b/lib/tests/gateway/test_upstreams.rs
@@ -241,3 +241,13 @@
     let candidates = core.upstreams().candidates(at(2), &service, &[]);
     assert_eq!(candidates.len(), 1);
 }
+
+/// Guards against requests to an upstream before the end of a long pause that it
+/// has asked for.
+#[test]
+fn test_upstreams_get_no_requests_in_a_long_pause() {
+    let mut table = table(2);
+    table.pause(at(0), &id("i-0"), ms(3_600_000));
+    assert_eq!(names(&table, at(3_599_000)), ["i-1"]);
+    assert_eq!(names(&table, at(3_600_000)), ["i-0", "i-1"]);
+}
