upstreams: split the table by its tasks

The file of the table had grown to 880 lines with four tasks. The links of this instance, the upstreams that are listed again, and the selection for a request now have modules of their own below it. Nothing but places and visibility changes; all tests on upstreams pass as they are.

--- a/lib/src/gateway/upstream_table.rs
+++ b/lib/src/gateway/upstream_table.rs
@@ -23,6 +23,10 @@
 //! whose address a newer one has started is not used; its entry stays in the
 //! list for some seconds.
 
+mod links;
+mod returns;
+mod selection;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
@@ -30,17 +34,12 @@
     time::Duration,
 };
 
-use rand::{Rng, seq::IndexedRandom};
-
 use super::{
     departure_log::{
         DEPARTED_TIME, DepartedUpstream, DepartureKind, DepartureLog,
         EntryRevision,
     },
-    reachability::{
-        LinkChange, LinkGroup, LinkReport, LinkState, LinkTargets,
-        ReachabilityTable,
-    },
+    reachability::{LinkGroup, LinkTargets, ReachabilityTable},
     upstream_return::{LATE_ENTRY_TIME, ReturnTable},
 };
 use crate::{
@@ -58,15 +57,6 @@
 const AVOID_MAX: Duration = Duration::from_secs(4);
 /// Weight of the newest outcome in the moving average of failures.
 const FAILURE_WEIGHT: f64 = 0.2;
-/// Other instances that must avoid an upstream before this one does; a single
-/// one may itself be cut off.
-const SUSPECTING_INSTANCES_MIN: usize = 2;
-/// Entries of a process that it writes while it starts; a number above shows that
-/// it was listed before.
-const FIRST_ENTRIES: u64 = 3;
-/// Excess of an upstream's failure share over the mean of its service from
-/// which it is avoided.
-const FAILURE_EXCESS: f64 = 0.2;
 
 /// Whether an upstream accepts new requests, as it reports itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -370,80 +360,6 @@
         }
     }
 
-    /// Notes whether an entry may be one from before its upstream left.
-    fn watch_return(&mut self, now: Timestamp, entry: &UpstreamEntry) {
-        let departed = self.departures.get(&entry.id);
-        match departed.map(|it| (it.at, it.may_precede(now, entry.revision())))
-        {
-            Some((left_at, true)) => {
-                let needs_check = self.needs_check(now, entry);
-                self.returns.record_return(now, left_at, entry, needs_check);
-            }
-            _ => self.returns.record_entry(now, entry),
-        }
-    }
-
-    /// Notes whether an entry of an unknown upstream may be one from before it
-    /// left: an instance that has just started knows of no removal before.
-    fn watch_new(&mut self, now: Timestamp, entry: &UpstreamEntry) {
-        let Some(first_read_at) = self.first_read_at else {
-            return;
-        };
-        let is_known = self.upstreams.contains_key(&entry.id)
-            || self.departures.get(&entry.id).is_some();
-        let is_first = entry.sequence <= FIRST_ENTRIES;
-        if is_known || is_first || now.since(first_read_at) >= LATE_ENTRY_TIME {
-            return;
-        }
-        let (service, id) = (&entry.service, &entry.id);
-        self.returns.record_departure(first_read_at, service, id);
-        let needs_check = self.needs_check(now, entry);
-        self.returns
-            .record_return(now, first_read_at, entry, needs_check);
-    }
-
-    /// Whether the service of an upstream that is listed again may lack capacity
-    /// without it: it is not the only one that left, or no other can serve.
-    fn needs_check(&self, now: Timestamp, entry: &UpstreamEntry) -> bool {
-        if self.returns.recent_departures(now, &entry.service) > 1 {
-            return true;
-        }
-        let excluded = std::slice::from_ref(&entry.id);
-        let others = self.candidates(now, &entry.service, excluded);
-        others.iter().all(|upstream| upstream.is_avoided(now))
-    }
-
-    /// Processes whose status is to be checked now, at most `limit`, since
-    /// they may have left. Which of them is random, so that instances do not all
-    /// ask the same one.
-    pub fn next_status_checks(
-        &mut self,
-        now: Timestamp,
-        limit: usize,
-        rng: &mut impl Rng,
-    ) -> Vec<UpstreamEntry> {
-        self.returns.expire(now);
-        let due = self.returns.due_checks(now);
-        let mut chosen = Vec::new();
-        for id in due.choose_multiple(rng, limit) {
-            self.returns.begin_check(now, id);
-            let upstream = self.upstreams.get(id);
-            chosen.extend(upstream.map(|it| it.entry.clone()));
-        }
-        chosen
-    }
-
-    /// Records that a process has answered a status check and is not leaving;
-    /// returns whether that was in doubt.
-    pub fn confirm(&mut self, process: &UpstreamProcess) -> bool {
-        self.returns.confirm(process)
-    }
-
-    /// Whether a listed upstream may have left.
-    pub fn is_doubtful(&self, now: Timestamp, id: &UpstreamId) -> bool {
-        self.returns.is_doubtful(now, id)
-    }
-
     /// Replaces the services of the desired state. An entry of another service
     /// names no upstream to use, and does not displace one at its address.
     pub fn set_services(&mut self, services: BTreeSet<ServiceName>) {
@@ -620,92 +536,6 @@
         left.min()
     }
 
-    /// Upstreams of a service that may receive a request: ready, not leaving or
-    /// paused, in an open failure domain and not in `excluded`. Those that failed recently are
-    /// left out unless no others remain.
-    pub fn candidates(
-        &self,
-        now: Timestamp,
-        service: &ServiceName,
-        excluded: &[UpstreamId],
-    ) -> Vec<&TrackedUpstream> {
-        let open: Vec<_> = self
-            .upstreams
-            .values()
-            .filter(|upstream| {
-                upstream.entry.service == *service
-                    && upstream.entry.state == UpstreamState::Ready
-                    && !self.leaving.contains_key(&upstream.entry.process())
-                    && upstream.paused_until <= now
-                    && !upstream.displaced
-                    && !self.closed.contains(&upstream.entry.domain)
-                    && !excluded.contains(&upstream.entry.id)
-            })
-            .collect();
-        let is_recovering = self.in_recovery_grace(now);
-        // If most of a service has lapsed, those listed again are back.
-        let trusts_returns = is_recovering
-            && self.returns.recent_departures(now, service) * 2 > open.len();
-        let is_held = |upstream: &TrackedUpstream| {
-            let is_doubtful = self.is_doubtful(now, &upstream.entry.id);
-            upstream.removed || is_doubtful && !trusts_returns
-        };
-        let held = open.iter().filter(|upstream| is_held(upstream)).count();
-        let open: Vec<_> = if is_recovering && held * 2 > open.len() {
-            open
-        } else {
-            open.into_iter()
-                .filter(|upstream| !is_held(upstream))
-                .collect()
-        };
-        let sum: f64 = open.iter().map(|upstream| upstream.failure_share).sum();
-        let limit = sum / open.len().max(1) as f64 + FAILURE_EXCESS;
-        let healthy: Vec<_> = open
-            .iter()
-            .copied()
-            .filter(|upstream| {
-                let group = upstream.entry.link_group();
-                !upstream.is_avoided(now)
-                    && upstream.failure_share <= limit
-                    && !self.links.is_lost(now, &group)
-            })
-            .collect();
-        if healthy.is_empty() {
-            return open;
-        }
-        let trusted: Vec<_> = healthy
-            .iter()
-            .copied()
-            .filter(|upstream| !self.is_suspect(&upstream.entry.id))
-            .collect();
-        // Reports against most upstreams come from instances that are cut off.
-        if trusted.len() * 2 < healthy.len() {
-            healthy
-        } else {
-            trusted
-        }
-    }
-
-    /// Replaces the number of other instances that avoid each upstream.
-    pub fn set_suspects(&mut self, suspects: BTreeMap<UpstreamId, usize>) {
-        self.suspects = suspects;
-    }
-
-    fn is_suspect(&self, id: &UpstreamId) -> bool {
-        let count = self.suspects.get(id).copied().unwrap_or_default();
-        count >= SUSPECTING_INSTANCES_MIN
-    }
-
-    /// Upstreams that are avoided after a recent failure, without those whose
-    /// failures may be due to this instance's own links.
-    pub fn suspects_to_report(&self, now: Timestamp) -> Vec<UpstreamId> {
-        let suspects = self.upstreams().filter(|upstream| {
-            upstream.is_avoided(now)
-                && !self.links.is_doubtful(now, &upstream.entry.link_group())
-        });
-        suspects.map(|upstream| upstream.entry.id.clone()).collect()
-    }
-
     /// Records a completed request, which ends the avoidance.
     pub fn record_success(&mut self, id: &UpstreamId) {
         if let Some(upstream) = self.upstreams.get_mut(id) {
@@ -753,156 +583,6 @@
                 FAILURE_WEIGHT * (1.0 - upstream.failure_share);
         }
     }
-
-    /// Usable upstreams by service and failure domain.
-    fn link_targets(&mut self) -> Arc<LinkTargets> {
-        if let Some(targets) = &self.link_targets {
-            return targets.clone();
-        }
-        let usable = self.upstreams.values().filter(|upstream| {
-            upstream.entry.state == UpstreamState::Ready
-                && !self.leaving.contains_key(&upstream.entry.process())
-                && !upstream.removed
-                && !upstream.displaced
-                && !self.closed.contains(&upstream.entry.domain)
-        });
-        let mut targets = LinkTargets::new();
-        for upstream in usable {
-            let entry = &upstream.entry;
-            let group = targets.entry(entry.link_group()).or_default();
-            group.insert(entry.id.clone());
-        }
-        self.links.retain(&targets);
-        let targets = Arc::new(targets);
-        self.link_targets = Some(targets.clone());
-        targets
-    }
-
-    /// Records that a connection to an upstream, begun at `begun_at`, was
-    /// established.
-    pub fn record_reached(
-        &mut self,
-        now: Timestamp,
-        begun_at: Timestamp,
-        id: &UpstreamId,
-    ) {
-        let Some(upstream) = self.upstreams.get(id) else {
-            return;
-        };
-        let group = upstream.entry.link_group();
-        let was_lost = self.links.is_lost(now, &group);
-        let unreached_since =
-            self.links.record_reached(now, begun_at, group.clone());
-        if let (true, Some(since)) = (was_lost, unreached_since) {
-            self.forget_failures(&group, since);
-        }
-    }
-
-    /// Forgets failures of the upstreams of a group since `since`: they were
-    /// due to this instance's links.
-    fn forget_failures(&mut self, group: &LinkGroup, since: Timestamp) {
-        for upstream in self.upstreams.values_mut() {
-            if upstream.entry.link_group() == *group
-                && upstream.failed_at >= since
-            {
-                upstream.failures = 0;
-                upstream.failure_share = 0.0;
-                upstream.avoid_until = Timestamp::ZERO;
-            }
-        }
-    }
-
-    /// Records that a connection to an upstream, begun at `begun_at`, was not
-    /// established.
-    pub fn record_unreached(
-        &mut self,
-        now: Timestamp,
-        begun_at: Timestamp,
-        id: &UpstreamId,
-    ) {
-        let targets = self.link_targets();
-        let Some(upstream) = self.upstreams.get(id) else {
-            return;
-        };
-        let group = upstream.entry.link_group();
-        let count = targets.get(&group).map_or(1, BTreeSet::len);
-        self.links.record_failed(now, begun_at, group, id, count);
-    }
-
-    /// State of this instance's links to a service.
-    pub fn link_state(
-        &mut self,
-        now: Timestamp,
-        service: &ServiceName,
-    ) -> LinkState {
-        let targets = self.link_targets();
-        self.links.state(now, service, &targets)
-    }
-
-    /// Whether no upstream of a service was reached by a connection begun
-    /// after `begun_at`.
-    pub fn is_unreached_since(
-        &self,
-        service: &ServiceName,
-        begun_at: Timestamp,
-    ) -> bool {
-        self.links.is_unreached_since(service, begun_at)
-    }
-
-    /// Since when the links to an upstream have been lost; `None` if they are
-    /// not.
-    pub fn links_lost_since(&self, id: &UpstreamId) -> Option<Timestamp> {
-        let upstream = self.upstreams.get(id)?;
-        self.links.lost_since(&upstream.entry.link_group())
-    }
-
-    /// What this instance tells the others of its links.
-    pub fn link_report(&mut self, now: Timestamp) -> LinkReport {
-        let targets = self.link_targets();
-        self.links.report(now, &targets)
-    }
-
-    /// Other upstreams like the given one: those of its failure domain, or of
-    /// the others if it is the only one there.
-    pub fn others_like(&mut self, id: &UpstreamId) -> Vec<UpstreamEntry> {
-        let targets = self.link_targets();
-        let Some(upstream) = self.upstreams.get(id) else {
-            return Vec::new();
-        };
-        let group = upstream.entry.link_group();
-        let others = |in_domain: bool| {
-            let groups = targets.iter().filter(|(other, _)| {
-                other.service == group.service
-                    && (other.domain == group.domain) == in_domain
-            });
-            let ids = groups.flat_map(|(_, ids)| ids);
-            let others = ids.filter(|other| *other != id);
-            let entries = others.filter_map(|id| self.upstreams.get(id));
-            entries.map(|it| it.entry.clone()).collect::<Vec<_>>()
-        };
-        let near = others(true);
-        if near.is_empty() { others(false) } else { near }
-    }
-
-    /// Upstreams to probe now, with their addresses.
-    pub fn next_probes(
-        &mut self,
-        now: Timestamp,
-    ) -> Vec<(UpstreamId, SocketAddr)> {
-        let targets = self.link_targets();
-        let ids = self.links.next_probes(now, &targets).into_iter();
-        ids.filter_map(|id| {
-            let address = self.upstreams.get(&id)?.entry.address;
-            Some((id, address))
-        })
-        .collect()
-    }
-
-    /// Returns the services whose links have changed since the last call.
-    pub fn take_link_changes(&mut self, now: Timestamp) -> Vec<LinkChange> {
-        let targets = self.link_targets();
-        self.links.take_changes(now, &targets)
-    }
 }
 
 /// Whether a service is one of `services`; all are before these are known.
