gateway: send to failing upstreams what no other one takes

Cause: an upstream whose failure share exceeds that of the others is left out as long as any other one is usable, whether or not that one takes the request. As it gets no requests, its share never falls.

If the others take no more because they are cold, a request that may be repeated goes to such an upstream, which also shows whether it is sound again. A request that may run only once is refused as before, since not run is worth more to its caller than a failure that may have run.

Evidence: test_upstreams_that_failed_serve_when_others_are_cold, its case of repeatable requests, failed before (the upstream got none) and holds now.

--- a/lib/src/gateway/gateway_core/placing.rs
+++ b/lib/src/gateway/gateway_core/placing.rs
@@ -17,7 +17,7 @@
         prefill_gate::{
             GateDecision, GateInputs, RECHECK_INTERVAL, evaluate_gate,
         },
-        routing_config::ServiceSpec,
+        routing_config::{RetrySafety, ServiceSpec},
     },
     ids::UpstreamId,
     refusal::RefusalCode,
@@ -83,6 +83,25 @@
         }
         if spec.cold_requests_per_s > 0.0 {
             limiter.retain_cold(now, own, cold_limit, &mut candidates);
+            // One more failure costs a repeatable request less than a refusal,
+            // and shows whether the upstream is sound again.
+            let route = &request.admitted.route;
+            if candidates.is_empty()
+                && route.retry_safety == RetrySafety::Idempotent
+            {
+                candidates = self.upstreams.failing_candidates(
+                    now,
+                    service,
+                    request.excluded,
+                );
+                let limits = &self.request_limits;
+                let limited = limiter.exhausted(now, own, limits, &candidates);
+                candidates.retain(|upstream| {
+                    let id = &upstream.entry.id;
+                    untried(id) && !limited.contains(id)
+                });
+                limiter.retain_cold(now, own, cold_limit, &mut candidates);
+            }
         }
         let loads = self.load_table.total_loads(now);
         let inputs = PlacementInputs {
--- a/lib/src/gateway/upstream_table/selection.rs
+++ b/lib/src/gateway/upstream_table/selection.rs
@@ -17,13 +17,64 @@
 
 impl UpstreamTable {
     /// Upstreams of a service that may receive a request: ready, not leaving or
-    /// paused, in an open failure domain and not in `excluded`. Those that failed recently are
-    /// left out unless no others remain.
+    /// paused, in an open failure domain and not in `excluded`. Those that failed
+    /// recently are left out unless no others remain.
     pub fn candidates(
         &self,
         now: Timestamp,
         service: &ServiceName,
         excluded: &[UpstreamId],
+    ) -> Vec<&TrackedUpstream> {
+        let open = self.open(now, service, excluded);
+        let limit = failure_limit(&open);
+        let healthy: Vec<_> = open
+            .iter()
+            .copied()
+            .filter(|upstream| {
+                upstream.failure_share <= limit
+                    && self.is_answering(now, upstream)
+            })
+            .collect();
+        if healthy.is_empty() {
+            return open;
+        }
+        let trusted: Vec<_> = healthy
+            .iter()
+            .copied()
+            .filter(|upstream| !self.is_suspect(&upstream.entry.id))
+            .collect();
+        // Reports against most upstreams come from instances that are cut off.
+        if trusted.len() * 2 < healthy.len() {
+            healthy
+        } else {
+            trusted
+        }
+    }
+
+    /// Upstreams that [`Self::candidates`] leaves out only because they have
+    /// failed more requests than others of their service.
+    pub fn failing_candidates(
+        &self,
+        now: Timestamp,
+        service: &ServiceName,
+        excluded: &[UpstreamId],
+    ) -> Vec<&TrackedUpstream> {
+        let mut open = self.open(now, service, excluded);
+        let limit = failure_limit(&open);
+        open.retain(|upstream| {
+            upstream.failure_share > limit
+                && self.is_answering(now, upstream)
+                && !self.is_suspect(&upstream.entry.id)
+        });
+        open
+    }
+
+    /// Upstreams that say of themselves that they take requests.
+    fn open(
+        &self,
+        now: Timestamp,
+        service: &ServiceName,
+        excluded: &[UpstreamId],
     ) -> Vec<&TrackedUpstream> {
         let open: Vec<_> = self
             .upstreams
@@ -47,39 +98,17 @@
             upstream.removed || is_doubtful && !trusts_returns
         };
         let held = open.iter().filter(|upstream| is_held(upstream)).count();
-        let open: Vec<_> = if is_recovering && held * 2 > open.len() {
-            open
-        } else {
-            open.into_iter()
-                .filter(|upstream| !is_held(upstream))
-                .collect()
-        };
-        let sum: f64 = open.iter().map(|upstream| upstream.failure_share).sum();
-        let limit = sum / open.len().max(1) as f64 + FAILURE_EXCESS;
-        let healthy: Vec<_> = open
-            .iter()
-            .copied()
-            .filter(|upstream| {
-                let group = upstream.entry.link_group();
-                !upstream.is_avoided(now)
-                    && upstream.failure_share <= limit
-                    && !self.links.is_lost(now, &group)
-            })
-            .collect();
-        if healthy.is_empty() {
+        if is_recovering && held * 2 > open.len() {
             return open;
         }
-        let trusted: Vec<_> = healthy
-            .iter()
-            .copied()
-            .filter(|upstream| !self.is_suspect(&upstream.entry.id))
-            .collect();
-        // Reports against most upstreams come from instances that are cut off.
-        if trusted.len() * 2 < healthy.len() {
-            healthy
-        } else {
-            trusted
-        }
+        let listed = open.into_iter().filter(|upstream| !is_held(upstream));
+        listed.collect()
+    }
+
+    /// Whether an upstream is not known to leave requests without an answer.
+    fn is_answering(&self, now: Timestamp, upstream: &TrackedUpstream) -> bool {
+        let group = upstream.entry.link_group();
+        !upstream.is_avoided(now) && !self.links.is_lost(now, &group)
     }
 
     /// Replaces the number of other instances that avoid each upstream.
@@ -102,3 +131,9 @@
         suspects.map(|upstream| upstream.entry.id.clone()).collect()
     }
 }
+
+/// Failure share above which an upstream is left out.
+fn failure_limit(open: &[&TrackedUpstream]) -> f64 {
+    let sum: f64 = open.iter().map(|upstream| upstream.failure_share).sum();
+    sum / open.len().max(1) as f64 + FAILURE_EXCESS
+}
--- a/lib/tests/gateway/test_upstreams.rs
+++ b/lib/tests/gateway/test_upstreams.rs
@@ -5,6 +5,7 @@
 use borageline_lib::{
     gateway::{
         gateway_core::GatewayCore,
+        routing_config::RetrySafety,
         upstream_table::{
             UpstreamChange, UpstreamEntry, UpstreamState, UpstreamTable,
         },
@@ -15,7 +16,10 @@
 
 use rstest::rstest;
 
-use crate::fixtures::{at, config, core, entry, id, ms, settings};
+use crate::fixtures::{
+    admitted, at, config, core, entry, id, ms, placement_request, route,
+    settings,
+};
 
 fn table(count: usize) -> UpstreamTable {
     let mut table = UpstreamTable::default();
@@ -251,3 +255,36 @@
     assert_eq!(names(&table, at(3_599_000)), ["i-1"]);
     assert_eq!(names(&table, at(3_600_000)), ["i-0", "i-1"]);
 }
+
+/// Guards against requests that are refused for want of capacity while an upstream
+/// that failed some requests is idle, since the others are cold; a request that
+/// may run only once is not sent there.
+#[rstest]
+#[case::repeatable(RetrySafety::Idempotent, true)]
+#[case::at_most_once(RetrySafety::AtMostOnce, false)]
+fn test_upstreams_that_failed_serve_when_others_are_cold(
+    #[case] retry_safety: RetrySafety,
+    #[case] is_used: bool,
+) {
+    let mut core = core(0);
+    core.apply_config(config(2).with_route(route(retry_safety, 2)));
+    let cold = |name: &str| UpstreamEntry {
+        cold_for: ms(10_000),
+        ..entry(name)
+    };
+    core.replace_upstreams(at(0), ["i-0", "i-1", "i-2"].map(cold).to_vec());
+    for _ in 0..5 {
+        core.record_error(&id("i-0"));
+    }
+    let admitted = admitted(&mut core, at(1));
+    let request = placement_request(&admitted, 100);
+    let mut order = Vec::new();
+    while let Ok(started) = core.place(at(1), &request) {
+        order.push(started.entry.id);
+    }
+    let first = order.iter().position(|it| *it == id("i-0"));
+    assert_eq!(first.is_some(), is_used);
+    // The others are preferred as long as they take requests.
+    let others = order.iter().filter(|it| **it != id("i-0")).count();
+    assert!(others > 0 && first.is_none_or(|first| first == others));
+}
