upstreams: take no entry of a full read for one that was just written

A late entry of an upstream that had left could pass for a new one when the list was read in full, or an entry again, 8 s after the removal or later: up to 9.6 s after it, a late entry has not yet lapsed.

Cause: the time of the read stood for the time of the write. That holds for new records of the list's log only.

Only a later entry among new records counts as written after late ones; what a full read finds is doubtful for a lapse time longer.

--- a/lib/src/gateway/departure_log.rs
+++ b/lib/src/gateway/departure_log.rs
@@ -10,7 +10,6 @@
     time::Duration,
 };
 
-use super::upstream_return::LATE_ENTRY_TIME;
 use crate::{
     ids::UpstreamId,
     units::{Incarnation, Timestamp},
@@ -63,9 +62,14 @@
 }
 
 impl DepartedUpstream {
-    /// Whether an entry that is read after the departure may be one that the
-    /// same process wrote before it left.
-    pub fn may_precede(&self, now: Timestamp, revision: EntryRevision) -> bool {
+    /// Whether an entry that is read after the departure, within `late`, may be
+    /// one that the same process wrote before it left.
+    pub fn may_precede(
+        &self,
+        now: Timestamp,
+        revision: EntryRevision,
+        late: Duration,
+    ) -> bool {
         let has_left = match self.kind {
             DepartureKind::Removed => true,
             // A read that is older than the entry shows no departure.
@@ -74,7 +78,7 @@
         };
         has_left
             && revision.incarnation == self.revision.incarnation
-            && now.since(self.at) < LATE_ENTRY_TIME
+            && now.since(self.at) < late
             && !self.follows_restart
     }
 
--- a/lib/src/gateway/upstream_return.rs
+++ b/lib/src/gateway/upstream_return.rs
@@ -9,8 +9,9 @@
 //! shows that it is back:
 //!
 //! - It confirms its status: a process that is leaving does not.
-//! - An entry of it is read when none from before the removal can come any
-//!   more ([`LATE_ENTRY_TIME`]).
+//! - A further entry is written when none from before the removal can come any
+//!   more ([`LATE_ENTRY_TIME`]). A full read does not tell when an entry was
+//!   written.
 //! - Its listing has outlived the time in which a late entry lapses.
 //!
 //! A status check takes a slot of the upstream, so it is made where the service
@@ -38,10 +39,21 @@
 /// Time between two status checks of one upstream.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
+/// How an entry was read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EntryRead {
+    /// Among the records that follow those read before.
+    Tail,
+    /// In a read of the whole list, some time after it was written.
+    Full,
+}
+
 /// A listing of a process that had left.
 #[derive(Clone, Copy, Debug)]
 struct DoubtfulListing {
     incarnation: Incarnation,
+    /// Number of the entry.
+    sequence: u64,
     /// Until when an entry from before the removal may be read.
     late_until: Timestamp,
     /// When a late entry has lapsed.
@@ -137,6 +149,7 @@
         let late_until = left_at.after(LATE_ENTRY_TIME);
         let listing = DoubtfulListing {
             incarnation: entry.incarnation,
+            sequence: entry.sequence,
             late_until,
             ends_at: now.max(late_until).after(self.lapse_time),
             check_at: needs_check.then_some(now),
@@ -155,13 +168,29 @@
         departures.map_or(0, |departures| departures.count(now))
     }
 
+    /// Time after a removal in which an entry that is read may be from before it.
+    pub fn doubtful_time(&self, read: EntryRead) -> Duration {
+        match read {
+            EntryRead::Tail => LATE_ENTRY_TIME,
+            EntryRead::Full => LATE_ENTRY_TIME + self.lapse_time,
+        }
+    }
+
     /// Records a further entry of a listed upstream.
-    pub fn record_entry(&mut self, now: Timestamp, entry: &UpstreamEntry) {
+    pub fn record_entry(
+        &mut self,
+        now: Timestamp,
+        entry: &UpstreamEntry,
+        read: EntryRead,
+    ) {
         let Some(listing) = self.listings.get(&entry.id) else {
             return;
         };
         let is_other_process = listing.incarnation != entry.incarnation;
-        if is_other_process || now >= listing.late_until {
+        let is_new = read == EntryRead::Tail
+            && entry.sequence > listing.sequence
+            && now >= listing.late_until;
+        if is_other_process || is_new {
             self.listings.remove(&entry.id);
         }
     }
--- a/lib/src/gateway/upstream_table.rs
+++ b/lib/src/gateway/upstream_table.rs
@@ -40,7 +40,7 @@
         EntryRevision,
     },
     reachability::{LinkGroup, LinkTargets, ReachabilityTable},
-    upstream_return::{LATE_ENTRY_TIME, ReturnTable},
+    upstream_return::{EntryRead, LATE_ENTRY_TIME, ReturnTable},
 };
 use crate::{
     ids::{DomainId, ServiceName, UpstreamId},
@@ -263,7 +263,7 @@
         match change {
             UpstreamChange::Set(entry) => {
                 self.watch_new(now, &entry);
-                self.set(now, entry);
+                self.set(now, entry, EntryRead::Tail);
             }
             UpstreamChange::Removed(id) => {
                 self.remove(now, &id, DepartureKind::Removed);
@@ -288,7 +288,7 @@
             {
                 self.departures.remove(&entry.id);
             }
-            self.set(now, entry);
+            self.set(now, entry, EntryRead::Full);
         }
         let missing = self.upstreams.iter().filter(|(id, upstream)| {
             // An upstream that started after the copy was made is listed again
@@ -328,7 +328,7 @@
 
     /// Adds or updates an entry, and compares it with the other entries at the
     /// same address: the one with the older incarnation is displaced.
-    fn set(&mut self, now: Timestamp, entry: UpstreamEntry) {
+    fn set(&mut self, now: Timestamp, entry: UpstreamEntry, read: EntryRead) {
         if self.is_superseded(now, &entry) {
             return;
         }
@@ -348,7 +348,7 @@
             upstream.displaced |= other.incarnation < entry.incarnation;
             displaced |= other.incarnation > entry.incarnation;
         }
-        self.watch_return(now, &entry);
+        self.watch_return(now, &entry, read);
         let id = entry.id.clone();
         let departed = self.departures.remove(&id);
         let former = self.upstreams.get(&id).map(|it| it.entry.incarnation);
--- a/lib/src/gateway/upstream_table/returns.rs
+++ b/lib/src/gateway/upstream_table/returns.rs
@@ -4,7 +4,8 @@
 
 use super::{UpstreamEntry, UpstreamProcess, UpstreamTable};
 use crate::{
-    gateway::upstream_return::LATE_ENTRY_TIME, ids::UpstreamId,
+    gateway::upstream_return::{EntryRead, LATE_ENTRY_TIME},
+    ids::UpstreamId,
     units::Timestamp,
 };
 
@@ -18,15 +19,18 @@
         &mut self,
         now: Timestamp,
         entry: &UpstreamEntry,
+        read: EntryRead,
     ) {
-        let departed = self.departures.get(&entry.id);
-        match departed.map(|it| (it.at, it.may_precede(now, entry.revision())))
-        {
-            Some((left_at, true)) => {
+        let late = self.returns.doubtful_time(read);
+        let departed = self.departures.get(&entry.id).filter(|departed| {
+            departed.may_precede(now, entry.revision(), late)
+        });
+        match departed.map(|departed| departed.at) {
+            Some(left_at) => {
                 let needs_check = self.needs_check(now, entry);
                 self.returns.record_return(now, left_at, entry, needs_check);
             }
-            _ => self.returns.record_entry(now, entry),
+            None => self.returns.record_entry(now, entry, read),
         }
     }
 
--- a/lib/tests/gateway/test_upstream_returns.rs
+++ b/lib/tests/gateway/test_upstream_returns.rs
@@ -93,6 +93,31 @@
     }
 }
 
+/// Guards against a late entry that passes for a new one because the list is read
+/// in full, or the entry read again, when late calls can no longer come.
+#[test]
+fn test_upstream_returns_are_not_taken_from_full_reads() {
+    let others = || ["i-1", "i-2"].map(|it| written(it, 90)).to_vec();
+    let late_at = LEFT_AT.after(ms(5_900));
+    let read_at = LEFT_AT.after(ms(9_000));
+    let late = |sequence| vec![written("i-0", sequence)];
+    // The entry was read before, and a second call of its process was late, too.
+    let mut known = table(&["i-0", "i-1", "i-2"]);
+    remove(&mut known, LEFT_AT, "i-0");
+    set(&mut known, late_at, written("i-0", 40));
+    set(&mut known, read_at, written("i-0", 40));
+    known.replace(read_at, [late(41), others()].concat());
+    assert_eq!(used(&known, read_at), [id("i-1"), id("i-2")]);
+    // The entry is first read in full.
+    let mut unknown = table(&["i-0", "i-1", "i-2"]);
+    remove(&mut unknown, LEFT_AT, "i-0");
+    unknown.replace(read_at, [late(40), others()].concat());
+    assert_eq!(used(&unknown, read_at), [id("i-1"), id("i-2")]);
+    // One that is written after that is new.
+    set(&mut unknown, read_at.after(ms(100)), written("i-0", 41));
+    assert_eq!(used(&unknown, read_at.after(ms(100))).len(), 3);
+}
+
 /// Guards against status checks of a single upstream that may be leaving, though
 /// others have room for its requests, and against none where they do not serve.
 #[rstest]
