logging: begin each line with its time, level, event and request

Collectors of the users keep 200 characters of a line.

A layout of our own writes the event's name and the request first, then the other fields in the order in which the code states them.

--- a/cli/src/logging.rs
+++ b/cli/src/logging.rs
@@ -5,22 +5,25 @@
 //! operators' tools match; the text is for people.
 
 mod bounded;
+mod event_layout;
 
 use borageline_lib::log_event::LogEvent;
-use logforth::{append::Stderr, layout::JsonLayout, record::LevelFilter};
+use logforth::{append::Stderr, record::LevelFilter};
 
-pub use self::bounded::{BoundedStdout, LineLimits};
+pub use self::{
+    bounded::{BoundedStdout, LineLimits},
+    event_layout::EventLayout,
+};
 
 /// Sends the log of the process to standard error.
 ///
 /// Fails if the process already has a logger.
 pub fn start(level: LevelFilter) -> Result<(), logforth::Error> {
-    let layout = JsonLayout::default();
     logforth::starter_log::builder()
         .dispatch(|dispatch| {
             dispatch
                 .filter(level)
-                .append(Stderr::default().with_layout(layout))
+                .append(Stderr::default().with_layout(EventLayout))
         })
         .try_apply()
 }
@@ -33,7 +36,7 @@
     level: LevelFilter,
     limits: LineLimits,
 ) -> Result<(), logforth::Error> {
-    let output = BoundedStdout::start(JsonLayout::default(), limits);
+    let output = BoundedStdout::start(limits);
     logforth::starter_log::builder()
         .dispatch(|dispatch| dispatch.filter(level).append(output))
         .try_apply()
--- a/cli/src/logging/bounded.rs
+++ b/cli/src/logging/bounded.rs
@@ -12,9 +12,9 @@
 };
 
 use borageline_lib::log_event::LogEvent;
-use logforth::{
-    Append, Diagnostic, Error, Layout, layout::JsonLayout, record::Record,
-};
+use logforth::{Append, Diagnostic, Error, Layout, record::Record};
+
+use super::EventLayout;
 
 /// Longest time that a flush takes: nobody may read standard output.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(100);
@@ -62,7 +62,6 @@
 /// Appender with a token bucket, a bounded queue and a writing thread.
 #[derive(Debug)]
 pub struct BoundedStdout {
-    layout: JsonLayout,
     limits: LineLimits,
     bucket: Mutex<TokenBucket>,
     dropped: AtomicU64,
@@ -71,11 +70,10 @@
 
 impl BoundedStdout {
     /// Starts the writing thread.
-    pub fn start(layout: JsonLayout, limits: LineLimits) -> Self {
+    pub fn start(limits: LineLimits) -> Self {
         let (sender, receiver) = sync_channel(limits.queue);
         std::thread::spawn(move || write_lines(&receiver));
         Self {
-            layout,
             limits,
             bucket: Mutex::new(TokenBucket {
                 tokens: limits.burst,
@@ -137,7 +135,7 @@
             return Ok(());
         }
         self.report_dropped();
-        let mut line = self.layout.format(record, diagnostics)?;
+        let mut line = EventLayout.format(record, diagnostics)?;
         line.push(b'\n');
         if self.sender.try_send(OutputJob::Write(line)).is_err() {
             self.dropped.fetch_add(1, Ordering::Relaxed);
