--- a/cli/src/gateway/delegate.rs
+++ b/cli/src/gateway/delegate.rs
@@ -207,8 +207,10 @@
                     let Ok(bytes) = frame.into_data() else {
                         continue;
                     };
+                    let now = self.attempt.context.now();
+                    self.attempt.last_event_at = Some(now);
                     if self.begun_at.is_none() {
-                        self.begun_at = Some(self.attempt.context.now());
+                        self.begun_at = Some(now);
                         let time = self.attempt.elapsed();
                         self.attempt.timings.first_event = Some(time);
                         reply.path.record_first_event();
@@ -267,6 +269,7 @@
 
     /// Breaks the reply off, so that the other instance sees it as incomplete.
     async fn abort(&mut self, end: RequestEnd, text: &str) {
+        self.attempt.log_cut(text);
         self.attempt.record_end(end, text);
         let error = io::Error::other("the reply was broken off");
         // If the other instance has closed the connection, it needs no error.
--- a/cli/src/gateway/forward.rs
+++ b/cli/src/gateway/forward.rs
@@ -88,6 +88,10 @@
     pub(super) timings: RequestTimings,
     /// Predicted times of the answer to the last direct send.
     pub(super) forecast: Option<AnswerForecast>,
+    /// Upstream of the last direct send.
+    pub(super) last_upstream: Option<UpstreamId>,
+    /// Time of the last event or piece of the answer.
+    pub(super) last_event_at: Option<Timestamp>,
     /// Limit that the last upstream named in its reply.
     upstream_limit: Option<RequestLimit>,
     /// Whether the end was recorded; otherwise the caller has left.
@@ -271,6 +275,8 @@
             sends: 0,
             timings: RequestTimings::default(),
             forecast: None,
+            last_upstream: None,
+            last_event_at: None,
             upstream_limit: None,
             ended: false,
         }
@@ -320,6 +326,7 @@
                 target_ms = route.latency_target.as_millis(),
                 longest_pause_ms = timings.longest_pause.as_millis(),
                 late = lateness,
+                stop_ms = self.stop_age_ms(self.context.now()),
                 upstream_limit = self.upstream_limit.map_or_else(
                     || "-".into(),
                     |limit| limit.per_second().to_string(),
@@ -457,6 +464,7 @@
         let request = self.upstream_request(&metadata, &started);
         let begun_at = self.context.now();
         self.forecast = started.forecast;
+        self.last_upstream = Some(started.entry.id.clone());
         let sent = tokio::select! {
             biased;
             sent = self.context.upstreams.send(target, request) => sent,
@@ -740,6 +748,7 @@
                     .forecast
                     .map_or(0, |it| it.longest().as_millis()),
                 time_left_ms = self.time_left().as_millis(),
+                stop_ms = self.stop_age_ms(self.context.now()),
             },
             "send {} to {}", self.sends + 1, started.entry.address,
         );
--- a/cli/src/gateway/planned_stop.rs
+++ b/cli/src/gateway/planned_stop.rs
@@ -7,6 +7,7 @@
     gateway::{planned_stop::PlannedStop, wire::GatewayWire},
     log_event::LogEvent,
     refusal::{Refusal, RefusalCode},
+    units::Timestamp,
 };
 
 use super::{GatewayContext, SharedGateway, forward::CallerAttempt};
@@ -61,6 +62,47 @@
             .map_or(own, |stop| own.min(stop))
     }
 
+    /// Time from the begin of the planned stop to `at` in milliseconds, for the
+    /// log: negative before it, `-` without a stop.
+    pub(super) fn stop_age_ms(&self, at: Timestamp) -> String {
+        let Some(stop) = self.context.core().planned_stop() else {
+            return "-".into();
+        };
+        let begun_at = stop.begun_at();
+        if at < begun_at {
+            return format!("-{}", begun_at.since(at).as_millis());
+        }
+        at.since(begun_at).as_millis().to_string()
+    }
+
+    /// Logs that the answer is cut off.
+    pub(super) fn log_cut(&self, text: &str) {
+        let now = self.context.now();
+        let silence = self.last_event_at.map(|at| now.since(at));
+        log_decision!(
+            LogEvent::AnswerCut,
+            {
+                request = self.id(),
+                stop_read_ms = self.stop_age_ms(self.arrival),
+                stop_cut_ms = self.stop_age_ms(now),
+                sends = self.sends,
+                silent_ms = silence.map_or_else(
+                    || "-".into(),
+                    |silence| silence.as_millis().to_string(),
+                ),
+                elapsed_ms = self.elapsed().as_millis(),
+                longest_ms = self
+                    .forecast
+                    .map_or(0, |forecast| forecast.longest().as_millis()),
+                upstream = self
+                    .last_upstream
+                    .as_ref()
+                    .map_or("-", |upstream| upstream.as_str()),
+            },
+            "{text}",
+        );
+    }
+
     /// Resolves when no time is left, and returns what ended the attempt.
     pub(super) async fn wait_until_expired(&self) -> Refusal {
         tokio::select! {
--- a/cli/src/gateway/stream.rs
+++ b/cli/src/gateway/stream.rs
@@ -301,6 +301,7 @@
 ) -> Response<AnswerBody> {
     let time = attempt.elapsed();
     attempt.timings.first_event = Some(time);
+    attempt.last_event_at = Some(attempt.context.now());
     attempt.context.metrics.record_latency("events", time);
     let (sender, receiver) = mpsc::channel(EVENT_QUEUE_MAX);
     let response = response_head(&attempt, &reply.head, receiver);
@@ -438,6 +439,7 @@
         let timings = &mut self.attempt.timings;
         timings.longest_pause = timings.longest_pause.max(gap);
         self.last_event = now;
+        self.attempt.last_event_at = Some(now);
     }
 
     /// Whether the answer of the current upstream has not begun, or only just.
@@ -483,6 +485,7 @@
     }
 
     async fn abort(&mut self, text: &str) {
+        self.attempt.log_cut(text);
         self.attempt.record_end(RequestEnd::BrokenOff, text);
         let error = io::Error::other("the stream was broken off");
         // If the caller has left, it needs no error.
--- a/lib/src/gateway/planned_stop.rs
+++ b/lib/src/gateway/planned_stop.rs
@@ -55,6 +55,11 @@
         }
     }
 
+    /// Time at which the stop began.
+    pub fn begun_at(&self) -> Timestamp {
+        self.begun_at
+    }
+
     /// Time at which requests that are still open are ended.
     pub fn ends_at(&self) -> Timestamp {
         self.ends_at
--- a/lib/src/log_event.rs
+++ b/lib/src/log_event.rs
@@ -117,6 +117,8 @@
     CallerConnectionFailed = 606, "caller_connection_failed", Debug;
     /// A request is sent to an upstream through another instance.
     RequestDelegated = 607, "request_delegated", Info;
+    /// An answer was cut off after its beginning had reached the caller.
+    AnswerCut = 608, "answer_cut", Warn;
     /// An upstream was added to the instance list, changed or removed.
     UpstreamChanged = 610, "upstream_changed", Info;
     /// A failure domain was closed or reopened.
