gateway: give up no upstream in a planned stop that allows no other

Callers got 502 from a stopping instance although their upstream was at work and had time: the first of two sends of a whole answer is given up after 2.5 latency targets, so that another upstream can take it, and the stop then refused the second send.

Cause: the time for the first send did not know of the stop. When that time is over, the request is now given up only if the stop allows another send; otherwise the upstream keeps the time that is left. Streams are left as they are here; their waits for the first event in stream.rs have the same fault.

--- a/cli/src/gateway/forward.rs
+++ b/cli/src/gateway/forward.rs
@@ -456,10 +456,17 @@
         let before = self.record.run_state();
         self.record.begin_send();
         self.sends += 1;
+        let time_left = self.time_left();
+        let given_up_after = wait(started.time_to_first_event).min(time_left);
         let target = CallTarget {
             step: "forward",
             peer: started.entry.address,
-            timeout: wait(started.time_to_first_event).min(self.time_left()),
+            // A stream that has begun is given up by its own rules.
+            timeout: if self.record.is_stream() {
+                given_up_after
+            } else {
+                time_left
+            },
         };
         let request = self.upstream_request(&metadata, &started);
         let begun_at = self.context.now();
@@ -482,6 +489,13 @@
                     after: silence,
                 })
             }
+            () = self.wait_until_given_up(given_up_after) => {
+                Err(HttpError::TimedOut {
+                    step: target.step,
+                    peer: target.peer,
+                    after: given_up_after,
+                })
+            }
         };
         let upstream = started.entry.id.clone();
         links::record_connection(&self.context, begun_at, &upstream, &sent);
@@ -673,6 +687,26 @@
         checked.map_err(SendError::Refused)
     }
 
+    /// Whether a planned stop leaves enough time to send the request once more.
+    pub(super) fn stop_allows_resend(&self) -> bool {
+        let request = self.placement_request(false);
+        let forecast = self.context.core().unplaced_forecast(&request);
+        self.check_stop(false, forecast).is_ok()
+    }
+
+    /// Resolves after `wait`, once the request can be sent to another upstream
+    /// than the one that has not begun to answer it. A planned stop may forbid
+    /// that; the upstream may then still answer, and nothing else can.
+    async fn wait_until_given_up(&self, wait: Duration) {
+        tokio::time::sleep(wait).await;
+        if self.record.is_stream()
+            || !self.record.can_resend()
+            || !self.stop_allows_resend()
+        {
+            std::future::pending().await
+        }
+    }
+
     /// Waits before the next placement. Fails if a planned stop ends the
     /// request meanwhile.
     async fn pause(&self, pause: Duration) -> Result<(), Refusal> {
