gateway: pass a failure of an upstream on if a planned stop allows no resend

Callers got 502 from a stopping instance in place of the 500 that their upstream had answered with, and which is the upstream's signed answer.

Cause: whether a failure can be followed by another send was decided by the request's own record alone; the stop then refused the send. The stop is asked, too.

--- a/cli/src/gateway/whole_answer.rs
+++ b/cli/src/gateway/whole_answer.rs
@@ -153,6 +153,6 @@
         let now = self.context.now();
         let before = record.run_state();
         let step = record.finish_send(now, before, SendOutcome::Failed);
-        matches!(step, NextStep::Resend { .. })
+        matches!(step, NextStep::Resend { .. }) && self.stop_allows_resend()
     }
 }
