gateway: move the parts of an event stream into modules of their own

`stream.rs` keeps the answer up to its first event. `stream/step.rs` waits for the next events of an upstream, and `stream/forwarder.rs` forwards the rest of a stream. Nothing else changes.

--- /dev/null
+++ b/cli/src/gateway/stream/forwarder.rs
@@ -0,0 +1,251 @@
+//! Forwards the rest of a stream whose response has started.
+
+use std::io;
+
+use borageline_lib::{
+    gateway::{
+        attempt::SendOutcome, prompt_quarantine::SOUND_ANSWER_TIME,
+        stream_cursor::StreamCursor, wire::GatewayWire,
+    },
+    units::Timestamp,
+};
+use bytes::Bytes;
+use tokio::sync::mpsc;
+
+use super::{
+    super::{
+        forward::{CallerAttempt, SendError, UpstreamReply},
+        metrics::RequestEnd,
+    },
+    step::{STALL_TIME_MIN, StallLimit, StreamStep, next_step},
+};
+
+/// Expected gaps after which a silent stream counts as stalled.
+const STALL_GAPS: u32 = 5;
+
+/// A stream whose response has started.
+pub(super) struct StreamForwarder<W: GatewayWire> {
+    pub(super) attempt: CallerAttempt<W>,
+    pub(super) cursor: StreamCursor,
+    pub(super) sender: mpsc::Sender<io::Result<Bytes>>,
+    pub(super) last_event: Timestamp,
+    /// Time of the current upstream's first event; `None` before it.
+    pub(super) answer_begun_at: Option<Timestamp>,
+    /// Whether the prompt was recorded as sound.
+    pub(super) is_sound: bool,
+    /// Whether stalls no longer cause a fail-over.
+    pub(super) ignore_stalls: bool,
+}
+
+impl<W: GatewayWire> StreamForwarder<W> {
+    /// Forwards events until the stream ends, the deadline passes or the
+    /// caller leaves.
+    pub(super) async fn run(
+        mut self,
+        mut reply: UpstreamReply<W>,
+        mut events: Vec<Bytes>,
+        mut complete: bool,
+    ) {
+        loop {
+            for event in events.drain(..) {
+                let sent = tokio::select! {
+                    biased;
+                    sent = self.sender.send(Ok(event)) => sent,
+                    stop = self.attempt.context.wait_until_stop_ends() => {
+                        self.abort(&stop.to_string()).await;
+                        return;
+                    }
+                };
+                if sent.is_err() {
+                    return;
+                }
+            }
+            if complete {
+                self.finish(&reply);
+                return;
+            }
+            let gap = self.attempt.admitted.route.gap_target * STALL_GAPS;
+            let heeds_links =
+                self.attempt.record.can_resend() && !self.ignore_stalls;
+            let silence = if heeds_links {
+                gap.max(STALL_TIME_MIN)
+            } else {
+                self.attempt.time_left()
+            };
+            let limit = StallLimit {
+                silence,
+                heeds_links,
+            };
+            let step = next_step(
+                &self.attempt,
+                &mut self.cursor,
+                &mut reply,
+                limit,
+                Some(&self.sender),
+            );
+            match step.await {
+                StreamStep::Events(next) => {
+                    self.record_gap();
+                    self.record_progress();
+                    events = next;
+                }
+                StreamStep::Complete => complete = true,
+                StreamStep::CallerLeft => return,
+                StreamStep::Expired(expiry) => {
+                    self.abort(&expiry.to_string()).await;
+                    return;
+                }
+                StreamStep::Stalled(silence) => {
+                    // A stall alone does not end a stream: unless another
+                    // upstream can take over, it keeps waiting.
+                    if self.cursor.last_id().is_none()
+                        || !self.attempt.prepay_resend().await
+                    {
+                        self.ignore_stalls = true;
+                        continue;
+                    }
+                    let text = format!("no event for {silence:?}");
+                    match self.fail_over(reply, &text).await {
+                        Some(next) => reply = next,
+                        None => return,
+                    }
+                }
+                StreamStep::Broken(text) => {
+                    if self.is_answer_beginning() {
+                        self.attempt.suspect_crash(&reply.upstream);
+                    }
+                    match self.fail_over(reply, &text).await {
+                        Some(next) => reply = next,
+                        None => return,
+                    }
+                }
+            }
+        }
+    }
+
+    fn record_gap(&mut self) {
+        let now = self.attempt.context.now();
+        let gap = now.since(self.last_event);
+        let timings = &mut self.attempt.timings;
+        timings.longest_pause = timings.longest_pause.max(gap);
+        self.last_event = now;
+        self.attempt.last_event_at = Some(now);
+    }
+
+    /// Whether the answer of the current upstream has not begun, or only just.
+    fn is_answer_beginning(&self) -> bool {
+        let now = self.attempt.context.now();
+        self.answer_begun_at
+            .is_none_or(|at| now.since(at) < SOUND_ANSWER_TIME)
+    }
+
+    /// Records the prompt as sound once its answer has gone on for some time.
+    fn record_progress(&mut self) {
+        let now = self.attempt.context.now();
+        let begun_at = *self.answer_begun_at.get_or_insert(now);
+        if !self.is_sound && !self.is_answer_beginning() {
+            self.is_sound = true;
+            self.attempt.record_sound_prompt(begun_at);
+        }
+    }
+
+    fn finish(&mut self, reply: &UpstreamReply<W>) {
+        let context = self.attempt.context.clone();
+        if let (false, Some(begun_at)) = (self.is_sound, self.answer_begun_at) {
+            self.attempt.record_sound_prompt(begun_at);
+        }
+        context.core().record_success(&reply.upstream);
+        self.record_decoding();
+        let events = self.cursor.events();
+        let text = format!("{events} events of {}", reply.upstream);
+        self.attempt.record_end(RequestEnd::Answered, &text);
+    }
+
+    /// Records the decoding time of an answer that came from one upstream.
+    fn record_decoding(&self) {
+        let attempt = &self.attempt;
+        let times = (attempt.forecast, attempt.timings.first_event);
+        if let (1, (Some(forecast), Some(first_event))) = (attempt.sends, times)
+        {
+            let actual = attempt.elapsed().saturating_sub(first_event);
+            let service = &attempt.admitted.service;
+            let mut core = attempt.context.core();
+            core.record_decoding(service, &forecast, actual);
+        }
+    }
+
+    async fn abort(&mut self, text: &str) {
+        self.attempt.log_cut(text);
+        self.attempt.record_end(RequestEnd::BrokenOff, text);
+        let error = io::Error::other("the stream was broken off");
+        // If the caller has left, it needs no error.
+        let _ = self.sender.send(Err(error)).await;
+    }
+
+    /// Continues at another upstream. `None` if the stream has ended, because
+    /// it could not be resumed or the caller left.
+    async fn fail_over(
+        &mut self,
+        reply: UpstreamReply<W>,
+        text: &str,
+    ) -> Option<UpstreamReply<W>> {
+        self.attempt.record_failed_send(
+            &reply.upstream,
+            SendOutcome::Lost,
+            text,
+        );
+        drop(reply);
+        self.cursor.restart();
+        self.answer_begun_at = None;
+        let mut before = self.attempt.record.run_state();
+        let mut outcome = SendOutcome::Lost;
+        loop {
+            let resumable = self.cursor.last_id().is_some();
+            if !resumable
+                || !self.attempt.authorize_resend(before, outcome).await
+            {
+                self.abort("the stream cannot be resumed").await;
+                return None;
+            }
+            let wait = self.attempt.time_left();
+            let resume_after = self.cursor.last_id();
+            let sent = tokio::select! {
+                () = self.sender.closed() => return None,
+                sent = self.attempt.send(resume_after, |_| wait) => sent,
+            };
+            match sent {
+                Ok(reply)
+                    if reply.head.status.is_success()
+                        && self
+                            .attempt
+                            .context
+                            .wire
+                            .is_authentic_answer(&reply.head) =>
+                {
+                    return Some(reply);
+                }
+                Ok(reply) => {
+                    let text = format!(
+                        "the upstream answered with status {}",
+                        reply.head.status
+                    );
+                    before = self.attempt.record.run_state();
+                    outcome = SendOutcome::Failed;
+                    self.attempt.record_failed_send(
+                        &reply.upstream,
+                        outcome,
+                        &text,
+                    );
+                }
+                Err(SendError::Refused(refusal)) => {
+                    self.abort(&refusal.to_string()).await;
+                    return None;
+                }
+                Err(SendError::Ended(state, end)) => {
+                    before = state;
+                    outcome = end;
+                }
+            }
+        }
+    }
+}
