gateway: keep a silent engine until another one has begun

Callers saw streams that broke off although their engine was only silent for a moment. After 1.8 s of silence, or 1 s with lost links, the gateway closed the connection to the engine and only then looked for another one. If there was none, if it declined, failed or never began, or if a planned stop left no time, nothing was left to go on with.

A silent engine is now kept until another one has sent the first event that the caller lacks, or a complete end. If the silent one goes on before that, the other send is dropped, and the log says so (`stream_continued`). Each of the two has a cursor of its own, so that events of one run only follow. If the silent one breaks off meanwhile, the other one continues alone. A resend that was paid for and refused before it was sent is still counted only once.

--- a/cli/src/gateway/crash_confirmation.rs
+++ b/cli/src/gateway/crash_confirmation.rs
@@ -82,19 +82,45 @@
     /// Finds out whether an upstream crashed that broke off this request before
     /// or shortly after the beginning of its answer.
     pub(super) fn suspect_crash(&self, upstream: &UpstreamId) {
-        let core = self.context.core();
+        self.crash_suspicion().record(upstream);
+    }
+
+    /// What a suspicion must know of this request.
+    pub(super) fn crash_suspicion(&self) -> CrashSuspicion<W> {
+        CrashSuspicion {
+            context: self.context.clone(),
+            attempt: self.id().to_owned(),
+            prompt: SuspectPrompt {
+                attempt: xxh3_64(self.id().as_bytes()),
+                parts: self.contents.clone(),
+            },
+        }
+    }
+}
+
+/// A request that may crash an upstream, apart from its attempt, which may be
+/// in use for another send when the upstream breaks off.
+pub(super) struct CrashSuspicion<W: GatewayWire> {
+    context: SharedGateway<W>,
+    attempt: String,
+    prompt: SuspectPrompt,
+}
+
+impl<W: GatewayWire> CrashSuspicion<W> {
+    /// Finds out whether an upstream that broke off the request crashed.
+    pub(super) fn record(self, upstream: &UpstreamId) {
+        let Self {
+            context,
+            attempt,
+            prompt,
+        } = self;
+        let core = context.core();
         let Some(upstream) = core.upstreams().get(upstream) else {
             return;
         };
         let entry = upstream.entry.clone();
         drop(core);
-        let prompt = SuspectPrompt {
-            attempt: xxh3_64(self.id().as_bytes()),
-            parts: self.contents.clone(),
-        };
-        if self.context.suspicions.add(&entry.process(), prompt) {
-            let context = self.context.clone();
-            let attempt = self.id().to_owned();
+        if context.suspicions.add(&entry.process(), prompt) {
             let broken_at = context.now();
             tokio::spawn(confirm_crash(context, entry, attempt, broken_at));
         }
--- a/cli/src/gateway/delegation.rs
+++ b/cli/src/gateway/delegation.rs
@@ -88,8 +88,7 @@
         let reply_wait = wait(expected).min(self.time_left());
         let request = self.delegated_request(peer, resume_after, reply_wait);
         let before = self.record.run_state();
-        self.record.begin_send();
-        self.sends += 1;
+        self.begin_send();
         if self.sends == 1 {
             self.timings.waited = self.elapsed();
         }
--- a/cli/src/gateway/forward.rs
+++ b/cli/src/gateway/forward.rs
@@ -454,8 +454,7 @@
             body_length: self.body.as_ref().map(|body| body.len()),
         };
         let before = self.record.run_state();
-        self.record.begin_send();
-        self.sends += 1;
+        self.begin_send();
         let target = CallTarget {
             step: "forward",
             peer: started.entry.address,
@@ -538,6 +537,14 @@
         })
     }
 
+    /// Records that the request is about to be written to an upstream. A resend
+    /// that was paid for and not made is free until then.
+    pub(super) fn begin_send(&mut self) {
+        self.record.begin_send();
+        self.sends += 1;
+        self.is_resend_paid = false;
+    }
+
     /// Records whether the reply says that the upstream is leaving.
     pub(super) fn record_departure(
         &self,
@@ -818,7 +825,9 @@
         if outcome.proves_not_run() {
             self.excluded.push(upstream.clone());
         } else {
-            self.tried.push(upstream.clone());
+            if !self.tried.contains(upstream) {
+                self.tried.push(upstream.clone());
+            }
         }
         log_decision!(
             LogEvent::SendFailed,
@@ -844,9 +853,7 @@
         match self.record.finish_send(now, before, outcome) {
             NextStep::End(_) => false,
             NextStep::Resend { budgeted } => {
-                let allowed = !budgeted
-                    || std::mem::take(&mut self.is_resend_paid)
-                    || self.pay_for_resend().await;
+                let allowed = !budgeted || self.prepay_resend().await;
                 if allowed {
                     self.context.metrics.count_retry(retry_reason(outcome));
                 }
--- a/cli/src/gateway/stream.rs
+++ b/cli/src/gateway/stream.rs
@@ -5,6 +5,7 @@
 
 mod forwarder;
 mod step;
+mod takeover;
 
 use std::{io, time::Duration};
 
@@ -202,6 +203,7 @@
         answer_begun_at: (!events.is_empty()).then(|| attempt.context.now()),
         is_sound: false,
         ignore_stalls: false,
+        heed_links: true,
         attempt,
         cursor,
         sender,
--- a/cli/src/gateway/stream/forwarder.rs
+++ b/cli/src/gateway/stream/forwarder.rs
@@ -7,6 +7,7 @@
         attempt::SendOutcome, prompt_quarantine::SOUND_ANSWER_TIME,
         stream_cursor::StreamCursor, wire::GatewayWire,
     },
+    ids::UpstreamId,
     units::Timestamp,
 };
 use bytes::Bytes;
@@ -14,10 +15,11 @@
 
 use super::{
     super::{
-        forward::{CallerAttempt, SendError, UpstreamReply},
+        forward::{CallerAttempt, UpstreamReply},
         metrics::RequestEnd,
     },
     step::{STALL_TIME_MIN, StallLimit, StreamStep, next_step},
+    takeover::{Continuation, Takeover, TakeoverError},
 };
 
 /// Expected gaps after which a silent stream counts as stalled.
@@ -35,6 +37,8 @@
     pub(super) is_sound: bool,
     /// Whether stalls no longer cause a fail-over.
     pub(super) ignore_stalls: bool,
+    /// Whether lost links make a silence count as a stall sooner.
+    pub(super) heed_links: bool,
 }
 
 impl<W: GatewayWire> StreamForwarder<W> {
@@ -46,6 +50,7 @@
         mut events: Vec<Bytes>,
         mut complete: bool,
     ) {
+        let mut known_step = None;
         loop {
             for event in events.drain(..) {
                 let sent = tokio::select! {
@@ -64,32 +69,21 @@
                 self.finish(&reply);
                 return;
             }
-            let gap = self.attempt.admitted.route.gap_target * STALL_GAPS;
-            let heeds_links =
-                self.attempt.record.can_resend() && !self.ignore_stalls;
-            let silence = if heeds_links {
-                gap.max(STALL_TIME_MIN)
-            } else {
-                self.attempt.time_left()
+            let step = match known_step.take() {
+                Some(step) => step,
+                None => self.next_step(&mut reply).await,
             };
-            let limit = StallLimit {
-                silence,
-                heeds_links,
-            };
-            let step = next_step(
-                &self.attempt,
-                &mut self.cursor,
-                &mut reply,
-                limit,
-                Some(&self.sender),
-            );
-            match step.await {
+            let (kept, text) = match step {
                 StreamStep::Events(next) => {
                     self.record_gap();
                     self.record_progress();
                     events = next;
+                    continue;
+                }
+                StreamStep::Complete => {
+                    complete = true;
+                    continue;
                 }
-                StreamStep::Complete => complete = true,
                 StreamStep::CallerLeft => return,
                 StreamStep::Expired(expiry) => {
                     self.abort(&expiry.to_string()).await;
@@ -104,25 +98,44 @@
                         self.ignore_stalls = true;
                         continue;
                     }
-                    let text = format!("no event for {silence:?}");
-                    match self.fail_over(reply, &text).await {
-                        Some(next) => reply = next,
-                        None => return,
-                    }
+                    (true, format!("no event for {silence:?}"))
                 }
                 StreamStep::Broken(text) => {
                     if self.is_answer_beginning() {
                         self.attempt.suspect_crash(&reply.upstream);
                     }
-                    match self.fail_over(reply, &text).await {
-                        Some(next) => reply = next,
-                        None => return,
-                    }
+                    (false, text)
                 }
+            };
+            let failed = reply.upstream.clone();
+            let kept = kept.then_some(reply);
+            match self.fail_over(&failed, kept, &text).await {
+                Some((next, step)) => {
+                    reply = next;
+                    known_step = step;
+                }
+                None => return,
             }
         }
     }
 
+    async fn next_step(&mut self, reply: &mut UpstreamReply<W>) -> StreamStep {
+        let gap = self.attempt.admitted.route.gap_target * STALL_GAPS;
+        let heeds_stalls =
+            self.attempt.record.can_resend() && !self.ignore_stalls;
+        let silence = if heeds_stalls {
+            gap.max(STALL_TIME_MIN)
+        } else {
+            self.attempt.time_left()
+        };
+        let limit = StallLimit {
+            silence,
+            heeds_links: heeds_stalls && self.heed_links,
+        };
+        let caller = Some(&self.sender);
+        next_step(&self.attempt, &mut self.cursor, reply, limit, caller).await
+    }
+
     fn record_gap(&mut self) {
         let now = self.attempt.context.now();
         let gap = now.since(self.last_event);
@@ -182,69 +195,52 @@
         let _ = self.sender.send(Err(error)).await;
     }
 
-    /// Continues at another upstream. `None` if the stream has ended, because
-    /// it could not be resumed or the caller left.
+    /// Records that the upstream fell silent or broke off, and tries another one.
+    /// One that is only silent, `kept`, goes on if it can before the other has
+    /// begun. Returns what happens next, if it is known; `None` if the stream
+    /// has ended, because it could not be resumed or the caller left.
     async fn fail_over(
         &mut self,
-        reply: UpstreamReply<W>,
+        failed: &UpstreamId,
+        kept: Option<UpstreamReply<W>>,
         text: &str,
-    ) -> Option<UpstreamReply<W>> {
-        self.attempt.record_failed_send(
-            &reply.upstream,
-            SendOutcome::Lost,
-            text,
-        );
-        drop(reply);
-        self.cursor.restart();
-        self.answer_begun_at = None;
-        let mut before = self.attempt.record.run_state();
-        let mut outcome = SendOutcome::Lost;
-        loop {
-            let resumable = self.cursor.last_id().is_some();
-            if !resumable
-                || !self.attempt.authorize_resend(before, outcome).await
-            {
-                self.abort("the stream cannot be resumed").await;
-                return None;
+    ) -> Option<(UpstreamReply<W>, Option<StreamStep>)> {
+        self.attempt
+            .record_failed_send(failed, SendOutcome::Lost, text);
+        if self.cursor.last_id().is_none() {
+            self.abort("the stream cannot be resumed").await;
+            return None;
+        }
+        let takeover = Takeover {
+            attempt: &mut self.attempt,
+            cursor: &mut self.cursor,
+            caller: Some(&self.sender),
+            answer_begun_at: self.answer_begun_at,
+        };
+        match takeover.run(kept).await {
+            Ok(Continuation::Kept(reply, step)) => {
+                // Without a free upstream the links are no reason to look for
+                // one at ever shorter intervals.
+                self.heed_links = false;
+                Some((reply, step))
             }
-            let wait = self.attempt.time_left();
-            let resume_after = self.cursor.last_id();
-            let sent = tokio::select! {
-                () = self.sender.closed() => return None,
-                sent = self.attempt.send(resume_after, |_| wait) => sent,
-            };
-            match sent {
-                Ok(reply)
-                    if reply.head.status.is_success()
-                        && self
-                            .attempt
-                            .context
-                            .wire
-                            .is_authentic_answer(&reply.head) =>
-                {
-                    return Some(reply);
-                }
-                Ok(reply) => {
-                    let text = format!(
-                        "the upstream answered with status {}",
-                        reply.head.status
-                    );
-                    before = self.attempt.record.run_state();
-                    outcome = SendOutcome::Failed;
-                    self.attempt.record_failed_send(
-                        &reply.upstream,
-                        outcome,
-                        &text,
-                    );
-                }
-                Err(SendError::Refused(refusal)) => {
-                    self.abort(&refusal.to_string()).await;
-                    return None;
-                }
-                Err(SendError::Ended(state, end)) => {
-                    before = state;
-                    outcome = end;
-                }
+            Ok(Continuation::Taken(reply, step)) => {
+                self.answer_begun_at = None;
+                self.heed_links = true;
+                Some((reply, step))
+            }
+            Err(TakeoverError::CallerLeft) => None,
+            Err(TakeoverError::Refused(refusal)) => {
+                self.abort(&refusal.to_string()).await;
+                None
+            }
+            Err(TakeoverError::NotResent(outcome)) => {
+                let text = format!(
+                    "the stream cannot be resumed after a send that ended \
+                     with {outcome:?}",
+                );
+                self.abort(&text).await;
+                None
             }
         }
     }
--- a/cli/src/gateway/stream/step.rs
+++ b/cli/src/gateway/stream/step.rs
@@ -11,6 +11,7 @@
 };
 use bytes::Bytes;
 use http_body_util::BodyExt;
+use hyper::body::Incoming;
 use tokio::{sync::mpsc, time::Instant};
 
 use super::super::forward::{CallerAttempt, UpstreamReply};
@@ -63,24 +64,13 @@
     let first_look = if heeds_links { SILENCE_MIN } else { left };
     let stall = tokio::time::sleep(limit.silence.min(left).min(first_look));
     tokio::pin!(stall);
+    let events = next_events(cursor, &mut reply.body);
+    tokio::pin!(events);
     loop {
-        let mut events = Vec::new();
-        loop {
-            match cursor.next_event() {
-                Ok(Some(event)) => events.push(event.bytes),
-                Ok(None) => break,
-                Err(error) => {
-                    return StreamStep::Broken(format!("{error:?}"));
-                }
-            }
-        }
-        if !events.is_empty() {
-            return StreamStep::Events(events);
-        }
-        let frame = tokio::select! {
+        tokio::select! {
             biased;
             () = caller_left(caller) => return StreamStep::CallerLeft,
-            frame = reply.body.frame() => frame,
+            step = &mut events => return step,
             expiry = &mut expiry => return StreamStep::Expired(expiry),
             () = &mut stall => {
                 let silence = begun_at.elapsed();
@@ -93,10 +83,32 @@
                 stall
                     .as_mut()
                     .reset(next.min(Instant::now() + LINK_CHECK_INTERVAL));
-                continue;
             }
-        };
-        match frame {
+        }
+    }
+}
+
+/// Reads the next events of a body, its end or its failure. What was read stays
+/// in the cursor if the future is dropped.
+pub(super) async fn next_events(
+    cursor: &mut StreamCursor,
+    body: &mut Incoming,
+) -> StreamStep {
+    loop {
+        let mut events = Vec::new();
+        loop {
+            match cursor.next_event() {
+                Ok(Some(event)) => events.push(event.bytes),
+                Ok(None) => break,
+                Err(error) => {
+                    return StreamStep::Broken(format!("{error:?}"));
+                }
+            }
+        }
+        if !events.is_empty() {
+            return StreamStep::Events(events);
+        }
+        match body.frame().await {
             Some(Ok(frame)) => {
                 if let Some(bytes) = frame.data_ref() {
                     cursor.push(bytes);
--- a/lib/src/gateway/stream_cursor.rs
+++ b/lib/src/gateway/stream_cursor.rs
@@ -46,6 +46,15 @@
         }
     }
 
+    /// Cursor at the same position, for the stream of another upstream.
+    pub fn branch(&self) -> Self {
+        Self {
+            last_id: self.last_id,
+            events: self.events,
+            ..Self::default()
+        }
+    }
+
     /// Id of the last forwarded event; `None` if no event with an id was
     /// forwarded.
     pub fn last_id(&self) -> Option<u64> {
--- a/lib/src/log_event.rs
+++ b/lib/src/log_event.rs
@@ -119,6 +119,9 @@
     RequestDelegated = 607, "request_delegated", Info;
     /// An answer was cut off after its beginning had reached the caller.
     AnswerCut = 608, "answer_cut", Warn;
+    /// An upstream that had fallen silent goes on with its stream, before
+    /// another one has begun.
+    StreamContinued = 609, "stream_continued", Info;
     /// An upstream was added to the instance list, changed or removed.
     UpstreamChanged = 610, "upstream_changed", Info;
     /// A failure domain was closed or reopened.
