gateway: keep an engine that is silent before its first event

Callers got a refusal, or another engine's status 500, for a stream whose engine had sent the head of its reply and was silent for some seconds before the first event: the engine was left after the time for the first event, and the send elsewhere failed, although the first engine still answered in time.

The wait for the first event uses the same takeover as the rest of the stream. Without a retry left, the gateway waits for the silent engine until the deadline; its silence is recorded as before.

--- a/cli/src/gateway/stream.rs
+++ b/cli/src/gateway/stream.rs
@@ -23,6 +23,7 @@
 use self::{
     forwarder::StreamForwarder,
     step::{STALL_TIME_MIN, StallLimit, StreamStep, next_step},
+    takeover::{Continuation, Takeover, TakeoverError},
 };
 use super::{
     caller_listener::{AnswerBody, EventBody},
@@ -83,58 +84,126 @@
             let refusal = attempt.refusal_after(SendOutcome::Lost);
             return attempt.refuse(refusal);
         }
-        let mut reply = reply;
         let elapsed = attempt.context.now().since(started_at);
         let limit = wait(reply.time_to_first_event).saturating_sub(elapsed);
         let limit = StallLimit {
             silence: limit,
             heeds_links: attempt.record.can_resend(),
         };
-        let step = first_step(&mut attempt, &mut cursor, &mut reply, limit);
-        let step = match step.await {
+        let begun = begin_stream(&mut attempt, &mut cursor, reply, limit).await;
+        match begun {
+            Begin::Events(reply, events) => {
+                return forward_stream(attempt, cursor, reply, events, false);
+            }
+            Begin::Complete(reply) => {
+                let events = Vec::new();
+                return forward_stream(attempt, cursor, reply, events, true);
+            }
+            Begin::Refused(refusal) => return attempt.refuse(refusal),
+            Begin::Broken => cursor.restart(),
+        }
+        let before = attempt.record.run_state();
+        if !attempt.authorize_resend(before, SendOutcome::Lost).await {
+            let refusal = attempt.refusal_after(SendOutcome::Lost);
+            return attempt.refuse(refusal);
+        }
+    }
+}
+
+/// How the wait for the first events of a stream ended.
+enum Begin<W: GatewayWire> {
+    /// They have arrived from this upstream.
+    Events(UpstreamReply<W>, Vec<Bytes>),
+    /// The stream of this upstream ended without an event that the caller lacks.
+    Complete(UpstreamReply<W>),
+    /// The upstream broke off, which has been recorded.
+    Broken,
+    /// The request is refused.
+    Refused(Refusal),
+}
+
+/// Waits for the first events of a stream. An upstream that is silent for longer
+/// than `limit` is kept until another one has begun.
+async fn begin_stream<W: GatewayWire>(
+    attempt: &mut CallerAttempt<W>,
+    cursor: &mut StreamCursor,
+    mut reply: UpstreamReply<W>,
+    mut limit: StallLimit,
+) -> Begin<W> {
+    let mut known_step = None;
+    loop {
+        let step = match known_step.take() {
+            Some(step) => Ok(step),
+            None => first_step(attempt, cursor, &mut reply, limit).await,
+        };
+        let step = match step {
             Ok(step) => step,
-            Err(refusal) => return attempt.refuse(refusal),
+            Err(refusal) => return Begin::Refused(refusal),
         };
         let text = match step {
-            StreamStep::Events(events) => {
-                return forward_stream(attempt, cursor, reply, events, false);
-            }
+            StreamStep::Events(events) => return Begin::Events(reply, events),
             StreamStep::Complete if cursor.last_id().is_none() => {
-                attempt.suspect_crash(&reply.upstream);
                 "the stream ended before its first event".into()
             }
-            StreamStep::Complete => {
-                return forward_stream(
-                    attempt,
-                    cursor,
-                    reply,
-                    Vec::new(),
-                    true,
-                );
-            }
-            StreamStep::Broken(text) => {
-                attempt.suspect_crash(&reply.upstream);
-                text
-            }
-            StreamStep::Stalled(limit) => format!("no event for {limit:?}"),
-            StreamStep::Expired(expiry) => return attempt.refuse(expiry),
-            StreamStep::CallerLeft => {
-                let text = "the caller left before the first event";
-                let code = RefusalCode::DeadlineExceeded;
-                return attempt.refuse(Refusal::new(code, text));
+            StreamStep::Complete => return Begin::Complete(reply),
+            StreamStep::Broken(text) => text,
+            StreamStep::Expired(expiry) => return Begin::Refused(expiry),
+            StreamStep::CallerLeft => return Begin::Refused(caller_gone()),
+            StreamStep::Stalled(silence) => {
+                let text = format!("no event for {silence:?}");
+                let failed = reply.upstream.clone();
+                let outcome = SendOutcome::Lost;
+                attempt.record_failed_send(&failed, outcome, &text);
+                if !attempt.prepay_resend().await {
+                    limit = StallLimit {
+                        silence: attempt.time_left(),
+                        heeds_links: false,
+                    };
+                    continue;
+                }
+                let takeover = Takeover {
+                    attempt: &mut *attempt,
+                    cursor: &mut *cursor,
+                    caller: None,
+                    answer_begun_at: None,
+                };
+                match takeover.run(Some(reply)).await {
+                    Ok(
+                        Continuation::Kept(next, step)
+                        | Continuation::Taken(next, step),
+                    ) => {
+                        reply = next;
+                        known_step = step;
+                    }
+                    Err(TakeoverError::CallerLeft) => {
+                        return Begin::Refused(caller_gone());
+                    }
+                    Err(TakeoverError::Refused(refusal)) => {
+                        return Begin::Refused(refusal);
+                    }
+                    Err(TakeoverError::NotResent(outcome)) => {
+                        return Begin::Refused(attempt.refusal_after(outcome));
+                    }
+                }
+                let timeout = first_event_timeout(attempt);
+                limit = StallLimit {
+                    silence: timeout(reply.time_to_first_event),
+                    heeds_links: false,
+                };
+                continue;
             }
         };
+        attempt.suspect_crash(&reply.upstream);
         attempt.record_failed_send(&reply.upstream, SendOutcome::Lost, &text);
-        drop(reply);
-        cursor.restart();
-        let before = attempt.record.run_state();
-        if !attempt.authorize_resend(before, SendOutcome::Lost).await {
-            let refusal = attempt.refusal_after(SendOutcome::Lost);
-            return attempt.refuse(refusal);
-        }
+        return Begin::Broken;
     }
 }
 
+fn caller_gone() -> Refusal {
+    let text = "the caller left before the first event";
+    Refusal::new(RefusalCode::DeadlineExceeded, text)
+}
+
 /// Returns the timeout for the first event as a function of the predicted
 /// time to it.
 fn first_event_timeout<W: GatewayWire>(
