serve: send no completion late in a planned stop on a prediction

Callers saw streams end with the error `stopping`, run state `ran`, some seconds after their first event, although other instances could have served them. Such a request is read whole late in the stop, because its body arrives slowly, in chunks or in halves, or it waits for a grant or is sent again after its engine failed. It was sent if it was predicted to end before the stop ends all requests. A slower engine is cut off then.

Cause: as in the gateway, a prediction took the place of a bound.

A prediction now decides only while an address list may name the instance, and in the first third of the time until all requests end. Later only the request's own deadline decides; what may outlive the stop is refused at once as `stopping`, also while it waits for a grant and before it is sent again. With the default time limit of 600 s this concerns deadlines later than 598 s after SIGTERM. An interrupted stream is still resumed at its engine until the end.

--- a/lib/src/entry.rs
+++ b/lib/src/entry.rs
@@ -225,7 +225,7 @@
     ) -> Self {
         let limit = RequestLimit::new(descriptor.deadline, stop);
         Self {
-            timer_due: limit.ends_at(),
+            timer_due: limit.sent_before(),
             descriptor,
             arrived: now,
             limit,
@@ -247,6 +247,14 @@
         }
     }
 
+    /// When the request ends or, while it is not dispatched, is refused.
+    fn expires_at(&self) -> Timestamp {
+        match self.phase {
+            Phase::Dispatched => self.limit.ends_at(),
+            _ => self.limit.sent_before(),
+        }
+    }
+
     /// Prepares for a new placement round.
     fn reset_round(&mut self) {
         self.phase = Phase::BackingOff;
@@ -470,11 +478,11 @@
         &self.candidates
     }
 
-    /// Puts a request back into the table and sets its timer, at its limit at
-    /// the latest.
+    /// Puts a request back into the table and sets its timer, at the latest to
+    /// the time at which it expires.
     fn reinsert(&mut self, mut inflight: InFlightRequest, due: Timestamp) {
         let request = inflight.descriptor.request.clone();
-        inflight.timer_due = due.min(inflight.limit.ends_at());
+        inflight.timer_due = due.min(inflight.expires_at());
         self.timers.insert((inflight.timer_due, request.clone()));
         self.requests.insert(request, inflight);
     }
@@ -497,7 +505,7 @@
             return;
         }
         let mut inflight = InFlightRequest::new(now, descriptor, self.stop);
-        if now >= inflight.limit.ends_at() {
+        if now >= inflight.expires_at() {
             return self.refuse(inflight, deadline_exceeded(), actions);
         }
         if !view.configuration_fresh {
@@ -522,7 +530,7 @@
         view: &FleetView,
         actions: &mut Vec<EntryAction>,
     ) {
-        if now >= inflight.limit.ends_at() {
+        if now >= inflight.expires_at() {
             return self.end_past_deadline(inflight, actions);
         }
         match inflight.phase {
@@ -621,7 +629,7 @@
         let next = now.after(pause);
         let gone = refusal.code == RefusalCode::NoUpstream
             && now.since(inflight.arrived) >= NO_UPSTREAM_WAIT;
-        if gone || next >= inflight.limit.ends_at() {
+        if gone || next >= inflight.limit.sent_before() {
             let refusal = refusal.with_retry_after(pause);
             return self.end(inflight, refusal, actions);
         }
--- a/lib/src/entry/placing.rs
+++ b/lib/src/entry/placing.rs
@@ -29,6 +29,9 @@
         view: &FleetView,
         actions: &mut Vec<EntryAction>,
     ) {
+        if now >= inflight.limit.sent_before() {
+            return self.end_past_deadline(inflight, actions);
+        }
         if !view.configuration_fresh {
             return self.schedule_retry(
                 now,
@@ -380,6 +383,9 @@
         view: &FleetView,
         actions: &mut Vec<EntryAction>,
     ) {
+        if now >= inflight.limit.sent_before() {
+            return self.end_past_deadline(inflight, actions);
+        }
         let mut engines = Vec::with_capacity(inflight.allocations.len());
         for allocation in &inflight.allocations {
             let Some(entry) = view.upstreams.get(&allocation.engine) else {
@@ -395,7 +401,7 @@
         }
         let send_before = inflight.allocations[0]
             .use_before
-            .min(inflight.limit.ends_at());
+            .min(inflight.limit.sent_before());
         let assignment = Assignment {
             engines,
             send_before,
--- a/lib/src/planned_stop.rs
+++ b/lib/src/planned_stop.rs
@@ -6,6 +6,13 @@
 //! later, when the stop ends all requests. A request that may not be repeated
 //! is sent only if its own deadline lies before that; its caller could not
 //! find out otherwise whether it ran.
+//!
+//! No prediction bounds what an engine takes: one that is slower than stated, or
+//! silent for a while, takes several times as long. At the begin of a stop a
+//! prediction decides nevertheless whether a request that may be repeated is
+//! sent, because callers still hold the instance's address and most of the time
+//! is left. Later only the request's own deadline counts, and what may outlive
+//! the stop is refused at once, so that its caller can use another instance.
 
 use std::time::Duration;
 
@@ -24,10 +31,15 @@
 const FINAL_PHASE: Duration = Duration::from_secs(2);
 /// The final phase takes at most the time limit divided by this number.
 const FINAL_PHASE_DIVISOR: u32 = 4;
+/// Predictions count in the first part, 1/N, of the time until all requests end.
+/// Engines have taken twice the predicted time, and twice a prediction of a
+/// third still fits into what is left.
+const PREDICTION_TIME_DIVISOR: u32 = 3;
 
 /// Times of a planned stop.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StopSchedule {
+    predictions_end: Timestamp,
     listener_closes: Timestamp,
     requests_end: Timestamp,
     connections_close: Timestamp,
@@ -38,15 +50,25 @@
     pub fn new(begun: Timestamp, limits: &InstanceLimits) -> Self {
         let timeout = limits.stop_timeout;
         let phase = FINAL_PHASE.min(timeout / FINAL_PHASE_DIVISOR);
-        let requests_end = begun.after(timeout.saturating_sub(phase));
+        let request_time = timeout.saturating_sub(phase);
+        let requests_end = begun.after(request_time);
         let unlisted = begun.after(limits.address_ttl + LEAVE_PROPAGATION);
+        let predictions_end =
+            begun.after(request_time / PREDICTION_TIME_DIVISOR);
         Self {
+            predictions_end: unlisted.min(predictions_end),
             listener_closes: unlisted.min(requests_end),
             requests_end,
             connections_close: requests_end.after(phase / 2),
         }
     }
 
+    /// When predictions no longer decide whether a request is sent. Not later
+    /// than [`Self::listener_closes`].
+    pub fn predictions_end(&self) -> Timestamp {
+        self.predictions_end
+    }
+
     /// When no address list names the instance any more, and it accepts no
     /// more connections.
     pub fn listener_closes(&self) -> Timestamp {
@@ -69,9 +91,10 @@
     }
 }
 
-/// Latest time at which a request ends.
+/// Latest times at which a request is sent and ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RequestLimit {
+    sent_before: Timestamp,
     ends_at: Timestamp,
     is_cut: bool,
 }
@@ -82,16 +105,25 @@
     pub fn new(deadline: Timestamp, stop: Option<StopSchedule>) -> Self {
         match stop {
             Some(stop) if stop.is_outlived_by(deadline) => Self {
+                sent_before: stop.predictions_end,
                 ends_at: stop.requests_end,
                 is_cut: true,
             },
             _ => Self {
+                sent_before: deadline,
                 ends_at: deadline,
                 is_cut: false,
             },
         }
     }
 
+    /// Time from which the request is not sent to an upstream any more, also
+    /// not once more: its deadline or, if that outlives the stop, the end of
+    /// the time in which predictions count.
+    pub fn sent_before(&self) -> Timestamp {
+        self.sent_before
+    }
+
     /// Deadline or, if that is earlier, the end of all requests.
     pub fn ends_at(&self) -> Timestamp {
         self.ends_at
--- a/lib/tests/serving/main.rs
+++ b/lib/tests/serving/main.rs
@@ -2,4 +2,5 @@
 
 mod sim;
 mod test_entry;
+mod test_planned_stop;
 mod test_policy;
