serve: reconnect to an interrupted stream for 3 s

Callers saw streams end with `answer_truncated` after their engine or the way to it was lost for a moment. The engine still held the stream and would have completed it, and nothing else can take over what the caller has received.

Cause: the first reconnection was made at once, and a second one at the same token was never made. It guards against a stream that is reopened without progress, but also ended one whose reconnection had failed.

A reconnection that fails is now repeated for 3 s after the interruption, with the pauses of other retries. One that the engine refuses is not repeated, nor is one to another incarnation, and a stream that was reopened without progress still ends. Only the first reconnection after an interruption costs a retry.

--- a/cli/src/request_task.rs
+++ b/cli/src/request_task.rs
@@ -126,8 +126,8 @@
     active_engines: Vec<AssignedEngine>,
     // Tokens put into the caller's buffer so far.
     delivered: u64,
-    // Value of `delivered` at the last resumption; a second one at the same
-    // index would make no progress.
+    // Value of `delivered` when the stream was last reopened; a second time at
+    // the same index would make no progress.
     last_resume_index: Option<u64>,
     run_state: RunState,
 }
@@ -254,13 +254,13 @@
                     self.cancel_earlier_attempts(&assignment).await;
                     self.dispatch(assignment, request_handle, sender).await
                 }
-                Some(RequestDecision::Resume(_))
+                Some(RequestDecision::Resume { .. })
                     if self.last_resume_index == Some(self.delivered) =>
                 {
                     return RequestEnd::Refused(truncated());
                 }
-                Some(RequestDecision::Resume(engine)) => {
-                    self.last_resume_index = Some(self.delivered);
+                Some(RequestDecision::Resume { engine, pause }) => {
+                    tokio::time::sleep(pause).await;
                     self.resume(engine, request_handle, sender).await
                 }
             };
@@ -367,6 +367,7 @@
         sender: &CompletionSender,
     ) -> Result<(), AttemptFailure> {
         let stream = self.open_resumed_stream(&engine).await?;
+        self.last_resume_index = Some(self.delivered);
         self.relay_completion(
             &engine,
             stream,
--- a/cli/tests/test_faults/main.rs
+++ b/cli/tests/test_faults/main.rs
@@ -16,6 +16,7 @@
 mod test_crashes;
 mod test_domains;
 mod test_engines;
+mod test_interruptions;
 mod test_late_requests;
 mod test_leaving;
 mod test_links;
--- a/cli/tests/test_faults/test_stops.rs
+++ b/cli/tests/test_faults/test_stops.rs
@@ -284,7 +284,7 @@
 }
 
 /// Waits until engines run this number of requests.
-async fn wait_running(fleet: &TestFleet, count: usize) {
+pub(crate) async fn wait_running(fleet: &TestFleet, count: usize) {
     let until = Instant::now() + START_LIMIT;
     loop {
         let held = fleet.engines.iter().map(|engine| engine.held());
--- a/cli/tests/test_serve/test_completions.rs
+++ b/cli/tests/test_serve/test_completions.rs
@@ -1,6 +1,6 @@
 //! Completion requests, from the caller's connection to a scripted engine.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use borageline_lib::core::{RequestDecision, RequestProgress, StreamFailure};
 use borageline_testutils::crashing_server::{CrashingServer, HARMFUL};
@@ -16,6 +16,14 @@
     read_all, request_id, start_endless, start_engine,
 };
 
+/// Decision to reconnect at once.
+fn resume(address: SocketAddr) -> RequestDecision {
+    RequestDecision::Resume {
+        engine: assigned(address),
+        pause: Duration::ZERO,
+    }
+}
+
 /// Failures of attempts, as reported to the core.
 fn failures(server: &TestServer) -> Vec<StreamFailure> {
     let progress = server.progress.lock().unwrap();
@@ -103,7 +111,7 @@
     }));
     let address = engine.await;
     let mut setup = TestSetup::new(address);
-    setup.on_failure = RequestDecision::Resume(assigned(address));
+    setup.on_failure = resume(address);
     let server = setup.start().await;
     let answer = exchange(server.address, &completion(KEY, COLLECTED)).await;
     assert!(answer.contains("\"text\":\"abc\""), "{answer}");
@@ -118,7 +126,7 @@
     }));
     let address = engine.await;
     let mut setup = TestSetup::new(address);
-    setup.on_failure = RequestDecision::Resume(assigned(address));
+    setup.on_failure = resume(address);
     let server = setup.start().await;
     let answer = exchange(server.address, &completion(KEY, STREAMED)).await;
     assert!(answer.contains("answer_truncated"), "{answer}");
--- a/lib/src/core.rs
+++ b/lib/src/core.rs
@@ -158,7 +158,12 @@
     /// Send the request to these engines. Replaces an earlier dispatch.
     Dispatch(Assignment),
     /// Reconnect to an interrupted stream at the engine that generates it.
-    Resume(AssignedEngine),
+    Resume {
+        /// Engine that generates the stream.
+        engine: AssignedEngine,
+        /// Wait before the connection is made.
+        pause: Duration,
+    },
     /// End the request with this refusal and cancel its streams.
     End(Refusal),
 }
--- a/lib/src/entry.rs
+++ b/lib/src/entry.rs
@@ -62,8 +62,13 @@
 const NO_UPSTREAM_WAIT: Duration = Duration::from_secs(3);
 /// Maximum number of dispatches of one request, the first included.
 const DISPATCHES_MAX: u32 = 4;
-/// Maximum number of reconnections to the stream of one request.
+/// Maximum number of interruptions after which the stream of one request is
+/// resumed.
 const RESUMES_MAX: u32 = 3;
+/// Time for which reconnections to an interrupted stream are attempted. Only its
+/// engine can complete it, and keeps it for longer; a caller that gets no more
+/// text learns within this time that the engine is not reached.
+const RESUME_TIME: Duration = Duration::from_secs(3);
 /// Interval between two checks for drained engines and new owners.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval between two removals of candidate state of engines that no longer
@@ -205,8 +210,10 @@
     /// Placement rounds that failed, for the backoff.
     rounds: u32,
     dispatches: u32,
-    /// Reconnections to interrupted streams.
+    /// Interruptions after which the stream was resumed.
     resumes: u32,
+    /// Last interruption of the stream.
+    interruption: Option<Interruption>,
     /// Whether an engine may have run the request.
     run_state: RunState,
     /// Restored if the engine proves that it did not accept the dispatch.
@@ -240,6 +247,7 @@
             rounds: 0,
             dispatches: 0,
             resumes: 0,
+            interruption: None,
             run_state: RunState::NotRun,
             run_state_before_dispatch: RunState::NotRun,
             delivered: false,
@@ -276,6 +284,16 @@
     }
 }
 
+/// An interruption of a stream.
+#[derive(Clone, Copy, Debug)]
+struct Interruption {
+    since: Timestamp,
+    /// Tokens that the caller had received.
+    delivered: TokenCount,
+    /// Reconnections that failed.
+    attempts: u32,
+}
+
 /// A grant request that has not been answered.
 #[derive(Clone, Debug)]
 struct PendingGrant {
--- a/lib/src/entry/dispatched.rs
+++ b/lib/src/entry/dispatched.rs
@@ -1,9 +1,12 @@
 //! Requests that have been dispatched: progress, failures, renewal of
 //! reservations, changes of ownership and drains.
 
+use std::time::Duration;
+
 use super::{
-    EntryAction, EntryTable, InFlightRequest, KEPT_RENEWAL_INTERVAL, Phase,
-    RESUMES_MAX, STARTED_RENEWAL_INTERVAL, notify,
+    EntryAction, EntryTable, InFlightRequest, Interruption,
+    KEPT_RENEWAL_INTERVAL, Phase, RESUME_TIME, RESUMES_MAX,
+    STARTED_RENEWAL_INTERVAL, notify,
 };
 use crate::{
     core::{AssignedEngine, RequestDecision, RequestProgress, StreamFailure},
@@ -12,10 +15,19 @@
     ids::{RequestId, UpstreamId},
     peer_api::GrantEvent,
     refusal::{Refusal, RefusalCode, RetryReason, RunState},
-    retry::{RetryRule, proves_not_run, retry_rule},
+    retry::{RetryRule, backoff, proves_not_run, retry_rule},
     units::{Timestamp, TokenCount},
 };
 
+/// A failed stream of a dispatched request.
+#[derive(Clone, Copy)]
+struct FailedAttempt<'a> {
+    engine: &'a UpstreamId,
+    failure: StreamFailure,
+    /// Tokens that the caller has received.
+    delivered: TokenCount,
+}
+
 impl EntryTable {
     /// Handles the progress of a request.
     pub(super) fn handle_progress(
@@ -55,9 +67,12 @@
                 delivered,
             } => {
                 inflight.delivered |= delivered > TokenCount::ZERO;
-                self.handle_failure(
-                    now, inflight, &engine, failure, view, actions,
-                );
+                let failed = FailedAttempt {
+                    engine: &engine,
+                    failure,
+                    delivered,
+                };
+                self.handle_failure(now, inflight, failed, view, actions);
             }
         }
     }
@@ -86,11 +101,13 @@
         &mut self,
         now: Timestamp,
         mut inflight: InFlightRequest,
-        engine: &UpstreamId,
-        failure: StreamFailure,
+        failed: FailedAttempt,
         view: &FleetView,
         actions: &mut Vec<EntryAction>,
     ) {
+        let FailedAttempt {
+            engine, failure, ..
+        } = failed;
         let current = inflight
             .allocations
             .iter()
@@ -107,7 +124,7 @@
         }
         let rule = retry_rule(failure, inflight.delivered);
         if rule == RetryRule::Resume {
-            return self.resume(now, inflight, engine, view, actions);
+            return self.resume(now, inflight, failed, view, actions);
         }
         self.release_after_failure(&mut inflight, engine, failure, actions);
         let reason = match rule {
@@ -180,20 +197,20 @@
         &mut self,
         now: Timestamp,
         mut inflight: InFlightRequest,
-        engine: &UpstreamId,
+        failed: FailedAttempt,
         view: &FleetView,
         actions: &mut Vec<EntryAction>,
     ) {
+        let engine = failed.engine;
         let allocation = inflight
             .allocations
             .iter()
             .find(|allocation| allocation.engine == *engine);
         let entry = view.upstreams.get(engine);
         let report = entry.and_then(|entry| entry.capability.as_deref());
-        let same = match (
-            allocation.and_then(|allocation| allocation.incarnation),
-            report,
-        ) {
+        let incarnation =
+            allocation.and_then(|allocation| allocation.incarnation);
+        let same = match (incarnation, report) {
             (Some(granted), Some(report)) => granted == report.incarnation,
             _ => false,
         };
@@ -201,29 +218,63 @@
         let (Some(address), true) = (address, same) else {
             return self.end(inflight, stream_interrupted(engine), actions);
         };
-        if inflight.resumes >= RESUMES_MAX
-            || !self.retry_budget.try_spend(engine)
-        {
+        let Some(pause) = self.reconnection_pause(now, &mut inflight, failed)
+        else {
             return self.end(inflight, stream_interrupted(engine), actions);
-        }
-        inflight.resumes += 1;
+        };
         let assigned = AssignedEngine {
             engine: engine.clone(),
             address,
             prompt: inflight.descriptor.prompt,
-            incarnation: allocation
-                .and_then(|allocation| allocation.incarnation),
+            incarnation,
         };
         let reason = RetryReason::AnswerCut;
         actions.push(EntryAction::CountRetry(reason));
         let request = inflight.descriptor.request.clone();
-        let decision = RequestDecision::Resume(assigned);
+        let decision = RequestDecision::Resume {
+            engine: assigned,
+            pause,
+        };
         actions.push(EntryAction::Decide(request, decision));
         inflight.renewal_due = now.after(STARTED_RENEWAL_INTERVAL);
         let due = inflight.renewal_due;
         self.reinsert(inflight, due);
     }
 
+    /// Wait before a reconnection to a stream; `None` if none is made. The first
+    /// one after an interruption is made at once and costs a retry. Further
+    /// ones, while the engine is not reached, are limited in time.
+    fn reconnection_pause(
+        &mut self,
+        now: Timestamp,
+        inflight: &mut InFlightRequest,
+        failed: FailedAttempt,
+    ) -> Option<Duration> {
+        let delivered = failed.delivered;
+        let repeated = inflight.interruption.as_mut();
+        let repeated = repeated.filter(|last| last.delivered == delivered);
+        if let Some(interruption) = repeated {
+            let refused = failed.failure == StreamFailure::EngineError;
+            if refused || now.since(interruption.since) >= RESUME_TIME {
+                return None;
+            }
+            interruption.attempts += 1;
+            return Some(backoff(interruption.attempts, &mut self.rng));
+        }
+        if inflight.resumes >= RESUMES_MAX
+            || !self.retry_budget.try_spend(failed.engine)
+        {
+            return None;
+        }
+        inflight.resumes += 1;
+        inflight.interruption = Some(Interruption {
+            since: now,
+            delivered,
+            attempts: 0,
+        });
+        Some(Duration::ZERO)
+    }
+
     /// Renews the reservations of a dispatched request.
     pub(super) fn renew(
         &mut self,
--- a/lib/src/request_trace.rs
+++ b/lib/src/request_trace.rs
@@ -251,8 +251,8 @@
                 let engines = engines.map(|assigned| assigned.engine.clone());
                 TraceStep::Dispatched(engines.collect())
             }
-            RequestDecision::Resume(assigned) => {
-                TraceStep::Resumed(assigned.engine.clone())
+            RequestDecision::Resume { engine, .. } => {
+                TraceStep::Resumed(engine.engine.clone())
             }
             RequestDecision::End(refusal) => {
                 TraceStep::Refused(refusal.clone())
--- a/lib/tests/serving/sim/engine.rs
+++ b/lib/tests/serving/sim/engine.rs
@@ -192,6 +192,24 @@
         }
     }
 
+    /// Reports that the stream of a request failed after its first chunk.
+    pub(crate) fn interrupt(
+        &mut self,
+        request: &RequestId,
+        failure: StreamFailure,
+    ) {
+        let (_, assignment) = &self.dispatches[request];
+        let engine = assignment.engines.last().expect("not empty");
+        let progress = RequestProgress::Failed {
+            engine: engine.engine.clone(),
+            failure,
+            delivered: TokenCount::new(1),
+        };
+        let index = self.entry_instance(request);
+        let event = EntryEvent::Progress(request.clone(), progress);
+        self.entry_event(index, event);
+    }
+
     pub(super) fn finish(
         &mut self,
         index: usize,
--- a/lib/tests/serving/sim/mod.rs
+++ b/lib/tests/serving/sim/mod.rs
@@ -123,6 +123,8 @@
     /// Whether former owners can be reached for a handover.
     pub(crate) handover_enabled: bool,
     dispatches: BTreeMap<RequestId, (u64, Assignment)>,
+    /// Decisions to reconnect to a stream, with the wait before it.
+    pub(crate) resumed: Vec<(RequestId, Duration)>,
     pub(crate) fleet: FleetState,
     pub(crate) configuration_fresh: bool,
     /// Whether all reads of engines fail.
@@ -213,6 +215,7 @@
             handover_requests: BTreeMap::new(),
             handover_enabled: true,
             dispatches: BTreeMap::new(),
+            resumed: Vec::new(),
             fleet: FleetState::default(),
             configuration_fresh: true,
             reads_fail: false,
@@ -564,7 +567,9 @@
                     self.rng.random_range(0..=self.config.write_delay_max_ms);
                 self.schedule(pause, Event::Write(index, request, dispatch, 0));
             }
-            RequestDecision::Resume(_) => {}
+            RequestDecision::Resume { pause, .. } => {
+                self.resumed.push((request, pause));
+            }
             RequestDecision::End(refusal) => {
                 self.dispatches.remove(&request);
                 let end = (self.now, Some(refusal));
--- a/lib/tests/serving/test_entry.rs
+++ b/lib/tests/serving/test_entry.rs
@@ -5,7 +5,7 @@
 use crate::sim::{SimConfig, Simulation, engine_id, id};
 use borageline_lib::{
     api::PriorityClass,
-    core::PolicyName,
+    core::{PolicyName, StreamFailure},
     fleet::{DomainRule, DrainMode, UpstreamRule},
     ids::RequestId,
     owner::TakeoverState,
@@ -312,3 +312,40 @@
     assert_ne!(end, Some(RefusalCode::Stopping));
     assert_eq!(simulation.open_requests(), 0);
 }
+
+/// Guards against a stream that ends since one reconnection to its engine failed,
+/// against reconnections without pauses and against those without an end.
+#[test]
+fn test_entry_reconnects_for_a_limited_time() {
+    let mut simulation = simulation(1);
+    let class = PriorityClass::Standard;
+    let request = simulation.send_request(0, class, 100, 2_000, 60_000);
+    simulation.run_for(300);
+    assert!(simulation.accepted.contains(&request));
+    let begun = simulation.now;
+    simulation.interrupt(&request, StreamFailure::Interrupted);
+    while !simulation.ends.contains_key(&request) {
+        let (_, pause) = simulation.resumed.last().expect("a decision");
+        simulation.run_for(pause.as_millis() as u64);
+        simulation.interrupt(&request, StreamFailure::ConnectFailed);
+    }
+    let time = simulation.now.since(begun);
+    assert!(time >= Duration::from_secs(3), "{time:?}");
+    assert!(time <= Duration::from_secs(5), "{time:?}");
+    assert_eq!(simulation.resumed[0].1, Duration::ZERO);
+    assert!(simulation.resumed.len() <= 10, "{:?}", simulation.resumed);
+    assert_eq!(refusal(&simulation, &request).run_state, RunState::Ran);
+}
+
+/// Guards against reconnections to an engine that no longer holds the stream.
+#[test]
+fn test_entry_reconnects_not_to_an_engine_that_refuses() {
+    let mut simulation = simulation(1);
+    let class = PriorityClass::Standard;
+    let request = simulation.send_request(0, class, 100, 2_000, 60_000);
+    simulation.run_for(300);
+    simulation.interrupt(&request, StreamFailure::Interrupted);
+    simulation.interrupt(&request, StreamFailure::EngineError);
+    assert_eq!(simulation.resumed.len(), 1);
+    assert_eq!(refusal(&simulation, &request).run_state, RunState::Ran);
+}
