serve: warn of each answer that is cut off after it has begun

An answer of serve that a planned stop cut off left the line request_stopped, at level info and the same as that of a refusal, or no line at all if the engine had finished and the caller had not read the answer. So it could not be counted, nor told why it was cut.

answer_cut (608, a warning) of the gateway now also tells of streamed answers of serve, whatever ended them: when the request was read and cut since the begin of the stop, the sends, the time since the last chunk, the tokens and the engine. The body of an answer tells of one that is complete in the instance's buffer when the stop closes its connection.

test_stops_log_each_answer_they_cut compares the lines with what callers received: one answer whole, one complete and unread, one cut.

--- a/cli/src/buffer.rs
+++ b/cli/src/buffer.rs
@@ -415,6 +415,12 @@
         CallerMonitor { shared }
     }
 
+    /// Whether the whole completion is buffered, and its end is not read.
+    pub fn is_unread(&self) -> bool {
+        let queue = self.shared.lock();
+        !self.ended && queue.items.back() == Some(&StreamItem::End)
+    }
+
     /// Removes the next item; `None` after the last one.
     pub async fn next(&mut self) -> Option<StreamItem> {
         poll_fn(|context| self.poll_item(context)).await
--- a/cli/src/callers.rs
+++ b/cli/src/callers.rs
@@ -42,6 +42,7 @@
     },
     request_task::{BufferedPrompt, RequestTask},
     services,
+    watched_answer::WatchedAnswer,
 };
 
 /// Time that a caller has after the deadline to read the rest of a buffered
@@ -308,7 +309,13 @@
         CompletionStart::Failed(refusal) => Err(refusal),
         CompletionStart::Streaming => {
             close_after_deadline(&context, &call, &reader, deadline);
-            let body = Body::new(reader);
+            let body = Body::new(WatchedAnswer::new(
+                reader,
+                call.request.clone(),
+                call.arrived,
+                context.stop.clone(),
+                context.handle.clock(),
+            ));
             let content_type = "text/event-stream";
             let status = StatusCode::OK;
             Ok(stream_response(status, content_type, &call.request, body))
--- a/cli/src/lib.rs
+++ b/cli/src/lib.rs
@@ -35,3 +35,4 @@
 pub mod stop_signal;
 mod traffic;
 pub mod upstream_client;
+pub mod watched_answer;
--- a/cli/src/request_task.rs
+++ b/cli/src/request_task.rs
@@ -20,6 +20,7 @@
     },
     engine_api::{EngineRequest, KvState, PrefillRequest},
     gateway::{prompt_quarantine::SOUND_ANSWER_TIME, wire::PartId},
+    ids::UpstreamId,
     log_event::LogEvent,
     planned_stop::RequestLimit,
     refusal::{Refusal, RefusalCode, RunState},
@@ -33,7 +34,7 @@
     driver::{CoreHandle, RequestHandle},
     engine_client::{EngineClient, RequestHeaders, to_stream_failure},
     http_client::HttpError,
-    logging,
+    log_decision, logging,
     metrics::ServerMetrics,
     prompt::split_prompt,
     quarantine::RequestQuarantine,
@@ -124,6 +125,11 @@
     arrived: Timestamp,
     // Engines to which the request was sent and not yet cancelled.
     active_engines: Vec<AssignedEngine>,
+    // Engine that got the request last.
+    last_engine: Option<UpstreamId>,
+    sends: u32,
+    // Time of the last chunk that was put into the caller's buffer.
+    last_chunk_at: Option<Timestamp>,
     // Tokens put into the caller's buffer so far.
     delivered: u64,
     // Value of `delivered` when the stream was last reopened; a second time at
@@ -151,6 +157,9 @@
             is_sound: false,
             arrived,
             active_engines: Vec::new(),
+            last_engine: None,
+            sends: 0,
+            last_chunk_at: None,
             delivered: 0,
             last_resume_index: None,
             run_state: RunState::NotRun,
@@ -222,9 +231,33 @@
         let item = StreamItem::Failure(refusal.clone());
         if sender.finish(item) {
             log_refusal(&self.descriptor.request, &refusal);
+            self.log_cut(&refusal);
         }
     }
 
+    /// Logs that the answer is cut off after its beginning.
+    fn log_cut(&self, refusal: &Refusal) {
+        let now = self.context.handle.clock().now();
+        let stop = &self.context.stop;
+        let silence = self.last_chunk_at.map(|at| now.since(at).as_millis());
+        let engine = self.last_engine.as_ref();
+        log_decision!(
+            LogEvent::AnswerCut,
+            {
+                request = self.descriptor.request,
+                stop_read_ms = stop.age_ms(self.arrived),
+                stop_cut_ms = stop.age_ms(now),
+                sends = self.sends,
+                silent_ms = silence
+                    .map_or_else(|| "-".into(), |silence| silence.to_string()),
+                elapsed_ms = now.since(self.arrived).as_millis(),
+                tokens = self.delivered,
+                upstream = engine.map_or("-", |engine| engine.as_str()),
+            },
+            "{refusal}",
+        );
+    }
+
     async fn serve(
         &mut self,
         request_handle: &mut RequestHandle,
@@ -522,6 +555,7 @@
         self.run_state = RunState::Ran;
         let now = self.context.handle.clock().now();
         self.answer_begun_at.get_or_insert(now);
+        self.last_chunk_at = Some(now);
         if self.is_answer_going_on() {
             self.record_sound();
         }
@@ -597,6 +631,8 @@
             self.run_state = RunState::MayHaveRun;
         }
         self.active_engines.push(engine.clone());
+        self.last_engine = Some(engine.engine.clone());
+        self.sends += 1;
         let progress = RequestProgress::Sent(engine.engine.clone());
         request_handle.report(progress).await;
         before
--- a/cli/src/stop_signal.rs
+++ b/cli/src/stop_signal.rs
@@ -39,6 +39,25 @@
         *self.schedule.borrow()
     }
 
+    /// Time from the begin of the stop to `at` in milliseconds, for the log:
+    /// negative before it, `-` if none has begun.
+    pub fn age_ms(&self, at: Timestamp) -> String {
+        let Some(begun_at) = self.schedule().map(|it| it.begun_at()) else {
+            return "-".into();
+        };
+        if at < begun_at {
+            return format!("-{}", begun_at.since(at).as_millis());
+        }
+        at.since(begun_at).as_millis().to_string()
+    }
+
+    /// Whether a stop closes the connections that are still open.
+    pub fn closes_connections(&self) -> bool {
+        let now = self.clock.now();
+        self.schedule()
+            .is_some_and(|schedule| now >= schedule.connections_close())
+    }
+
     /// Limit of a request with this deadline, as known now.
     pub fn limit(&self, deadline: Timestamp) -> RequestLimit {
         RequestLimit::new(deadline, self.schedule())
--- a/cli/tests/test_faults/main.rs
+++ b/cli/tests/test_faults/main.rs
@@ -14,6 +14,7 @@
 mod load;
 mod test_calls;
 mod test_crashes;
+mod test_cut_answers;
 mod test_domains;
 mod test_engines;
 mod test_interruptions;
--- a/lib/src/planned_stop.rs
+++ b/lib/src/planned_stop.rs
@@ -39,6 +39,7 @@
 /// Times of a planned stop.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StopSchedule {
+    begun_at: Timestamp,
     predictions_end: Timestamp,
     listener_closes: Timestamp,
     requests_end: Timestamp,
@@ -56,6 +57,7 @@
         let predictions_end =
             begun.after(request_time / PREDICTION_TIME_DIVISOR);
         Self {
+            begun_at: begun,
             predictions_end: unlisted.min(predictions_end),
             listener_closes: unlisted.min(requests_end),
             requests_end,
@@ -63,6 +65,11 @@
         }
     }
 
+    /// When the stop began.
+    pub fn begun_at(&self) -> Timestamp {
+        self.begun_at
+    }
+
     /// When predictions no longer decide whether a request is sent. Not later
     /// than [`Self::listener_closes`].
     pub fn predictions_end(&self) -> Timestamp {
