serve: send no repeatable call late in a planned stop that it may cut

Callers of a plain service got 503 `stopping`, `may_have_run`, when the stop ended all requests, for calls that were read whole late in it. The calls may be repeated and were sent with whatever time was left, as nothing is predicted for them.

They now follow the rule for completions: while callers may still hold the address and in the first third of the time they are sent; later only if their own deadline lies before the end of all requests. Others are refused at once as not run, also before a second process is tried. Calls at most once always had to end by their deadlines.

--- a/cli/src/services.rs
+++ b/cli/src/services.rs
@@ -190,10 +190,11 @@
             if let Err(refusal) = self.check_content(context) {
                 return Err(refusal.with_run_state(run_state));
             }
-            let time_left = self.time_left(context);
-            if time_left.is_zero() {
+            let limit = context.stop.limit(self.deadline);
+            if context.handle.clock().now() >= limit.sent_before() {
                 break;
             }
+            let time_left = self.time_left(context);
             // The time left is divided among the remaining attempts, so that
             // an unresponsive process leaves time for another one.
             let attempts_left =
--- a/cli/tests/test_faults/test_late_requests.rs
+++ b/cli/tests/test_faults/test_late_requests.rs
@@ -5,17 +5,14 @@
     time::{Duration, Instant},
 };
 
-use borageline_lib::{
-    api::{CompletionRequest, ErrorBody},
-    refusal::RunState,
-};
+use borageline_lib::{api::ErrorBody, refusal::RunState};
 use borageline_testutils::process::ChildSignal;
 use rstest::rstest;
 use serde_json::json;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
-    time::sleep_until,
+    time::{sleep, sleep_until},
 };
 
 use crate::{
@@ -37,14 +34,17 @@
     Chunks,
 }
 
+/// Path of completions.
+const COMPLETIONS: &str = "/v1/completions";
+
 /// Sends a request in halves during a stop and reads the whole answer.
 async fn send_in_halves(
     address: SocketAddr,
     stopped_at: Instant,
-    request: &CompletionRequest,
+    path: &str,
+    body: &str,
     framing: Framing,
 ) -> String {
-    let body = serde_json::to_string(request).unwrap();
     let (first, second) = body.split_at(body.len() / 2);
     let chunk = |text: &str| format!("{:x}\r\n{text}\r\n", text.len());
     let (header, first, second) = match framing {
@@ -60,7 +60,7 @@
         ),
     };
     let head = format!(
-        "POST /v1/completions HTTP/1.1\r\nhost: x\r\n\
+        "POST {path} HTTP/1.1\r\nhost: x\r\n\
          authorization: Bearer {KEY}\r\n{header}\r\n\r\n{first}",
     );
     sleep_until((stopped_at + FIRST_HALF).into()).await;
@@ -100,7 +100,14 @@
         engine.fault(fault).await;
     }
     let request = completion(&unique_prompt(300), 40, 60_000);
-    let answer = send_in_halves(address, stopped_at, &request, framing).await;
+    let body = serde_json::to_string(&request).unwrap();
+    let answer =
+        send_in_halves(address, stopped_at, COMPLETIONS, &body, framing);
+    assert_refused_at_once(&answer.await);
+}
+
+/// Checks that an answer is the refusal of a request that was not sent.
+fn assert_refused_at_once(answer: &str) {
     let (head, body) = answer.split_once("\r\n\r\n").unwrap();
     assert!(head.starts_with("HTTP/1.1 503"), "{answer}");
     let error: ErrorBody = serde_json::from_str(body).unwrap();
@@ -116,8 +123,41 @@
     let address = fleet.addresses()[0];
     fleet.signal(0, ChildSignal::Terminate);
     let request = completion(&unique_prompt(300), 40, 8_000);
-    let answer =
-        send_in_halves(address, Instant::now(), &request, Framing::Length);
+    let body = serde_json::to_string(&request).unwrap();
+    let now = Instant::now();
+    let framing = Framing::Length;
+    let answer = send_in_halves(address, now, COMPLETIONS, &body, framing);
     let answer = answer.await;
     assert!(answer.contains("data: [DONE]"), "{answer}");
 }
+
+/// Guards against a call to a service that is sent late in a stop, and cut off,
+/// though it may be repeated and other instances could have sent it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn test_stops_refuse_late_calls() {
+    let mut fleet = TestFleet::start(FleetPlan {
+        limits: json!({"stop_timeout_ms": STOP_TIMEOUT.as_millis() as u64}),
+        // The call would end 2 s after the stop has ended all requests.
+        service_delay: Duration::from_secs(8),
+        service_timeout: Duration::from_secs(60),
+        ..FleetPlan::default()
+    })
+    .await;
+    fleet.publish(json!({
+        "order": "add-lookups", "issued_by": "a", "expect_version": null,
+        "changes": [{"kind": "set_service", "service": "numbering", "rule": {
+            "routes": [{
+                "method": "POST", "path_prefix": "/find", "idempotent": true,
+            }],
+            "timeout_ms": 60_000,
+        }}],
+    }));
+    sleep(Duration::from_secs(1)).await;
+    let address = fleet.addresses()[0];
+    fleet.signal(0, ChildSignal::Terminate);
+    let path = "/v1/services/numbering/find";
+    let now = Instant::now();
+    let framing = Framing::Length;
+    let answer = send_in_halves(address, now, path, "{}", framing).await;
+    assert_refused_at_once(&answer);
+}
