--- a/lib/src/entry.rs
+++ b/lib/src/entry.rs
@@ -62,8 +62,13 @@
 const NO_UPSTREAM_WAIT: Duration = Duration::from_secs(3);
 /// Maximum number of dispatches of one request, the first included.
 const DISPATCHES_MAX: u32 = 4;
-/// Maximum number of reconnections to the stream of one request.
+/// Maximum number of interruptions after which the stream of one request is
+/// resumed.
 const RESUMES_MAX: u32 = 3;
+/// Time for which reconnections to an interrupted stream are attempted. Only its
+/// engine can complete it, and keeps it for longer; a caller that gets no more
+/// text learns within this time that the engine is not reached.
+const RESUME_TIME: Duration = Duration::from_secs(3);
 /// Interval between two checks for drained engines and new owners.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval between two removals of candidate state of engines that no longer
@@ -205,8 +210,10 @@
     /// Placement rounds that failed, for the backoff.
     rounds: u32,
     dispatches: u32,
-    /// Reconnections to interrupted streams.
+    /// Interruptions after which the stream was resumed.
     resumes: u32,
+    /// Last interruption of the stream.
+    interruption: Option<Interruption>,
     /// Whether an engine may have run the request.
     run_state: RunState,
     /// Restored if the engine proves that it did not accept the dispatch.
@@ -225,7 +232,7 @@
     ) -> Self {
         let limit = RequestLimit::new(descriptor.deadline, stop);
         Self {
-            timer_due: limit.ends_at(),
+            timer_due: limit.sent_before(),
             descriptor,
             arrived: now,
             limit,
@@ -240,6 +247,7 @@
             rounds: 0,
             dispatches: 0,
             resumes: 0,
+            interruption: None,
             run_state: RunState::NotRun,
             run_state_before_dispatch: RunState::NotRun,
             delivered: false,
@@ -247,6 +255,14 @@
         }
     }
 
+    /// When the request ends or, while it is not dispatched, is refused.
+    fn expires_at(&self) -> Timestamp {
+        match self.phase {
+            Phase::Dispatched => self.limit.ends_at(),
+            _ => self.limit.sent_before(),
+        }
+    }
+
     /// Prepares for a new placement round.
     fn reset_round(&mut self) {
         self.phase = Phase::BackingOff;
@@ -268,6 +284,16 @@
     }
 }
 
+/// An interruption of a stream.
+#[derive(Clone, Copy, Debug)]
+struct Interruption {
+    since: Timestamp,
+    /// Tokens that the caller had received.
+    delivered: TokenCount,
+    /// Reconnections that failed.
+    attempts: u32,
+}
+
 /// A grant request that has not been answered.
 #[derive(Clone, Debug)]
 struct PendingGrant {
@@ -470,11 +496,11 @@
         &self.candidates
     }
 
-    /// Puts a request back into the table and sets its timer, at its limit at
-    /// the latest.
+    /// Puts a request back into the table and sets its timer, at the latest to
+    /// the time at which it expires.
     fn reinsert(&mut self, mut inflight: InFlightRequest, due: Timestamp) {
         let request = inflight.descriptor.request.clone();
-        inflight.timer_due = due.min(inflight.limit.ends_at());
+        inflight.timer_due = due.min(inflight.expires_at());
         self.timers.insert((inflight.timer_due, request.clone()));
         self.requests.insert(request, inflight);
     }
@@ -497,7 +523,7 @@
             return;
         }
         let mut inflight = InFlightRequest::new(now, descriptor, self.stop);
-        if now >= inflight.limit.ends_at() {
+        if now >= inflight.expires_at() {
             return self.refuse(inflight, deadline_exceeded(), actions);
         }
         if !view.configuration_fresh {
@@ -522,7 +548,7 @@
         view: &FleetView,
         actions: &mut Vec<EntryAction>,
     ) {
-        if now >= inflight.limit.ends_at() {
+        if now >= inflight.expires_at() {
             return self.end_past_deadline(inflight, actions);
         }
         match inflight.phase {
@@ -621,7 +647,7 @@
         let next = now.after(pause);
         let gone = refusal.code == RefusalCode::NoUpstream
             && now.since(inflight.arrived) >= NO_UPSTREAM_WAIT;
-        if gone || next >= inflight.limit.ends_at() {
+        if gone || next >= inflight.limit.sent_before() {
             let refusal = refusal.with_retry_after(pause);
             return self.end(inflight, refusal, actions);
         }
