listeners: let connections linger until their callers have the answer

Callers that had sent further bytes (the begin of their next request, a body that is refused) received the begin of an answer and then a reset, beside SIGTERM and after an ordinary `Connection: close`; those that were still sending a refused body could not send the rest (EPIPE), and many clients report that in place of the refusal.

Cause: a socket that is closed with unread bytes in it, or to which bytes still come, is reset by the system, which discards what its peer has not received yet. hyper shuts the write side down and drops the socket at once. Up to 256 KiB of an answer may be in the send buffer then.

The shutdown of an accepted connection now closes the write side, and reads and drops what arrives until the peer closes, too: for 500 ms without a byte, 2 s in all and 64 MiB at most. Both programs and all listeners of HTTP use it, also for connections of serve over a limit.

--- a/cli/src/gateway/caller_listener.rs
+++ b/cli/src/gateway/caller_listener.rs
@@ -21,6 +21,7 @@
 
 use super::{SharedGateway, forward, listener::accept_connections};
 use crate::{
+    lingering_stream::LingeringStream,
     listener_connections::ListenerConnections, logging,
     server::bind_with_receive_buffer,
 };
@@ -109,12 +110,13 @@
         first_request.cancel();
         answer(served.clone(), request)
     });
+    let io = TokioIo::new(LingeringStream::new(stream));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         // This timer also runs while a connection is idle.
         .header_read_timeout(idle)
         .max_buf_size(CONNECTION_BUFFER_BYTES)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(io, service);
     if let Err(error) = connections.serve(connection, &first_request).await {
         // Callers may close their connections at any time.
         logging::event(LogEvent::CallerConnectionFailed, &error.to_string());
--- a/cli/src/gateway/listener.rs
+++ b/cli/src/gateway/listener.rs
@@ -12,7 +12,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
-use crate::logging;
+use crate::{lingering_stream::LingeringStream, logging};
 
 /// Pause after a failed accept, which usually means that no file descriptor is
 /// free.
@@ -70,10 +70,11 @@
             let answered = answer(request);
             async move { Ok::<_, Infallible>(answered.await) }
         });
+        let io = TokioIo::new(LingeringStream::new(stream));
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(idle())
-            .serve_connection(TokioIo::new(stream), service);
+            .serve_connection(io, service);
         Some(async move {
             if let Err(error) = connection.await {
                 let text = error.to_string();
--- a/cli/src/lib.rs
+++ b/cli/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod engine_client;
 pub mod gateway;
 pub mod http_client;
+mod lingering_stream;
 mod listener_connections;
 pub mod logging;
 pub mod metrics;
--- a/cli/src/server.rs
+++ b/cli/src/server.rs
@@ -36,6 +36,7 @@
 use crate::{
     callers::build_router,
     context::SharedContext,
+    lingering_stream::LingeringStream,
     listener_connections::ListenerConnections,
     logging,
     reply::{ConnectionCloser, RenderedResponse, error_response},
@@ -249,7 +250,7 @@
             let server = self.clone();
             async move { server.answer(request, address, closer).await }
         });
-        let io = TokioIo::new(stream);
+        let io = TokioIo::new(LingeringStream::new(stream));
         let connection = self.builder.serve_connection(io, service);
         let connection = connections.serve(connection, &request_begun);
         tokio::select! {
@@ -333,7 +334,8 @@
 }
 
 /// Sends a refusal on a connection that is over a limit, and closes it.
-async fn reject(mut stream: TcpStream, refusal: Refusal) {
+async fn reject(stream: TcpStream, refusal: Refusal) {
+    let mut stream = LingeringStream::new(stream);
     let body = serde_json::to_string(&ErrorBody::new(&refusal, None))
         .expect("bodies are plain JSON");
     let status = StatusCode::from_u16(refusal.code.status())
