gateway: let a stopping delegate write its replies to the end

The caller of another instance got 502 for a call that may run only once, and had run, when the instance that sent it for the other one stopped: the process ended 2.9 s after SIGTERM with the rest of the reply in its queue.

Cause: a delegated request counted as ended when the last piece of the reply was queued for the connection, or a report was returned, not when it was written.

What a planned stop waits for is now the connection: it is counted from the begin of a delegated request until it has ended, with the wait for the other instance to close it, and such a response closes its connection. Connections of other requests between instances (copies of topics, which may wait long) are not counted. The wait begins anew after the last caller is answered, since other instances are still received until then.

--- a/cli/src/gateway.rs
+++ b/cli/src/gateway.rs
@@ -120,7 +120,7 @@
     probe_due: Notify,
     /// Wakes the task that checks the status of upstreams.
     status_check_due: Notify,
-    /// Requests that this instance sends for others.
+    /// Connections of requests that this instance sends for others.
     delegated_requests: TaskTracker,
 }
 
@@ -236,8 +236,11 @@
     tokio::time::sleep(STOP_ACCEPTING_AFTER.min(accept_time)).await;
     stop.cancel();
     context.delegated_requests.close();
-    let requests =
-        async { tokio::join!(callers, context.delegated_requests.wait()) };
+    let requests = async {
+        callers.await;
+        // Others are received until the last caller is answered.
+        context.delegated_requests.wait().await;
+    };
     let left = planned.exits_by().since(context.now());
     let drained = tokio::time::timeout(left, requests).await.is_ok();
     log_decision!(
--- a/cli/src/gateway/delegate.rs
+++ b/cli/src/gateway/delegate.rs
@@ -44,7 +44,6 @@
     context: &SharedGateway<W>,
     request: Request<Incoming>,
 ) -> Response<AnswerBody> {
-    let token = context.delegated_requests.token();
     let (data, mut attempt) = match accept(context, request).await {
         Ok(accepted) => accepted,
         Err(refusal) => return report(&DelegatedReply::refused(&refusal)),
@@ -61,10 +60,7 @@
                     sender,
                     begun_at: None,
                 };
-                tokio::spawn(async move {
-                    forwarder.run(reply).await;
-                    drop(token);
-                });
+                tokio::spawn(forwarder.run(reply));
                 return response;
             }
             Err(SendError::Refused(refusal)) => {
--- a/cli/src/gateway/listener.rs
+++ b/cli/src/gateway/listener.rs
@@ -1,6 +1,12 @@
 //! Accepts connections, and serves short requests that need no streaming.
 
-use std::{convert::Infallible, error::Error, future::Future, time::Duration};
+use std::{
+    convert::Infallible,
+    error::Error,
+    future::Future,
+    sync::{Arc, OnceLock},
+    time::Duration,
+};
 
 use borageline_lib::log_event::LogEvent;
 use bytes::Bytes;
@@ -10,7 +16,10 @@
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
-use tokio_util::sync::CancellationToken;
+use tokio_util::{
+    sync::CancellationToken,
+    task::{TaskTracker, task_tracker::TaskTrackerToken},
+};
 
 use crate::{lingering_stream::LingeringStream, logging};
 
@@ -52,11 +61,24 @@
     }
 }
 
-/// Serves requests until the process ends. `idle` returns the idle timeout of a new connection.
+/// Lets a planned stop wait until a connection has ended. A response is not
+/// written when the last piece of its body was queued.
+#[derive(Clone, Debug, Default)]
+pub(super) struct ConnectionHold(Arc<OnceLock<TaskTrackerToken>>);
+
+impl ConnectionHold {
+    /// Counts the connection among the tasks of `tracker` until it ends.
+    pub(super) fn track(&self, tracker: &TaskTracker) {
+        self.0.get_or_init(|| tracker.token());
+    }
+}
+
+/// Serves requests until the process ends. `idle` returns the idle timeout of a
+/// new connection; `answer` also receives the hold on the request's connection.
 pub(super) async fn serve_requests<A, B>(
     listener: TcpListener,
     idle: impl Fn() -> Duration,
-    answer: impl Fn(Request<Incoming>) -> A + Clone + Send + 'static,
+    answer: impl Fn(Request<Incoming>, ConnectionHold) -> A + Clone + Send + 'static,
 ) where
     A: Future<Output = Response<B>> + Send + 'static,
     B: Body + Send + 'static,
@@ -66,8 +88,10 @@
     let stop = CancellationToken::new();
     accept_connections(listener, &stop, |stream| {
         let answer = answer.clone();
+        let hold = ConnectionHold::default();
+        let connection_hold = hold.clone();
         let service = service_fn(move |request| {
-            let answered = answer(request);
+            let answered = answer(request, hold.clone());
             async move { Ok::<_, Infallible>(answered.await) }
         });
         let io = TokioIo::new(LingeringStream::new(stream));
@@ -80,6 +104,7 @@
                 let text = error.to_string();
                 logging::event(LogEvent::CallerConnectionFailed, &text);
             }
+            drop(connection_hold);
         })
     })
     .await;
--- a/cli/src/gateway/peer_listener.rs
+++ b/cli/src/gateway/peer_listener.rs
@@ -5,7 +5,7 @@
 use std::{io, time::Duration};
 
 use borageline_lib::gateway::wire::GatewayWire;
-use http::{Request, Response};
+use http::{HeaderValue, Request, Response, header};
 use http_body_util::Either;
 use hyper::body::Incoming;
 
@@ -14,7 +14,7 @@
     caller_listener::AnswerBody,
     crash_confirmation, delegate,
     forward::buffered_body,
-    listener::{empty_response, serve_requests},
+    listener::{ConnectionHold, empty_response, serve_requests},
     peer_copies, retry_loan,
 };
 use crate::server::bind_with_receive_buffer;
@@ -36,9 +36,9 @@
     let served = serve_requests(
         listener,
         || IDLE_TIMEOUT,
-        move |request| {
+        move |request, hold| {
             let context = context.clone();
-            async move { answer(&context, request).await }
+            async move { answer(&context, request, &hold).await }
         },
     );
     tokio::spawn(served);
@@ -48,9 +48,14 @@
 async fn answer<W: GatewayWire>(
     context: &SharedGateway<W>,
     request: Request<Incoming>,
+    hold: &ConnectionHold,
 ) -> Response<AnswerBody> {
     if delegate::is_delegated(&request) {
-        return delegate::answer(context, request).await;
+        hold.track(&context.delegated_requests);
+        let mut response = delegate::answer(context, request).await;
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+        return response;
     }
     if let Some(upstream) =
         crash_confirmation::asked_upstream(request.uri().path())
