listeners: accept what is established when the listener closes

Callers that connected just before a stopping instance closed its listener got a connection that was reset with no answer.

Cause: the accept loop ends when the runtime knows of no further connection. The runtime learns of new ones only when it polls the system, which may be a while ago on a busy machine, and a listener that is closed resets all that nobody has accepted.

Once the loop has ended, the listener is read until the system has no connection left, and closed right after, in both programs and with no wait in between.

--- a/cli/src/gateway/listener.rs
+++ b/cli/src/gateway/listener.rs
@@ -21,7 +21,10 @@
     task::{TaskTracker, task_tracker::TaskTrackerToken},
 };
 
-use crate::{lingering_stream::LingeringStream, logging};
+use crate::{
+    lingering_stream::LingeringStream, listener_connections::close_listener,
+    logging,
+};
 
 /// Pause after a failed accept, which usually means that no file descriptor is
 /// free.
@@ -42,7 +45,7 @@
         let accepted = tokio::select! {
             biased;
             accepted = listener.accept() => accepted,
-            () = stop.cancelled() => return,
+            () = stop.cancelled() => break,
         };
         match accepted {
             Ok((stream, _)) => {
@@ -53,12 +56,17 @@
             Err(error) => {
                 logging::event(LogEvent::AcceptFailed, &error.to_string());
                 if stop.is_cancelled() {
-                    return;
+                    break;
                 }
                 tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
     }
+    for (stream, _) in close_listener(listener) {
+        if let Some(connection) = serve(stream) {
+            tokio::spawn(connection);
+        }
+    }
 }
 
 /// Lets a planned stop wait until a connection has ended. A response is not
--- a/cli/src/listener_connections.rs
+++ b/cli/src/listener_connections.rs
@@ -1,20 +1,64 @@
-//! Closes callers' connections in a planned stop, once their requests are
-//! answered.
+//! Closes listeners and callers' connections in a planned stop, once the requests
+//! are answered.
 //!
 //! A connection that is idle is closed at once, as the peer can tell that no
 //! request of it was read. One that was accepted just before is not idle: its
 //! first request is on its way, and a close would leave it without an answer.
 
-use std::{future::Future, pin::pin, time::Duration};
+use std::{
+    future::Future,
+    io::{self, ErrorKind},
+    net::SocketAddr,
+    pin::pin,
+    time::Duration,
+};
 
+use borageline_lib::log_event::LogEvent;
 use hyper_util::server::graceful::GracefulConnection;
+use tokio::net::{TcpListener, TcpStream};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
+use crate::{logging, server::ACCEPT_QUEUE};
+
 /// Time in which the first request of an accepted connection must arrive during
 /// a stop. Callers send it at once; this exceeds the round trip and the
 /// repetition of a lost packet.
 const FIRST_REQUEST_TIME: Duration = Duration::from_millis(500);
 
+/// Closes a listener, and returns the connections that were established until
+/// then. The runtime learns of new ones only when it polls the system, and a
+/// listener that is closed resets those that nobody has accepted.
+pub(crate) fn close_listener(
+    listener: TcpListener,
+) -> Vec<(TcpStream, SocketAddr)> {
+    let mut accepted = Vec::new();
+    if let Err(error) = accept_established(listener, &mut accepted) {
+        logging::event(LogEvent::AcceptFailed, &error.to_string());
+    }
+    accepted
+}
+
+fn accept_established(
+    listener: TcpListener,
+    accepted: &mut Vec<(TcpStream, SocketAddr)>,
+) -> io::Result<()> {
+    let listener = listener.into_std()?;
+    // More than this are not established, unless callers go on connecting.
+    for _ in 0..ACCEPT_QUEUE {
+        match listener.accept() {
+            Ok((stream, address)) => {
+                stream.set_nonblocking(true)?;
+                accepted.push((TcpStream::from_std(stream)?, address));
+            }
+            Err(error) if error.kind() == ErrorKind::WouldBlock => break,
+            // The peer has already closed this one.
+            Err(error) if error.kind() == ErrorKind::ConnectionAborted => {}
+            Err(error) => return Err(error),
+        }
+    }
+    Ok(())
+}
+
 /// All connections of one listener.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ListenerConnections {
--- a/cli/src/server.rs
+++ b/cli/src/server.rs
@@ -37,7 +37,7 @@
     callers::build_router,
     context::SharedContext,
     lingering_stream::LingeringStream,
-    listener_connections::ListenerConnections,
+    listener_connections::{ListenerConnections, close_listener},
     logging,
     reply::{ConnectionCloser, RenderedResponse, error_response},
 };
@@ -54,7 +54,7 @@
 /// several megabytes, which 2,000 slow readers would fill.
 const SEND_BUFFER_BYTES: u32 = 128 << 10;
 /// Length of the queue of connections that are not accepted yet.
-const ACCEPT_QUEUE: u32 = 1_024;
+pub(crate) const ACCEPT_QUEUE: u32 = 1_024;
 /// Time to send the response to a connection that is over a limit.
 const REJECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -166,6 +166,22 @@
         table: Mutex::default(),
         context: context.clone(),
     });
+    let serve = |stream, address: SocketAddr| match limiter.admit(address.ip())
+    {
+        Ok(slot) => {
+            let server = server.clone();
+            let force_close = force_close.child_token();
+            let open = connections.clone();
+            tokio::spawn(connections.track(async move {
+                server.serve(stream, address, open, force_close).await;
+                drop(slot);
+            }));
+        }
+        Err(refusal) => {
+            context.metrics.count_refusal(refusal.code);
+            tokio::spawn(reject(stream, refusal));
+        }
+    };
     let closed = context.stop.listener_closed();
     tokio::pin!(closed);
     let schedule = loop {
@@ -185,23 +201,11 @@
                 }
             }
         };
-        match limiter.admit(address.ip()) {
-            Ok(slot) => {
-                let server = server.clone();
-                let force_close = force_close.child_token();
-                let open = connections.clone();
-                tokio::spawn(connections.track(async move {
-                    server.serve(stream, address, open, force_close).await;
-                    drop(slot);
-                }));
-            }
-            Err(refusal) => {
-                context.metrics.count_refusal(refusal.code);
-                tokio::spawn(reject(stream, refusal));
-            }
-        }
+        serve(stream, address);
     };
-    drop(listener);
+    for (stream, address) in close_listener(listener) {
+        serve(stream, address);
+    }
     let clock = context.handle.clock();
     let until = clock.instant(schedule.connections_close());
     let drained = tokio::time::timeout_at(until, connections.close_all()).await;
