--- a/cli/src/server.rs
+++ b/cli/src/server.rs
@@ -36,7 +36,8 @@
 use crate::{
     callers::build_router,
     context::SharedContext,
-    listener_connections::ListenerConnections,
+    lingering_stream::LingeringStream,
+    listener_connections::{ListenerConnections, close_listener},
     logging,
     reply::{ConnectionCloser, RenderedResponse, error_response},
 };
@@ -53,7 +54,7 @@
 /// several megabytes, which 2,000 slow readers would fill.
 const SEND_BUFFER_BYTES: u32 = 128 << 10;
 /// Length of the queue of connections that are not accepted yet.
-const ACCEPT_QUEUE: u32 = 1_024;
+pub(crate) const ACCEPT_QUEUE: u32 = 1_024;
 /// Time to send the response to a connection that is over a limit.
 const REJECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -165,6 +166,22 @@
         table: Mutex::default(),
         context: context.clone(),
     });
+    let serve = |stream, address: SocketAddr| match limiter.admit(address.ip())
+    {
+        Ok(slot) => {
+            let server = server.clone();
+            let force_close = force_close.child_token();
+            let open = connections.clone();
+            tokio::spawn(connections.track(async move {
+                server.serve(stream, address, open, force_close).await;
+                drop(slot);
+            }));
+        }
+        Err(refusal) => {
+            context.metrics.count_refusal(refusal.code);
+            tokio::spawn(reject(stream, refusal));
+        }
+    };
     let closed = context.stop.listener_closed();
     tokio::pin!(closed);
     let schedule = loop {
@@ -184,23 +201,11 @@
                 }
             }
         };
-        match limiter.admit(address.ip()) {
-            Ok(slot) => {
-                let server = server.clone();
-                let force_close = force_close.child_token();
-                let open = connections.clone();
-                tokio::spawn(connections.track(async move {
-                    server.serve(stream, address, open, force_close).await;
-                    drop(slot);
-                }));
-            }
-            Err(refusal) => {
-                context.metrics.count_refusal(refusal.code);
-                tokio::spawn(reject(stream, refusal));
-            }
-        }
+        serve(stream, address);
     };
-    drop(listener);
+    for (stream, address) in close_listener(listener) {
+        serve(stream, address);
+    }
     let clock = context.handle.clock();
     let until = clock.instant(schedule.connections_close());
     let drained = tokio::time::timeout_at(until, connections.close_all()).await;
@@ -249,7 +254,7 @@
             let server = self.clone();
             async move { server.answer(request, address, closer).await }
         });
-        let io = TokioIo::new(stream);
+        let io = TokioIo::new(LingeringStream::new(stream));
         let connection = self.builder.serve_connection(io, service);
         let connection = connections.serve(connection, &request_begun);
         tokio::select! {
@@ -333,7 +338,8 @@
 }
 
 /// Sends a refusal on a connection that is over a limit, and closes it.
-async fn reject(mut stream: TcpStream, refusal: Refusal) {
+async fn reject(stream: TcpStream, refusal: Refusal) {
+    let mut stream = LingeringStream::new(stream);
     let body = serde_json::to_string(&ErrorBody::new(&refusal, None))
         .expect("bodies are plain JSON");
     let status = StatusCode::from_u16(refusal.code.status())
