gateway: end streams at their deadline however fast the upstream sends

What callers saw: a stream whose upstream sent events without end, faster than the gateway passed them on, did not end at its deadline. A caller that did not read held its upstream for as long as it kept the connection.

Cause: the deadline was only looked at when no piece of the reply was ready, and not while an event waited for room in the caller's queue. The endless upstreams of the tests did not show it: a timer between writes of a few bytes limited them to some 30 KB/s.

Change: after the deadline, at most 64 KiB of a reply and one piece are read (ReplyBody, the reader of all replies, also of delegated ones). An event waits for room at most 2 s beyond the deadline; then the upstream is left. Read buffers of connections to others have at most 64 KiB in place of 408 KiB.

--- a/cli/src/gateway.rs
+++ b/cli/src/gateway.rs
@@ -24,6 +24,7 @@
 mod record_applier;
 mod registration;
 mod reload;
+mod reply_body;
 mod reservations;
 mod retry_loan;
 mod status_checks;
--- a/cli/src/gateway/delegate.rs
+++ b/cli/src/gateway/delegate.rs
@@ -17,7 +17,7 @@
 };
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Either};
+use http_body_util::Either;
 use hyper::body::Incoming;
 use tokio::sync::mpsc;
 
@@ -28,6 +28,7 @@
     delegation::{REPLY_HEADER, REQUEST_HEADER, header_value},
     forward::{CallerAttempt, SendError, UpstreamReply, buffered_body},
     metrics::RequestEnd,
+    stream::LATE_SEND_MAX,
 };
 
 /// Most pieces of a reply that are buffered for the other instance.
@@ -215,9 +216,16 @@
                         self.attempt.timings.first_event = Some(time);
                         reply.path.record_first_event();
                     }
+                    let late = self.attempt.time_left() + LATE_SEND_MAX;
                     let sent = tokio::select! {
                         biased;
                         sent = self.sender.send(Ok(bytes)) => sent,
+                        () = tokio::time::sleep(late) => {
+                            drop(reply);
+                            let text = "the other instance read too slowly";
+                            self.abort(RequestEnd::Delegated, text).await;
+                            return;
+                        }
                         stop = self.attempt.context.wait_until_stop_ends() => {
                             let text = stop.to_string();
                             self.abort(RequestEnd::Delegated, &text).await;
--- a/cli/src/gateway/delegation.rs
+++ b/cli/src/gateway/delegation.rs
@@ -25,6 +25,7 @@
 use super::{
     SharedGateway,
     forward::{CallerAttempt, ReplyPath, SendError, UpstreamReply},
+    reply_body::ReplyBody,
 };
 use crate::{
     http_client::{CallTarget, HttpError},
@@ -154,7 +155,7 @@
         self.timings.expected = time_to_first_event;
         Ok(UpstreamReply {
             head,
-            body,
+            body: ReplyBody::new(body, self.reply_deadline()),
             upstream,
             path: ReplyPath::Delegated(guard),
             time_to_first_event,
--- a/cli/src/gateway/forward.rs
+++ b/cli/src/gateway/forward.rs
@@ -35,6 +35,7 @@
 };
 use http_body_util::{Either, Full};
 use hyper::body::Incoming;
+use tokio::time::Instant;
 
 use super::{
     SharedGateway,
@@ -44,6 +45,7 @@
     heartbeats::log_limit_changes,
     links,
     metrics::RequestEnd,
+    reply_body::ReplyBody,
     reservations::{DeferredPrompt, InFlightGuard, ReservationSet},
     stream,
 };
@@ -102,7 +104,7 @@
 #[derive(Debug)]
 pub(super) struct UpstreamReply<W: GatewayWire> {
     pub(super) head: ResponseParts,
-    pub(super) body: Incoming,
+    pub(super) body: ReplyBody,
     pub(super) upstream: UpstreamId,
     pub(super) path: ReplyPath<W>,
     pub(super) time_to_first_event: Duration,
@@ -298,6 +300,11 @@
         self.record.deadline().since(self.context.now())
     }
 
+    /// The attempt's own deadline, for the body of a reply.
+    pub(super) fn reply_deadline(&self) -> Instant {
+        Instant::now() + self.deadline_left()
+    }
+
     /// Time since the request arrived.
     pub(super) fn elapsed(&self) -> Duration {
         self.context.now().since(self.arrival)
@@ -531,7 +538,7 @@
         }
         Ok(UpstreamReply {
             head,
-            body,
+            body: ReplyBody::new(body, self.reply_deadline()),
             upstream,
             path: ReplyPath::Direct(in_flight),
             time_to_first_event: started.time_to_first_event,
--- /dev/null
+++ b/cli/src/gateway/reply_body.rs
@@ -0,0 +1,57 @@
+//! Body of an upstream's reply, which is read piece by piece.
+//!
+//! What has arrived by the deadline of a request is still passed on. A sender
+//! that always has more bytes ready would never be stopped that way, so only so
+//! many are read after the deadline.
+
+use bytes::Bytes;
+use http_body::Frame;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::time::Instant;
+
+/// Most bytes that are read after the deadline, in addition to one piece: the
+/// largest receive buffer of a connection to an upstream.
+const LATE_BYTES_MAX: usize = 64 << 10;
+
+/// Body of a reply to a request with a deadline.
+#[derive(Debug)]
+pub(super) struct ReplyBody {
+    body: Incoming,
+    deadline: Instant,
+    /// Bytes read after the deadline.
+    late: usize,
+}
+
+impl ReplyBody {
+    /// Wraps the body of a reply to a request that ends at `deadline`.
+    pub(super) fn new(body: Incoming, deadline: Instant) -> Self {
+        Self {
+            body,
+            deadline,
+            late: 0,
+        }
+    }
+
+    /// Reads the next piece; `None` at the end. Waits forever once too much was
+    /// read after the deadline, so the caller must watch the deadline, too.
+    pub(super) async fn frame(
+        &mut self,
+    ) -> Option<Result<Frame<Bytes>, hyper::Error>> {
+        if self.late > LATE_BYTES_MAX {
+            return std::future::pending().await;
+        }
+        let frame = self.body.frame().await;
+        if let Some(Ok(frame)) = &frame
+            && Instant::now() >= self.deadline
+        {
+            self.late += frame.data_ref().map_or(0, Bytes::len);
+        }
+        frame
+    }
+
+    /// The body itself, for a reader with a bound of its own.
+    pub(super) fn into_inner(self) -> Incoming {
+        self.body
+    }
+}
--- a/cli/src/gateway/stream.rs
+++ b/cli/src/gateway/stream.rs
@@ -16,7 +16,7 @@
 };
 use bytes::Bytes;
 use http::{Response, header, response::Parts as ResponseParts};
-use http_body_util::{BodyExt, Either};
+use http_body_util::Either;
 use tokio::{sync::mpsc, time::Instant};
 
 use super::{
@@ -37,6 +37,11 @@
 /// waits for one that has died continues or breaks off within 1.5 s.
 const STALL_TIME_MIN: Duration = Duration::from_millis(1_800);
 
+/// Time after the deadline within which the caller must make room for the next
+/// event: what is ready is also delivered late, but a caller that does not read
+/// must not hold the upstream.
+pub(super) const LATE_SEND_MAX: Duration = Duration::from_secs(2);
+
 /// Time between two looks at the links of a silent stream.
 const LINK_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -358,9 +363,15 @@
     ) {
         loop {
             for event in events.drain(..) {
+                let late = self.attempt.time_left() + LATE_SEND_MAX;
                 let sent = tokio::select! {
                     biased;
                     sent = self.sender.send(Ok(event)) => sent,
+                    () = tokio::time::sleep(late) => {
+                        drop(reply);
+                        self.abort("the caller read too slowly").await;
+                        return;
+                    }
                     stop = self.attempt.context.wait_until_stop_ends() => {
                         self.abort(&stop.to_string()).await;
                         return;
--- a/cli/src/gateway/whole_answer.rs
+++ b/cli/src/gateway/whole_answer.rs
@@ -87,6 +87,7 @@
             ..
         } = reply;
         let left = self.time_left();
+        let body = body.into_inner();
         let body = read_answer(&self.context, body, WHOLE_ANSWER_MAX, left);
         let read = tokio::select! {
             biased;
--- a/cli/src/http_client.rs
+++ b/cli/src/http_client.rs
@@ -36,6 +36,9 @@
 pub const RESPONSE_MAX: ByteSize = ByteSize::new(16 << 20);
 /// Largest body of an error response that is read.
 const ERROR_MAX_BYTES: usize = 16 << 10;
+/// Largest read buffer of one connection, which is also the largest head and
+/// the largest piece of a body. The default of hyper is 408 KiB.
+const CONNECTION_BUFFER_BYTES: usize = 64 << 10;
 /// Idle connections kept for one address.
 const IDLE_PER_PEER: usize = 64;
 /// Idle time after which a connection is closed; shorter than the idle timeout
@@ -258,6 +261,7 @@
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
             .pool_max_idle_per_host(max_idle)
+            .http1_max_buf_size(CONNECTION_BUFFER_BYTES)
             .retry_canceled_requests(retry)
             .build(connector);
         Self { client }
