gateway: bound the bytes that wait for a slow caller

An upstream that sends events of 250 KB to callers who do not read made the gateway keep 128 of them for each: 465 and 474 MB resident after 10 s, of 260 MB that the platform allows, so that it would have been killed with the requests of all callers.

Cause: the queue between the reader of an answer and the caller's connection was bounded in events only. That of a delegate (32 pieces) was, too.

Change: EventSender bounds both queues to 64 KiB as well; a larger piece is queued alone. An answer of usual events (some 70 bytes) has as much room as before.

--- a/cli/src/gateway.rs
+++ b/cli/src/gateway.rs
@@ -11,6 +11,7 @@
 mod delegate;
 mod delegation;
 mod endpoints;
+mod event_queue;
 mod forward;
 mod heartbeats;
 mod links;
--- a/cli/src/gateway/caller_listener.rs
+++ b/cli/src/gateway/caller_listener.rs
@@ -4,22 +4,22 @@
     convert::Infallible,
     future::Future,
     io,
-    pin::Pin,
     sync::{Arc, atomic::Ordering},
-    task::{Context, Poll},
 };
 
 use borageline_lib::{gateway::wire::GatewayWire, log_event::LogEvent};
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, header};
-use http_body::{Body, Frame};
 use http_body_util::{Either, Full};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::{net::TcpStream, sync::mpsc};
+use tokio::net::TcpStream;
 use tokio_util::sync::CancellationToken;
 
-use super::{SharedGateway, forward, listener::accept_connections};
+use super::{
+    SharedGateway, event_queue::EventBody, forward,
+    listener::accept_connections,
+};
 use crate::{
     listener_connections::ListenerConnections, logging,
     server::bind_with_receive_buffer,
@@ -31,23 +31,6 @@
 /// Body of an answer: buffered as a whole, or a stream of events.
 pub(super) type AnswerBody = Either<Full<Bytes>, EventBody>;
 
-/// Response body that is fed through a bounded channel.
-#[derive(Debug)]
-pub(super) struct EventBody(pub(super) mpsc::Receiver<io::Result<Bytes>>);
-
-impl Body for EventBody {
-    type Data = Bytes;
-    type Error = io::Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
-        let part = self.0.poll_recv(context);
-        part.map(|part| part.map(|part| part.map(Frame::data)))
-    }
-}
-
 /// Opens the listener and accepts connections until `stop` is cancelled. The
 /// returned future completes when the last connection has ended.
 pub(super) fn serve<W: GatewayWire>(
--- a/cli/src/gateway/delegate.rs
+++ b/cli/src/gateway/delegate.rs
@@ -19,13 +19,13 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::Either;
 use hyper::body::Incoming;
-use tokio::sync::mpsc;
 
 use super::{
     SharedGateway,
     body::read_body,
-    caller_listener::{AnswerBody, EventBody},
+    caller_listener::AnswerBody,
     delegation::{REPLY_HEADER, REQUEST_HEADER, header_value},
+    event_queue::{EventBody, EventSender, event_queue},
     forward::{CallerAttempt, SendError, UpstreamReply, buffered_body},
     metrics::RequestEnd,
     stream::LATE_SEND_MAX,
@@ -55,8 +55,8 @@
         let sent = attempt.send(data.resume_after, |_| reply_wait).await;
         let (before, outcome) = match sent {
             Ok(reply) => {
-                let (sender, receiver) = mpsc::channel(PIECE_QUEUE_MAX);
-                let response = response_head(&attempt, &reply, receiver);
+                let (sender, body) = event_queue(PIECE_QUEUE_MAX);
+                let response = response_head(&attempt, &reply, body);
                 let forwarder = ReplyForwarder {
                     attempt,
                     sender,
@@ -168,9 +168,9 @@
 fn response_head<W: GatewayWire>(
     attempt: &CallerAttempt<W>,
     reply: &UpstreamReply<W>,
-    receiver: mpsc::Receiver<io::Result<Bytes>>,
+    body: EventBody,
 ) -> Response<AnswerBody> {
-    let mut response = Response::new(Either::Right(EventBody(receiver)));
+    let mut response = Response::new(Either::Right(body));
     *response.status_mut() = reply.head.status;
     let mut headers = attempt.context.wire.answer_headers(&reply.head);
     let data = DelegatedReply::Reply {
@@ -185,7 +185,7 @@
 /// A reply whose body is passed on to the other instance.
 struct ReplyForwarder<W: GatewayWire> {
     attempt: CallerAttempt<W>,
-    sender: mpsc::Sender<io::Result<Bytes>>,
+    sender: EventSender,
     /// Time of the first piece of the body.
     begun_at: Option<Timestamp>,
 }
--- a/cli/src/gateway/stream.rs
+++ b/cli/src/gateway/stream.rs
@@ -17,10 +17,11 @@
 use bytes::Bytes;
 use http::{Response, header, response::Parts as ResponseParts};
 use http_body_util::Either;
-use tokio::{sync::mpsc, time::Instant};
+use tokio::time::Instant;
 
 use super::{
-    caller_listener::{AnswerBody, EventBody},
+    caller_listener::AnswerBody,
+    event_queue::{EventBody, EventSender, event_queue},
     forward::{CallerAttempt, SendError, UpstreamReply},
     metrics::RequestEnd,
 };
@@ -224,7 +225,7 @@
     cursor: &mut StreamCursor,
     reply: &mut UpstreamReply<W>,
     limit: StallLimit,
-    caller: Option<&mpsc::Sender<io::Result<Bytes>>>,
+    caller: Option<&EventSender>,
 ) -> StreamStep {
     let left = attempt.time_left();
     let expiry = attempt.wait_until_expired();
@@ -288,7 +289,7 @@
     }
 }
 
-async fn caller_left(caller: Option<&mpsc::Sender<io::Result<Bytes>>>) {
+async fn caller_left(caller: Option<&EventSender>) {
     match caller {
         Some(caller) => caller.closed().await,
         None => std::future::pending().await,
@@ -308,8 +309,8 @@
     attempt.timings.first_event = Some(time);
     attempt.last_event_at = Some(attempt.context.now());
     attempt.context.metrics.record_latency("events", time);
-    let (sender, receiver) = mpsc::channel(EVENT_QUEUE_MAX);
-    let response = response_head(&attempt, &reply.head, receiver);
+    let (sender, body) = event_queue(EVENT_QUEUE_MAX);
+    let response = response_head(&attempt, &reply.head, body);
     reply.path.record_first_event();
     let forwarder = StreamForwarder {
         last_event: attempt.context.now(),
@@ -327,9 +328,9 @@
 fn response_head<W: GatewayWire>(
     attempt: &CallerAttempt<W>,
     head: &ResponseParts,
-    receiver: mpsc::Receiver<io::Result<Bytes>>,
+    body: EventBody,
 ) -> Response<AnswerBody> {
-    let mut response = Response::new(Either::Right(EventBody(receiver)));
+    let mut response = Response::new(Either::Right(body));
     *response.status_mut() = head.status;
     let mut headers = attempt.context.wire.answer_headers(head);
     // Another upstream may continue the stream, so its length is unknown.
@@ -342,7 +343,7 @@
 struct StreamForwarder<W: GatewayWire> {
     attempt: CallerAttempt<W>,
     cursor: StreamCursor,
-    sender: mpsc::Sender<io::Result<Bytes>>,
+    sender: EventSender,
     last_event: Timestamp,
     /// Time of the current upstream's first event; `None` before it.
     answer_begun_at: Option<Timestamp>,
