gateway: bound the records of a topic and the responses of the store

Each page said that there were more, and the gateway kept up to 200 pages of up to 16 MiB: over 260 MB after some seconds, at which the platform kills the process with the requests of all callers.

Cause: a full read was bounded in pages only, and each response by 16 MiB although the store sends 1 MB of records at most.

A topic that is larger is not applied; what was read before stays in force and the read is repeated after a pause.

--- a/cli/src/gateway/peer_copies.rs
+++ b/cli/src/gateway/peer_copies.rs
@@ -24,7 +24,7 @@
 
 use super::{SharedGateway, heartbeats::decode_first};
 use crate::http_client::{
-    CallTarget, HttpError, plain_request, read_response_body,
+    CallTarget, HttpError, RESPONSE_MAX, plain_request, read_response_body,
 };
 
 /// Prefix of the paths.
@@ -117,7 +117,8 @@
     let called = async {
         let response = context.peers.send(target, request).await?;
         let status = response.status();
-        let body = read_response_body(target, response.into_body()).await?;
+        let body = response.into_body();
+        let body = read_response_body(target, body, RESPONSE_MAX).await?;
         Ok((status, body))
     };
     let (status, body) = called.await.map_err(CopyError::Call)?;
--- a/cli/src/gateway/store_client.rs
+++ b/cli/src/gateway/store_client.rs
@@ -11,6 +11,7 @@
         wire::{GatewayWire, WireError},
     },
     log_event::LogEvent,
+    units::ByteSize,
 };
 use bytes::Bytes;
 use http::{Request, StatusCode};
@@ -24,12 +25,18 @@
 /// Timeout for a response of the store, in addition to a long poll.
 pub(super) const STORE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Largest response that is read. The store sends at most 1 MB of records, which
+/// take a third more in base64, and one record beyond that.
+const STORE_RESPONSE_MAX: ByteSize = ByteSize::new(4 << 20);
+
 /// Why a call to the store failed.
 #[derive(Debug)]
 pub(super) enum ReadError {
     Call(HttpError),
     Status(StatusCode),
     Malformed(WireError),
+    /// The records of a topic take more memory than this.
+    TooLarge(ByteSize),
     /// The store was restored before all parts of the response were read.
     Restored,
 }
@@ -42,6 +49,9 @@
                 write!(formatter, "unexpected status {status}")
             }
             Self::Malformed(error) => write!(formatter, "{error}"),
+            Self::TooLarge(limit) => {
+                write!(formatter, "the topic is larger than {limit}")
+            }
             Self::Restored => formatter.write_str("the store was restored"),
         }
     }
@@ -74,7 +84,8 @@
         let response = context.store.send(target, request).await?;
         let status = response.status();
         let era = context.wire.era(response.headers());
-        let body = read_response_body(target, response.into_body()).await?;
+        let body = response.into_body();
+        let body = read_response_body(target, body, STORE_RESPONSE_MAX).await?;
         Ok(StoreResponse { status, body, era })
     };
     let answer = called.await;
--- a/cli/src/gateway/topic_reader.rs
+++ b/cli/src/gateway/topic_reader.rs
@@ -20,7 +20,7 @@
         wire::{GatewayWire, KeyedRecord, NewestPage, StoreTopic, TailPage},
     },
     log_event::LogEvent,
-    units::{LogOffset, Timestamp},
+    units::{ByteSize, LogOffset, Timestamp},
 };
 use bytes::Bytes;
 use http::{Request, StatusCode};
@@ -44,6 +44,13 @@
 /// returning further pages.
 const PAGES_MAX: usize = 200;
 
+/// Most memory for the records of one topic. Those of 10,000 upstreams take 5
+/// MB.
+const TOPIC_MAX_BYTES: usize = 16 << 20;
+/// Memory of a record in addition to its key and value: two allocations and
+/// their owners.
+const RECORD_OVERHEAD_BYTES: usize = 96;
+
 /// Starts to follow the topics.
 pub(super) fn start<W: GatewayWire>(context: &SharedGateway<W>) {
     let control = TopicReader::new(context.clone(), StoreTopic::Control);
@@ -420,7 +427,7 @@
     /// Reads the newest record of each key.
     async fn read_all(&mut self) -> Result<(), ReadError> {
         let started_at = self.context.now();
-        let mut records = Vec::new();
+        let (mut records, mut size) = (Vec::new(), 0);
         let mut start = None;
         for _ in 0..PAGES_MAX {
             let after = records.last().map(|record: &KeyedRecord| &*record.key);
@@ -434,6 +441,11 @@
                 return Err(ReadError::Restored);
             }
             let more = page.more && !page.records.is_empty();
+            size += page.records.iter().map(record_size).sum::<usize>();
+            if size > TOPIC_MAX_BYTES {
+                let limit = ByteSize::new(TOPIC_MAX_BYTES as u64);
+                return Err(ReadError::TooLarge(limit));
+            }
             records.extend(page.records);
             if !more {
                 break;
@@ -459,3 +471,9 @@
         page.map(|page| (page, era)).map_err(ReadError::Malformed)
     }
 }
+
+/// Memory that a record takes, in bytes.
+fn record_size(record: &KeyedRecord) -> usize {
+    let value = record.value.as_ref().map_or(0, Bytes::len);
+    RECORD_OVERHEAD_BYTES + record.key.len() + value
+}
--- a/cli/src/http_client.rs
+++ b/cli/src/http_client.rs
@@ -32,7 +32,7 @@
 
 /// Default time to establish a TCP connection.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Largest body that [`read_response_body`] reads.
+/// Largest body of a response, unless its sender has a smaller limit.
 pub const RESPONSE_MAX: ByteSize = ByteSize::new(16 << 20);
 /// Largest body of an error response that is read.
 const ERROR_MAX_BYTES: usize = 16 << 10;
@@ -347,7 +347,8 @@
         request: Request<Full<Bytes>>,
     ) -> Result<T, HttpError> {
         let response = self.send_checked(target, request).await?;
-        let bytes = read_response_body(target, response.into_body()).await?;
+        let body = response.into_body();
+        let bytes = read_response_body(target, body, RESPONSE_MAX).await?;
         serde_json::from_slice(&bytes).map_err(|error| HttpError::Malformed {
             step: target.step,
             peer: target.peer,
@@ -371,17 +372,18 @@
 }
 
 /// Reads the body of a response within the target's timeout. Fails if it is
-/// larger than [`RESPONSE_MAX`].
+/// larger than `limit`.
 pub async fn read_response_body(
     target: CallTarget,
     body: Incoming,
+    limit: ByteSize,
 ) -> Result<Bytes, HttpError> {
     let CallTarget {
         step,
         peer,
         timeout,
     } = target;
-    let limit = usize::try_from(RESPONSE_MAX.get()).unwrap_or(usize::MAX);
+    let limit = usize::try_from(limit.get()).unwrap_or(usize::MAX);
     let body = Limited::new(body, limit).collect();
     match tokio::time::timeout(timeout, body).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
--- a/cli/src/services.rs
+++ b/cli/src/services.rs
@@ -31,7 +31,7 @@
     callers::{authenticate, read_whole_body, stale_configuration},
     context::SharedContext,
     credentials::hex_digest,
-    http_client::{CallTarget, HttpError, read_response_body},
+    http_client::{CallTarget, HttpError, RESPONSE_MAX, read_response_body},
     reply::{CallerRequest, RenderedResponse, id_value},
     service_route::{ServicePath, forwardable_headers},
     upstream_client::UpstreamClient,
@@ -440,7 +440,7 @@
         Ok(ServiceResponse {
             status: head.status,
             headers: forwardable_headers(&head.headers),
-            body: read_response_body(target, body).await?,
+            body: read_response_body(target, body, RESPONSE_MAX).await?,
         })
     }
 
