cli: hold answers of plain services within the budget for bodies

`serve` buffered each answer of a plain service with up to 16 MiB, any number at a time: 40 processes that send without end take 640 MiB.

Cause: only request bodies had a common budget.

Change: answers take their bytes from the same budget (limits.body_bytes_total) until the caller has them. An answer that does not fit fails at once, and like one that is too large it is no sign of a crash.

--- a/cli/src/lib.rs
+++ b/cli/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod reply;
 pub mod request_task;
 pub mod server;
+mod service_answer;
 pub mod service_route;
 pub mod services;
 pub mod stop_signal;
--- a/cli/src/services.rs
+++ b/cli/src/services.rs
@@ -31,8 +31,9 @@
     callers::{authenticate, read_whole_body, stale_configuration},
     context::SharedContext,
     credentials::hex_digest,
-    http_client::{CallTarget, HttpError, RESPONSE_MAX, read_response_body},
+    http_client::{CallTarget, HttpError},
     reply::{CallerRequest, RenderedResponse, id_value},
+    service_answer::read_answer,
     service_route::{ServicePath, forwardable_headers},
     upstream_client::UpstreamClient,
 };
@@ -437,10 +438,11 @@
             timeout: self.time_left(context).min(timeout),
             ..target
         };
+        let budget = context.body_budget.clone();
         Ok(ServiceResponse {
             status: head.status,
             headers: forwardable_headers(&head.headers),
-            body: read_response_body(target, body, RESPONSE_MAX).await?,
+            body: read_answer(target, body, budget).await?,
         })
     }
 
--- a/cli/tests/test_serve/main.rs
+++ b/cli/tests/test_serve/main.rs
@@ -8,6 +8,7 @@
 mod fixture;
 mod test_bounds;
 mod test_completions;
+mod test_endless;
 mod test_operators;
 mod test_services;
 mod test_standins;
