cli: read at most 1 MiB of an engine's report

`serve` reads the load, capabilities and held requests of each engine with a limit of 16 MiB, that of whole answers: 40 engines that send reports without end take 640 MiB at a time.

Cause: one limit for all bodies.

Change: reports have at most 1 MiB, some 10,000 held requests.

Tests: test_endless_report_of_engine_is_cut failed in 1 of 1 run before (the report was held until its timeout) and passed in 1 of 1 after.

--- a/cli/src/http_client.rs
+++ b/cli/src/http_client.rs
@@ -34,6 +34,9 @@
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Largest body of a response, unless its sender has a smaller limit.
 pub const RESPONSE_MAX: ByteSize = ByteSize::new(16 << 20);
+/// Largest report of an engine; one has some 100 B for each request that the
+/// engine holds. An instance reads the reports of all engines at a time.
+const REPORT_MAX: ByteSize = ByteSize::new(1 << 20);
 /// Largest body of an error response that is read.
 const ERROR_MAX_BYTES: usize = 16 << 10;
 /// Largest read buffer of one connection, which is also the largest head and
@@ -348,7 +351,7 @@
     ) -> Result<T, HttpError> {
         let response = self.send_checked(target, request).await?;
         let body = response.into_body();
-        let bytes = read_response_body(target, body, RESPONSE_MAX).await?;
+        let bytes = read_response_body(target, body, REPORT_MAX).await?;
         serde_json::from_slice(&bytes).map_err(|error| HttpError::Malformed {
             step: target.step,
             peer: target.peer,
--- a/cli/tests/test_serve/test_endless.rs
+++ b/cli/tests/test_serve/test_endless.rs
@@ -2,10 +2,13 @@
 
 use std::{sync::Arc, time::Duration};
 
+use borageline::http_client::{
+    CallTarget, HttpClient, HttpError, plain_request,
+};
 use borageline_lib::units::ByteSize;
 use bytes::Bytes;
 use futures::{FutureExt, StreamExt, future::join_all};
-use http::Response;
+use http::{Method, Response};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 use rstest::rstest;
@@ -81,3 +84,20 @@
     assert!(!answer.contains("[DONE]"), "{answer}");
     assert!(answer.contains("\"error\""), "{answer}");
 }
+
+/// Guards against reports of engines that are held until their timeout, each
+/// with as much as the largest answer: an instance reads those of all engines.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_endless_report_of_engine_is_cut() {
+    let peer = start_engine(repeat("1,", 32)).await;
+    let target = CallTarget {
+        step: "read load",
+        peer,
+        timeout: Duration::from_secs(5),
+    };
+    let request = plain_request(Method::GET, peer, "/v1/load");
+    let client = HttpClient::new();
+    let read = client.call::<serde_json::Value>(target, request);
+    let error = read.await.expect_err("the report does not end");
+    assert!(matches!(error, HttpError::Broken { .. }), "{error}");
+}
