--- a/cli/src/gateway/stream.rs
+++ b/cli/src/gateway/stream.rs
@@ -7,7 +7,7 @@
 mod step;
 mod takeover;
 
-use std::{io, time::Duration};
+use std::time::Duration;
 
 use borageline_lib::{
     gateway::{
@@ -18,7 +18,6 @@
 use bytes::Bytes;
 use http::{Response, header, response::Parts as ResponseParts};
 use http_body_util::Either;
-use tokio::sync::mpsc;
 
 use self::{
     forwarder::StreamForwarder,
@@ -26,7 +25,8 @@
     takeover::{Continuation, Takeover, TakeoverError},
 };
 use super::{
-    caller_listener::{AnswerBody, EventBody},
+    caller_listener::AnswerBody,
+    event_queue::{EventBody, event_queue},
     forward::{CallerAttempt, SendError, UpstreamReply},
 };
 
@@ -36,6 +36,10 @@
 /// sent elsewhere, as a multiple of the latency target plus the predicted
 /// time.
 const FIRST_EVENT_TIMEOUT_FACTOR: f64 = 3.0;
+/// Time after the deadline within which the caller must make room for the next
+/// event: what is ready is also delivered late, but a caller that does not read
+/// must not hold the upstream.
+pub(super) const LATE_SEND_MAX: Duration = Duration::from_secs(2);
 
 /// Answers with an event stream.
 pub(super) async fn answer_events<W: GatewayWire>(
@@ -264,8 +268,8 @@
     attempt.timings.first_event = Some(time);
     attempt.last_event_at = Some(attempt.context.now());
     attempt.context.metrics.record_latency("events", time);
-    let (sender, receiver) = mpsc::channel(EVENT_QUEUE_MAX);
-    let response = response_head(&attempt, &reply.head, receiver);
+    let (sender, body) = event_queue(EVENT_QUEUE_MAX);
+    let response = response_head(&attempt, &reply.head, body);
     reply.path.record_first_event();
     let forwarder = StreamForwarder {
         last_event: attempt.context.now(),
@@ -284,9 +288,9 @@
 fn response_head<W: GatewayWire>(
     attempt: &CallerAttempt<W>,
     head: &ResponseParts,
-    receiver: mpsc::Receiver<io::Result<Bytes>>,
+    body: EventBody,
 ) -> Response<AnswerBody> {
-    let mut response = Response::new(Either::Right(EventBody(receiver)));
+    let mut response = Response::new(Either::Right(body));
     *response.status_mut() = head.status;
     let mut headers = attempt.context.wire.answer_headers(head);
     // Another upstream may continue the stream, so its length is unknown.
--- a/cli/src/gateway/stream/forwarder.rs
+++ b/cli/src/gateway/stream/forwarder.rs
@@ -11,13 +11,14 @@
     units::Timestamp,
 };
 use bytes::Bytes;
-use tokio::sync::mpsc;
 
 use super::{
     super::{
+        event_queue::EventSender,
         forward::{CallerAttempt, UpstreamReply},
         metrics::RequestEnd,
     },
+    LATE_SEND_MAX,
     step::{STALL_TIME_MIN, StallLimit, StreamStep, next_step},
     takeover::{Continuation, Takeover, TakeoverError},
 };
@@ -29,7 +30,7 @@
 pub(super) struct StreamForwarder<W: GatewayWire> {
     pub(super) attempt: CallerAttempt<W>,
     pub(super) cursor: StreamCursor,
-    pub(super) sender: mpsc::Sender<io::Result<Bytes>>,
+    pub(super) sender: EventSender,
     pub(super) last_event: Timestamp,
     /// Time of the current upstream's first event; `None` before it.
     pub(super) answer_begun_at: Option<Timestamp>,
@@ -53,9 +54,15 @@
         let mut known_step = None;
         loop {
             for event in events.drain(..) {
+                let late = self.attempt.time_left() + LATE_SEND_MAX;
                 let sent = tokio::select! {
                     biased;
                     sent = self.sender.send(Ok(event)) => sent,
+                    () = tokio::time::sleep(late) => {
+                        drop(reply);
+                        self.abort("the caller read too slowly").await;
+                        return;
+                    }
                     stop = self.attempt.context.wait_until_stop_ends() => {
                         self.abort(&stop.to_string()).await;
                         return;
--- a/cli/src/gateway/stream/step.rs
+++ b/cli/src/gateway/stream/step.rs
@@ -1,6 +1,6 @@
 //! Waits for the next events of an upstream.
 
-use std::{io, time::Duration};
+use std::time::Duration;
 
 use borageline_lib::{
     gateway::{
@@ -10,11 +10,13 @@
     refusal::Refusal,
 };
 use bytes::Bytes;
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
-use tokio::{sync::mpsc, time::Instant};
+use tokio::time::Instant;
 
-use super::super::forward::{CallerAttempt, UpstreamReply};
+use super::super::{
+    event_queue::EventSender,
+    forward::{CallerAttempt, UpstreamReply},
+    reply_body::ReplyBody,
+};
 
 /// Shortest silence after which a stream counts as stalled. An engine that
 /// waits for one that has died continues or breaks off within 1.5 s.
@@ -54,7 +56,7 @@
     cursor: &mut StreamCursor,
     reply: &mut UpstreamReply<W>,
     limit: StallLimit,
-    caller: Option<&mpsc::Sender<io::Result<Bytes>>>,
+    caller: Option<&EventSender>,
 ) -> StreamStep {
     let left = attempt.time_left();
     let expiry = attempt.wait_until_expired();
@@ -92,7 +94,7 @@
 /// in the cursor if the future is dropped.
 pub(super) async fn next_events(
     cursor: &mut StreamCursor,
-    body: &mut Incoming,
+    body: &mut ReplyBody,
 ) -> StreamStep {
     loop {
         let mut events = Vec::new();
@@ -129,9 +131,7 @@
     }
 }
 
-pub(super) async fn caller_left(
-    caller: Option<&mpsc::Sender<io::Result<Bytes>>>,
-) {
+pub(super) async fn caller_left(caller: Option<&EventSender>) {
     match caller {
         Some(caller) => caller.closed().await,
         None => std::future::pending().await,
--- a/cli/src/gateway/stream/takeover.rs
+++ b/cli/src/gateway/stream/takeover.rs
@@ -8,8 +8,6 @@
 //! forwarded from then on, so that no event is lost, doubled or mixed. Nothing
 //! but the next events is read from either meanwhile.
 
-use std::io;
-
 use borageline_lib::{
     gateway::{
         attempt::SendOutcome, prompt_quarantine::SOUND_ANSWER_TIME,
@@ -19,11 +17,12 @@
     refusal::{Refusal, RunState},
     units::Timestamp,
 };
-use bytes::Bytes;
-use tokio::sync::mpsc;
 
 use super::{
-    super::forward::{CallerAttempt, SendError, UpstreamReply},
+    super::{
+        event_queue::EventSender,
+        forward::{CallerAttempt, SendError, UpstreamReply},
+    },
     first_event_timeout,
     step::{StallLimit, StreamStep, caller_left, next_events, next_step},
 };
@@ -56,7 +55,7 @@
     pub(super) attempt: &'a mut CallerAttempt<W>,
     pub(super) cursor: &'a mut StreamCursor,
     /// Watched for a closed connection, if the response has started.
-    pub(super) caller: Option<&'a mpsc::Sender<io::Result<Bytes>>>,
+    pub(super) caller: Option<&'a EventSender>,
     /// Time of the first event of the kept upstream.
     pub(super) answer_begun_at: Option<Timestamp>,
 }
--- a/cli/src/http_client.rs
+++ b/cli/src/http_client.rs
@@ -32,10 +32,16 @@
 
 /// Default time to establish a TCP connection.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Largest body that [`read_response_body`] reads.
+/// Largest body of a response, unless its sender has a smaller limit.
 pub const RESPONSE_MAX: ByteSize = ByteSize::new(16 << 20);
+/// Largest report of an engine; one has some 100 B for each request that the
+/// engine holds. An instance reads the reports of all engines at a time.
+const REPORT_MAX: ByteSize = ByteSize::new(1 << 20);
 /// Largest body of an error response that is read.
 const ERROR_MAX_BYTES: usize = 16 << 10;
+/// Largest read buffer of one connection, which is also the largest head and
+/// the largest piece of a body. The default of hyper is 408 KiB.
+const CONNECTION_BUFFER_BYTES: usize = 64 << 10;
 /// Idle connections kept for one address.
 const IDLE_PER_PEER: usize = 64;
 /// Idle time after which a connection is closed; shorter than the idle timeout
@@ -258,6 +264,7 @@
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
             .pool_max_idle_per_host(max_idle)
+            .http1_max_buf_size(CONNECTION_BUFFER_BYTES)
             .retry_canceled_requests(retry)
             .build(connector);
         Self { client }
@@ -343,7 +350,8 @@
         request: Request<Full<Bytes>>,
     ) -> Result<T, HttpError> {
         let response = self.send_checked(target, request).await?;
-        let bytes = read_response_body(target, response.into_body()).await?;
+        let body = response.into_body();
+        let bytes = read_response_body(target, body, REPORT_MAX).await?;
         serde_json::from_slice(&bytes).map_err(|error| HttpError::Malformed {
             step: target.step,
             peer: target.peer,
@@ -367,17 +375,18 @@
 }
 
 /// Reads the body of a response within the target's timeout. Fails if it is
-/// larger than [`RESPONSE_MAX`].
+/// larger than `limit`.
 pub async fn read_response_body(
     target: CallTarget,
     body: Incoming,
+    limit: ByteSize,
 ) -> Result<Bytes, HttpError> {
     let CallTarget {
         step,
         peer,
         timeout,
     } = target;
-    let limit = usize::try_from(RESPONSE_MAX.get()).unwrap_or(usize::MAX);
+    let limit = usize::try_from(limit.get()).unwrap_or(usize::MAX);
     let body = Limited::new(body, limit).collect();
     match tokio::time::timeout(timeout, body).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
