gateway: give up no upstream unless another send is allowed and paid for

Callers got 502 for streams whose upstream had not sent its head within the time for a first event: the gateway closed the connection, and then a planned stop, or an empty retry budget, forbade the send elsewhere. These are the time-outs 'forward at ...: no answer in ...' of the users' record.

Cause: the upstream was left on a predicted time, and only then was decided whether anything else could be tried. Both programs' waits for the head now end early only when the stop allows another send and that is paid for. A delegate reports a slow upstream in time, and the instance that asks it waits longer if its stop forbids another send after that. Before the first event, each send of a takeover has the time for a first event, so that a third upstream can be asked.

The delegate's report and the third upstream have no test of their own. If no other upstream has room after that, the first one is gone all the same: not mended.

--- a/cli/src/gateway/delegation.rs
+++ b/cli/src/gateway/delegation.rs
@@ -87,6 +87,12 @@
         // What the delegate expects is not known yet.
         let expected = self.admitted.route.latency_target;
         let reply_wait = wait(expected).min(self.time_left());
+        let reply_wait = if self.stop_allows_resend(reply_wait) {
+            reply_wait
+        } else {
+            // Nothing else could take the request after that.
+            self.time_left()
+        };
         let request = self.delegated_request(peer, resume_after, reply_wait);
         let before = self.record.run_state();
         self.begin_send();
--- a/cli/src/gateway/forward.rs
+++ b/cli/src/gateway/forward.rs
@@ -57,6 +57,9 @@
 /// Pause before a prompt is placed again after engines refused its KV cache;
 /// their reports of free memory are older than that.
 const RESERVATION_RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Time between two checks whether a request may be sent to another upstream.
+const RESEND_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// A caller's request that was admitted.
 #[derive(Debug)]
 pub(super) struct CallerAttempt<W: GatewayWire> {
@@ -467,12 +470,7 @@
         let target = CallTarget {
             step: "forward",
             peer: started.entry.address,
-            // A stream that has begun is given up by its own rules.
-            timeout: if self.record.is_stream() {
-                given_up_after
-            } else {
-                time_left
-            },
+            timeout: time_left,
         };
         let request = self.upstream_request(&metadata, &started);
         let begun_at = self.context.now();
@@ -496,6 +494,7 @@
                 })
             }
             () = self.wait_until_given_up(given_up_after) => {
+                self.is_resend_paid = !self.is_delegated;
                 Err(HttpError::TimedOut {
                     step: target.step,
                     peer: target.peer,
@@ -701,23 +700,37 @@
         checked.map_err(SendError::Refused)
     }
 
-    /// Whether a planned stop leaves enough time to send the request once more.
-    pub(super) fn stop_allows_resend(&self) -> bool {
+    /// Whether a planned stop leaves enough time to send the request once more
+    /// after `wait`.
+    pub(super) fn stop_allows_resend(&self, wait: Duration) -> bool {
         let request = self.placement_request(false);
-        let forecast = self.context.core().unplaced_forecast(&request);
-        self.check_stop(false, forecast).is_ok()
+        let request = PlacementRequest {
+            time_left: request.time_left.saturating_sub(wait),
+            ..request
+        };
+        let at = self.context.now().after(wait);
+        let mut core = self.context.core();
+        let forecast = core.unplaced_forecast(&request);
+        core.check_stop(at, &request, forecast).is_ok()
     }
 
-    /// Resolves after `wait`, once the request can be sent to another upstream
-    /// than the one that has not begun to answer it. A planned stop may forbid
-    /// that; the upstream may then still answer, and nothing else can.
+    /// Resolves after `wait`, as soon as the request may be sent to another
+    /// upstream than the one that has not begun to answer it; never, if it may
+    /// not. That resend is paid for then. Without a retry left, or if a planned
+    /// stop forbids the resend, only the first upstream can still answer.
     async fn wait_until_given_up(&self, wait: Duration) {
         tokio::time::sleep(wait).await;
-        if self.record.is_stream()
-            || !self.record.can_resend()
-            || !self.stop_allows_resend()
+        if self.is_delegated {
+            // The instance that asked for the send decides on another one.
+            return;
+        }
+        if !self.record.can_resend() {
+            return std::future::pending().await;
+        }
+        while !self.stop_allows_resend(Duration::ZERO)
+            || !(self.is_resend_paid || self.pay_for_resend().await)
         {
-            std::future::pending().await
+            tokio::time::sleep(RESEND_CHECK_INTERVAL).await;
         }
     }
 
@@ -865,10 +878,8 @@
         drop(core);
         if outcome.proves_not_run() {
             self.excluded.push(upstream.clone());
-        } else {
-            if !self.tried.contains(upstream) {
-                self.tried.push(upstream.clone());
-            }
+        } else if !self.tried.contains(upstream) {
+            self.tried.push(upstream.clone());
         }
         log_decision!(
             LogEvent::SendFailed,
--- a/cli/src/gateway/links.rs
+++ b/cli/src/gateway/links.rs
@@ -101,6 +101,7 @@
         let begun_at = Instant::now();
         tokio::time::sleep(SILENCE_MIN).await;
         while !self.is_silenced(upstream, begun_at.elapsed())
+            || !self.stop_allows_resend(Duration::ZERO)
             || !self.pay_for_resend().await
         {
             tokio::time::sleep(PROBE_TICK).await;
--- a/cli/src/gateway/stream/takeover.rs
+++ b/cli/src/gateway/stream/takeover.rs
@@ -135,8 +135,13 @@
         let begun_at = self.answer_begun_at;
         let mut broken = None;
         let sent = {
-            let sent =
-                send_elsewhere(self.attempt, resume_after, before, outcome);
+            let sent = send_elsewhere(
+                self.attempt,
+                self.caller.is_some(),
+                resume_after,
+                before,
+                outcome,
+            );
             tokio::pin!(sent);
             loop {
                 let step = tokio::select! {
@@ -293,8 +298,10 @@
 }
 
 /// Sends the request to other upstreams until one of them answers with a stream.
+/// Before the response has begun, each has the time for a first event.
 async fn send_elsewhere<W: GatewayWire>(
     attempt: &mut CallerAttempt<W>,
+    is_begun: bool,
     resume_after: Option<u64>,
     mut before: RunState,
     mut outcome: SendOutcome,
@@ -303,8 +310,10 @@
         if !attempt.authorize_resend(before, outcome).await {
             return Err(TakeoverError::NotResent(outcome));
         }
-        let wait = attempt.time_left();
-        match attempt.send(resume_after, |_| wait).await {
+        let left = attempt.time_left();
+        let timeout = first_event_timeout(attempt);
+        let wait = |expected| if is_begun { left } else { timeout(expected) };
+        match attempt.send(resume_after, wait).await {
             Ok(reply)
                 if reply.head.status.is_success()
                     && attempt
--- a/cli/src/gateway/whole_answer.rs
+++ b/cli/src/gateway/whole_answer.rs
@@ -97,7 +97,7 @@
         let text = match read {
             Ok(Ok(body)) if self.context.wire.is_authentic_answer(&head) => {
                 drop(path);
-                return self.forward_answer(&head, &upstream, body);
+                return self.forward_answer(&head, &upstream, body).await;
             }
             Ok(Ok(_)) => {
                 "the answer is not marked as produced by the upstream".into()
@@ -114,7 +114,7 @@
         Err(SendOutcome::Lost)
     }
 
-    fn forward_answer(
+    async fn forward_answer(
         &mut self,
         head: &ResponseParts,
         upstream: &UpstreamId,
@@ -124,6 +124,7 @@
         if failed
             && self.admitted.route.retry_safety == RetrySafety::Idempotent
             && self.could_resend()
+            && self.prepay_resend().await
         {
             let text = format!("the upstream failed with {}", head.status);
             self.record_failed_send(upstream, SendOutcome::Failed, &text);
@@ -147,13 +148,14 @@
         Ok(response)
     }
 
-    /// Whether a failure of the upstream could be followed by another send;
-    /// otherwise it is forwarded as it is.
+    /// Whether the request's record and the planned stop, if any, allow another
+    /// send after a failure of the upstream.
     fn could_resend(&self) -> bool {
         let mut record = self.record.clone();
         let now = self.context.now();
         let before = record.run_state();
         let step = record.finish_send(now, before, SendOutcome::Failed);
-        matches!(step, NextStep::Resend { .. }) && self.stop_allows_resend()
+        matches!(step, NextStep::Resend { .. })
+            && self.stop_allows_resend(Duration::ZERO)
     }
 }
