gateway: compute the limit for late events once for each piece

The time left takes the lock of the core; it was taken for each event that is passed on. 60 tests of endless replies, unframed answers and planned stops pass.

--- a/cli/src/gateway/stream.rs
+++ b/cli/src/gateway/stream.rs
@@ -38,8 +38,8 @@
 /// waits for one that has died continues or breaks off within 1.5 s.
 const STALL_TIME_MIN: Duration = Duration::from_millis(1_800);
 
-/// Time after the deadline within which the caller must make room for the next
-/// event: what is ready is also delivered late, but a caller that does not read
+/// Time after the deadline within which the caller must make room for the events
+/// of one piece: what is ready is also delivered late, but a caller that does not read
 /// must not hold the upstream.
 pub(super) const LATE_SEND_MAX: Duration = Duration::from_secs(2);
 
@@ -363,12 +363,13 @@
         mut complete: bool,
     ) {
         loop {
+            let left = self.attempt.time_left();
+            let late = Instant::now() + left + LATE_SEND_MAX;
             for event in events.drain(..) {
-                let late = self.attempt.time_left() + LATE_SEND_MAX;
                 let sent = tokio::select! {
                     biased;
                     sent = self.sender.send(Ok(event)) => sent,
-                    () = tokio::time::sleep(late) => {
+                    () = tokio::time::sleep_until(late) => {
                         drop(reply);
                         self.abort("the caller read too slowly").await;
                         return;
