--- a/cli/src/gateway/stream.rs
+++ b/cli/src/gateway/stream.rs
@@ -36,9 +36,9 @@
 /// sent elsewhere, as a multiple of the latency target plus the predicted
 /// time.
 const FIRST_EVENT_TIMEOUT_FACTOR: f64 = 3.0;
-/// Time after the deadline within which the caller must make room for the next
-/// event: what is ready is also delivered late, but a caller that does not read
-/// must not hold the upstream.
+/// Time after the deadline within which the caller must make room for the events
+/// of one piece: what is ready is also delivered late, but a caller that does not
+/// read must not hold the upstream.
 pub(super) const LATE_SEND_MAX: Duration = Duration::from_secs(2);
 
 /// Answers with an event stream.
--- a/cli/src/gateway/stream/forwarder.rs
+++ b/cli/src/gateway/stream/forwarder.rs
@@ -11,6 +11,7 @@
     units::Timestamp,
 };
 use bytes::Bytes;
+use tokio::time::Instant;
 
 use super::{
     super::{
@@ -53,12 +54,13 @@
     ) {
         let mut known_step = None;
         loop {
+            let left = self.attempt.time_left();
+            let late = Instant::now() + left + LATE_SEND_MAX;
             for event in events.drain(..) {
-                let late = self.attempt.time_left() + LATE_SEND_MAX;
                 let sent = tokio::select! {
                     biased;
                     sent = self.sender.send(Ok(event)) => sent,
-                    () = tokio::time::sleep(late) => {
+                    () = tokio::time::sleep_until(late) => {
                         drop(reply);
                         self.abort("the caller read too slowly").await;
                         return;
