--- a/lib/src/gateway/planned_stop.rs
+++ b/lib/src/gateway/planned_stop.rs
@@ -25,15 +25,19 @@
 /// The same as a share of the grace period, for short ones.
 const EXIT_RESERVE_SHARE: f64 = 1.0 / 16.0;
 /// Time after which a request must be sure to end before the stop does. Callers
-/// hold an address for 2 s, so that most know other instances by then. A process
-/// may notice the signal late: users excuse a cut only of what was sent in the
-/// first 3 s after it was sent.
+/// hold an address for 2 s, so that most know other instances by then. The
+/// platform allows cuts only of requests from the first 3 s after it sent the
+/// signal, which the process may notice late.
 const PREDICTED_END_UNTIL: Duration = Duration::from_millis(2_500);
+/// The same as a share of the grace period, for short ones: a prediction that
+/// is half of the real duration still fits into the rest.
+const PREDICTED_END_SHARE: f64 = 1.0 / 3.0;
 
 /// The planned stop of this instance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PlannedStop {
     begun_at: Timestamp,
+    predictions_end: Timestamp,
     ends_at: Timestamp,
     exits_by: Timestamp,
 }
@@ -54,8 +58,11 @@
     /// Stop that began at `begun_at`; the process is killed after `grace`.
     pub fn new(begun_at: Timestamp, grace: Duration) -> Self {
         let reserve = grace.mul_f64(EXIT_RESERVE_SHARE).min(EXIT_RESERVE_MAX);
+        let predicted =
+            grace.mul_f64(PREDICTED_END_SHARE).min(PREDICTED_END_UNTIL);
         Self {
             begun_at,
+            predictions_end: begun_at.after(predicted),
             ends_at: begun_at.after(grace.saturating_sub(reserve)),
             exits_by: begun_at.after(grace.saturating_sub(reserve / 2)),
         }
@@ -82,7 +89,7 @@
     /// A request that may run only once must always end by its own deadline:
     /// cut off, it could neither be repeated nor be reported as not run.
     pub fn allows_send(&self, now: Timestamp, forecast: &SendForecast) -> bool {
-        let is_early = now.since(self.begun_at) <= PREDICTED_END_UNTIL;
+        let is_early = now <= self.predictions_end;
         let needed = match (forecast.retry_safety, forecast.expected) {
             (RetrySafety::Idempotent, Some(expected)) if is_early => {
                 forecast.time_left.min(expected)
--- a/lib/tests/gateway/test_planned_stop.rs
+++ b/lib/tests/gateway/test_planned_stop.rs
@@ -169,6 +169,7 @@
         let is_repeated = stop.allows_send(at(now_ms), &repeatable);
         prop_assert!(!allowed || is_repeated);
         // No prediction lets through what may be cut later than that.
-        prop_assert!(now_ms <= 2_500 || is_repeated == allowed);
+        let predictions_end = (grace_ms / 3).min(2_500);
+        prop_assert!(now_ms <= predictions_end || is_repeated == allowed);
     }
 }
