gateway, platform/tests, docs: say more plainly what is checked and cut

Found by a review: near synonyms of 'may be sent again' did not say whether they ask the record, the stop or the budget. Comments and documentation only.

--- a/cli/src/gateway/forward.rs
+++ b/cli/src/gateway/forward.rs
@@ -700,8 +700,9 @@
         checked.map_err(SendError::Refused)
     }
 
-    /// Whether a planned stop leaves enough time to send the request once more
-    /// after `wait`.
+    /// Whether a planned stop, if any, leaves enough time to send the request
+    /// once more after `wait`. The request's record and the retry budget are not
+    /// asked.
     pub(super) fn stop_allows_resend(&self, wait: Duration) -> bool {
         let request = self.placement_request(false);
         let request = PlacementRequest {
@@ -914,7 +915,8 @@
         }
     }
 
-    /// Counts the next resend against the retry budget, if that allows one.
+    /// Counts the next resend against the retry budget, if that allows one. It
+    /// stays paid until a request is written.
     pub(super) async fn prepay_resend(&mut self) -> bool {
         self.is_resend_paid =
             self.is_resend_paid || self.pay_for_resend().await;
--- a/cli/src/gateway/stream.rs
+++ b/cli/src/gateway/stream.rs
@@ -255,6 +255,7 @@
         }
     }
 }
+
 /// Starts the response of a stream whose first events have arrived, and a task
 /// that forwards the rest.
 fn forward_stream<W: GatewayWire>(
--- a/lib/src/gateway/attempt.rs
+++ b/lib/src/gateway/attempt.rs
@@ -149,7 +149,8 @@
         NextStep::Resend { budgeted }
     }
 
-    /// Whether the attempt could be sent again if the send in progress fails.
+    /// Whether the attempt's own limits allow another send if the one in progress
+    /// fails.
     pub fn can_resend(&self) -> bool {
         self.retry_safety == RetrySafety::Idempotent && self.sends_left > 0
     }
