--- a/cli/tests/test_faults/fixture.rs
+++ b/cli/tests/test_faults/fixture.rs
@@ -49,6 +49,8 @@
 pub(crate) const OPERATORS: [&str; 2] = ["operator-key-a", "operator-key-b"];
 /// Secret that the instances share.
 pub(crate) const SECRET: &str = "secret-of-the-test-fleet";
+/// Lines of an instance's log in the message of a failed test.
+const LOG_TAIL_LINES: usize = 10;
 /// Time for one process to start and be ready.
 const START_LIMIT: Duration = Duration::from_secs(20);
 
@@ -476,13 +478,22 @@
         self.instances[index].child.signal(signal).unwrap();
     }
 
+    /// Last lines of an instance's log, for the message of a failed test.
+    fn log_tail(&self, name: &str) -> String {
+        let path = self.directory.path().join(format!("{name}.log"));
+        let log = fs::read_to_string(path).unwrap_or_default();
+        let lines: Vec<_> = log.lines().collect();
+        lines[lines.len().saturating_sub(LOG_TAIL_LINES)..].join("\n")
+    }
+
     /// Waits until an instance reports that it is ready.
     pub(crate) async fn wait_ready(&self, index: usize) {
         let instance = &self.instances[index];
         let ready = wait_http(instance.address, "/readyz", START_LIMIT).await;
         if let Err(error) = ready {
             let answer = client::get(instance.address, "/readyz").await;
-            panic!("{}: {error:?}, {answer:?}", instance.name);
+            let log = self.log_tail(&instance.name);
+            panic!("{}: {error:?}, {answer:?}\n{log}", instance.name);
         }
     }
 
