gateway: close the listener halfway through a short grace period

By reading: the listener stayed open until all requests end, at 1.875 s, and since the 50 ms in which arrived requests are read left 12 ms before the process exits, so that connections accepted last had no time for an answer either.

--- a/cli/src/gateway.rs
+++ b/cli/src/gateway.rs
@@ -234,7 +234,8 @@
     reload::start(&context, path)?;
     terminate.recv().await;
     let planned = planned_stop::begin(&context);
-    let accept_time = planned.ends_at().since(context.now());
+    // A short grace period has to leave the last connections time for answers.
+    let accept_time = planned.ends_at().since(context.now()) / 2;
     tokio::time::sleep(STOP_ACCEPTING_AFTER.min(accept_time)).await;
     stop.cancel();
     context.delegated_requests.close();
