testutils: give each test process loopback addresses of its own

The fixtures chose ports by binding port zero and closing the listener. A child process that another test is starting holds copies of all descriptors between fork and exec, so the listener can outlive its close. Engines that were started again also used ports on 127.0.0.1 that the system gives to outgoing connections.

Ruled out: other fleets and outgoing connections on the address of the instance; each fleet had an IP address of its own, and outgoing connections use 127.0.0.1.

Change: `LoopbackHost` claims an IP address for one process and hands out each port once, without binding it. All fixtures of cli, platform and testutils use it. `test_query_names_stopped_instance`, whose instance was answered for by another fleet's at a reused port, is no longer ignored.

--- a/cli/tests/test_commands.rs
+++ b/cli/tests/test_commands.rs
@@ -14,6 +14,7 @@
     thread,
 };
 
+use borageline_testutils::loopback::new_address;
 use rstest::rstest;
 use serde_json::{Value, json};
 
@@ -94,7 +95,7 @@
 fn start_instance(
     answers: Vec<String>,
 ) -> (SocketAddr, Receiver<ReceivedRequest>) {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let listener = TcpListener::bind(new_address()).unwrap();
     let address = listener.local_addr().unwrap();
     let (sender, receiver) = channel();
     thread::spawn(move || {
@@ -364,9 +365,7 @@
 /// Guards against a failed connection that is reported as an unknown outcome.
 #[test]
 fn test_order_connection_refused() {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap().to_string();
-    drop(listener);
+    let address = new_address().to_string();
     let result = run(&["order", "--address", &address, CHANGE]);
     assert_eq!(result.code, FAILED, "{}", result.errors);
     assert!(result.errors.contains("not sent"), "{}", result.errors);
@@ -376,7 +375,7 @@
 /// respond.
 #[test]
 fn test_order_timeout() {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let listener = TcpListener::bind(new_address()).unwrap();
     let address = listener.local_addr().unwrap().to_string();
     let result =
         run(&["order", "--address", &address, "--timeout", "1", CHANGE]);
--- a/cli/tests/test_faults/engine_tap.rs
+++ b/cli/tests/test_faults/engine_tap.rs
@@ -9,6 +9,7 @@
     time::Instant,
 };
 
+use borageline_testutils::loopback::new_address;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
@@ -42,7 +43,7 @@
 impl EngineTap {
     /// Starts a tap in front of an engine.
     pub(crate) async fn start(target: SocketAddr) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let listener = TcpListener::bind(new_address()).await.unwrap();
         let address = listener.local_addr().unwrap();
         let sent = Arc::new(Mutex::new(Vec::new()));
         let record = sent.clone();
--- a/cli/tests/test_faults/fixture.rs
+++ b/cli/tests/test_faults/fixture.rs
@@ -8,12 +8,9 @@
 use std::{
     fmt::Write as _,
     fs,
-    net::{Ipv4Addr, SocketAddr, TcpListener},
+    net::SocketAddr,
     process::Command,
-    sync::{
-        Arc,
-        atomic::{AtomicU8, Ordering},
-    },
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -30,6 +27,7 @@
     http_server::{Handle, Standin},
     instance_list::{self, InstanceList, ListConfig},
     log_service::{self, LogConfig, LogService},
+    loopback::new_address,
     plain_service::{self, PlainService},
     process::{
         ChildProcess, ChildSignal, binary_path, start_and_read_address,
@@ -150,27 +148,6 @@
     format!("domain-{}", ["a", "b", "c"][index])
 }
 
-/// Free socket addresses on a loopback IP address that no other fleet uses.
-///
-/// The addresses are in the settings before an instance listens on them, and
-/// must still be free when it restarts. On a shared IP address, the system
-/// could give such a port to another test's process in between.
-fn free_addresses(count: usize) -> Vec<SocketAddr> {
-    static FLEETS: AtomicU8 = AtomicU8::new(0);
-    let fleet = FLEETS.fetch_add(1, Ordering::Relaxed);
-    let [.., high, low] = std::process::id().to_be_bytes();
-    let fleet_ip = Ipv4Addr::new(127, 64 + fleet, high, low);
-    let bind = |_| TcpListener::bind((fleet_ip, 0)).unwrap();
-    let listeners: Vec<_> = (0..count).map(bind).collect();
-    let address = |listener: &TcpListener| listener.local_addr().unwrap();
-    listeners.iter().map(address).collect()
-}
-
-/// A loopback address with port zero, for which the system chooses a port.
-pub(crate) fn any_port() -> SocketAddr {
-    ([127, 0, 0, 1], 0).into()
-}
-
 fn start_engine(
     name: &str,
     listen: SocketAddr,
@@ -191,7 +168,7 @@
         domain: String,
         arguments: Vec<&'static str>,
     ) -> Self {
-        let (child, address) = start_engine(&name, any_port(), &arguments);
+        let (child, address) = start_engine(&name, new_address(), &arguments);
         let tap = crate::engine_tap::EngineTap::start(address).await;
         Self {
             name,
@@ -245,15 +222,15 @@
 impl TestFleet {
     /// Starts all processes and waits until every instance serves completions.
     pub(crate) async fn start(plan: FleetPlan) -> Self {
-        let log = log_service::spawn(any_port(), plan.log).await.unwrap();
-        let service = plain_service::spawn(any_port(), plan.service_delay);
+        let log = log_service::spawn(new_address(), plan.log).await.unwrap();
+        let service = plain_service::spawn(new_address(), plan.service_delay);
         let service = service.await.unwrap();
         let lag = Duration::from_millis(200);
         let config = ListConfig {
             lag,
             ..ListConfig::default()
         };
-        let list = instance_list::spawn(any_port(), config).await.unwrap();
+        let list = instance_list::spawn(new_address(), config).await.unwrap();
         let mut engines = Vec::new();
         for index in 0..plan.domains * plan.engines {
             let name = format!("engine-{index}");
@@ -272,14 +249,15 @@
             directory: TempDir::new().unwrap(),
         };
         fleet.configure(&plan);
-        let addresses = free_addresses(2 * plan.domains);
-        let (callers, peers) = addresses.split_at(plan.domains);
-        fleet.list_all(peers);
+        let callers: Vec<_> =
+            (0..plan.domains).map(|_| new_address()).collect();
+        let peers: Vec<_> = (0..plan.domains).map(|_| new_address()).collect();
+        fleet.list_all(&peers);
         if plan.has_own_links {
             fleet.start_own_links(lag).await;
         }
         for (index, caller) in callers.iter().enumerate() {
-            fleet.add_instance(&plan, index, *caller, peers).await;
+            fleet.add_instance(&plan, index, *caller, &peers).await;
         }
         fleet.wait_serving().await;
         fleet
@@ -356,11 +334,14 @@
             lag,
             ..ListConfig::default()
         };
-        let list = instance_list::spawn(any_port(), config).await.unwrap();
+        let list = instance_list::spawn(new_address(), config).await.unwrap();
         for mut process in self.list.control.current().instances {
             if process.kind != ProcessKind::Instance {
-                let link =
-                    forwarder::spawn(any_port(), process.address, any_port());
+                let link = forwarder::spawn(
+                    new_address(),
+                    process.address,
+                    new_address(),
+                );
                 let link = link.await.unwrap();
                 process.address = link.address;
                 self.own_links.push(link);
@@ -382,7 +363,7 @@
         };
         self.list.control.add(process.clone());
         if let Some(list) = &self.own_list {
-            let link = forwarder::spawn(any_port(), at, any_port());
+            let link = forwarder::spawn(new_address(), at, new_address());
             let link = link.await.unwrap();
             process.address = link.address;
             list.control.add(process);
@@ -413,7 +394,7 @@
         peers: &[SocketAddr],
     ) {
         let log_link =
-            forwarder::spawn(any_port(), self.log.address, any_port());
+            forwarder::spawn(new_address(), self.log.address, new_address());
         let log_link = log_link.await.unwrap();
         let name = format!("instance-{index}");
         let mut limits = plan.limits.clone();
--- a/cli/tests/test_faults/test_links.rs
+++ b/cli/tests/test_faults/test_links.rs
@@ -6,6 +6,7 @@
 use borageline_bench::caller::CallerClient;
 use borageline_testutils::{
     fault::{FailMode, Fault},
+    loopback::new_address,
     process::ChildSignal,
 };
 use futures::future::join_all;
@@ -148,7 +149,7 @@
 
 /// A service whose reply has no length and ends with its connection.
 async fn start_unframed_service() -> std::net::SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let listener = TcpListener::bind(new_address()).await.unwrap();
     let address = listener.local_addr().unwrap();
     tokio::spawn(async move {
         while let Ok((mut connection, _)) = listener.accept().await {
--- a/cli/tests/test_peers.rs
+++ b/cli/tests/test_peers.rs
@@ -28,6 +28,7 @@
     refusal::RunState,
     units::Incarnation,
 };
+use borageline_testutils::loopback::new_address;
 use futures::{StreamExt, future::join_all};
 use hmac::{Hmac, Mac};
 use proptest::prelude::*;
@@ -91,7 +92,7 @@
 }
 
 /// Starts a server at an address.
-async fn start_server(address: &str) -> TestServer {
+async fn start_server(address: SocketAddr) -> TestServer {
     let listener = TcpListener::bind(address).await.unwrap();
     let address = listener.local_addr().unwrap();
     let calls = Arc::new(AtomicU32::new(0));
@@ -161,7 +162,7 @@
 /// Guards against replies that reach the wrong call on a shared connection.
 #[tokio::test]
 async fn test_call_many_at_once() {
-    let server = start_server("127.0.0.1:0").await;
+    let server = start_server(new_address()).await;
     let pool = make_pool();
     let calls = (0..500).map(|number| {
         let pool = pool.clone();
@@ -182,7 +183,7 @@
 /// Guards against an instance that handles messages from another fleet.
 #[tokio::test]
 async fn test_wrong_secret_rejected() {
-    let server = start_server("127.0.0.1:0").await;
+    let server = start_server(new_address()).await;
     let pool = PeerPool::new(config_with_secret("a secret of another fleet"));
     let reply = pool.call(server.address, query("hello"), TIMEOUT).await;
     let Ok(PeerResponse::Rejected(reason)) = reply else {
@@ -199,7 +200,7 @@
 /// Guards against a proof of one connection that is accepted on another.
 #[tokio::test]
 async fn test_replayed_proof_rejected() {
-    let server = start_server("127.0.0.1:0").await;
+    let server = start_server(new_address()).await;
     let first = raw_client(server.address).await;
     let challenge = first.challenge(context()).await.unwrap();
     let envelope = envelope_for(&challenge, PEER_VERSION);
@@ -215,7 +216,7 @@
 /// was made for.
 #[tokio::test]
 async fn test_changed_sender_rejected() {
-    let server = start_server("127.0.0.1:0").await;
+    let server = start_server(new_address()).await;
     let client = raw_client(server.address).await;
     let challenge = client.challenge(context()).await.unwrap();
     let mut envelope = envelope_for(&challenge, PEER_VERSION);
@@ -231,7 +232,7 @@
 /// Guards against messages of an unsupported version that are handled.
 #[tokio::test]
 async fn test_unknown_version_rejected() {
-    let server = start_server("127.0.0.1:0").await;
+    let server = start_server(new_address()).await;
     let client = raw_client(server.address).await;
     let challenge = client.challenge(context()).await.unwrap();
     assert_eq!(challenge.versions, [PEER_VERSION, CRASH_REPORT_VERSION]);
@@ -246,7 +247,7 @@
 /// calls.
 #[tokio::test]
 async fn test_oversized_message_not_sent() {
-    let server = start_server("127.0.0.1:0").await;
+    let server = start_server(new_address()).await;
     let pool = make_pool();
     let large = "x".repeat(FRAME_MAX_BYTES);
     let failure = pool
@@ -262,7 +263,7 @@
 /// Guards against a too large reply that closes the connection of other calls.
 #[tokio::test]
 async fn test_oversized_reply_rejected() {
-    let server = start_server("127.0.0.1:0").await;
+    let server = start_server(new_address()).await;
     let pool = make_pool();
     let reply = pool.call(server.address, query("large"), TIMEOUT).await;
     let Ok(PeerResponse::Rejected(reason)) = reply else {
@@ -276,7 +277,7 @@
 /// Guards against a server that allocates memory for a too large frame.
 #[tokio::test]
 async fn test_oversized_frame_closes_connection() {
-    let server = start_server("127.0.0.1:0").await;
+    let server = start_server(new_address()).await;
     let mut stream = TcpStream::connect(server.address).await.unwrap();
     let length = FRAME_MAX_BYTES as u32 + 1;
     stream.write_all(&length.to_be_bytes()).await.unwrap();
@@ -292,7 +293,7 @@
 /// Guards against a pool that does not reconnect to a restarted peer.
 #[tokio::test]
 async fn test_peer_restarted() {
-    let server = start_server("127.0.0.1:0").await;
+    let server = start_server(new_address()).await;
     let address = server.address;
     let pool = make_pool();
     let reply = pool.call(address, query("a"), TIMEOUT).await;
@@ -301,7 +302,7 @@
     let failure = pool.call(address, query("b"), TIMEOUT).await.unwrap_err();
     let place = format!("to {address}");
     assert!(failure.message.contains(&place), "{}", failure.message);
-    let server = start_server(&address.to_string()).await;
+    let server = start_server(address).await;
     let reply = pool.call(address, query("c"), TIMEOUT).await;
     assert_eq!(reply, Ok(rows("c")));
     assert_eq!(server.calls.load(Ordering::Relaxed), 1);
@@ -311,7 +312,7 @@
 /// run.
 #[tokio::test]
 async fn test_connection_refused_not_run() {
-    let server = start_server("127.0.0.1:0").await;
+    let server = start_server(new_address()).await;
     let address = server.address;
     server.stop().await;
     let pool = make_pool();
@@ -325,7 +326,7 @@
 /// call beyond the timeout.
 #[tokio::test]
 async fn test_timeout_may_have_run() {
-    let server = start_server("127.0.0.1:0").await;
+    let server = start_server(new_address()).await;
     let pool = make_pool();
     let slow =
         pool.call(server.address, query("slow"), Duration::from_millis(200));
@@ -341,7 +342,7 @@
 /// but never sends a challenge.
 #[tokio::test]
 async fn test_silent_peer_not_run() {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let listener = TcpListener::bind(new_address()).await.unwrap();
     let address = listener.local_addr().unwrap();
     let pool = make_pool();
     let limit = Duration::from_millis(200);
@@ -353,7 +354,7 @@
 /// once.
 #[tokio::test]
 async fn test_one_connection_attempt() {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let listener = TcpListener::bind(new_address()).await.unwrap();
     let address = listener.local_addr().unwrap();
     let pool = make_pool();
     let limit = Duration::from_millis(300);
@@ -374,7 +375,7 @@
 /// stopped responding.
 #[tokio::test]
 async fn test_in_flight_bounded() {
-    let server = start_server("127.0.0.1:0").await;
+    let server = start_server(new_address()).await;
     let pool = make_pool();
     let mut slow = tokio::task::JoinSet::new();
     for _ in 0..IN_FLIGHT_MAX {
@@ -407,7 +408,7 @@
 /// called.
 #[tokio::test]
 async fn test_idle_connection_closed() {
-    let server = start_server("127.0.0.1:0").await;
+    let server = start_server(new_address()).await;
     let idle = Duration::from_millis(100);
     let pool =
         PeerPool::new(config_with_secret(SECRET).with_idle_timeout(idle));
@@ -428,7 +429,7 @@
 async fn record_through(
     server: SocketAddr,
 ) -> (SocketAddr, JoinHandle<Vec<u8>>) {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let listener = TcpListener::bind(new_address()).await.unwrap();
     let address = listener.local_addr().unwrap();
     let task = tokio::spawn(async move {
         let (client, _) = listener.accept().await.unwrap();
@@ -452,7 +453,7 @@
 
 /// Bytes that a pool sends to connect and make one call.
 async fn record_call() -> Vec<u8> {
-    let server = start_server("127.0.0.1:0").await;
+    let server = start_server(new_address()).await;
     let (address, recorded) = record_through(server.address).await;
     let pool = make_pool();
     let reply = pool.call(address, query("a"), TIMEOUT).await;
@@ -478,7 +479,7 @@
 /// keep blocking authenticated ones after they are closed.
 #[tokio::test]
 async fn test_connections_without_proof_bounded() {
-    let server = start_server("127.0.0.1:0").await;
+    let server = start_server(new_address()).await;
     let mut streams = Vec::new();
     for _ in 0..129 {
         streams.push(TcpStream::connect(server.address).await.unwrap());
@@ -506,7 +507,7 @@
 /// on unauthenticated ones.
 #[tokio::test]
 async fn test_connections_with_proof_not_counted_as_strangers() {
-    let server = start_server("127.0.0.1:0").await;
+    let server = start_server(new_address()).await;
     let pools: Vec<_> = (0..150).map(|_| make_pool()).collect();
     for pool in &pools {
         let reply = pool.call(server.address, query("a"), TIMEOUT).await;
@@ -517,7 +518,7 @@
 /// Guards against traffic that is counted on one side only.
 #[tokio::test]
 async fn test_server_traffic_counted() {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let listener = TcpListener::bind(new_address()).await.unwrap();
     let address = listener.local_addr().unwrap();
     let meter = TrafficMeter::new();
     let handler = |_, _, message| answer(message);
@@ -542,7 +543,7 @@
 /// times out.
 #[tokio::test]
 async fn test_silent_connection_replaced() {
-    let server = start_server("127.0.0.1:0").await;
+    let server = start_server(new_address()).await;
     let pool = make_pool();
     let reply = pool.call(server.address, query("a"), TIMEOUT).await;
     assert_eq!(reply, Ok(rows("a")));
@@ -568,7 +569,7 @@
 
 /// Sends bytes to a new server and checks that it still answers calls.
 async fn check_server_survives(messages: Vec<Vec<u8>>) {
-    let server = start_server("127.0.0.1:0").await;
+    let server = start_server(new_address()).await;
     let mut stream = TcpStream::connect(server.address).await.unwrap();
     for message in messages {
         // The server may have closed the connection already.
@@ -659,8 +660,8 @@
     let server = OlderServer {
         exchanges: exchanges.clone(),
     };
-    let any = "127.0.0.1:0";
-    let mut listener = tcp::listen(any, Bincode::default).await.unwrap();
+    let address = new_address();
+    let mut listener = tcp::listen(address, Bincode::default).await.unwrap();
     let address = listener.local_addr();
     tokio::spawn(async move {
         while let Some(Ok(transport)) = listener.next().await {
--- a/cli/tests/test_platform.rs
+++ b/cli/tests/test_platform.rs
@@ -9,6 +9,7 @@
 
 use borageline::platform::PlatformClient;
 use borageline_lib::{ids::StreamName, refusal::RunState, units::LogOffset};
+use borageline_testutils::loopback::new_address;
 use rstest::rstest;
 use serde_json::json;
 use tokio::{
@@ -61,7 +62,7 @@
 }
 
 async fn start_server(script: ServerScript) -> ScriptedServer {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let listener = TcpListener::bind(new_address()).await.unwrap();
     let address = listener.local_addr().unwrap();
     let task = tokio::spawn(async move {
         loop {
@@ -100,7 +101,7 @@
 
 /// Address on which nothing listens.
 async fn unused_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let listener = TcpListener::bind(new_address()).await.unwrap();
     listener.local_addr().unwrap()
 }
 
@@ -182,7 +183,7 @@
 /// protocol's.
 #[tokio::test]
 async fn test_read_log_request() {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let listener = TcpListener::bind(new_address()).await.unwrap();
     let client = client_of(listener.local_addr().unwrap());
     let server = tokio::spawn(async move {
         let (mut stream, _) = listener.accept().await.unwrap();
--- a/cli/tests/test_serve/fixture.rs
+++ b/cli/tests/test_serve/fixture.rs
@@ -30,6 +30,7 @@
     settings::{InstanceLimits, InstanceSettings},
     units::Timestamp,
 };
+use borageline_testutils::loopback::new_address;
 use bytes::Bytes;
 use futures::{FutureExt, StreamExt, future::BoxFuture};
 use http::{Request, Response};
@@ -55,7 +56,7 @@
 
 /// Starts an engine that answers each request by calling a script.
 pub(crate) async fn start_engine(script: Script) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let listener = TcpListener::bind(new_address()).await.unwrap();
     let address = listener.local_addr().unwrap();
     tokio::spawn(async move {
         loop {
@@ -277,8 +278,8 @@
     let settings = InstanceSettings {
         instance: "i".parse().unwrap(),
         failure_domain: "d".parse().unwrap(),
-        caller_address: "127.0.0.1:0".parse().unwrap(),
-        peer_address: "127.0.0.1:0".parse().unwrap(),
+        caller_address: new_address(),
+        peer_address: new_address(),
         seeds: Vec::new(),
         fleet_secret: "secret".into(),
         log_service: unused,
@@ -401,9 +402,3 @@
     }
     panic!("{what} did not come about within 10 s");
 }
-
-/// Address at which nothing listens.
-pub(crate) async fn dead_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    listener.local_addr().unwrap()
-}
--- a/cli/tests/test_serve/test_completions.rs
+++ b/cli/tests/test_serve/test_completions.rs
@@ -3,7 +3,10 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use borageline_lib::core::{RequestDecision, RequestProgress, StreamFailure};
-use borageline_testutils::crashing_server::{CrashingServer, HARMFUL};
+use borageline_testutils::{
+    crashing_server::{CrashingServer, HARMFUL},
+    loopback::new_address,
+};
 use futures::FutureExt;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -12,8 +15,8 @@
 
 use crate::fixture::{
     END, KEY, STREAMED, TestServer, TestSetup, assigned, chunk_event,
-    completion, dead_address, eventually, exchange, full_response, metric,
-    read_all, request_id, start_endless, start_engine,
+    completion, eventually, exchange, full_response, metric, read_all,
+    request_id, start_endless, start_engine,
 };
 
 /// Decision to reconnect at once.
@@ -159,7 +162,7 @@
 /// have run.
 #[tokio::test]
 async fn test_completion_at_dead_engine_has_not_run() {
-    let server = TestSetup::new(dead_address().await).start().await;
+    let server = TestSetup::new(new_address()).start().await;
     let answer = exchange(server.address, &completion(KEY, STREAMED)).await;
     assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
     assert!(answer.contains("\"run_state\":\"not_run\""), "{answer}");
@@ -170,7 +173,7 @@
 /// connection without a response.
 #[tokio::test]
 async fn test_completion_at_breaking_engine_may_have_run() {
-    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let listener = tokio::net::TcpListener::bind(new_address()).await.unwrap();
     let address = listener.local_addr().unwrap();
     tokio::spawn(async move {
         loop {
--- a/cli/tests/test_serve/test_endless.rs
+++ b/cli/tests/test_serve/test_endless.rs
@@ -6,6 +6,7 @@
     CallTarget, HttpClient, HttpError, plain_request,
 };
 use borageline_lib::units::ByteSize;
+use borageline_testutils::loopback::new_address;
 use bytes::Bytes;
 use futures::{FutureExt, StreamExt, future::join_all};
 use http::{Method, Response};
@@ -14,8 +15,8 @@
 use rstest::rstest;
 
 use crate::fixture::{
-    KEY, STREAMED, Script, TestSetup, completion, dead_address, exchange,
-    metric, start_engine,
+    KEY, STREAMED, Script, TestSetup, completion, exchange, metric,
+    start_engine,
 };
 
 /// Calls at the same time.
@@ -48,7 +49,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn test_endless_answers_of_services_share_budget(#[case] count: usize) {
     let process = start_engine(repeat("a", count)).await;
-    let mut setup = TestSetup::new(dead_address().await);
+    let mut setup = TestSetup::new(new_address());
     setup.processes = vec![process];
     setup.limits.body_bytes_total = ByteSize::new(BUDGET_BYTES);
     let server = setup.start().await;
--- a/cli/tests/test_serve/test_operators.rs
+++ b/cli/tests/test_serve/test_operators.rs
@@ -113,7 +113,6 @@
 /// Guards against an answer that does not list a crashed instance as missing,
 /// at any time after the crash.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-#[ignore = "KNOWN-RED: another fleet's instance may answer at the address"]
 async fn test_query_names_stopped_instance() {
     let mut fleet = start_three_instances().await;
     let address = fleet.first.address;
--- a/cli/tests/test_serve/test_services.rs
+++ b/cli/tests/test_serve/test_services.rs
@@ -9,13 +9,13 @@
     fleet::{RouteRule, ServiceRule},
     peer_api::{CallOutcome, CallResult, ClaimResponse},
 };
+use borageline_testutils::loopback::new_address;
 use futures::FutureExt;
 use http::Method;
 use rstest::rstest;
 
 use crate::fixture::{
-    KEY, TestSetup, dead_address, eventually, exchange, full_response,
-    start_engine,
+    KEY, TestSetup, eventually, exchange, full_response, start_engine,
 };
 
 const UUID: &str = "01890a5d-ac96-774b-bcce-b302099a8057";
@@ -43,7 +43,7 @@
 }
 
 async fn setup(processes: Vec<SocketAddr>) -> TestSetup {
-    let mut setup = TestSetup::new(dead_address().await);
+    let mut setup = TestSetup::new(new_address());
     setup.processes = processes;
     setup
 }
@@ -53,7 +53,7 @@
 #[tokio::test]
 async fn test_idempotent_call_goes_to_live_process() {
     let (live, calls) = start_process().await;
-    let dead = dead_address().await;
+    let dead = new_address();
     let server = setup(vec![dead, live]).await.start().await;
     for _ in 0..4 {
         let request = call("GET /v1/services/s/items/7?a=b", "");
@@ -164,7 +164,7 @@
 /// Guards against a key that stays claimed although nothing was sent.
 #[tokio::test]
 async fn test_single_call_to_dead_process_is_released() {
-    let server = setup(vec![dead_address().await]).await.start().await;
+    let server = setup(vec![new_address()]).await.start().await;
     let header = format!("idempotency-key: {UUID}\r\n");
     let request = call("POST /v1/services/s/numbers", &header);
     let answer = exchange(server.address, &request).await;
@@ -178,7 +178,7 @@
 /// Guards against a key that is released although the call may have run.
 #[tokio::test]
 async fn test_single_call_to_breaking_process_stays_claimed() {
-    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let listener = tokio::net::TcpListener::bind(new_address()).await.unwrap();
     let address = listener.local_addr().unwrap();
     let accepted = Arc::new(Mutex::new(0));
     let count = accepted.clone();
--- a/cli/tests/test_serve/test_standins.rs
+++ b/cli/tests/test_serve/test_standins.rs
@@ -16,15 +16,15 @@
     engine_config::EngineConfig,
     fault::Fault,
     http_server::{Handle, Standin},
-    instance_list, log_service, plain_service,
+    instance_list, log_service,
+    loopback::new_address,
+    plain_service,
 };
 use serde_json::json;
 use uuid::Uuid;
 
 use crate::fixture::{KEY, TestSetup, completion, exchange, metric};
 
-const ANY: &str = "127.0.0.1:0";
-
 /// An instance and its stand-ins, which run until this is dropped.
 pub(crate) struct TestFleet {
     pub(crate) instance: RunningInstance,
@@ -40,7 +40,7 @@
     let mut config = EngineConfig::new(name, "m".parse().unwrap());
     config.starts_cold = false;
     config.time_scale = 20.0;
-    engine::spawn(ANY.parse().unwrap(), config).await.unwrap()
+    engine::spawn(new_address(), config).await.unwrap()
 }
 
 fn listed(id: &str, kind: ProcessKind, address: SocketAddr) -> ListedProcess {
@@ -83,12 +83,11 @@
     log_service: SocketAddr,
     instance_list: SocketAddr,
 ) -> RunningInstance {
-    let any: SocketAddr = ANY.parse().unwrap();
     let settings = InstanceSettings {
         instance: name.parse().unwrap(),
         failure_domain: "d".parse().unwrap(),
-        caller_address: any,
-        peer_address: any,
+        caller_address: new_address(),
+        peer_address: new_address(),
         seeds: seed.into_iter().collect(),
         fleet_secret: "secret".into(),
         log_service,
@@ -113,9 +112,8 @@
 }
 
 pub(crate) async fn start_fleet() -> TestFleet {
-    let any = ANY.parse().unwrap();
-    let log = log_service::spawn(any, log_service::LogConfig::default());
-    let log = log.await.unwrap();
+    let log_config = log_service::LogConfig::default();
+    let log = log_service::spawn(new_address(), log_config).await.unwrap();
     let config: StreamName = "config".parse().unwrap();
     // The version of a configuration is the offset of its last order, and
     // version zero means an empty configuration. So the order that later ones
@@ -123,12 +121,13 @@
     let orders = vec![first_order("first"), first_order("second")];
     log.control.append(&config, orders);
     let engine = start_engine("e1").await;
-    let service = plain_service::spawn(any, Duration::ZERO).await.unwrap();
+    let service = plain_service::spawn(new_address(), Duration::ZERO);
+    let service = service.await.unwrap();
     let list = instance_list::ListConfig {
         lag: Duration::ZERO,
         ..instance_list::ListConfig::default()
     };
-    let list = instance_list::spawn(any, list).await.unwrap();
+    let list = instance_list::spawn(new_address(), list).await.unwrap();
     list.control
         .add(listed("e1", ProcessKind::Engine, engine.address));
     let kind = ProcessKind::Service("s".parse().unwrap());
--- a/testutils/src/crashing_server.rs
+++ b/testutils/src/crashing_server.rs
@@ -7,7 +7,7 @@
 
 use std::{
     io,
-    net::{Ipv4Addr, SocketAddr},
+    net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
     time::{Duration, Instant},
 };
@@ -19,6 +19,8 @@
     task::JoinSet,
 };
 
+use crate::loopback::new_address;
+
 /// Text in the path or body of requests under which the server crashes.
 pub const HARMFUL: &str = "harmful";
 /// Time from the arrival of such a request to the crash.
@@ -49,8 +51,7 @@
 impl CrashingServer {
     /// Starts a server that is down for `down_time` after a crash.
     pub async fn start(down_time: Duration) -> io::Result<Self> {
-        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-        let listener = listen(any)?;
+        let listener = listen(new_address())?;
         let server = Self {
             address: listener.local_addr()?,
             history: Arc::default(),
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod http_server;
 pub mod instance_list;
 pub mod log_service;
+pub mod loopback;
 pub mod plain_service;
 pub mod prefix_cache;
 pub mod process;
--- a/testutils/src/process.rs
+++ b/testutils/src/process.rs
@@ -2,7 +2,7 @@
 
 use std::{
     io::{self, BufRead, BufReader},
-    net::{SocketAddr, TcpListener},
+    net::SocketAddr,
     path::PathBuf,
     process::{Child, Command, ExitStatus, Stdio},
     sync::{Arc, Condvar, Mutex, PoisonError},
@@ -255,17 +255,6 @@
     })
 }
 
-/// Returns distinct loopback addresses with free ports.
-///
-/// Another process can bind a port before the caller does. Where a process
-/// reports its address, letting it bind port 0 avoids this race.
-pub fn free_addresses(count: usize) -> io::Result<Vec<SocketAddr>> {
-    let bind = |_| TcpListener::bind((std::net::Ipv4Addr::LOCALHOST, 0));
-    let listeners: Vec<TcpListener> =
-        (0..count).map(bind).collect::<io::Result<_>>()?;
-    listeners.iter().map(TcpListener::local_addr).collect()
-}
-
 /// Polls with GET until the response is a success; fails after `limit`.
 pub async fn wait_http(
     address: SocketAddr,
