config_reader: ask peers again after a request that was not sent

An instance that starts while the log service is down gets the configuration from its peers only. Two orders of events left it without one for as long as the log was down:

- The reader's list of peers is up to 200 ms older than the members.
A request to a peer that was declared dead in that time was not sent, but counted as in flight, and each further round, one second later, extended its timeout of two seconds.
A peer that was back by then (it refutes a false suspicion within about a second on a busy machine) was never asked, and the state of another peer was not used, because one request always seemed to be in flight.
- Rounds overlapped: of two peers that take 1.5 s to respond and were first asked a second apart, one was always in flight, and the instance did not become ready with the state that it had.

Besides, the reader's timer stayed due while it had no peers, so that the driver did not sleep until the first peer was found.

Now a request keeps its own timeout, one that is not sent counts as failed at once, and after the first state no round starts while requests are in flight.

Ruled out by reading: peers that are not ready (they stay ready in an outage), the delay after failed reads (at most 800 ms), an older incarnation of the restarted instance (incarnations are start times, and a lower one is raised by `refute`).

--- a/lib/src/config_reader.rs
+++ b/lib/src/config_reader.rs
@@ -7,7 +7,11 @@
 //! to the head of the log or, while the log is down, the newest state of the
 //! peers that it asked.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, btree_map::Entry},
+    sync::Arc,
+    time::Duration,
+};
 
 use rand::{Rng, SeedableRng, seq::IndexedRandom};
 use rand_chacha::ChaCha8Rng;
@@ -278,7 +282,8 @@
             .peer_ahead
             .iter()
             .map(|(_, _, at)| at.after(AHEAD_DELAY));
-        let ask = (!self.is_ready()).then_some(self.peer_request_due);
+        let asks = self.may_ask_for_state() && !self.peers.is_empty();
+        let ask = asks.then_some(self.peer_request_due);
         let ask = ask
             .into_iter()
             .chain(peer_ahead.map(|at| at.max(self.peer_request_due)));
@@ -424,12 +429,21 @@
         }
     }
 
+    /// Whether another round of requests to peers may start because this
+    /// reader is not ready. Once a peer has sent its state, those that were
+    /// asked must settle first: with rounds that overlap, one of several slow
+    /// peers might always be in flight.
+    fn may_ask_for_state(&self) -> bool {
+        let waits = self.peer_state_seen && !self.peer_requests.is_empty();
+        !self.is_ready() && !waits
+    }
+
     fn ask_peers(&mut self, now: Timestamp, actions: &mut Vec<ReaderAction>) {
         if now < self.peer_request_due {
             return;
         }
         let mut peers = Vec::new();
-        if !self.is_ready() || self.scan.is_some() {
+        if self.may_ask_for_state() || self.scan.is_some() {
             let chosen =
                 self.peers.choose_multiple(&mut self.rng, PEERS_PER_ROUND);
             peers.extend(chosen.cloned());
@@ -442,13 +456,18 @@
                 self.peer_ahead = None;
             }
         }
+        let ready = self.is_ready();
         for peer in peers {
             self.peer_request_due = now.after(PEER_REQUEST_INTERVAL);
-            let due = now.after(PEER_TIMEOUT);
-            if self.peer_requests.insert(peer.clone(), due).is_none() {
+            // A request in flight keeps its timeout: were it extended in each
+            // round, the peer of a lost request would never be asked again.
+            if let Entry::Vacant(request) =
+                self.peer_requests.entry(peer.clone())
+            {
+                request.insert(now.after(PEER_TIMEOUT));
                 // Ask for a whole state until ready: while the log is down,
                 // only that shows that what was read so far is complete.
-                let applied = self.state.applied.filter(|_| self.is_ready());
+                let applied = self.state.applied.filter(|_| ready);
                 actions.push(ReaderAction::AskPeer {
                     peer,
                     query: FetchStateRequest { applied },
--- a/lib/src/core/routing.rs
+++ b/lib/src/core/routing.rs
@@ -537,9 +537,15 @@
                 } => {
                     let message = PeerRequest::FetchState(query);
                     let purpose = CallPurpose::PeerState(peer.clone());
-                    self.call_instance(
-                        &peer, purpose, message, timeout, output,
-                    );
+                    // The reader's peers may be older than the members.
+                    if !self
+                        .call_instance(&peer, purpose, message, timeout, output)
+                    {
+                        let answer = None;
+                        let event = ReaderEvent::PeerState { peer, answer };
+                        let actions = self.reader.handle(now, event);
+                        self.route_reader(now, actions, output);
+                    }
                 }
                 ReaderAction::AppendSnapshot(record) => {
                     let call = self.register_call(CallPurpose::SnapshotAppend);
--- a/lib/tests/test_config_reader.rs
+++ b/lib/tests/test_config_reader.rs
@@ -361,6 +361,92 @@
     assert!(reader.state().applied.is_some() && !reader.is_ready());
 }
 
+/// Guards against an instance that keeps a core busy while it knows no peer
+/// and the log does not respond: a timer that is due and does nothing.
+#[test]
+fn test_start_without_peers_does_not_spin() {
+    let mut reader = ConfigReader::new(0);
+    let now = Timestamp::ZERO.after(millis(10));
+    reader.tick(now);
+    assert!(reader.next_timer() > Some(now));
+}
+
+/// Runs a reader whose reads of the log fail, and returns the times, in ms, at
+/// which it asked a peer. `answer` decides after how many ms the peer responds
+/// with its state; `None` loses the request.
+fn run_without_log(
+    reader: &mut ConfigReader,
+    from_ms: u64,
+    until_ms: u64,
+    answer: impl Fn(u64) -> Option<u64>,
+) -> Vec<u64> {
+    let mut answering = ConfigReader::new(9);
+    let mut log = LogModel::new(RETENTION);
+    log.append(Timestamp::ZERO, vec![serde_json::Value::Null]);
+    let page = log.read(Timestamp::ZERO, LogOffset::ZERO, 2);
+    let sent_at = Timestamp::ZERO;
+    let result = Ok(page);
+    answering.handle(Timestamp::ZERO, ReaderEvent::Read { sent_at, result });
+    assert!(answering.is_ready());
+    let mut events: BTreeMap<(u64, usize), ReaderEvent> = BTreeMap::new();
+    let mut asked = Vec::new();
+    for time in from_ms..until_ms {
+        let now = Timestamp::ZERO.after(millis(time));
+        let mut actions = reader.tick(now);
+        while let Some(entry) = events.first_entry()
+            && entry.key().0 <= time
+        {
+            actions.extend(reader.handle(now, entry.remove()));
+        }
+        for (index, action) in actions.into_iter().enumerate() {
+            match action {
+                ReaderAction::Read { .. } => {
+                    let sent_at = now;
+                    let result = Err(failure());
+                    let read = ReaderEvent::Read { sent_at, result };
+                    events.insert((time + 1, index), read);
+                }
+                ReaderAction::AskPeer { peer, query, .. } => {
+                    asked.push(time);
+                    let Some(delay) = answer(time) else { continue };
+                    let answer = Some(answering.answer_state(&query, None));
+                    let state = ReaderEvent::PeerState { peer, answer };
+                    events.insert((time + delay, index), state);
+                }
+                _ => {}
+            }
+        }
+    }
+    asked
+}
+
+/// Guards against an instance that never becomes ready while the log is down
+/// because one request for a peer's state was lost: a later round must not
+/// extend the time for which the peer counts as asked.
+#[test]
+fn test_start_with_log_down_and_lost_request() {
+    let mut reader = ConfigReader::new(0);
+    reader.set_peers(vec![instance(1)]);
+    let late = |time| (time >= 1_000).then_some(1);
+    let asked = run_without_log(&mut reader, 0, 20_000, late);
+    assert_eq!(asked, [0, 2_000]);
+    assert!(reader.is_ready());
+}
+
+/// Guards against an instance that never becomes ready while the log is down
+/// because its peers respond slowly and out of step, so that it always waits
+/// for one of them.
+#[test]
+fn test_start_with_log_down_and_slow_peers() {
+    let mut reader = ConfigReader::new(0);
+    reader.set_peers(vec![instance(1)]);
+    let mut asked = run_without_log(&mut reader, 0, 900, |_| Some(1_500));
+    reader.set_peers(vec![instance(1), instance(2)]);
+    let slow = |_| Some(1_500);
+    asked.extend(run_without_log(&mut reader, 900, 20_000, slow));
+    assert!(reader.is_ready(), "peers asked at {asked:?}");
+}
+
 fn gossip(applied: u64, age: Option<u64>) -> Gossip {
     Gossip {
         applied: Some(LogOffset::new(applied)),
