serve: say at a deadline what the request was waiting for

A completion that waits for an engine was refused with the reason of its last placement round if that round found no time for another one, and with 504 deadline_exceeded if the deadline timer ran first. Two timers did so: that of the entry table, and that of the request's task, which did not ask the core.

The entry table keeps why the last round failed, and all its paths to the end at a deadline use one function that reads the request's phase: the reason of the last round in a backoff, the owner's missing answer while a grant request is unanswered, deadline_exceeded only after a dispatch. The request's task applies its own limit only while it carries out a decision. While it waits for one, the core ends the request; a limit of 1 s after the deadline remains for a core that does not run.

Ruled out: refusing earlier than the deadline by a fixed margin, because no margin covers a pause.

--- a/cli/src/request_task.rs
+++ b/cli/src/request_task.rs
@@ -4,9 +4,11 @@
 //! checks the chunks of the completion, moves them into the caller's buffer,
 //! and reports progress to the core. The request ends at its deadline, when a
 //! planned stop ends all requests, or when the caller disconnects; the task
-//! then cancels it at every engine to which it was sent.
+//! then cancels it at every engine to which it was sent. While the request waits
+//! for a decision, the core ends it at its deadline, because only the core knows
+//! what it waits for.
 
-use std::{sync::Arc, time::Duration};
+use std::{ops::ControlFlow, sync::Arc, time::Duration};
 
 use borageline_lib::{
     api::{CompletionChunk, PromptInput},
@@ -51,6 +53,10 @@
 /// Time that each prompt token adds to the time for the first chunk. An engine
 /// that prefills less than 1,000 tokens per second counts as unresponsive.
 const PREFILL_TIMEOUT_PER_TOKEN: Duration = Duration::from_millis(1);
+/// Time after the limit of a waiting request within which the core must have
+/// ended it. The core does so in its next tick; only a core that no longer runs
+/// takes longer.
+const DECISION_GRACE: Duration = Duration::from_secs(1);
 /// Time for which the caller's buffer may stay full before the task closes the
 /// engine's stream, which it resumes when there is room again.
 const DETACH_TIMEOUT: Duration = Duration::from_millis(250);
@@ -173,17 +179,12 @@
 
     /// Serves the request until it has ended.
     pub async fn run(mut self, sender: CompletionSender) {
-        let deadline = self.descriptor.deadline;
-        let stop = self.context.stop.clone();
         let caller = sender.monitor();
         let mut request_handle =
             self.context.handle.submit(self.descriptor.clone()).await;
         let end = tokio::select! {
             biased;
             () = caller.disconnected() => RequestEnd::CallerDisconnected,
-            limit = stop.limit_passed(deadline) => {
-                RequestEnd::LimitPassed(limit)
-            }
             end = self.serve(&mut request_handle, &sender) => end,
         };
         match end {
@@ -263,42 +264,42 @@
         request_handle: &mut RequestHandle,
         sender: &CompletionSender,
     ) -> RequestEnd {
+        let deadline = self.descriptor.deadline;
+        let stop = self.context.stop.clone();
         loop {
-            let result = match request_handle.decision().await {
+            let overdue = async {
+                let limit = stop.limit_passed(deadline).await;
+                tokio::time::sleep(DECISION_GRACE).await;
+                limit
+            };
+            let decision = tokio::select! {
+                biased;
+                decision = request_handle.decision() => decision,
+                limit = overdue => return RequestEnd::LimitPassed(limit),
+            };
+            let decision = match decision {
                 None => {
                     let text = "the core has stopped";
                     let code = RefusalCode::Internal;
                     return RequestEnd::Refused(Refusal::new(code, text));
                 }
+                // Not subject to the limit, since it says why the request was
+                // still waiting then.
                 Some(RequestDecision::End(refusal)) => {
                     return RequestEnd::Refused(refusal);
                 }
-                // A different engine would generate a different text.
-                Some(RequestDecision::Dispatch(_)) if self.delivered > 0 => {
-                    return RequestEnd::Refused(truncated());
-                }
-                Some(RequestDecision::Dispatch(assignment)) => {
-                    let published = self.context.handle.published();
-                    let quarantine = &self.context.quarantine;
-                    let checked = quarantine.check(&published, &self.contents);
-                    if let Err(refusal) = checked {
-                        return RequestEnd::Withdrawn(refusal);
-                    }
-                    self.cancel_earlier_attempts(&assignment).await;
-                    self.dispatch(assignment, request_handle, sender).await
-                }
-                Some(RequestDecision::Resume { .. })
-                    if self.last_resume_index == Some(self.delivered) =>
-                {
-                    return RequestEnd::Refused(truncated());
-                }
-                Some(RequestDecision::Resume { engine, pause }) => {
-                    tokio::time::sleep(pause).await;
-                    self.resume(engine, request_handle, sender).await
+                Some(decision) => decision,
+            };
+            let step = tokio::select! {
+                biased;
+                limit = stop.limit_passed(deadline) => {
+                    return RequestEnd::LimitPassed(limit);
                 }
+                step = self.attempt(decision, request_handle, sender) => step,
             };
-            let Err(AttemptFailure { engine, failure }) = result else {
-                return RequestEnd::Finished;
+            let AttemptFailure { engine, failure } = match step {
+                ControlFlow::Continue(failure) => failure,
+                ControlFlow::Break(end) => return end,
             };
             let delivered = TokenCount::new(self.delivered);
             request_handle
@@ -311,6 +312,49 @@
         }
     }
 
+    /// Executes a decision of the core at its engines. Breaks if that ended the
+    /// request.
+    async fn attempt(
+        &mut self,
+        decision: RequestDecision,
+        request_handle: &mut RequestHandle,
+        sender: &CompletionSender,
+    ) -> ControlFlow<RequestEnd, AttemptFailure> {
+        let result = match decision {
+            RequestDecision::End(refusal) => {
+                return ControlFlow::Break(RequestEnd::Refused(refusal));
+            }
+            // A different engine would generate a different text.
+            RequestDecision::Dispatch(_) if self.delivered > 0 => {
+                return ControlFlow::Break(RequestEnd::Refused(truncated()));
+            }
+            RequestDecision::Dispatch(assignment) => {
+                let published = self.context.handle.published();
+                let quarantine = &self.context.quarantine;
+                let checked = quarantine.check(&published, &self.contents);
+                if let Err(refusal) = checked {
+                    let end = RequestEnd::Withdrawn(refusal);
+                    return ControlFlow::Break(end);
+                }
+                self.cancel_earlier_attempts(&assignment).await;
+                self.dispatch(assignment, request_handle, sender).await
+            }
+            RequestDecision::Resume { .. }
+                if self.last_resume_index == Some(self.delivered) =>
+            {
+                return ControlFlow::Break(RequestEnd::Refused(truncated()));
+            }
+            RequestDecision::Resume { engine, pause } => {
+                tokio::time::sleep(pause).await;
+                self.resume(engine, request_handle, sender).await
+            }
+        };
+        match result {
+            Ok(()) => ControlFlow::Break(RequestEnd::Finished),
+            Err(failure) => ControlFlow::Continue(failure),
+        }
+    }
+
     /// Sends a request to the engines of an assignment: the first segments of
     /// the prompt for prefilling, the last one for prefilling and decoding.
     /// Then moves the completion to the caller.
--- a/cli/tests/test_serve/fixture.rs
+++ b/cli/tests/test_serve/fixture.rs
@@ -24,7 +24,7 @@
         PublishedState, RequestDecision, RequestProgress,
     },
     fleet::{FleetState, RouteRule, ServiceRule, WorkspaceRule},
-    ids::{ServiceName, UpstreamId},
+    ids::{RequestId, ServiceName, UpstreamId},
     peer_api::{CallResult, ClaimResponse},
     refusal::{Refusal, RefusalCode},
     settings::{InstanceLimits, InstanceSettings},
@@ -113,6 +113,8 @@
 pub(crate) struct ScriptedCore {
     setup: TestSetup,
     published: bool,
+    /// Requests that are not assigned, with the time of their end.
+    waiting: Vec<(Timestamp, RequestId)>,
     progress: Arc<Mutex<Vec<RequestProgress>>>,
     settled_calls: Arc<Mutex<Vec<CallResult>>>,
 }
@@ -126,6 +128,9 @@
     pub(crate) engines: Vec<SocketAddr>,
     /// Decision of the core after a failed attempt.
     pub(crate) on_failure: RequestDecision,
+    /// If set, no request is assigned: each ends with this refusal at this time
+    /// after its deadline.
+    pub(crate) end_after_deadline: Option<(Duration, Refusal)>,
     /// Validity of an assignment.
     pub(crate) send_within: Duration,
     /// Processes of the service `s`.
@@ -148,6 +153,7 @@
             },
             engines: vec![engine],
             on_failure: RequestDecision::End(refusal),
+            end_after_deadline: None,
             send_within: Duration::from_millis(500),
             processes: Vec::new(),
             claim: ClaimResponse::Won,
@@ -213,6 +219,11 @@
         for event in events {
             match event {
                 CoreEvent::RequestArrived(spec) => {
+                    if let Some((delay, _)) = &self.setup.end_after_deadline {
+                        let end = spec.deadline.after(*delay);
+                        self.waiting.push((end, spec.request));
+                        continue;
+                    }
                     let assignment = Assignment {
                         engines: self.assigned(),
                         send_before: now.after(self.setup.send_within),
@@ -241,11 +252,18 @@
                 _ => {}
             }
         }
+        if let Some((_, refusal)) = &self.setup.end_after_deadline {
+            let ended = self.waiting.extract_if(.., |(end, _)| *end <= now);
+            actions.extend(ended.map(|(_, request)| {
+                let decision = RequestDecision::End(refusal.clone());
+                CoreAction::Decide(request, decision)
+            }));
+        }
         actions
     }
 
     fn next_timer(&self) -> Option<Timestamp> {
-        None
+        self.waiting.iter().map(|(end, _)| *end).min()
     }
 }
 
@@ -293,6 +311,7 @@
     let core = ScriptedCore {
         setup,
         published: false,
+        waiting: Vec::new(),
         progress: progress.clone(),
         settled_calls: settled_calls.clone(),
     };
--- a/cli/tests/test_serve/test_completions.rs
+++ b/cli/tests/test_serve/test_completions.rs
@@ -2,7 +2,10 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use borageline_lib::core::{RequestDecision, RequestProgress, StreamFailure};
+use borageline_lib::{
+    core::{RequestDecision, RequestProgress, StreamFailure},
+    refusal::{Refusal, RefusalCode},
+};
 use borageline_testutils::{
     crashing_server::{CrashingServer, HARMFUL},
     loopback::new_address,
@@ -220,6 +223,36 @@
     assert!(started.elapsed() < Duration::from_secs(3));
 }
 
+/// Guards against an answer at the deadline that depends on whether the timer of
+/// the request's task or that of the core runs first, as after a pause of the
+/// process: only the core knows why the request was waiting.
+#[tokio::test]
+async fn test_completion_at_deadline_says_why_it_waited() {
+    let mut setup = TestSetup::new("127.0.0.1:1".parse().unwrap());
+    let refusal = Refusal::new(RefusalCode::NoUpstream, "no engine is left");
+    setup.end_after_deadline = Some((Duration::from_millis(200), refusal));
+    let server = setup.start().await;
+    let body = STREAMED.replace("true}", "true,\"timeout_ms\":300}");
+    let answer = exchange(server.address, &completion(KEY, &body)).await;
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    assert!(answer.contains("no engine is left"), "{answer}");
+    assert!(answer.contains("\"run_state\":\"not_run\""), "{answer}");
+}
+
+/// Guards against a request that never ends because the core has stopped
+/// deciding.
+#[tokio::test]
+async fn test_completion_ends_without_decision() {
+    let mut setup = TestSetup::new("127.0.0.1:1".parse().unwrap());
+    let refusal = Refusal::new(RefusalCode::NoUpstream, "no engine is left");
+    setup.end_after_deadline = Some((Duration::from_secs(3_600), refusal));
+    let server = setup.start().await;
+    let body = STREAMED.replace("true}", "true,\"timeout_ms\":300}");
+    let answer = exchange(server.address, &completion(KEY, &body)).await;
+    assert!(answer.starts_with("HTTP/1.1 504"), "{answer}");
+    assert!(answer.contains("\"run_state\":\"not_run\""), "{answer}");
+}
+
 /// Guards against a request that continues after its caller has disconnected.
 #[tokio::test]
 async fn test_completion_is_cancelled_when_caller_leaves() {
--- a/lib/src/entry.rs
+++ b/lib/src/entry.rs
@@ -5,10 +5,11 @@
 //! candidate engines, one after the other. It is sent only under a valid grant.
 //! A prompt that exceeds the memory of one engine is placed on a group of
 //! engines, which is reserved completely or not at all. Every request ends at
-//! its deadline at the latest, or when a planned stop ends all requests. A
-//! refusal says `not_run` only if no dispatch was
-//! decided, or if every engine that the request was sent to reported that it
-//! did not accept it.
+//! its deadline at the latest, or when a planned stop ends all requests. The
+//! refusal at the deadline names what the request was waiting for then,
+//! whichever timer or answer ends it. A refusal says `not_run` only if no
+//! dispatch was decided, or if every engine that the request was sent to
+//! reported that it did not accept it.
 //!
 //! A second `Dispatch` for the same request replaces the first; the shell drops
 //! the older stream.
@@ -207,6 +208,9 @@
     /// Whether the present round places a group.
     grouped: bool,
     last_refusal: Option<Refusal>,
+    /// Why the last round failed; `None` before the end of the first round and
+    /// after a dispatch.
+    wait_reason: Option<Refusal>,
     /// Placement rounds that failed, for the backoff.
     rounds: u32,
     dispatches: u32,
@@ -244,6 +248,7 @@
             failure_is_temporary: false,
             grouped: false,
             last_refusal: None,
+            wait_reason: None,
             rounds: 0,
             dispatches: 0,
             resumes: 0,
@@ -569,13 +574,39 @@
         }
     }
 
-    /// Ends a request whose deadline has passed.
+    /// Ends a request whose deadline has passed, with the reason for which it
+    /// was waiting at that time.
     fn end_past_deadline(
         &mut self,
         inflight: InFlightRequest,
         actions: &mut Vec<EntryAction>,
     ) {
-        self.end(inflight, deadline_exceeded(), actions);
+        let refusal = self.deadline_refusal(&inflight);
+        self.end(inflight, refusal, actions);
+    }
+
+    /// Refusal of a request that reached its deadline. All paths to the end of
+    /// a request at its deadline use it: a process that was paused over the
+    /// deadline runs the timers in any order.
+    fn deadline_refusal(&self, inflight: &InFlightRequest) -> Refusal {
+        let reason = match &inflight.phase {
+            Phase::Dispatched => None,
+            Phase::BackingOff => inflight.wait_reason.clone(),
+            Phase::AwaitingGrant { sequence, .. } => {
+                // An owner that refuses does so at once, so the earlier refusal
+                // still applies unless the owner was given time to answer.
+                let pending = self.pending_grants.get(sequence);
+                let unanswered = pending.is_none_or(|pending| {
+                    let left = inflight.expires_at().since(pending.sent_at);
+                    left >= GRANT_TIMEOUT
+                });
+                let earlier = inflight.last_refusal.as_ref();
+                let earlier = earlier.or(inflight.wait_reason.as_ref());
+                let earlier = earlier.filter(|_| !unanswered).cloned();
+                Some(earlier.unwrap_or_else(owner_unreachable))
+            }
+        };
+        reason.unwrap_or_else(deadline_exceeded)
     }
 
     /// Ends an admitted request with a refusal and releases its allocations.
@@ -651,6 +682,7 @@
             let refusal = refusal.with_retry_after(pause);
             return self.end(inflight, refusal, actions);
         }
+        inflight.wait_reason = Some(refusal.with_retry_after(pause));
         inflight.reset_round();
         self.reinsert(inflight, next);
     }
--- a/lib/src/entry/placing.rs
+++ b/lib/src/entry/placing.rs
@@ -412,6 +412,7 @@
         let decision = RequestDecision::Dispatch(assignment);
         actions.push(EntryAction::Decide(request, decision));
         inflight.phase = Phase::Dispatched;
+        inflight.wait_reason = None;
         inflight.renewal_due = now.after(STARTED_RENEWAL_INTERVAL);
         if inflight.allocations.len() > 1 {
             self.renew_kept(&inflight, actions);
--- a/lib/tests/serving/sim/mod.rs
+++ b/lib/tests/serving/sim/mod.rs
@@ -406,6 +406,17 @@
         }
     }
 
+    /// Pauses all processes. Afterwards the timers of the entry side run before
+    /// anything that arrived in the meantime is delivered.
+    pub(crate) fn pause_for(&mut self, millis: u64) {
+        self.now = self.now.after(Duration::from_millis(millis));
+        for index in 0..self.instances.len() {
+            let now = self.now;
+            let entry = self.with_tables(index, |i, view| i.0.tick(now, view));
+            self.entry_actions(index, entry);
+        }
+    }
+
     fn spread_summaries(&mut self) {
         for from in 0..self.instances.len() {
             for summary in self.instances[from].owner.summaries(self.now) {
--- a/lib/tests/serving/test_entry.rs
+++ b/lib/tests/serving/test_entry.rs
@@ -117,6 +117,83 @@
     assert_eq!(simulation.open_requests(), 0);
 }
 
+/// What a request waits for until its deadline.
+#[derive(Clone, Copy, Debug)]
+enum WaitCause {
+    DomainClosed,
+    ConfigurationStale,
+    LoadUnknown,
+    EngineFull,
+    OwnerUnreachable,
+    QueuedAfterNoUpstream,
+}
+
+fn close_domain(simulation: &mut Simulation, closed: Option<DrainMode>) {
+    let rule = DomainRule {
+        closed,
+        reopened_at: None,
+    };
+    simulation.fleet.domains.insert(id("d"), rule);
+}
+
+/// Fills the only engine for longer than the tests run.
+fn fill_engine(simulation: &mut Simulation) {
+    let class = PriorityClass::Standard;
+    simulation.send_request(0, class, 1_000, 4_000, 60_000);
+    simulation.run_for(50);
+}
+
+/// Guards against an answer at the deadline that depends on which timer runs
+/// first: a pause over the deadline must not hide why the request was waiting.
+#[rstest]
+#[case::closed(WaitCause::DomainClosed, RefusalCode::NoUpstream)]
+#[case::stale(WaitCause::ConfigurationStale, RefusalCode::ConfigurationStale)]
+#[case::unknown(WaitCause::LoadUnknown, RefusalCode::NoUpstream)]
+#[case::full(WaitCause::EngineFull, RefusalCode::NoCapacity)]
+#[case::unreachable(WaitCause::OwnerUnreachable, RefusalCode::NoCapacity)]
+#[case::queued(WaitCause::QueuedAfterNoUpstream, RefusalCode::NoCapacity)]
+fn test_entry_states_at_the_deadline_why_it_waited(
+    #[case] cause: WaitCause,
+    #[case] code: RefusalCode,
+    #[values(0, 5, 60, 1_200)] pause: u64,
+) {
+    let mut simulation = simulation(1);
+    match cause {
+        WaitCause::DomainClosed | WaitCause::ConfigurationStale => {
+            close_domain(&mut simulation, Some(DrainMode::Finish));
+        }
+        WaitCause::LoadUnknown => {
+            simulation.reads_fail = true;
+            simulation.run_for(2_500);
+        }
+        WaitCause::EngineFull => fill_engine(&mut simulation),
+        WaitCause::OwnerUnreachable => simulation.set_loss(100),
+        WaitCause::QueuedAfterNoUpstream => {
+            fill_engine(&mut simulation);
+            close_domain(&mut simulation, Some(DrainMode::Finish));
+        }
+    }
+    let request =
+        simulation.send_request(1, PriorityClass::Standard, 1_000, 5, 2_000);
+    if let WaitCause::ConfigurationStale = cause {
+        simulation.configuration_fresh = false;
+    }
+    simulation.run_for(200);
+    if let WaitCause::QueuedAfterNoUpstream = cause {
+        close_domain(&mut simulation, None);
+    }
+    // The end of the pause lies after the deadline, its begin before it.
+    simulation.run_for(1_795 - pause);
+    let waits = !simulation.ends.contains_key(&request);
+    assert!(waits || pause < 1_200, "the pause begins during the wait");
+    simulation.pause_for(pause + 5);
+    simulation.run_for(500);
+    let refusal = refusal(&simulation, &request);
+    assert_eq!(refusal.code, code, "{refusal}");
+    assert_eq!(refusal.run_state, RunState::NotRun);
+    assert!(refusal.retry_after.is_some());
+}
+
 /// Guards against grants on an engine without a recent load report.
 #[test]
 fn test_owner_grants_nothing_on_a_frozen_engine() {
