gateway: probe upstreams that failed requests

Cause: the share of failed requests of an upstream changed only with its answers. One that exceeded the mean of its service by 0.2 got no requests while others served, hence gave no answers, and stayed out for good. One 500 suffices with three upstreams, as it counts twice if it is sent again.

Ruled out: a status check as the probe (it is good on an upstream that fails a part of its requests); decay alone (an upstream that fails half of its requests returns every few seconds, in each instance, and calls that may run only once meet it); a fixed interval of probes (its sum grows with the fleet, or it is too long in a small one).

Change: the share halves in two windows of the retry limit, or in two pauses between failed probes if that is longer. An upstream is left out until its excess is below 0.1. Meanwhile it gets one request at a time, the first send of a repeatable one for which a retry is left. The pause doubles from a tenth of a window with each failed probe, and a failed probe uses at most a tenth of the retries that are allowed to this instance, so that the sum over all instances stays within a tenth of the retry limit. Pauses, named limits, cold upstreams, departures and closed failure domains apply to a probe as to other requests.

--- a/cli/src/gateway/delegate.rs
+++ b/cli/src/gateway/delegate.rs
@@ -260,8 +260,9 @@
 
     fn finish(&mut self, reply: &UpstreamReply<W>) {
         if !reply.head.status.is_server_error() {
+            let now = self.attempt.context.now();
             let mut core = self.attempt.context.core();
-            core.record_success(&reply.upstream);
+            core.record_success(now, &reply.upstream);
         }
         if let Some(begun_at) = self.begun_at {
             self.attempt.record_sound_prompt(begun_at);
--- a/cli/src/gateway/forward.rs
+++ b/cli/src/gateway/forward.rs
@@ -533,7 +533,8 @@
         let outcome = match kind {
             ReplyKind::Answer => None,
             ReplyKind::Failure => {
-                self.context.core().record_error(&upstream);
+                let now = self.context.now();
+                self.context.core().record_error(now, &upstream);
                 None
             }
             ReplyKind::Declined => Some(SendOutcome::Declined),
@@ -867,7 +868,7 @@
         let mut core = self.context.core();
         let avoided = match outcome {
             SendOutcome::Declined | SendOutcome::Failed => {
-                core.record_error(upstream);
+                core.record_error(now, upstream);
                 Duration::ZERO
             }
             SendOutcome::Misdirected => {
--- a/cli/src/gateway/stream/forwarder.rs
+++ b/cli/src/gateway/stream/forwarder.rs
@@ -176,7 +176,8 @@
         if let (false, Some(begun_at)) = (self.is_sound, self.answer_begun_at) {
             self.attempt.record_sound_prompt(begun_at);
         }
-        context.core().record_success(&reply.upstream);
+        let now = context.now();
+        context.core().record_success(now, &reply.upstream);
         self.record_decoding();
         let events = self.cursor.events();
         let text = format!("{events} events of {}", reply.upstream);
--- a/cli/src/gateway/whole_answer.rs
+++ b/cli/src/gateway/whole_answer.rs
@@ -133,8 +133,9 @@
         let end = if failed {
             RequestEnd::UpstreamFailure
         } else {
-            self.context.core().record_success(upstream);
-            self.record_sound_prompt(self.context.now());
+            let now = self.context.now();
+            self.context.core().record_success(now, upstream);
+            self.record_sound_prompt(now);
             RequestEnd::Answered
         };
         let time = self.elapsed();
--- a/lib/src/gateway/gateway_core.rs
+++ b/lib/src/gateway/gateway_core.rs
@@ -9,6 +9,7 @@
 mod links;
 mod placing;
 mod planned_stop;
+mod probes;
 mod quarantine;
 mod request_limits;
 mod status_checks;
@@ -172,6 +173,8 @@
     restored_until: Option<Timestamp>,
     upstreams: UpstreamTable,
     load_table: LoadTable,
+    /// Requests in flight that probe an upstream.
+    probes: BTreeMap<InFlightId, UpstreamId>,
     retry_budgets: BTreeMap<ServiceName, ServiceRetryBudget>,
     dispatch_limiter: DispatchLimiter,
     request_limits: LimitTable,
@@ -211,6 +214,7 @@
             restored_until: None,
             upstreams,
             load_table: LoadTable::default(),
+            probes: BTreeMap::new(),
             retry_budgets: BTreeMap::new(),
             dispatch_limiter: DispatchLimiter::default(),
             request_limits: LimitTable::default(),
@@ -489,11 +493,12 @@
     /// Removes a send from the load.
     pub fn finish(&mut self, in_flight_id: InFlightId) {
         self.load_table.finish(in_flight_id);
+        self.probes.remove(&in_flight_id);
     }
 
     /// Records that an upstream completed a request.
-    pub fn record_success(&mut self, id: &UpstreamId) {
-        self.upstreams.record_success(id);
+    pub fn record_success(&mut self, now: Timestamp, id: &UpstreamId) {
+        self.upstreams.record_success(now, id);
     }
 
     /// Records that an upstream did not answer a request; returns for how long
@@ -503,6 +508,7 @@
         now: Timestamp,
         id: &UpstreamId,
     ) -> Duration {
+        self.update_failure_bounds(now, id);
         self.upstreams.record_failure(now, id)
     }
 
@@ -543,8 +549,9 @@
     }
 
     /// Records that an upstream answered with an error.
-    pub fn record_error(&mut self, id: &UpstreamId) {
-        self.upstreams.record_error(id);
+    pub fn record_error(&mut self, now: Timestamp, id: &UpstreamId) {
+        self.update_failure_bounds(now, id);
+        self.upstreams.record_error(now, id);
     }
 
     /// Counts one more send to a service against the retry budget; returns
--- a/lib/src/gateway/gateway_core/placing.rs
+++ b/lib/src/gateway/gateway_core/placing.rs
@@ -11,6 +11,7 @@
         answer_durations::AnswerForecast,
         cost_model::EngineProfile,
         engine_limits::EngineLimits,
+        gateway_settings::GatewayBounds,
         placement::{
             Placement, PlacementInputs, PromptSize, shared_prefill_min,
         },
@@ -27,6 +28,13 @@
 /// Share of the request limit of a cold upstream that is used.
 const COLD_SHARE: f64 = 0.8;
 
+/// Requests a second that all instances together may send to a cold upstream.
+pub(super) fn cold_limit(spec: &ServiceSpec, bounds: &GatewayBounds) -> f64 {
+    let tolerated =
+        spec.cold_requests_per_s * bounds.cold_factor + bounds.cold_slack;
+    tolerated * COLD_SHARE
+}
+
 impl GatewayCore {
     /// Chooses upstreams for a request and counts it as in flight on them.
     pub fn place(
@@ -46,19 +54,9 @@
             return Err(self.not_placed(RefusalCode::NoUpstream, &text));
         };
         let limits = self.engine_limits(request, &spec);
-        let own = self.settings.ip;
-        let limiter = &mut self.dispatch_limiter;
-        limiter.set_members(service, self.members.reaching(now, service));
-        let bounds = &self.settings.bounds;
-        let cold_limit = (spec.cold_requests_per_s * bounds.cold_factor
-            + bounds.cold_slack)
-            * COLD_SHARE;
-        let mut candidates =
-            self.upstreams.candidates(now, service, request.excluded);
-        let untried = |id: &UpstreamId| !request.tried.contains(id);
-        if candidates.iter().any(|it| untried(&it.entry.id)) {
-            candidates.retain(|it| untried(&it.entry.id));
-        }
+        let reaching = self.members.reaching(now, service);
+        self.dispatch_limiter.set_members(service, reaching);
+        self.request_limits.expire(now);
         let is_long = match (&spec.engine, request.size) {
             (Some(engine), Some(size)) => {
                 engine.prefill_time(size.prompt) > limits.long_prefill_min
@@ -71,7 +69,20 @@
             let prefill = engine.prefill_time(size.prompt);
             self.load_table.count_arrival(now, is_long, prefill);
         }
-        self.request_limits.expire(now);
+        if !is_long
+            && let Some(started) = self.place_probe(now, request, &spec, limits)
+        {
+            return Ok(started);
+        }
+        let own = self.settings.ip;
+        let limiter = &mut self.dispatch_limiter;
+        let cold_limit = cold_limit(&spec, &self.settings.bounds);
+        let mut candidates =
+            self.upstreams.candidates(now, service, request.excluded);
+        let untried = |id: &UpstreamId| !request.tried.contains(id);
+        if candidates.iter().any(|it| untried(&it.entry.id)) {
+            candidates.retain(|it| untried(&it.entry.id));
+        }
         let helpers_only =
             limiter.exhausted(now, own, &self.request_limits, &candidates);
         if !candidates.is_empty() && helpers_only.len() == candidates.len() {
@@ -244,7 +255,7 @@
     }
 
     /// Counts a placed request as in flight.
-    fn start_request(
+    pub(super) fn start_request(
         &mut self,
         now: Timestamp,
         placed: Placement,
--- a/lib/src/gateway/retry_budget.rs
+++ b/lib/src/gateway/retry_budget.rs
@@ -44,6 +44,20 @@
         self.requests.push_back(now);
     }
 
+    /// Retries in a window that are this instance's part of the limit, including
+    /// those that are kept in reserve. `instances` is the number of instances
+    /// that share the limit.
+    pub fn allowed(
+        &mut self,
+        now: Timestamp,
+        limit: &RetryLimit,
+        instances: usize,
+    ) -> f64 {
+        self.drop_expired(now, limit.window);
+        let slack = limit.slack / instances.max(1) as f64;
+        self.requests.len() as f64 * limit.ratio + slack
+    }
+
     /// Whether the limit allows one more retry. `instances` is the number of
     /// instances that share the limit.
     pub fn allows(
@@ -52,9 +66,7 @@
         limit: &RetryLimit,
         instances: usize,
     ) -> bool {
-        self.drop_expired(now, limit.window);
-        let slack = limit.slack / instances.max(1) as f64;
-        let allowed = self.requests.len() as f64 * limit.ratio + slack;
+        let allowed = self.allowed(now, limit, instances);
         (self.retries.len() + 1) as f64 <= allowed * USED_SHARE
     }
 
--- a/lib/src/gateway/upstream_table.rs
+++ b/lib/src/gateway/upstream_table.rs
@@ -19,10 +19,12 @@
 //! lapsed. In that time an upstream that the list lacks is still used.
 //!
 //! An upstream that fails requests is avoided for a while if others can serve
-//! instead, but stays a candidate as long as it is listed. An upstream at
+//! instead, and probed ([`super::failure_history`]), but stays a candidate as
+//! long as it is listed. An upstream at
 //! whose address a newer one has started is not used; its entry stays in the
 //! list for some seconds.
 
+mod failures;
 mod links;
 mod returns;
 mod selection;
@@ -39,6 +41,7 @@
         DEPARTED_TIME, DepartedUpstream, DepartureKind, DepartureLog,
         EntryRevision,
     },
+    failure_history::{FailureBounds, FailureHistory},
     reachability::{LinkGroup, LinkTargets, ReachabilityTable},
     upstream_return::{EntryRead, LATE_ENTRY_TIME, ReturnTable},
 };
@@ -55,8 +58,6 @@
 const AVOID_MIN: Duration = Duration::from_millis(500);
 /// Longest time for which an upstream is avoided.
 const AVOID_MAX: Duration = Duration::from_secs(4);
-/// Weight of the newest outcome in the moving average of failures.
-const FAILURE_WEIGHT: f64 = 0.2;
 
 /// Whether an upstream accepts new requests, as it reports itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -161,8 +162,8 @@
     displaced: bool,
     /// Failures since the last success.
     failures: u32,
-    /// Moving average of failed requests, from 0 to 1.
-    failure_share: f64,
+    /// Share of failed requests.
+    history: FailureHistory,
     failed_at: Timestamp,
     avoid_until: Timestamp,
     /// Until when the upstream wants no requests of this instance.
@@ -181,7 +182,7 @@
             is_restarted: false,
             displaced: false,
             failures: 0,
-            failure_share: 0.0,
+            history: FailureHistory::default(),
             failed_at: Timestamp::ZERO,
             avoid_until: Timestamp::ZERO,
             paused_until: Timestamp::ZERO,
@@ -197,11 +198,6 @@
     pub fn is_avoided(&self, now: Timestamp) -> bool {
         now < self.avoid_until
     }
-
-    /// Moving average of failed requests, from 0 to 1.
-    pub fn failure_share(&self) -> f64 {
-        self.failure_share
-    }
 }
 
 /// All listed upstreams and the closed failure domains.
@@ -226,6 +222,10 @@
     /// Number of other instances that avoid each upstream.
     suspects: BTreeMap<UpstreamId, usize>,
     links: ReachabilityTable,
+    /// How failures of each service are forgotten.
+    failure_bounds: BTreeMap<ServiceName, FailureBounds>,
+    /// Upstreams that are left out since they failed more requests than others.
+    failing: BTreeSet<UpstreamId>,
     /// Processes that said in a reply that they are leaving, and when.
     leaving: BTreeMap<UpstreamProcess, Timestamp>,
     /// Usable upstreams by service and failure domain; `None` after a change.
@@ -412,6 +412,7 @@
             }
             _ => {
                 let id = entry.id.clone();
+                self.failing.remove(&id);
                 let mut upstream =
                     TrackedUpstream::new(now, entry, self.restores);
                 upstream.is_restarted = is_restarted;
@@ -451,6 +452,8 @@
     pub fn expire(&mut self, now: Timestamp) {
         if !self.in_recovery_grace(now) {
             self.upstreams.retain(|_, upstream| !upstream.removed);
+            let upstreams = &self.upstreams;
+            self.failing.retain(|id| upstreams.contains_key(id));
         }
     }
 
@@ -537,12 +540,12 @@
     }
 
     /// Records a completed request, which ends the avoidance.
-    pub fn record_success(&mut self, id: &UpstreamId) {
+    pub fn record_success(&mut self, now: Timestamp, id: &UpstreamId) {
         if let Some(upstream) = self.upstreams.get_mut(id) {
             upstream.failures = 0;
-            upstream.failure_share *= 1.0 - FAILURE_WEIGHT;
             upstream.avoid_until = Timestamp::ZERO;
         }
+        self.record_outcome(now, id, false);
     }
 
     /// Records that an upstream did not answer a request; returns for how long
@@ -559,9 +562,8 @@
         let avoidance = backoff.min(AVOID_MAX);
         upstream.failures += 1;
         upstream.failed_at = now;
-        upstream.failure_share +=
-            FAILURE_WEIGHT * (1.0 - upstream.failure_share);
         upstream.avoid_until = now.after(avoidance);
+        self.record_outcome(now, id, true);
         avoidance
     }
 
@@ -577,11 +579,8 @@
     /// Records that an upstream answered with an error. This raises its
     /// failure share, but does not start an avoidance, since the next request
     /// may succeed.
-    pub fn record_error(&mut self, id: &UpstreamId) {
-        if let Some(upstream) = self.upstreams.get_mut(id) {
-            upstream.failure_share +=
-                FAILURE_WEIGHT * (1.0 - upstream.failure_share);
-        }
+    pub fn record_error(&mut self, now: Timestamp, id: &UpstreamId) {
+        self.record_outcome(now, id, true);
     }
 }
 
--- a/lib/src/gateway/upstream_table/links.rs
+++ b/lib/src/gateway/upstream_table/links.rs
@@ -4,8 +4,11 @@
 
 use super::{UpstreamEntry, UpstreamState, UpstreamTable};
 use crate::{
-    gateway::reachability::{
-        LinkChange, LinkGroup, LinkReport, LinkState, LinkTargets,
+    gateway::{
+        failure_history::FailureHistory,
+        reachability::{
+            LinkChange, LinkGroup, LinkReport, LinkState, LinkTargets,
+        },
     },
     ids::{ServiceName, UpstreamId},
     units::Timestamp,
@@ -64,8 +67,9 @@
                 && upstream.failed_at >= since
             {
                 upstream.failures = 0;
-                upstream.failure_share = 0.0;
+                upstream.history = FailureHistory::default();
                 upstream.avoid_until = Timestamp::ZERO;
+                self.failing.remove(&upstream.entry.id);
             }
         }
     }
--- a/lib/src/gateway/upstream_table/selection.rs
+++ b/lib/src/gateway/upstream_table/selection.rs
@@ -11,9 +11,6 @@
 /// Other instances that must avoid an upstream before this one does; a single
 /// one may itself be cut off.
 const SUSPECTING_INSTANCES_MIN: usize = 2;
-/// Excess of an upstream's failure share over the mean of its service from
-/// which it is avoided.
-const FAILURE_EXCESS: f64 = 0.2;
 
 impl UpstreamTable {
     /// Upstreams of a service that may receive a request: ready, not leaving or
@@ -26,12 +23,12 @@
         excluded: &[UpstreamId],
     ) -> Vec<&TrackedUpstream> {
         let open = self.open(now, service, excluded);
-        let limit = failure_limit(&open);
+        let mean = Self::mean_failure_share(now, &open);
         let healthy: Vec<_> = open
             .iter()
             .copied()
             .filter(|upstream| {
-                upstream.failure_share <= limit
+                !self.is_failing(now, upstream, mean)
                     && self.is_answering(now, upstream)
             })
             .collect();
@@ -60,9 +57,9 @@
         excluded: &[UpstreamId],
     ) -> Vec<&TrackedUpstream> {
         let mut open = self.open(now, service, excluded);
-        let limit = failure_limit(&open);
+        let mean = Self::mean_failure_share(now, &open);
         open.retain(|upstream| {
-            upstream.failure_share > limit
+            self.is_failing(now, upstream, mean)
                 && self.is_answering(now, upstream)
                 && !self.is_suspect(&upstream.entry.id)
         });
@@ -70,7 +67,7 @@
     }
 
     /// Upstreams that say of themselves that they take requests.
-    fn open(
+    pub(super) fn open(
         &self,
         now: Timestamp,
         service: &ServiceName,
@@ -131,9 +128,3 @@
         suspects.map(|upstream| upstream.entry.id.clone()).collect()
     }
 }
-
-/// Failure share above which an upstream is left out.
-fn failure_limit(open: &[&TrackedUpstream]) -> f64 {
-    let sum: f64 = open.iter().map(|upstream| upstream.failure_share).sum();
-    sum / open.len().max(1) as f64 + FAILURE_EXCESS
-}
--- a/lib/tests/gateway/test_upstreams.rs
+++ b/lib/tests/gateway/test_upstreams.rs
@@ -104,7 +104,7 @@
     assert_eq!(names(&table, at(100)), ["i-1"]);
     table.record_failure(at(100), &id("i-1"));
     assert_eq!(names(&table, at(200)).len(), 2);
-    table.record_success(&failing);
+    table.record_success(at(200), &failing);
     assert_eq!(names(&table, at(200)), ["i-0"]);
 }
 
@@ -274,7 +274,7 @@
     };
     core.replace_upstreams(at(0), ["i-0", "i-1", "i-2"].map(cold).to_vec());
     for _ in 0..5 {
-        core.record_error(&id("i-0"));
+        core.record_error(at(0), &id("i-0"));
     }
     let admitted = admitted(&mut core, at(1));
     let request = placement_request(&admitted, 100);
