cli: keep connections in a stop until their callers have all bytes

Cause: the lingering close ends when nothing has arrived for 500 ms. A slow reader on a kept connection may send its next request later, before it has read the answer; the socket is closed by then, and the system resets it and discards the rest of the answer. The exit of the process was ruled out: it came seconds after the resets.

Change: in a planned stop the close goes on while the socket is in the state FIN-WAIT-1, that is until the peer has acknowledged the last byte, and half a second longer, as the peer may be a proxy. The schedule of the stop ends it as before, in gateway and serve and for all listeners.

--- a/cli/src/context.rs
+++ b/cli/src/context.rs
@@ -18,6 +18,7 @@
     driver::CoreHandle,
     engine_client::EngineClient,
     http_client::CONNECT_TIMEOUT,
+    lingering_stream::StopState,
     metrics::ServerMetrics,
     quarantine::RequestQuarantine,
     relay::RelayClient,
@@ -147,6 +148,12 @@
     }
 }
 
+impl StopState for SharedContext {
+    fn is_stopping(&self) -> bool {
+        ServerContext::is_stopping(self)
+    }
+}
+
 impl std::ops::Deref for SharedContext {
     type Target = ServerContext;
 
--- a/cli/src/gateway.rs
+++ b/cli/src/gateway.rs
@@ -66,7 +66,8 @@
     metrics::GatewayMetrics, prompt_quarantine::QuarantineTasks,
 };
 use crate::{
-    connection_probe::CONNECT_TIMEOUT, http_client::HttpClient, log_decision,
+    connection_probe::CONNECT_TIMEOUT, http_client::HttpClient,
+    lingering_stream::StopState, log_decision,
 };
 
 /// Time for which callers may cache an answer of the directory.
@@ -197,6 +198,12 @@
     }
 }
 
+impl<W: GatewayWire> StopState for SharedGateway<W> {
+    fn is_stopping(&self) -> bool {
+        GatewayContext::is_stopping(self)
+    }
+}
+
 /// Time of day in milliseconds since 1970; zero before.
 pub(crate) fn unix_millis() -> u64 {
     let now = SystemTime::now().duration_since(UNIX_EPOCH);
--- a/cli/src/gateway/caller_listener.rs
+++ b/cli/src/gateway/caller_listener.rs
@@ -93,7 +93,7 @@
         first_request.cancel();
         answer(served.clone(), request)
     });
-    let io = TokioIo::new(LingeringStream::new(stream));
+    let io = TokioIo::new(LingeringStream::new(stream, context.clone()));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         // This timer also runs while a connection is idle.
--- a/cli/src/gateway/endpoints.rs
+++ b/cli/src/gateway/endpoints.rs
@@ -56,7 +56,7 @@
         let limits = known.core().config().map(|config| config.limits);
         limits.unwrap_or_default().idle_timeout
     };
-    serve_requests(listener, idle, move |request, _| {
+    serve_requests(listener, context.clone(), idle, move |request, _| {
         std::future::ready(answer(&context, &request))
     })
     .await;
--- a/cli/src/gateway/listener.rs
+++ b/cli/src/gateway/listener.rs
@@ -22,7 +22,8 @@
 };
 
 use crate::{
-    lingering_stream::LingeringStream, listener_connections::close_listener,
+    lingering_stream::{LingeringStream, StopState},
+    listener_connections::close_listener,
     logging,
 };
 
@@ -85,6 +86,7 @@
 /// new connection; `answer` also receives the hold on the request's connection.
 pub(super) async fn serve_requests<A, B>(
     listener: TcpListener,
+    stop_state: impl StopState + Clone + Send + 'static,
     idle: impl Fn() -> Duration,
     answer: impl Fn(Request<Incoming>, ConnectionHold) -> A + Clone + Send + 'static,
 ) where
@@ -102,7 +104,7 @@
             let answered = answer(request, hold.clone());
             async move { Ok::<_, Infallible>(answered.await) }
         });
-        let io = TokioIo::new(LingeringStream::new(stream));
+        let io = TokioIo::new(LingeringStream::new(stream, stop_state.clone()));
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(idle())
--- a/cli/src/gateway/peer_listener.rs
+++ b/cli/src/gateway/peer_listener.rs
@@ -35,6 +35,7 @@
     let context = context.clone();
     let served = serve_requests(
         listener,
+        context.clone(),
         || IDLE_TIMEOUT,
         move |request, hold| {
             let context = context.clone();
--- a/cli/src/lib.rs
+++ b/cli/src/lib.rs
@@ -34,6 +34,7 @@
 mod service_answer;
 pub mod service_route;
 pub mod services;
+mod socket_state;
 pub mod stop_signal;
 mod traffic;
 pub mod upstream_client;
--- a/cli/src/server.rs
+++ b/cli/src/server.rs
@@ -36,7 +36,7 @@
 use crate::{
     callers::build_router,
     context::SharedContext,
-    lingering_stream::LingeringStream,
+    lingering_stream::{LingeringStream, StopState},
     listener_connections::{ListenerConnections, close_listener},
     logging,
     reply::{ConnectionCloser, RenderedResponse, error_response},
@@ -179,6 +179,7 @@
         }
         Err(refusal) => {
             context.metrics.count_refusal(refusal.code);
+            let stream = LingeringStream::new(stream, context.clone());
             tokio::spawn(reject(stream, refusal));
         }
     };
@@ -254,7 +255,8 @@
             let server = self.clone();
             async move { server.answer(request, address, closer).await }
         });
-        let io = TokioIo::new(LingeringStream::new(stream));
+        let stream = LingeringStream::new(stream, self.context.clone());
+        let io = TokioIo::new(stream);
         let connection = self.builder.serve_connection(io, service);
         let connection = connections.serve(connection, &request_begun);
         tokio::select! {
@@ -338,8 +340,10 @@
 }
 
 /// Sends a refusal on a connection that is over a limit, and closes it.
-async fn reject(stream: TcpStream, refusal: Refusal) {
-    let mut stream = LingeringStream::new(stream);
+async fn reject<S: StopState>(
+    mut stream: LingeringStream<S>,
+    refusal: Refusal,
+) {
     let body = serde_json::to_string(&ErrorBody::new(&refusal, None))
         .expect("bodies are plain JSON");
     let status = StatusCode::from_u16(refusal.code.status())
--- a/cli/tests/test_serve/test_lingering.rs
+++ b/cli/tests/test_serve/test_lingering.rs
@@ -15,12 +15,17 @@
 
 /// Guards against a stream that is cut for a caller that has sent the begin of
 /// another request: a socket that is closed with unread bytes is reset, and what
-/// its peer has not received yet is discarded.
+/// its peer has not received yet is discarded. In the last case the caller sends
+/// it long after the stream was written.
 #[rstest]
-#[case::at_close(false)]
-#[case::in_stop(true)]
+#[case::at_close(false, 50)]
+#[case::in_stop(true, 50)]
+#[case::late_in_stop(true, 1_500)]
 #[tokio::test]
-async fn test_lingering_delivers_streams(#[case] stops: bool) {
+async fn test_lingering_delivers_streams(
+    #[case] stops: bool,
+    #[case] pause_ms: u64,
+) {
     // Fits into the send buffer, but not into the caller's receive buffer.
     let engine = start_endless(1_000, 150).await;
     let mut setup = TestSetup::new(engine.address);
@@ -37,7 +42,7 @@
     let stop = stops.then(|| tokio::spawn(server.instance.stop()));
     tokio::time::sleep(Duration::from_millis(100)).await;
     caller.write_all(request.as_bytes()).await.unwrap();
-    tokio::time::sleep(Duration::from_millis(50)).await;
+    tokio::time::sleep(Duration::from_millis(pause_ms)).await;
     caller.write_all(&[b'x'; 1 << 16]).await.unwrap();
     // The instance writes the whole stream meanwhile.
     tokio::time::sleep(Duration::from_millis(1_500)).await;
