ledger: ignore notices that arrive after the end of their request

Traced with `explain`, `engines` and `holds` in the refused request's test: the only candidate was an engine in its owner's hold-down whose one slot was held, as `started` for 2.3 s, by a ping of another instance that had been answered before. Notices about one request are sent as calls of their own, so `Started` or the first chunk can arrive after `Finished`, and the ledger adds a reservation for an unknown request, as a new owner must. It stays until a list of the engine lacks it, and an owner in its hold-down reads no list for 3 s.

The ledger now remembers ended requests, with the sequence number of their grant, for 5 s and ignores notices up to that number. A notice about a later grant counts as before. Not chosen: sending the notices of a request one after the other, which delays the end, and does not help with a notice that is delivered after its sender has given up.

The new test of the ledger failed in its three cases before.

--- a/lib/src/ledger.rs
+++ b/lib/src/ledger.rs
@@ -6,7 +6,12 @@
 //! read after that moment, does not contain the request. The ledger may
 //! therefore count too much memory as used, but never too little. The owner
 //! reads the lists and passes them in; this module sends nothing.
+//!
+//! Notices about one request are sent without waiting for each other, so the
+//! one about its end may arrive before that about its start. The ledger
+//! remembers ended requests for some time and ignores such late notices.
 
+mod ended_requests;
 mod transfer;
 
 use std::{
@@ -14,6 +19,7 @@
     time::Duration,
 };
 
+use self::ended_requests::EndedRequests;
 use crate::{
     engine_api::HeldReport,
     ids::{InstanceId, RequestId},
@@ -115,6 +121,7 @@
     takeover_complete: bool,
     reservations: BTreeMap<RequestId, Reservation>,
     used: TokenCount,
+    ended: EndedRequests,
 }
 
 impl EngineLedger {
@@ -305,20 +312,26 @@
         {
             return;
         }
+        if self.ended.covers(now, request, notice.sequence) {
+            return;
+        }
         match &notice.event {
             GrantEvent::Unused => {
-                let granted = current.is_some_and(|reservation| {
+                let unsent = current.is_none_or(|reservation| {
                     matches!(
                         reservation.state,
                         ReservationState::Granted | ReservationState::Kept
                     )
                 });
-                if granted {
+                if unsent {
+                    self.ended.record(now, request, notice.sequence);
                     self.remove_reservation(request);
                 }
             }
-            GrantEvent::Finished(_) => self.remove_reservation(request),
-            GrantEvent::Overcommitted => self.remove_reservation(request),
+            GrantEvent::Finished(_) | GrantEvent::Overcommitted => {
+                self.ended.record(now, request, notice.sequence);
+                self.remove_reservation(request);
+            }
             GrantEvent::Kept => {
                 self.renew(now, from, notice, ReservationState::Kept);
             }
--- a/lib/tests/test_ledger.rs
+++ b/lib/tests/test_ledger.rs
@@ -16,6 +16,7 @@
     prelude::*,
     test_runner::{RngAlgorithm, RngSeed},
 };
+use rstest::rstest;
 
 const START: Timestamp = Timestamp::new(1_000_000);
 
@@ -107,6 +108,45 @@
     assert_eq!(fresh.free_slots(), 1);
 }
 
+/// Guards against a notice that is delivered after the one about the end of its
+/// request and reserves memory again. An owner in its hold-down reads no list, so
+/// such a reservation kept the engine's only slot for seconds.
+#[rstest]
+#[case::finished(GrantEvent::Finished(TokenCount::new(1)))]
+#[case::overcommitted(GrantEvent::Overcommitted)]
+#[case::unused(GrantEvent::Unused)]
+fn test_ledger_ignores_notices_of_ended_requests(#[case] end: GrantEvent) {
+    let mut ledger = ledger();
+    let from: InstanceId = id("a");
+    grant(&mut ledger, 7, "r1");
+    ledger.notice(at(1), &from, &notice(7, "r1", end));
+    let first_chunk = GrantEvent::FirstChunk(Duration::ZERO);
+    let late = [GrantEvent::Started, first_chunk, GrantEvent::Kept];
+    for (delay, event) in [2, 400, 1_400].into_iter().zip(late) {
+        ledger.notice(at(delay), &from, &notice(7, "r1", event));
+        assert_eq!(ledger.reservation_count(), 0);
+        assert_eq!(used(&ledger), 0);
+    }
+    // A later attempt of the same request is reserved as usual.
+    grant(&mut ledger, 8, "r1");
+    ledger.notice(at(1_500), &from, &notice(8, "r1", GrantEvent::Started));
+    assert_eq!(used(&ledger), 300);
+    let reservation = ledger.reservation(&id("r1")).unwrap();
+    assert_eq!(reservation.state, ReservationState::Started);
+}
+
+/// Guards against a request that is not counted by a new owner, which did not
+/// grant it, because an earlier attempt had ended there.
+#[test]
+fn test_ledger_counts_later_attempts_of_ended_requests() {
+    let mut ledger = ledger();
+    let from: InstanceId = id("a");
+    grant(&mut ledger, 7, "r1");
+    ledger.notice(at(1), &from, &notice(7, "r1", GrantEvent::Overcommitted));
+    ledger.notice(at(2), &from, &notice(9, "r1", GrantEvent::Started));
+    assert_eq!(used(&ledger), 300);
+}
+
 /// Guards against freeing a reservation that is in use although the notice of
 /// its use was lost.
 #[test]
