upstreams: keep a pause while the entry is not listed

Cause: the end of the pause that an upstream asks for with 503 and Retry-After was kept with its list entry. An entry that lapsed, as in an outage of the store, and was listed again lost it; so did a pause that a reply named while the entry was not listed. It also applied to whichever process was listed when the reply came.

Change: pauses are kept by process until they end, 16,384 at most, and apply when the process is listed again. A new process has none.

Result: test_upstreams_listed_again_keep_their_pause, case same_process: the upstream was a candidate at 30 s of a pause of 60 s before, and is none now; case new_process passes before and after.

--- a/cli/src/gateway/forward.rs
+++ b/cli/src/gateway/forward.rs
@@ -528,7 +528,7 @@
         self.record_limit(&started.entry, kind, &head);
         if kind != ReplyKind::Foreign && kind != ReplyKind::Misdirected {
             self.record_departure(started.entry.process(), &head);
-            self.record_pause(&upstream, &head);
+            self.record_pause(&started.entry.process(), &head);
         }
         let outcome = match kind {
             ReplyKind::Answer => None,
@@ -587,12 +587,13 @@
     }
 
     /// Records for how long the upstream wants no more requests.
-    fn record_pause(&self, upstream: &UpstreamId, head: &ResponseParts) {
+    fn record_pause(&self, process: &UpstreamProcess, head: &ResponseParts) {
         let Some(pause) = self.context.wire.pause(head) else {
             return;
         };
         let now = self.context.now();
-        self.context.core().pause_upstream(now, upstream, pause);
+        self.context.core().pause_upstream(now, process, pause);
+        let upstream = &process.upstream;
         log_decision!(
             LogEvent::UpstreamPaused,
             {
--- a/lib/src/gateway/gateway_core.rs
+++ b/lib/src/gateway/gateway_core.rs
@@ -522,15 +522,14 @@
         self.upstreams.mark_leaving(now, process)
     }
 
-    /// Records that an upstream wants no requests of this instance for some
-    /// time.
+    /// Records that a process wants no requests of this instance for some time.
     pub fn pause_upstream(
         &mut self,
         now: Timestamp,
-        id: &UpstreamId,
+        process: &UpstreamProcess,
         pause: Duration,
     ) {
-        self.upstreams.pause(now, id, pause);
+        self.upstreams.pause(now, process, pause);
     }
 
     /// Records that a different upstream answered at an upstream's address.
--- a/lib/src/gateway/upstream_table.rs
+++ b/lib/src/gateway/upstream_table.rs
@@ -56,6 +56,8 @@
 /// Time for which an upstream is avoided after its first failure; it doubles
 /// with each further one.
 const AVOID_MIN: Duration = Duration::from_millis(500);
+/// Most pauses that are remembered for processes that may lapse from the list.
+const PAUSES_MAX: usize = 16_384;
 /// Longest time for which an upstream is avoided.
 const AVOID_MAX: Duration = Duration::from_secs(4);
 
@@ -228,6 +230,8 @@
     failing: BTreeSet<UpstreamId>,
     /// Processes that said in a reply that they are leaving, and when.
     leaving: BTreeMap<UpstreamProcess, Timestamp>,
+    /// Processes that want no requests of this instance, and until when.
+    pauses: BTreeMap<UpstreamProcess, Timestamp>,
     /// Usable upstreams by service and failure domain; `None` after a change.
     link_targets: Option<Arc<LinkTargets>>,
 }
@@ -416,6 +420,9 @@
                 let mut upstream =
                     TrackedUpstream::new(now, entry, self.restores);
                 upstream.is_restarted = is_restarted;
+                let pause = self.pauses.get(&upstream.entry.process());
+                upstream.paused_until =
+                    pause.copied().unwrap_or(Timestamp::ZERO);
                 self.upstreams.insert(id, upstream);
             }
         }
@@ -516,11 +523,24 @@
         self.leaving.insert(process, now).is_none()
     }
 
-    /// Records that an upstream wants no requests of this instance for some
-    /// time.
-    pub fn pause(&mut self, now: Timestamp, id: &UpstreamId, pause: Duration) {
-        if let Some(upstream) = self.upstreams.get_mut(id) {
-            let until = now.after(pause.min(TIME_MAX));
+    /// Records that a process wants no requests of this instance for some time.
+    /// That holds while its entry is not listed, too.
+    pub fn pause(
+        &mut self,
+        now: Timestamp,
+        process: &UpstreamProcess,
+        pause: Duration,
+    ) {
+        self.pauses.retain(|_, until| *until > now);
+        let until = now.after(pause.min(TIME_MAX));
+        if self.pauses.len() < PAUSES_MAX || self.pauses.contains_key(process) {
+            let known = self.pauses.entry(process.clone()).or_insert(until);
+            *known = until.max(*known);
+        }
+        let upstream = self.upstreams.get_mut(&process.upstream);
+        let upstream =
+            upstream.filter(|it| it.entry.incarnation == process.incarnation);
+        if let Some(upstream) = upstream {
             upstream.paused_until = upstream.paused_until.max(until);
         }
     }
--- a/lib/tests/gateway/test_failure_probes.rs
+++ b/lib/tests/gateway/test_failure_probes.rs
@@ -122,7 +122,10 @@
     };
     let mut core = core_with_failures(retry_safety, 8);
     match obstacle {
-        Obstacle::Pause => core.pause_upstream(at(0), &failing(), ms(60_000)),
+        Obstacle::Pause => {
+            let process = entry("i-0").process();
+            core.pause_upstream(at(0), &process, ms(60_000));
+        }
         Obstacle::Limit => {
             let limit: RequestLimit = "0.1".parse().expect("a limit");
             let process = entry("i-0").process();
--- a/lib/tests/gateway/test_upstreams.rs
+++ b/lib/tests/gateway/test_upstreams.rs
@@ -251,7 +251,7 @@
 #[test]
 fn test_upstreams_get_no_requests_in_a_long_pause() {
     let mut table = table(2);
-    table.pause(at(0), &id("i-0"), ms(3_600_000));
+    table.pause(at(0), &entry("i-0").process(), ms(3_600_000));
     assert_eq!(names(&table, at(3_599_000)), ["i-1"]);
     assert_eq!(names(&table, at(3_600_000)), ["i-0", "i-1"]);
 }
@@ -288,3 +288,30 @@
     let others = order.iter().filter(|it| **it != id("i-0")).count();
     assert!(others > 0 && first.is_none_or(|first| first == others));
 }
+
+/// Guards against requests to an upstream in a pause that it has asked for, when
+/// its entry has lapsed and is listed again; and against a pause that a new
+/// process with its id takes over.
+#[rstest]
+#[case::same_process(1, vec!["i-1"])]
+#[case::new_process(2, vec!["i-0", "i-1"])]
+fn test_upstreams_listed_again_keep_their_pause(
+    #[case] incarnation: u64,
+    #[case] expected: Vec<&str>,
+) {
+    let mut table = table(2);
+    table.pause(at(0), &entry("i-0").process(), ms(60_000));
+    table.replace(at(1_000), vec![entry("i-1")]);
+    table.expire(at(1_000));
+    assert!(table.get(&id("i-0")).is_none());
+    let listed = UpstreamEntry {
+        incarnation: Incarnation::new(incarnation),
+        sequence: 9,
+        ..entry("i-0")
+    };
+    let process = listed.process();
+    table.apply(at(2_000), UpstreamChange::Set(listed));
+    table.confirm(&process);
+    assert_eq!(names(&table, at(30_000)), expected);
+    assert_eq!(names(&table, at(60_000)), ["i-0", "i-1"]);
+}
