testutils: keep paused processes paused when the tests' shell ends

Cause of a failure of test_path_paused_instance_catches_up: when the shell that started the tests ends, their process group becomes orphaned, and the system sends SIGHUP and SIGCONT to a group with stopped members. The instance that the test had paused continued, so that the other one kept listing it.

Ruled out: load.

Change: before a test pauses a process, it starts a member of its group whose parent is in another group, so that the group stays linked to the session. The link ends with the test process. Process groups of their own for all children were not chosen, as these would then outlive a test process that is killed together with its group.

--- a/testutils/src/arguments.rs
+++ b/testutils/src/arguments.rs
@@ -52,6 +52,13 @@
         #[bpaf(argument("ADDRESS"), fallback(([127, 0, 0, 1], 0).into()))]
         control: SocketAddr,
     },
+    /// Member of a process group whose parent is in another one.
+    #[bpaf(command("group-link"))]
+    GroupLink {
+        /// Id of the group.
+        #[bpaf(argument("ID"))]
+        group: i32,
+    },
 }
 
 /// Options of a model engine; a rate or time left out has the default of
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -21,4 +21,5 @@
 pub mod plain_service;
 pub mod prefix_cache;
 pub mod process;
+pub mod process_group;
 pub mod weight_store;
--- a/testutils/src/main.rs
+++ b/testutils/src/main.rs
@@ -11,7 +11,7 @@
 use arguments::Command;
 use borageline_testutils::{
     engine, forwarder, http_server::Handle, instance_list, log_service,
-    plain_service, weight_store,
+    plain_service, process_group, weight_store,
 };
 
 #[tokio::main]
@@ -64,6 +64,7 @@
             handle.shutdown.cancelled().await;
             Ok(())
         }
+        Command::GroupLink { group } => process_group::run_link(group),
     }
 }
 
--- a/testutils/src/process.rs
+++ b/testutils/src/process.rs
@@ -11,7 +11,7 @@
 
 use serde::Deserialize;
 
-use crate::{client, fault::lock};
+use crate::{client, fault::lock, process_group::link_group};
 
 /// Time between checks of a process or an address.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
@@ -158,6 +158,9 @@
             let text = format!("process {} has ended", self.id());
             return Err(io::Error::new(io::ErrorKind::NotFound, text));
         }
+        if signal == ChildSignal::Stop {
+            link_group()?;
+        }
         let status = Command::new("kill")
             .arg(signal.argument())
             .arg(self.id().to_string())
--- a/testutils/tests/test_process.rs
+++ b/testutils/tests/test_process.rs
@@ -1,10 +1,15 @@
 //! Stand-ins that run in separate processes.
 
-use std::{process::Command, time::Duration};
+use std::{
+    io::{BufRead, BufReader},
+    os::unix::process::CommandExt,
+    process::{Command, Stdio},
+    time::Duration,
+};
 
 use borageline_testutils::{
     client,
-    process::{self, ChildSignal},
+    process::{self, ChildProcess, ChildSignal},
 };
 use serde_json::{Value, json};
 
@@ -35,6 +40,42 @@
     assert!(child.signal(ChildSignal::Stop).is_err());
 }
 
+/// Guards against a paused process that continues because the shell that started
+/// the tests ends.
+#[test]
+fn test_process_pause_outlives_shell() {
+    const PAUSE: &str = "BORAGELINE_TEST_PAUSE";
+    let pause = Duration::from_secs(2);
+    if std::env::var_os(PAUSE).is_some() {
+        let mut command = Command::new("sleep");
+        command.arg("20");
+        let mut child = ChildProcess::start(command).unwrap();
+        child.signal(ChildSignal::Stop).unwrap();
+        println!("\npaused {}", child.id());
+        std::thread::sleep(pause);
+        return;
+    }
+    let name = "test_process_pause_outlives_shell";
+    let script = format!("\"$0\" --exact {name} --nocapture & read -r line");
+    let mut command = Command::new("sh");
+    command.args(["-c", &script]);
+    command.arg(std::env::current_exe().unwrap());
+    command.env(PAUSE, "1").process_group(0);
+    command.stdin(Stdio::piped()).stdout(Stdio::piped());
+    command.stderr(Stdio::null());
+    let mut shell = command.spawn().unwrap();
+    let mut lines = BufReader::new(shell.stdout.take().unwrap()).lines();
+    let id = lines.find_map(|line| {
+        Some(line.unwrap().strip_prefix("paused ")?.to_owned())
+    });
+    // Waiting closes the shell's standard input, which ends it.
+    shell.wait().unwrap();
+    std::thread::sleep(pause / 4);
+    let stat = format!("/proc/{}/stat", id.expect("a process is paused"));
+    let stat = std::fs::read_to_string(stat).expect("the process exists");
+    assert!(stat.contains(" T "), "{stat}");
+}
+
 /// Guards against command-line options without effect on the engine, and
 /// against faults that cannot be injected over HTTP.
 #[tokio::test]
