gateway: bound the time for which failures are remembered

Cause: the half-life of an upstream's failure share is two pauses between failed probes, and these are long in an instance that has few requests. By the formula, with one request in a window and no constant in the retry limit, the pause is 500 s and the upstream returns after up to 55 minutes if no request may probe it.

Change: the half-life is twelve windows at most.

Result: test_failure_probes_are_not_needed_for_good, without any retry allowed: the upstream is left out at 60 s and a candidate at 400 s.

--- a/lib/src/gateway/failure_history.rs
+++ b/lib/src/gateway/failure_history.rs
@@ -17,6 +17,9 @@
 /// allowed by the requests of a window and of the one before it, so a failure
 /// affects what is allowed for two windows.
 const HALF_LIFE_WINDOWS: u32 = 2;
+/// Longest half-life in windows. It bounds the return of an upstream whose
+/// instances have few requests that may probe it.
+const HALF_LIFE_WINDOWS_MAX: u32 = 12;
 /// Half-life in pauses between failed probes. If the share halved within one
 /// pause, an upstream that fails each probe would return between two of them.
 const HALF_LIFE_PAUSES: u32 = 2;
@@ -57,7 +60,8 @@
     fn half_life(&self, count: usize) -> Duration {
         let shortest = self.window.saturating_mul(HALF_LIFE_WINDOWS);
         let pauses = self.failed_pause(count).saturating_mul(HALF_LIFE_PAUSES);
-        shortest.max(pauses)
+        let longest = self.window.saturating_mul(HALF_LIFE_WINDOWS_MAX);
+        pauses.clamp(shortest, longest)
     }
 
     fn first_pause(&self) -> Duration {
--- a/lib/tests/gateway/test_failure_probes.rs
+++ b/lib/tests/gateway/test_failure_probes.rs
@@ -145,6 +145,22 @@
     assert!(expected.contains(&count), "{count} probes: {obstacle:?}");
 }
 
+/// Guards against an upstream that stays left out since its instance has hardly
+/// any requests that could probe it.
+#[test]
+fn test_failure_probes_are_not_needed_for_good() {
+    let mut table = UpstreamTable::default();
+    table.replace(at(0), ["i-0", "i-1", "i-2"].map(entry).to_vec());
+    let service = id("models");
+    let bounds = FailureBounds::new(ms(10_000), 0.0);
+    table.set_failure_bounds(&service, bounds);
+    for _ in 0..30 {
+        table.record_error(at(0), &failing());
+    }
+    let count = |now| table.candidates(now, &service, &[]).len();
+    assert_eq!((count(at(60_000)), count(at(400_000))), (2, 3));
+}
+
 /// Guards against failed probes that use more than a tenth of the allowed retries
 /// in fleets of any size, here for 20 minutes with one request a second to each
 /// instance; and against an upstream that returns although it fails all or half
