gateway: log complete events that a stop leaves undelivered

Cause: once a stream is complete, its task ends with request_finished, and the last events wait in the queue for the connection. If the process exits at the end of its stop meanwhile, they are lost without a line in the log.

An incomplete one was logged by its task, which only marks the queue as complete at the end, because the order in which the runtime drops tasks is not fixed. Bytes in the buffers of the connection and whole answers are not counted.

--- a/cli/src/gateway.rs
+++ b/cli/src/gateway.rs
@@ -62,8 +62,9 @@
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use self::{
-    crash_confirmation::CrashSuspicions, memory_shares::GatewayMemory,
-    metrics::GatewayMetrics, prompt_quarantine::QuarantineTasks,
+    crash_confirmation::CrashSuspicions, event_queue::ExitAge,
+    memory_shares::GatewayMemory, metrics::GatewayMetrics,
+    prompt_quarantine::QuarantineTasks,
 };
 use crate::{
     connection_probe::CONNECT_TIMEOUT, http_client::HttpClient,
@@ -112,6 +113,7 @@
     started: Instant,
     /// Notifies requests that are open that a planned stop has begun.
     stop_begun: watch::Sender<bool>,
+    exit_age: ExitAge,
     open_connections: AtomicU64,
     /// Requests whose response head was not returned yet.
     open_requests: AtomicU64,
@@ -159,6 +161,7 @@
             suspicions: CrashSuspicions::default(),
             started: Instant::now(),
             stop_begun: watch::Sender::new(false),
+            exit_age: ExitAge::default(),
             open_connections: AtomicU64::new(0),
             open_requests: AtomicU64::new(0),
             memory: Arc::new(GatewayMemory::new(account_bytes)),
@@ -261,5 +264,8 @@
         },
         "planned stop complete",
     );
+    // The connections that are left end with the runtime.
+    let exit_age = context.now().since(planned.begun_at());
+    context.exit_age.get_or_init(|| exit_age);
     Ok(())
 }
--- a/cli/src/gateway/delegate.rs
+++ b/cli/src/gateway/delegate.rs
@@ -54,7 +54,9 @@
         let sent = attempt.send(data.resume_after, |_| reply_wait).await;
         let (before, outcome) = match sent {
             Ok(reply) => {
-                let (sender, body) = event_queue(PIECE_QUEUE_MAX);
+                let exit_age = &attempt.context.exit_age;
+                let (sender, body) =
+                    event_queue(PIECE_QUEUE_MAX, attempt.id(), exit_age);
                 let response = response_head(&attempt, &reply, body);
                 let forwarder = ReplyForwarder {
                     attempt,
@@ -259,6 +261,7 @@
     }
 
     fn finish(&mut self, reply: &UpstreamReply<W>) {
+        self.sender.set_complete();
         if !reply.head.status.is_server_error() {
             let mut core = self.attempt.context.core();
             core.record_success(&reply.upstream);
--- a/cli/src/gateway/event_queue.rs
+++ b/cli/src/gateway/event_queue.rs
@@ -2,18 +2,28 @@
 //!
 //! It is bounded in pieces and in bytes: a caller that does not read must not
 //! make the process keep as many of the largest events as of the usual ones.
+//!
+//! A complete answer has no task any more while its last events wait for a slow
+//! caller. If the process exits meanwhile, the queue logs that they are cut.
 
 use std::{
     io,
     pin::Pin,
-    sync::Arc,
+    sync::{
+        Arc, OnceLock,
+        atomic::{AtomicBool, Ordering},
+    },
     task::{Context, Poll},
+    time::Duration,
 };
 
+use borageline_lib::log_event::LogEvent;
 use bytes::Bytes;
 use http_body::{Body, Frame};
 use tokio::sync::{Semaphore, mpsc};
 
+use crate::log_decision;
+
 /// Most bytes in one queue; a larger piece is queued alone. Usual events have
 /// some 70 bytes.
 const QUEUE_BYTES_MAX: u32 = 64 << 10;
@@ -25,15 +35,31 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct QueueClosed;
 
-/// Creates a queue of at most `pieces_max` pieces.
-pub(super) fn event_queue(pieces_max: usize) -> (EventSender, EventBody) {
+/// Age of the planned stop when the process exits; empty before.
+pub(super) type ExitAge = Arc<OnceLock<Duration>>;
+
+/// Creates a queue of at most `pieces_max` pieces for the answer to a request.
+pub(super) fn event_queue(
+    pieces_max: usize,
+    request: &str,
+    exit_age: &ExitAge,
+) -> (EventSender, EventBody) {
     let (pieces, receiver) = mpsc::channel(pieces_max);
     let room = Arc::new(Semaphore::new(QUEUE_BYTES_MAX as usize));
+    let is_complete = Arc::new(AtomicBool::new(false));
     let body = EventBody {
         pieces: receiver,
         room: room.clone(),
+        request: request.into(),
+        exit_age: exit_age.clone(),
+        is_complete: is_complete.clone(),
     };
-    (EventSender { pieces, room }, body)
+    let sender = EventSender {
+        pieces,
+        room,
+        is_complete,
+    };
+    (sender, body)
 }
 
 /// Sending half of a queue.
@@ -41,6 +67,7 @@
 pub(super) struct EventSender {
     pieces: mpsc::Sender<QueuedPiece>,
     room: Arc<Semaphore>,
+    is_complete: Arc<AtomicBool>,
 }
 
 impl EventSender {
@@ -60,6 +87,11 @@
         Ok(())
     }
 
+    /// Marks the answer as complete, with the pieces that were added.
+    pub(super) fn set_complete(&self) {
+        self.is_complete.store(true, Ordering::Relaxed);
+    }
+
     /// Waits until the connection that reads the queue has ended.
     pub(super) async fn closed(&self) {
         self.pieces.closed().await;
@@ -71,11 +103,42 @@
 pub(super) struct EventBody {
     pieces: mpsc::Receiver<QueuedPiece>,
     room: Arc<Semaphore>,
+    request: Arc<str>,
+    exit_age: ExitAge,
+    is_complete: Arc<AtomicBool>,
+}
+
+impl EventBody {
+    /// Logs the bytes that the exit of the process cuts off a complete answer.
+    /// Another one was logged by the task that filled the queue.
+    fn log_cut(&mut self, exit_age: Duration) {
+        if !self.is_complete.load(Ordering::Relaxed) {
+            return;
+        }
+        let mut undelivered = 0;
+        while let Ok((piece, _)) = self.pieces.try_recv() {
+            undelivered += piece.map_or(0, |bytes| bytes.len());
+        }
+        if undelivered > 0 {
+            log_decision!(
+                LogEvent::AnswerCut,
+                {
+                    request = self.request,
+                    stop_cut_ms = exit_age.as_millis(),
+                    undelivered_bytes = undelivered,
+                },
+                "the answer is complete, and its caller has not read it",
+            );
+        }
+    }
 }
 
 impl Drop for EventBody {
     fn drop(&mut self) {
         self.room.close();
+        if let Some(exit_age) = self.exit_age.get().copied() {
+            self.log_cut(exit_age);
+        }
     }
 }
 
--- a/cli/src/gateway/stream.rs
+++ b/cli/src/gateway/stream.rs
@@ -269,7 +269,8 @@
     attempt.timings.first_event = Some(time);
     attempt.last_event_at = Some(attempt.context.now());
     attempt.context.metrics.record_latency("events", time);
-    let (sender, body) = event_queue(EVENT_QUEUE_MAX);
+    let exit_age = &attempt.context.exit_age;
+    let (sender, body) = event_queue(EVENT_QUEUE_MAX, attempt.id(), exit_age);
     let response = response_head(&attempt, &reply.head, body);
     reply.path.record_first_event();
     let forwarder = StreamForwarder {
--- a/cli/src/gateway/stream/forwarder.rs
+++ b/cli/src/gateway/stream/forwarder.rs
@@ -172,6 +172,7 @@
     }
 
     fn finish(&mut self, reply: &UpstreamReply<W>) {
+        self.sender.set_complete();
         let context = self.attempt.context.clone();
         if let (false, Some(begun_at)) = (self.is_sound, self.answer_begun_at) {
             self.attempt.record_sound_prompt(begun_at);
