gateway: read duties and scaling from settings and desired state

The platform asks for calls that one instance at a time makes for the fleet. Settings name the service that takes them, and a service may state bounds on the number of its engines. Adds the messages of these calls and of logs without keys. Nothing uses them yet.

--- a/lib/benches/quarantine.rs
+++ b/lib/benches/quarantine.rs
@@ -110,6 +110,7 @@
             cold_requests_per_s: 26.0,
             engine: Some(engine),
             status_path: "/status".parse().ok(),
+            scaling: None,
         })
         .with_route(route)
         .with_workspace(workspace, [Arc::from("key-a")])
--- a/lib/src/gateway/gateway_settings.rs
+++ b/lib/src/gateway/gateway_settings.rs
@@ -7,12 +7,13 @@
     fmt::{Display, Formatter},
     net::{IpAddr, SocketAddr},
     path::Path,
+    sync::Arc,
     time::Duration,
 };
 
 use serde::Deserialize;
 
-use super::retry_budget::RetryLimit;
+use super::{duty::DutyName, retry_budget::RetryLimit};
 use crate::{
     ids::{DomainId, InstanceId},
     settings::SettingsError,
@@ -119,6 +120,55 @@
     }
 }
 
+/// Singleton duties: calls to the platform that one instance at a time makes for
+/// the whole fleet.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+pub struct DutySettings {
+    /// Address of the service that takes the calls.
+    pub address: SocketAddr,
+    /// Duties of the fleet. A name that is not known is ignored.
+    pub names: Vec<Arc<str>>,
+    /// Calls per second that the service accepts from all instances together;
+    /// `None` if it states no limit.
+    #[serde(default)]
+    pub calls_per_s: Option<f64>,
+    /// Whether the service refuses calls with an outdated fencing token.
+    #[serde(default)]
+    pub fenced: Option<bool>,
+    /// Duration of a lease, in milliseconds.
+    #[serde(default)]
+    pub lease_ms: Option<u64>,
+    /// Time after the end of a freeze within which calls are excused, in
+    /// milliseconds.
+    #[serde(default)]
+    pub thaw_ms: Option<u64>,
+    /// Length of a usage window, in seconds.
+    #[serde(default)]
+    pub window_s: Option<u64>,
+    /// Largest relative error of a usage count.
+    #[serde(default)]
+    pub tolerance: Option<f64>,
+    /// Time after the end of a usage window within which its report is due, in
+    /// seconds.
+    #[serde(default)]
+    pub late_s: Option<f64>,
+}
+
+/// Duration of a lease if the settings state none.
+const LEASE_DEFAULT_MS: u64 = 3_000;
+
+impl DutySettings {
+    /// Whether the fleet has a duty.
+    pub fn includes(&self, duty: DutyName) -> bool {
+        self.names.iter().any(|name| **name == *duty.as_str())
+    }
+
+    /// Duration of a lease.
+    pub fn lease(&self) -> Duration {
+        Duration::from_millis(self.lease_ms.unwrap_or(LEASE_DEFAULT_MS))
+    }
+}
+
 /// Settings of one gateway instance.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 pub struct GatewaySettings {
@@ -138,6 +188,9 @@
     pub seeds: Vec<SocketAddr>,
     /// Address of the platform's store.
     pub store: SocketAddr,
+    /// Singleton duties of the fleet; `None` if it has none.
+    #[serde(default)]
+    pub duties: Option<DutySettings>,
     /// Memory that the process may use, in MiB.
     pub memory_mb: u64,
     /// File descriptors that the process may have open.
--- a/lib/src/gateway/routing_config.rs
+++ b/lib/src/gateway/routing_config.rs
@@ -124,6 +124,20 @@
     /// Path at which the upstreams tell their status; `None` if it is not
     /// known.
     pub status_path: Option<StatusPath>,
+    /// Bounds on the number of engines that may be ordered; `None` if the
+    /// number cannot be changed.
+    pub scaling: Option<ScalingBounds>,
+}
+
+/// Bounds on the number of engines of a service in one failure domain.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ScalingBounds {
+    /// Fewest engines.
+    pub min: u32,
+    /// Most engines.
+    pub max: u32,
+    /// Time from an order until a new engine serves.
+    pub boot: Duration,
 }
 
 /// Path at which the upstreams of a service tell whether they serve.
--- a/lib/src/gateway/wire.rs
+++ b/lib/src/gateway/wire.rs
@@ -5,6 +5,7 @@
 //! no decisions.
 
 use std::{
+    collections::BTreeMap,
     fmt::{Display, Formatter},
     net::SocketAddr,
     str::FromStr,
@@ -19,6 +20,7 @@
 };
 
 use super::{
+    duty::DutyCaller,
     member_table::Heartbeat,
     placement::PromptSize,
     request_limit::RequestLimit,
@@ -28,7 +30,7 @@
 };
 use crate::{
     id_type,
-    ids::{DomainId, UpstreamId},
+    ids::{DomainId, ServiceName, UpstreamId},
     refusal::Refusal,
     units::{LogOffset, TokenCount},
     value_type,
@@ -211,6 +213,42 @@
     Gap,
 }
 
+/// Topics of the store that are read as a sequence of records, without keys.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum LogTopic {
+    /// Claims and renewals of the lease of the singleton duties.
+    Duties,
+    /// Usage reports that were fixed before they were sent.
+    Usage,
+}
+
+/// Records of a [`LogTopic`] from an offset on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum LogTail {
+    /// Records that follow the offset without a gap.
+    Records {
+        /// Records in the order of their offsets.
+        records: Vec<Bytes>,
+        /// Offset after the last of the records.
+        next: LogOffset,
+    },
+    /// The records at the offset are not retained, or the log ends before it.
+    Gap {
+        /// Offset of the first record that is retained, if it is known.
+        first: Option<LogOffset>,
+    },
+}
+
+/// Result of a conditional append to a [`LogTopic`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AppendResult {
+    /// The record was appended; holds the offset after it.
+    Appended(LogOffset),
+    /// The log does not end at the expected offset; holds its end, if it is
+    /// stated.
+    Conflict(Option<LogOffset>),
+}
+
 /// Record of a part of prompts that crashes engines.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct QuarantineRecord {
@@ -402,6 +440,60 @@
     fn read_instance(&self, record: &KeyedRecord) -> Option<std::net::IpAddr>;
 }
 
+/// Topics of the store without keys, and calls of singleton duties.
+pub trait DutyWire {
+    /// Creates a request for the records from an offset on; the store waits up
+    /// to `wait` for a first one.
+    fn log_tail(
+        &self,
+        topic: LogTopic,
+        from: LogOffset,
+        wait: Duration,
+    ) -> Request<Bytes>;
+
+    /// Parses the response to [`Self::log_tail`].
+    fn read_log_tail(
+        &self,
+        from: LogOffset,
+        status: http::StatusCode,
+        body: &[u8],
+    ) -> Result<LogTail, WireError>;
+
+    /// Creates a request that appends a record if the log ends at an offset.
+    fn append_at(
+        &self,
+        topic: LogTopic,
+        at: LogOffset,
+        record: &[u8],
+    ) -> Request<Bytes>;
+
+    /// Parses the response to [`Self::append_at`].
+    fn read_append(
+        &self,
+        status: http::StatusCode,
+        body: &[u8],
+    ) -> Result<AppendResult, WireError>;
+
+    /// Creates the report of the requests of each workspace that began to run
+    /// in a window.
+    fn usage_report(
+        &self,
+        caller: &DutyCaller,
+        window: u64,
+        counts: &BTreeMap<WorkspaceName, u64>,
+    ) -> Request<Bytes>;
+
+    /// Creates the order for the number of engines of a service in a failure
+    /// domain.
+    fn scale_order(
+        &self,
+        caller: &DutyCaller,
+        service: &ServiceName,
+        domain: &DomainId,
+        count: u32,
+    ) -> Request<Bytes>;
+}
+
 /// Queries for the addresses that callers should use, and readiness checks.
 pub trait DirectoryWire {
     /// Whether a request asks for the addresses to use.
@@ -424,6 +516,7 @@
     CallerWire
     + UpstreamWire
     + StoreWire
+    + DutyWire
     + DirectoryWire
     + Clone
     + std::fmt::Debug
--- a/lib/tests/gateway/fixtures.rs
+++ b/lib/tests/gateway/fixtures.rs
@@ -114,6 +114,7 @@
             cold_requests_per_s: 26.0,
             engine: Some(engine()),
             status_path: "/status".parse().ok(),
+            scaling: None,
         })
         .with_route(route(RetrySafety::Idempotent, 2))
         .with_workspace(workspace, [Arc::from("key-a")])
--- a/lib/tests/gateway/test_engine_limits.rs
+++ b/lib/tests/gateway/test_engine_limits.rs
@@ -97,6 +97,7 @@
         cold_requests_per_s: 0.0,
         engine: Some(engine),
         status_path: None,
+        scaling: None,
     }));
     let names = (0..count).map(|index| entry(&format!("i-{index}")));
     core.replace_upstreams(at(0), names.collect());
