gateway: decide on the number of engines of a service

Services of the desired state may have bounds on their engines, and nothing decides how many of them should run. Engines cost by the second, need a boot time until they serve, and an order brings a domain to the lower bound at least, which no later order takes back.

The decision has no I/O: it gets the engine time that callers ask for, the engines by domain and the share of instances with recent reports once a second. It orders after an overload that has lasted longer than a flood, removes one engine at a time after low demand, and keeps the number without data. 22 tests with virtual time pass, one of them a property test on random sequences of demands.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -22,6 +22,7 @@
 pub mod dispatch_rate;
 pub mod duty;
 pub mod engine_limits;
+pub mod engine_scaling;
 pub mod failure_history;
 pub mod gateway_core;
 pub mod gateway_settings;
--- a/lib/tests/gateway/main.rs
+++ b/lib/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod test_config;
 mod test_crash_confirmation;
 mod test_engine_limits;
+mod test_engine_scaling;
 mod test_failure_probes;
 mod test_faulty_reports;
 mod test_heartbeat_relay;
--- /dev/null
+++ b/lib/tests/gateway/test_engine_scaling.rs
@@ -0,0 +1,517 @@
+//! Orders for the number of engines, against a stand-in of the platform that
+//! starts and stops engines in virtual time.
+
+use std::collections::BTreeMap;
+
+use borageline_lib::{
+    gateway::{
+        engine_scaling::{
+            EngineCounts, EngineDemand, EngineScaling, ReportCounts,
+            ScaleOrder, ScaleReason, ScalingDecision, ScalingObservation,
+            ScalingState,
+        },
+        routing_config::ScalingBounds,
+    },
+    ids::DomainId,
+    units::Timestamp,
+};
+use proptest::prelude::*;
+
+use crate::fixtures::{at, id, ms};
+
+const DOMAINS: [&str; 3] = ["domain-a", "domain-b", "domain-c"];
+/// Time until an ordered engine serves, in milliseconds.
+const BOOT_MS: u64 = 8_000;
+/// Time between two decisions, in milliseconds.
+const TICK_MS: u64 = 1_000;
+/// Instances in each domain.
+const INSTANCES: usize = 10;
+
+/// A platform that carries out orders within their bounds.
+struct StandIn {
+    scaling: EngineScaling,
+    bounds: ScalingBounds,
+    now_ms: u64,
+    /// Engines that take requests, by domain.
+    serving: BTreeMap<DomainId, u32>,
+    /// Engines that will serve, with the time from which they do.
+    starting: Vec<(u64, DomainId, u32)>,
+    closed: Vec<DomainId>,
+    reports: BTreeMap<DomainId, ReportCounts>,
+    /// Cold engines among the serving ones of each domain.
+    cold: u32,
+    is_list_current: bool,
+    is_demand_known: bool,
+    /// Engines that hold requests in flight.
+    occupied: u32,
+    /// Orders with the time at which they were placed.
+    orders: Vec<(Timestamp, ScaleOrder)>,
+    last: ScalingDecision,
+}
+
+impl StandIn {
+    /// Platform with `count` engines in each domain.
+    fn new(count: u32, min: u32, max: u32) -> Self {
+        let domains = DOMAINS.map(id::<DomainId>);
+        let all = ReportCounts {
+            known: INSTANCES,
+            recent: INSTANCES,
+        };
+        Self {
+            scaling: EngineScaling::default(),
+            bounds: ScalingBounds {
+                min,
+                max,
+                boot: ms(BOOT_MS),
+            },
+            now_ms: 0,
+            serving: domains.iter().map(|it| (it.clone(), count)).collect(),
+            starting: Vec::new(),
+            closed: Vec::new(),
+            reports: domains.iter().map(|it| (it.clone(), all)).collect(),
+            cold: 0,
+            is_list_current: true,
+            is_demand_known: true,
+            occupied: 0,
+            orders: Vec::new(),
+            last: ScalingDecision::default(),
+        }
+    }
+
+    fn observation(&self, demand: f64) -> ScalingObservation {
+        let counts = self.serving.iter().map(|(domain, serving)| {
+            let cold = self.cold.min(*serving);
+            let counts = EngineCounts {
+                listed: *serving,
+                ready: serving - cold,
+                cold,
+                leaving: 0,
+            };
+            (domain.clone(), counts)
+        });
+        let demand = EngineDemand {
+            prefill: demand / 2.0,
+            decode: demand / 2.0,
+            occupied: self.occupied,
+        };
+        ScalingObservation {
+            bounds: self.bounds,
+            demand: self.is_demand_known.then_some(demand),
+            engines: counts.filter(|it| it.1.listed > 0).collect(),
+            closed: self.closed.iter().cloned().collect(),
+            reports: self.reports.clone(),
+            is_list_current: self.is_list_current,
+        }
+    }
+
+    /// Passes one second in which the callers keep `demand` engines busy.
+    fn tick(&mut self, demand: f64) {
+        self.now_ms += TICK_MS;
+        let now_ms = self.now_ms;
+        for (_, domain, count) in
+            self.starting.extract_if(.., |it| it.0 <= now_ms)
+        {
+            *self.serving.entry(domain).or_default() += count;
+        }
+        let now = at(self.now_ms);
+        let observed = self.observation(demand);
+        let service = id("models");
+        self.last = self.scaling.decide(now, &service, &observed);
+        for order in self.last.orders.clone() {
+            self.carry_out(&order);
+            self.orders.push((now, order));
+        }
+    }
+
+    fn carry_out(&mut self, order: &ScaleOrder) {
+        let count = order.count.clamp(self.bounds.min, self.bounds.max);
+        let serving = self.serving.entry(order.domain.clone()).or_default();
+        let starting = self.starting.iter().filter(|it| it.1 == order.domain);
+        let present = *serving + starting.map(|it| it.2).sum::<u32>();
+        if count > present {
+            let from = self.now_ms + BOOT_MS;
+            let domain = order.domain.clone();
+            self.starting.push((from, domain, count - present));
+        } else {
+            *serving = count.min(*serving);
+        }
+    }
+
+    /// Passes some seconds at one demand.
+    fn run(&mut self, seconds: u64, demand: f64) {
+        for _ in 0..seconds {
+            self.tick(demand);
+        }
+    }
+
+    /// Passes a flood of 9.5 s of `peak`, as averages over `window` seconds show
+    /// it, and then `after` seconds of `demand`.
+    fn flood(&mut self, demand: f64, peak: f64, window: u64, after: u64) {
+        for second in 1..=after + 10 {
+            let end = second as f64;
+            let start = end - window as f64;
+            let overlap = (end.min(9.5) - start.max(0.0)).max(0.0);
+            let share = overlap / window as f64;
+            self.tick(demand + (peak - demand) * share);
+        }
+    }
+
+    fn total(&self) -> u32 {
+        self.serving.values().sum()
+    }
+
+    fn lose_domain(&mut self) {
+        self.serving.remove(&id::<DomainId>("domain-c"));
+        let reports = self.reports.get_mut(&id::<DomainId>("domain-c"));
+        reports.expect("all domains have instances").recent = 0;
+    }
+}
+
+/// Load pattern: steady. Guards against orders without a need.
+#[test]
+fn test_engine_scaling_steady_keeps_number() {
+    let mut platform = StandIn::new(20, 10, 40);
+    platform.run(600, 48.0);
+    assert_eq!(platform.orders, []);
+    assert_eq!(platform.last.state, ScalingState::Steady);
+}
+
+/// Load pattern: waves of one minute that the engines carry. Guards against
+/// engines that are removed in each trough and missing at each peak.
+#[test]
+fn test_engine_scaling_wave_keeps_number() {
+    let mut platform = StandIn::new(20, 10, 40);
+    for second in 0..600 {
+        let phase = f64::from(second) * std::f64::consts::TAU / 60.0;
+        platform.tick(40.0 + 12.0 * phase.sin());
+    }
+    assert_eq!(platform.orders, []);
+}
+
+/// Load pattern: floods of 9.5 s at 2.8 times the demand, of short prompts
+/// (averaged over 1 s) and of long ones (4 s), at any load before. Guards
+/// against engines that serve when the flood is over.
+#[test]
+fn test_engine_scaling_flood_orders_nothing() {
+    for percent in (20..=89).step_by(3) {
+        for window in [1, 4] {
+            let mut platform = StandIn::new(20, 20, 80);
+            let demand = 60.0 * f64::from(percent) / 100.0;
+            platform.run(60, demand);
+            platform.flood(demand, 2.8 * demand, window, 60);
+            assert_eq!(platform.orders, [], "{percent} %, {window} s");
+        }
+    }
+}
+
+/// Load pattern: a flood of short prompts followed at once by one of long
+/// prompts, with fewer engines than `min`. Guards against an order for a flood
+/// that brings all domains to `min` for good.
+#[test]
+fn test_engine_scaling_double_flood_below_min_orders_nothing() {
+    let mut platform = StandIn::new(18, 26, 80);
+    platform.run(60, 40.0);
+    platform.run(20, 112.0);
+    platform.run(120, 40.0);
+    assert_eq!(platform.orders, []);
+}
+
+/// Load pattern: a flood after a quiet time in which engines were removed.
+/// Guards against engines that are ordered for the flood, and against a removal
+/// during it.
+#[test]
+fn test_engine_scaling_flood_after_quiet_orders_nothing() {
+    let mut platform = StandIn::new(20, 10, 40);
+    platform.run(600, 12.0);
+    assert_eq!(platform.total(), 30);
+    let before = platform.orders.len();
+    platform.flood(12.0, 33.6, 4, 60);
+    assert_eq!(platform.orders.len(), before);
+}
+
+/// Load pattern: low demand that lasts. Guards against a removal before it has
+/// lasted for four boot times, and against several engines in one step.
+#[test]
+fn test_engine_scaling_low_demand_removes_one_by_one() {
+    let mut platform = StandIn::new(20, 10, 40);
+    platform.run(60, 48.0);
+    platform.run(33, 20.0);
+    assert_eq!(platform.orders, []);
+    platform.run(200, 20.0);
+    let mut removed = 0;
+    for (_, order) in &platform.orders {
+        assert_eq!(order.reason, ScaleReason::LowDemand);
+        assert_eq!(order.count + 1, order.serving);
+        removed += 1;
+    }
+    // 20 busy engines are two thirds of 30.
+    assert_eq!((removed, platform.total()), (29, 31));
+}
+
+/// Load pattern: growth that lasts. Guards against callers that find too few
+/// engines for good, and against more engines than they need.
+#[test]
+fn test_engine_scaling_growth_orders_engines() {
+    let mut platform = StandIn::new(20, 10, 40);
+    for second in 0..300 {
+        platform.tick(45.0 + f64::from(second) * 0.1);
+    }
+    assert!(platform.orders.iter().all(|(_, order)| {
+        order.reason == ScaleReason::Overload && order.count > order.serving
+    }));
+    platform.run(60, 75.0);
+    let total = f64::from(platform.total());
+    assert!(75.0 < 0.9 * total, "{total} engines");
+    assert!(75.0 > 2.0 / 3.0 * total, "{total} engines");
+}
+
+/// Load pattern: a jump that lasts. Guards against an order later than 24 s
+/// after the jump, 32 s with the start of the engines.
+#[test]
+fn test_engine_scaling_jump_orders_in_time() {
+    let mut platform = StandIn::new(20, 10, 40);
+    platform.run(60, 45.0);
+    platform.run(24, 66.0);
+    assert_eq!(platform.orders.len(), 3);
+    let wanted: u32 = platform.orders.iter().map(|it| it.1.count).sum();
+    assert_eq!(wanted, 88);
+}
+
+/// Load pattern: lasting growth with fewer engines than `min`. Guards against
+/// orders in all domains, each of which the platform would bring to `min`.
+#[test]
+fn test_engine_scaling_growth_below_min_starts_one_domain() {
+    let mut platform = StandIn::new(18, 26, 40);
+    platform.run(60, 40.0);
+    platform.run(30, 51.0);
+    assert_eq!(platform.orders, []);
+    platform.run(30, 51.0);
+    // 51 busy engines ask for 68. The six of the 32 that are above `min` can be
+    // removed again.
+    let counts: Vec<_> = platform.orders.iter().map(|it| it.1.count).collect();
+    assert_eq!(counts, [32]);
+    assert_eq!(platform.total(), 68);
+}
+
+/// Load pattern: low demand with fewer engines than `min`. Guards against an
+/// order that would bring all domains to `min`.
+#[test]
+fn test_engine_scaling_low_below_min_orders_nothing() {
+    let mut platform = StandIn::new(18, 26, 40);
+    platform.run(900, 4.0);
+    assert_eq!(platform.orders, []);
+    assert_eq!(platform.last.state, ScalingState::LowDemand);
+}
+
+/// Failure: the machines of a domain are lost, instances and engines. Guards
+/// against its lost instances being taken for missing data, and against orders
+/// in the lost domain.
+#[test]
+fn test_engine_scaling_lost_domain_is_replaced() {
+    let mut platform = StandIn::new(20, 10, 40);
+    platform.run(60, 42.0);
+    platform.lose_domain();
+    platform.run(60, 42.0);
+    let orders = &platform.orders;
+    assert!(orders.iter().all(|(_, order)| {
+        order.domain != id("domain-c")
+            && order.reason == ScaleReason::DomainLost
+    }));
+    // 42 busy engines ask for 56.
+    assert_eq!(platform.total(), 56);
+}
+
+/// Failure: a domain is closed. Guards against orders in it and against a count
+/// of its engines as capacity.
+#[test]
+fn test_engine_scaling_closed_domain_gets_no_order() {
+    let mut platform = StandIn::new(20, 10, 40);
+    platform.run(60, 42.0);
+    platform.closed.push(id("domain-a"));
+    platform.run(60, 42.0);
+    let orders = &platform.orders;
+    assert!(orders.iter().all(|it| it.1.domain != id("domain-a")));
+    assert_eq!(platform.total(), 20 + 56);
+}
+
+/// Failure: engines have restarted cold. Guards against the removal of engines
+/// while those that should carry the load are cold, and against orders in place
+/// of engines that are about to be warm.
+#[test]
+fn test_engine_scaling_cold_engines_change_nothing() {
+    let mut platform = StandIn::new(20, 10, 40);
+    platform.cold = 8;
+    platform.run(120, 23.5);
+    assert_eq!(platform.orders, []);
+    platform.run(120, 50.0);
+    assert_eq!(platform.orders, []);
+}
+
+/// Failure: reports or the list are missing. Guards against orders that follow
+/// from what is not known, and against a decision on demand before the gap.
+#[test]
+fn test_engine_scaling_no_data_keeps_number() {
+    type Change = fn(&mut StandIn, bool);
+    let gaps: [Change; 3] = [
+        |platform, is_missing| platform.is_list_current = !is_missing,
+        |platform, is_missing| platform.is_demand_known = !is_missing,
+        |platform, is_missing| {
+            for reports in platform.reports.values_mut() {
+                reports.recent = INSTANCES - usize::from(is_missing) * 3;
+            }
+        },
+    ];
+    for set_missing in gaps {
+        for demand in [4.0, 66.0] {
+            let mut platform = StandIn::new(20, 10, 40);
+            platform.run(18, demand);
+            set_missing(&mut platform, true);
+            platform.run(120, demand);
+            assert_eq!(platform.last.state, ScalingState::NoData);
+            set_missing(&mut platform, false);
+            platform.run(18, demand);
+            assert_eq!(platform.orders, [], "demand of {demand}");
+            platform.run(60, demand);
+            assert_ne!(platform.orders, [], "demand of {demand}");
+        }
+    }
+}
+
+/// Failure: a quarter of the instances or fewer are silent. Guards against a
+/// decision that waits for every instance.
+#[test]
+fn test_engine_scaling_few_silent_instances_do_not_matter() {
+    let mut platform = StandIn::new(20, 10, 40);
+    let reports = platform.reports.get_mut(&id::<DomainId>("domain-b"));
+    reports.expect("all domains have instances").recent = 3;
+    platform.run(60, 66.0);
+    assert_ne!(platform.orders, []);
+}
+
+/// Failure: the holder changes while engines start. Guards against a new holder
+/// that repeats an order or takes engines away that have just started.
+#[test]
+fn test_engine_scaling_new_holder_repeats_nothing() {
+    let mut platform = StandIn::new(20, 10, 40);
+    platform.run(60, 45.0);
+    platform.run(24, 66.0);
+    let placed = platform.orders.len();
+    assert_ne!(placed, 0);
+    platform.scaling = EngineScaling::default();
+    platform.run(300, 66.0);
+    assert_eq!(platform.orders.len(), placed);
+}
+
+/// Failure: the platform carries out no order. Guards against an order in every
+/// second, and against a holder that never repeats one.
+#[test]
+fn test_engine_scaling_lost_order_is_repeated_slowly() {
+    let mut platform = StandIn::new(20, 10, 40);
+    for _ in 0..120 {
+        platform.tick(66.0);
+        platform.starting.clear();
+    }
+    let per_domain = platform.orders.len() / DOMAINS.len();
+    assert!((3..=100_000 / BOOT_MS as usize).contains(&per_domain));
+}
+
+/// Failure: the platform refuses an order. Guards against a holder that counts
+/// on its engines, and against one that repeats the order at once.
+#[test]
+fn test_engine_scaling_refused_order_keeps_distance() {
+    let mut platform = StandIn::new(20, 10, 40);
+    for _ in 0..120 {
+        platform.tick(66.0);
+        platform.starting.clear();
+        for order in platform.last.orders.clone() {
+            platform.scaling.record_refusal(&order);
+        }
+        if platform.last.orders.is_empty() {
+            let mut domains = platform.last.domains.values();
+            assert!(domains.all(|it| it.wanted == it.present));
+        }
+    }
+    let mut times = BTreeMap::new();
+    for (time, order) in &platform.orders {
+        let last = times.insert(order.domain.clone(), *time);
+        assert!(last.is_none_or(|last| time.since(last) >= ms(BOOT_MS)));
+    }
+}
+
+/// Load pattern: few long prompts whose memory needs all engines. Guards
+/// against a removal that takes memory from requests in flight.
+#[test]
+fn test_engine_scaling_occupied_engines_stay() {
+    let mut platform = StandIn::new(20, 10, 40);
+    platform.occupied = 58;
+    platform.run(600, 10.0);
+    assert_eq!(platform.total(), 58);
+}
+
+/// Load pattern: no demand at all and no lower bound. Guards against a domain
+/// without engines, which could get none back.
+#[test]
+fn test_engine_scaling_keeps_one_engine_in_a_domain() {
+    let mut platform = StandIn::new(3, 0, 40);
+    platform.run(900, 0.0);
+    assert_eq!(platform.serving.values().copied().min(), Some(1));
+}
+
+/// Guards against a report out of all proportion that orders every engine.
+#[test]
+fn test_engine_scaling_absurd_demand_is_bounded() {
+    for demand in [1e18, f64::MAX, f64::NAN, f64::INFINITY] {
+        let mut platform = StandIn::new(20, 10, u32::MAX);
+        platform.run(24, demand);
+        let wanted: u32 = platform.orders.iter().map(|it| it.1.count).sum();
+        assert!(wanted <= 120, "{wanted} engines for {demand}");
+    }
+}
+
+fn phases() -> impl Strategy<Value = Vec<(u64, f64)>> {
+    prop::collection::vec((1_u64..60, 0.0..110.0), 1..40)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        failure_persistence: None,
+        rng_seed: prop::test_runner::RngSeed::Fixed(11),
+        ..ProptestConfig::default()
+    })]
+
+    /// Load pattern: any sequence of demands. Guards against orders in quick
+    /// succession and against engines that are ordered and removed in turn.
+    #[test]
+    fn test_engine_scaling_never_flaps(
+        phases in phases(),
+        count in 5_u32..40,
+        min in 0_u32..30,
+    ) {
+        let mut platform = StandIn::new(count, min, 40);
+        for (seconds, demand) in phases {
+            platform.run(seconds, demand);
+        }
+        let mut last = BTreeMap::new();
+        let mut last_growth: Option<Timestamp> = None;
+        let mut last_removal: Option<Timestamp> = None;
+        for (time, order) in &platform.orders {
+            prop_assert!(order.count <= 40);
+            let before = last.insert(order.domain.clone(), *time);
+            prop_assert!(
+                before.is_none_or(|it| time.since(it) >= ms(BOOT_MS)),
+            );
+            if order.reason == ScaleReason::LowDemand {
+                prop_assert!(order.count >= min.max(1));
+                prop_assert_eq!(order.count + 1, order.serving);
+                prop_assert!(last_growth
+                    .is_none_or(|it| time.since(it) >= ms(4 * BOOT_MS)));
+                last_removal = Some(*time);
+            } else {
+                prop_assert!(order.count > order.serving);
+                prop_assert!(last_removal
+                    .is_none_or(|it| time.since(it) >= ms(20_000)));
+                last_growth = Some(*time);
+            }
+        }
+    }
+}
