gateway: add the interface of the lease of the duties

The duties that other components make need the types of the lease, the channels that tell who holds it, and the signature of the calls.

--- a/cli/src/gateway.rs
+++ b/cli/src/gateway.rs
@@ -10,6 +10,7 @@
 mod crash_confirmation;
 mod delegate;
 mod delegation;
+mod duties;
 mod endpoints;
 mod event_queue;
 mod forward;
@@ -62,9 +63,9 @@
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use self::{
-    crash_confirmation::CrashSuspicions, event_queue::ExitAge,
-    memory_shares::GatewayMemory, metrics::GatewayMetrics,
-    prompt_quarantine::QuarantineTasks,
+    crash_confirmation::CrashSuspicions, duties::DutyState,
+    event_queue::ExitAge, memory_shares::GatewayMemory,
+    metrics::GatewayMetrics, prompt_quarantine::QuarantineTasks,
 };
 use crate::{
     connection_probe::CONNECT_TIMEOUT, http_client::HttpClient,
@@ -110,6 +111,8 @@
     /// wait while a quarantine may begin.
     quarantine: QuarantineTasks,
     suspicions: CrashSuspicions,
+    /// Lease of the singleton duties.
+    duties: DutyState,
     started: Instant,
     /// Notifies requests that are open that a planned stop has begun.
     stop_begun: watch::Sender<bool>,
@@ -159,6 +162,7 @@
             store_eras: watch::Sender::new(None),
             quarantine: QuarantineTasks::default(),
             suspicions: CrashSuspicions::default(),
+            duties: DutyState::default(),
             started: Instant::now(),
             stop_begun: watch::Sender::new(false),
             exit_age: ExitAge::default(),
--- a/lib/src/gateway/gateway_core.rs
+++ b/lib/src/gateway/gateway_core.rs
@@ -32,6 +32,7 @@
 use super::{
     answer_durations::{AnswerDurations, AnswerForecast},
     dispatch_rate::DispatchLimiter,
+    duty_lease::lease_candidates,
     gateway_settings::GatewaySettings,
     load_table::{InFlightId, LoadTable},
     member_table::MemberTable,
@@ -620,4 +621,10 @@
         addresses.extend(self.members.serving(now, domain));
         addresses
     }
+
+    /// Addresses of the instances that may claim the lease of the singleton
+    /// duties, in the order in which they should.
+    pub fn lease_candidates(&self, now: Timestamp) -> Vec<IpAddr> {
+        lease_candidates(&self.serving_addresses(now))
+    }
 }
