gateway: observe what the number of engines depends on

The decision needs the demand of all callers, the engines of each domain and the share of instances that report. All of it is in the heartbeats and the list already, so that their formats stay as they are: prefill from the reported arrivals, decoding from the requests in flight, memory from their KV cache.

Reports do not tell for which service prompts arrive, so the demand is unknown where several services have engines, and their numbers are kept.

--- a/lib/src/gateway/gateway_core.rs
+++ b/lib/src/gateway/gateway_core.rs
@@ -5,6 +5,7 @@
 //! points, so that each decision sees a consistent state. The tables in the
 //! sibling modules own the details; this module combines them.
 
+mod engine_scaling;
 mod heartbeats;
 mod links;
 mod placing;
--- a/lib/src/gateway/member_table.rs
+++ b/lib/src/gateway/member_table.rs
@@ -17,6 +17,7 @@
 };
 
 use super::{
+    engine_scaling::ReportCounts,
     heartbeat_relay::{HeartbeatPeer, HeartbeatTargets, HeartbeatTrailer},
     load_table::{PrefillDemand, UpstreamLoad},
 };
@@ -315,6 +316,25 @@
         }
     }
 
+    /// Members by failure domain, without those that have left as planned.
+    pub fn report_counts(
+        &self,
+        now: Timestamp,
+    ) -> BTreeMap<DomainId, ReportCounts> {
+        let mut counts = BTreeMap::<_, ReportCounts>::new();
+        for member in self.members.values() {
+            let is_recent =
+                now.since(member.last_heartbeat_at) <= HEARTBEAT_TIMEOUT;
+            if !is_recent && !member.serving {
+                continue;
+            }
+            let reports = counts.entry(member.domain.clone()).or_default();
+            reports.known += 1;
+            reports.recent += usize::from(is_recent);
+        }
+        counts
+    }
+
     /// Number of instances among which limits are shared: this one and the
     /// members with recent heartbeats.
     pub fn instance_count(&self, now: Timestamp) -> usize {
--- a/lib/src/gateway/upstream_table.rs
+++ b/lib/src/gateway/upstream_table.rs
@@ -24,6 +24,7 @@
 //! whose address a newer one has started is not used; its entry stays in the
 //! list for some seconds.
 
+mod counts;
 mod failures;
 mod links;
 mod returns;
