--- a/lib/src/gateway/engine_scaling.rs
+++ b/lib/src/gateway/engine_scaling.rs
@@ -36,6 +36,9 @@
 const ORDER_BOOTS: u32 = 2;
 /// Samples of the demand kept for each boot time.
 const SAMPLES_PER_BOOT: u32 = 16;
+/// Shortest time without a decision after which it begins anew. Decisions are
+/// made once a second; a busy instance delays some.
+const GAP_MIN: Duration = Duration::from_secs(3);
 /// One in this many members may be without a recent report.
 const UNREPORTED_PART: usize = 4;
 
@@ -292,11 +295,16 @@
                 && observed.is_list_current
                 && self.has_reports(observed, &present)
         });
-        let Some(demand) = demand else {
-            // Demand before the gap says nothing of that after it.
+        let last = self.samples.back().map(|sample| sample.at);
+        let gap_max = GAP_MIN.max(boot / 2);
+        let is_gap = last.is_some_and(|last| now.since(last) > gap_max);
+        if is_gap || demand.is_none() {
+            // Demand before a gap says nothing of that in it.
             self.samples.clear();
             self.overload_since = None;
             self.low_since = None;
+        }
+        let Some(demand) = demand else {
             return self.decision(now, observed, Vec::new());
         };
         self.seen_domains.extend(present);
@@ -478,10 +486,9 @@
         bounds: ScalingBounds,
         open: &BTreeMap<DomainId, OpenDomain>,
     ) -> Vec<(DomainId, u32)> {
-        // Engines that are not warm yet may be needed to replace others.
-        let is_changing =
-            |it: &OpenDomain| it.engines.cold > 0 || it.is_starting();
-        if open.values().any(is_changing) {
+        // Engines that are not warm yet show neither what they carry nor
+        // whether they remain.
+        if open.values().any(|it| it.engines.cold > 0) {
             return Vec::new();
         }
         // A domain without engines could get none back: a service is ordered
@@ -548,11 +555,6 @@
     fn warm(&self) -> u32 {
         self.engines.ready.min(self.expected)
     }
-
-    /// Whether engines that were ordered are still starting.
-    fn is_starting(&self) -> bool {
-        self.expected > self.engines.serving()
-    }
 }
 
 /// Time for which demand has to exceed the capacity before engines are ordered.
--- a/lib/src/log_event.rs
+++ b/lib/src/log_event.rs
@@ -161,4 +161,10 @@
     PartReleased = 642, "part_released", Info;
     /// An upstream broke off a request and has not been shown to have crashed.
     CrashUnconfirmed = 643, "crash_unconfirmed", Info;
+    /// Another number of engines was ordered.
+    EnginesOrdered = 660, "engines_ordered", Info;
+    /// An order for a number of engines was refused or got no response.
+    EnginesNotOrdered = 661, "engines_not_ordered", Warn;
+    /// The demand for a service compares differently with its engines.
+    ScalingStateChanged = 662, "scaling_state_changed", Info;
 }
--- a/lib/tests/gateway/test_engine_scaling.rs
+++ b/lib/tests/gateway/test_engine_scaling.rs
@@ -10,14 +10,18 @@
             ScaleOrder, ScaleReason, ScalingDecision, ScalingObservation,
             ScalingState,
         },
-        routing_config::ScalingBounds,
+        gateway_core::GatewayCore,
+        load_table::{PrefillDemand, UpstreamLoad},
+        routing_config::{RoutingConfig, ScalingBounds},
+        store_era::StoreEra,
+        upstream_table::UpstreamState,
     },
     ids::DomainId,
     units::Timestamp,
 };
 use proptest::prelude::*;
 
-use crate::fixtures::{at, id, ms};
+use crate::fixtures::{at, config, core, entry, heartbeat, id, ms};
 
 const DOMAINS: [&str; 3] = ["domain-a", "domain-b", "domain-c"];
 /// Time until an ordered engine serves, in milliseconds.
@@ -341,9 +345,13 @@
 fn test_engine_scaling_cold_engines_change_nothing() {
     let mut platform = StandIn::new(20, 10, 40);
     platform.cold = 8;
-    platform.run(120, 23.5);
-    assert_eq!(platform.orders, []);
-    platform.run(120, 50.0);
+    for demand in [10.0, 50.0, 30.0] {
+        platform.run(120, demand);
+        assert_eq!(platform.orders, [], "demand of {demand}");
+    }
+    // The 36 warm engines had no spare one.
+    platform.cold = 0;
+    platform.run(20, 30.0);
     assert_eq!(platform.orders, []);
 }
 
@@ -377,6 +385,19 @@
     }
 }
 
+/// Failure: the holder makes no decision for some time. Guards against demand
+/// before and after the gap that is taken for demand in it.
+#[test]
+fn test_engine_scaling_gap_begins_anew() {
+    for demand in [4.0, 66.0] {
+        let mut platform = StandIn::new(20, 10, 40);
+        platform.run(10, demand);
+        platform.now_ms += 60_000;
+        platform.run(10, demand);
+        assert_eq!(platform.orders, [], "demand of {demand}");
+    }
+}
+
 /// Failure: a quarter of the instances or fewer are silent. Guards against a
 /// decision that waits for every instance.
 #[test]
@@ -515,3 +536,136 @@
         }
     }
 }
+
+/// Desired state whose service may be scaled.
+fn scaled_config(version: u64) -> RoutingConfig {
+    let bounds = ScalingBounds {
+        min: 2,
+        max: 8,
+        boot: ms(BOOT_MS),
+    };
+    let config = config(version);
+    let service = config.find_service(&id("models"));
+    let mut service = (**service.expect("it is configured")).clone();
+    service.scaling = Some(bounds);
+    config.with_service(service)
+}
+
+fn observed_models(
+    core: &GatewayCore,
+    now: Timestamp,
+) -> Option<ScalingObservation> {
+    let observed = core.scaling_observations(now).into_iter();
+    let mut models = observed.filter(|(service, _)| *service == id("models"));
+    models.next().map(|(_, observed)| observed)
+}
+
+/// Guards against a demand that leaves out the callers of other instances, and
+/// against requests that wait at an engine being counted as decoding.
+#[test]
+fn test_engine_scaling_observes_all_instances() {
+    let mut core = core(4);
+    assert_eq!(core.scaling_observations(at(0)), []);
+    core.apply_config(scaled_config(2));
+    let mut report = heartbeat("entry-3", [127, 0, 0, 3]);
+    report.demand = PrefillDemand {
+        deferred_ms: 0,
+        long_ms: 8_000,
+        short_ms: 500,
+    };
+    let load = UpstreamLoad {
+        short: 40,
+        long: 2,
+        long_in_prefill: 2,
+        prefill_left_ms: 900,
+        kv_tokens: 630_000,
+    };
+    let other = UpstreamLoad { short: 8, ..load };
+    report.loads = [(id("i-0"), load), (id("i-1"), other)].into();
+    core.receive_heartbeat(at(0), report, None);
+    let observed = observed_models(&core, at(500));
+    let observed = observed.expect("the service may be scaled");
+    let demand = observed.demand.expect("one service has engines");
+    assert_eq!(demand.prefill, 2.5);
+    // 16 of the 40 on the first engine, and 8 on the other, of 16 each.
+    assert_eq!(demand.decode, 1.5);
+    // 52 requests fill four engines' slots, 1,260,000 tokens four's memory.
+    assert_eq!(demand.occupied, 4);
+    let reports = observed.reports[&id("domain-a")];
+    assert_eq!((reports.known, reports.recent), (2, 2));
+    let late = observed_models(&core, at(5_000)).expect("it still may");
+    let reports = late.reports[&id("domain-a")];
+    assert_eq!((reports.known, reports.recent), (2, 1));
+}
+
+/// Guards against a planned stop that is taken for missing data.
+#[test]
+fn test_engine_scaling_left_instances_are_not_missed() {
+    let mut core = core(4);
+    core.apply_config(scaled_config(2));
+    let mut report = heartbeat("entry-3", [127, 0, 0, 3]);
+    report.serving = false;
+    core.receive_heartbeat(at(0), report, None);
+    let observed = observed_models(&core, at(5_000)).expect("it is scaled");
+    let reports = observed.reports[&id("domain-a")];
+    assert_eq!((reports.known, reports.recent), (1, 1));
+}
+
+/// Guards against engines that leave, are cold or have another state being
+/// counted as capacity.
+#[test]
+fn test_engine_scaling_counts_engines_by_state() {
+    let mut core = core(4);
+    core.apply_config(scaled_config(2));
+    let mut entries: Vec<_> =
+        (0..6).map(|index| entry(&format!("i-{index}"))).collect();
+    entries[1].state = UpstreamState::Draining;
+    entries[2].cold_for = ms(5_000);
+    entries[3].domain = id("domain-b");
+    core.replace_upstreams(at(0), entries.clone());
+    core.mark_leaving(at(0), entries[4].process());
+    let observed = observed_models(&core, at(1_000)).expect("it is scaled");
+    assert!(observed.is_list_current);
+    let counts = EngineCounts {
+        listed: 5,
+        ready: 2,
+        cold: 1,
+        leaving: 2,
+    };
+    assert_eq!(observed.engines[&id("domain-a")], counts);
+    assert_eq!(observed.engines[&id("domain-b")].ready, 1);
+}
+
+/// Failure: the store was away or was restored. Guards against a decision on a
+/// list from which engines are missing.
+#[test]
+fn test_engine_scaling_outdated_list_is_told() {
+    let mut core = core(4);
+    core.apply_config(scaled_config(2));
+    let is_current = |core: &GatewayCore, now| {
+        observed_models(core, now).is_some_and(|it| it.is_list_current)
+    };
+    assert!(is_current(&core, at(10_000)));
+    core.store_recovered(at(10_000));
+    assert!(!is_current(&core, at(10_100)));
+    assert!(is_current(&core, at(20_000)));
+    core.observe_era(at(20_000), Some(StoreEra::new(0)));
+    core.observe_era(at(20_000), Some(StoreEra::new(1)));
+    assert!(!is_current(&core, at(20_100)));
+    assert!(is_current(&core, at(40_000)));
+}
+
+/// Guards against the prompts of one service being taken for demand of another:
+/// the reports do not tell them apart.
+#[test]
+fn test_engine_scaling_demand_of_several_services_is_unknown() {
+    let mut core = core(4);
+    let config = scaled_config(2);
+    let service = config.find_service(&id("models"));
+    let mut service = (**service.expect("it is configured")).clone();
+    service.name = id("others");
+    service.scaling = None;
+    core.apply_config(config.with_service(service));
+    let observed = observed_models(&core, at(500)).expect("it is scaled");
+    assert_eq!(observed.demand, None);
+}
