--- a/cli/src/gateway.rs
+++ b/cli/src/gateway.rs
@@ -10,7 +10,9 @@
 mod crash_confirmation;
 mod delegate;
 mod delegation;
+mod duties;
 mod endpoints;
+mod engine_orders;
 mod event_queue;
 mod forward;
 mod heartbeats;
@@ -28,6 +30,7 @@
 mod reply_body;
 mod reservations;
 mod retry_loan;
+mod scaling_metrics;
 mod status_checks;
 mod store_client;
 mod stream;
@@ -62,9 +65,9 @@
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use self::{
-    crash_confirmation::CrashSuspicions, event_queue::ExitAge,
-    memory_shares::GatewayMemory, metrics::GatewayMetrics,
-    prompt_quarantine::QuarantineTasks,
+    crash_confirmation::CrashSuspicions, duties::DutyState,
+    event_queue::ExitAge, memory_shares::GatewayMemory,
+    metrics::GatewayMetrics, prompt_quarantine::QuarantineTasks,
 };
 use crate::{
     connection_probe::CONNECT_TIMEOUT, http_client::HttpClient,
@@ -110,6 +113,8 @@
     /// wait while a quarantine may begin.
     quarantine: QuarantineTasks,
     suspicions: CrashSuspicions,
+    /// Lease of the singleton duties.
+    duties: DutyState,
     started: Instant,
     /// Notifies requests that are open that a planned stop has begun.
     stop_begun: watch::Sender<bool>,
@@ -159,6 +164,7 @@
             store_eras: watch::Sender::new(None),
             quarantine: QuarantineTasks::default(),
             suspicions: CrashSuspicions::default(),
+            duties: DutyState::default(),
             started: Instant::now(),
             stop_begun: watch::Sender::new(false),
             exit_age: ExitAge::default(),
@@ -241,6 +247,7 @@
     topic_reader::start(&context);
     registration::start(&context);
     prompt_quarantine::start(&context);
+    engine_orders::start(&context);
     reload::start(&context, path)?;
     terminate.recv().await;
     let planned = planned_stop::begin(&context);
