engine_scaling: bring each failure domain to the operators' minimum

A service may be listed with fewer engines than the minimum of its scaling (18 of 26 in a domain). The decision took the minimum as a bound on orders only, and left the domains below it until an overload had lasted for 32 s. Each order leads to the minimum anyway, so it is ordered at once if the list is current, also without reports. Growth above it goes to the domain with the fewest engines.

--- a/lib/src/gateway/engine_scaling.rs
+++ b/lib/src/gateway/engine_scaling.rs
@@ -4,7 +4,8 @@
 //! cost by the second and need time to start, so the decision is slow on
 //! purpose: a flood that is over before a new engine serves is left to the
 //! engines that are there. The number is kept whenever the demand or the list of
-//! engines is not known well enough.
+//! engines is not known well enough. A failure domain with fewer engines than the
+//! operators' minimum is brought to it at once.
 //!
 //! The listed engines are the truth. Orders of this process only bridge the time
 //! until their effect is listed, and a new holder starts without any: it decides
@@ -29,8 +30,7 @@
 /// Share of the engines' time for which engines are ordered. It is between the
 /// two bounds, so that no order leads to the next one.
 const TARGET_SHARE: f64 = 0.75;
-/// Boot times for which demand has to be low before an engine is removed, and
-/// high before an order that cannot be taken back.
+/// Boot times for which demand has to be low before an engine is removed.
 const LASTING_BOOTS: u32 = 4;
 /// Boot times after which an order counts as lost if its engines are not listed.
 const ORDER_BOOTS: u32 = 2;
@@ -111,6 +111,8 @@
 /// Why the number of engines is changed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum ScaleReason {
+    /// The domain has fewer engines than the operators' minimum.
+    BelowMin,
     /// Demand has exceeded the capacity of the engines for long enough.
     Overload,
     /// The same, while the service has no engines, or may not use them, in a
@@ -124,6 +126,7 @@
     /// The reason as a string slice.
     pub const fn as_str(self) -> &'static str {
         match self {
+            Self::BelowMin => "below_min",
             Self::Overload => "overload",
             Self::DomainLost => "domain_lost",
             Self::LowDemand => "low_demand",
@@ -302,14 +305,20 @@
             self.overload_since = None;
             self.low_since = None;
         }
+        let open = self.open_domains(now, observed);
+        let raised = match observed.is_list_current {
+            true => Self::raise_to_min(observed.bounds, &open),
+            false => Vec::new(),
+        };
         let Some(demand) = demand else {
-            return self.decision(now, observed, Vec::new());
+            let reason = ScaleReason::BelowMin;
+            let orders = self.place(now, service, &open, raised, reason);
+            return self.decision(now, observed, orders);
         };
         self.seen_domains.extend(present);
         self.add_sample(now, boot, demand.engines());
         // Half a boot time evens out single long prompts.
         let smoothed = self.mean_demand(now, boot / 2);
-        let open = self.open_domains(now, observed);
         let serving = sum(open.values().map(|it| it.engines.serving()));
         let is_overloaded = smoothed > OVERLOAD_SHARE * f64::from(serving);
         restart_clock(&mut self.overload_since, now, is_overloaded);
@@ -319,34 +328,43 @@
         let suffices = smoothed < LOW_SHARE * f64::from(smaller)
             && demand.occupied <= smaller;
         restart_clock(&mut self.low_since, now, suffices);
-        let orders = match (self.overload_since, self.low_since) {
+        let (reason, counts) = match (self.overload_since, self.low_since) {
+            _ if !raised.is_empty() => (ScaleReason::BelowMin, raised),
             (Some(since), _) => {
                 let mean = self.mean_demand(now, boot);
                 let lasted = now.since(since);
-                self.grow(lasted, mean, observed.bounds, &open)
+                let reason = match self.seen_domains.len() > open.len() {
+                    true => ScaleReason::DomainLost,
+                    false => ScaleReason::Overload,
+                };
+                (reason, Self::grow(lasted, mean, observed.bounds, &open))
             }
             (None, Some(since)) if now.since(since) >= boot * LASTING_BOOTS => {
-                Self::shrink(observed.bounds, &open)
+                (ScaleReason::LowDemand, Self::shrink(observed.bounds, &open))
             }
-            _ => Vec::new(),
+            _ => (ScaleReason::LowDemand, Vec::new()),
         };
-        let reason = match self.overload_since {
-            None => ScaleReason::LowDemand,
-            Some(_) if self.seen_domains.len() > open.len() => {
-                ScaleReason::DomainLost
-            }
-            Some(_) => ScaleReason::Overload,
-        };
-        let orders: Vec<_> = orders
-            .into_iter()
-            .map(|(domain, count)| ScaleOrder {
-                service: service.clone(),
-                count,
-                serving: open[&domain].engines.serving(),
-                domain,
-                reason,
-            })
-            .collect();
+        let orders = self.place(now, service, &open, counts, reason);
+        self.decision(now, observed, orders)
+    }
+
+    /// Creates the orders for these numbers and counts them as placed.
+    fn place(
+        &mut self,
+        now: Timestamp,
+        service: &ServiceName,
+        open: &BTreeMap<DomainId, OpenDomain>,
+        counts: Vec<(DomainId, u32)>,
+        reason: ScaleReason,
+    ) -> Vec<ScaleOrder> {
+        let orders = counts.into_iter().map(|(domain, count)| ScaleOrder {
+            service: service.clone(),
+            count,
+            serving: open[&domain].engines.serving(),
+            domain,
+            reason,
+        });
+        let orders: Vec<_> = orders.collect();
         for order in &orders {
             let placed = PlacedOrder {
                 at: now,
@@ -356,7 +374,7 @@
             };
             self.orders.insert(order.domain.clone(), placed);
         }
-        self.decision(now, observed, orders)
+        orders
     }
 
     /// Whether enough instances report their demand. Instances in a domain that
@@ -432,9 +450,21 @@
         .collect()
     }
 
+    /// Numbers to order where a domain has fewer engines than the minimum, which
+    /// holds at any demand.
+    fn raise_to_min(
+        bounds: ScalingBounds,
+        open: &BTreeMap<DomainId, OpenDomain>,
+    ) -> Vec<(DomainId, u32)> {
+        let least = bounds.min.min(bounds.max);
+        let below = open
+            .iter()
+            .filter(|(_, open)| !open.is_resting && open.expected < least);
+        below.map(|(domain, _)| (domain.clone(), least)).collect()
+    }
+
     /// Numbers to order after demand has exceeded the capacity for some time.
     fn grow(
-        &self,
         lasted: Duration,
         demand: f64,
         bounds: ScalingBounds,
@@ -450,25 +480,19 @@
         let wanted = (demand / TARGET_SHARE).ceil() as u32;
         let wanted = wanted.min(serving.saturating_mul(2));
         let mut missing = wanted.saturating_sub(expected);
-        let is_lasting = lasted >= bounds.boot * LASTING_BOOTS;
-        // An order brings a domain to `min` at least, and no later one takes
-        // that back.
-        let is_allowed =
-            |open: &OpenDomain| open.expected >= bounds.min || is_lasting;
         let mut counts: BTreeMap<_, _> = open
             .iter()
-            .filter(|(_, open)| !open.is_resting && is_allowed(open))
+            .filter(|(_, open)| !open.is_resting)
             .map(|(domain, open)| (domain, open.expected))
             .collect();
         while missing > 0 {
             let growing = counts.iter_mut().filter(|it| *it.1 < bounds.max);
-            let next = growing.min_by_key(|it| (*it.1 < bounds.min, *it.1));
+            let next = growing.min_by_key(|it| *it.1);
             let Some((_, count)) = next else {
                 break;
             };
-            let raised = (*count + 1).max(bounds.min.min(bounds.max));
-            missing = missing.saturating_sub(raised - *count);
-            *count = raised;
+            missing -= 1;
+            *count += 1;
         }
         let changed = counts
             .into_iter()
