--- a/cli/src/commands.rs
+++ b/cli/src/commands.rs
@@ -71,13 +71,15 @@
 }
 
 impl CliCommand {
-    /// Runs the command. Only a gateway uses `wire`, which encodes and decodes
-    /// its messages.
+    /// Runs the command. `wire` encodes and decodes the messages of a
+    /// gateway, and decodes the desired state that is checked.
     pub fn run<W: GatewayWire>(&self, wire: W) -> ExitCode {
         match self {
             Self::Serve(options) => serve::run(options),
             Self::Gateway(options) => gateway::run(options, wire),
-            Self::CheckConfig(options) => check_config::run(options).into(),
+            Self::CheckConfig(options) => {
+                check_config::run(options, &wire).into()
+            }
             Self::Config(options) => config::run(options).into(),
             Self::Query(options) => query::run(options).into(),
             Self::Order(options) => order::run(options).into(),
--- a/cli/src/output.rs
+++ b/cli/src/output.rs
@@ -194,6 +194,36 @@
     }
 }
 
+/// Escapes characters that a terminal may not show as they are, such as control
+/// characters and those that change the direction of text.
+pub(crate) fn escape_text(text: &str) -> String {
+    let mut escaped = String::with_capacity(text.len());
+    for char in text.chars() {
+        match char {
+            // The quotes of names in messages stay as they are.
+            '"' | '\'' | '\\' => escaped.push(char),
+            _ => escaped.extend(char.escape_debug()),
+        }
+    }
+    escaped
+}
+
+/// Renders JSON in printable ASCII only.
+pub(crate) fn ascii_json(value: &Value) -> String {
+    let text = format!("{value:#}");
+    let mut ascii = String::with_capacity(text.len());
+    for char in text.chars() {
+        if char == '\n' || char.is_ascii() && !char.is_ascii_control() {
+            ascii.push(char);
+            continue;
+        }
+        for unit in char.encode_utf16(&mut [0; 2]) {
+            ascii += &format!("\\u{unit:04x}");
+        }
+    }
+    ascii
+}
+
 /// Replaces control characters by spaces, since they could change the state of
 /// the terminal.
 fn printable(text: &str) -> String {
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -14,6 +14,7 @@
 
 pub mod answer_durations;
 pub mod attempt;
+pub mod config_check;
 pub mod cost_model;
 pub mod crash_confirmation;
 pub mod crash_evidence;
--- a/lib/src/gateway/routing_config.rs
+++ b/lib/src/gateway/routing_config.rs
@@ -248,6 +248,21 @@
     pub reason: Arc<str>,
 }
 
+/// A part of a desired state that no request can use, since another part takes
+/// its place or it has no keys.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReplacedPart {
+    /// Kind of the part.
+    pub kind: &'static str,
+    /// Name of the part.
+    pub name: Arc<str>,
+    /// What takes its place.
+    pub reason: Arc<str>,
+}
+
+/// Most parts without use that are kept, for operators.
+const REPLACED_MAX: usize = 100;
+
 /// Configuration of one workspace.
 #[derive(Clone, Debug, PartialEq)]
 pub struct WorkspaceSpec {
@@ -300,6 +315,7 @@
     /// Whether there may be routes that were not read.
     has_unread_routes: bool,
     faults: Vec<ConfigFault>,
+    replaced: Vec<ReplacedPart>,
 }
 
 /// Result of the authentication of a request.
@@ -344,14 +360,39 @@
             }
         }
         let prefixes = self.routes.entry(route.host.clone()).or_default();
-        prefixes.insert(route.prefix.clone(), Arc::new(route));
+        let former = prefixes.insert(route.prefix.clone(), Arc::new(route));
+        if let Some(former) = former {
+            let (host, prefix) = (&former.host, &former.prefix);
+            let reason = format!("a later route has {host}{prefix}, too");
+            self.add_replaced("route", &former.name, &reason);
+        }
         self
     }
 
+    /// Records a part that no request can use.
+    fn add_replaced(&mut self, kind: &'static str, name: &str, reason: &str) {
+        let is_known = |part: &ReplacedPart| {
+            part.kind == kind && *part.name == *name && *part.reason == *reason
+        };
+        if self.replaced.len() < REPLACED_MAX
+            && !self.replaced.iter().any(is_known)
+        {
+            self.replaced.push(ReplacedPart {
+                kind,
+                name: name.into(),
+                reason: reason.into(),
+            });
+        }
+    }
+
     /// Adds a service; it replaces an earlier one with the same name.
     pub fn with_service(mut self, service: ServiceSpec) -> Self {
-        self.services
-            .insert(service.name.clone(), Arc::new(service));
+        let name = service.name.clone();
+        let former = self.services.insert(name.clone(), Arc::new(service));
+        if former.is_some() {
+            let reason = "a later service has the name, too";
+            self.add_replaced("service", name.as_str(), reason);
+        }
         self
     }
 
@@ -419,6 +460,32 @@
         &self.faults
     }
 
+    /// Some of the parts that no request can use.
+    pub fn replaced_parts(&self) -> &[ReplacedPart] {
+        &self.replaced
+    }
+
+    /// Whether routes that are not anonymous need a key.
+    pub fn requires_keys(&self) -> bool {
+        self.requires_keys
+    }
+
+    /// All routes, in the order of their hosts and prefixes.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<RouteSpec>> {
+        self.routes.values().flat_map(BTreeMap::values)
+    }
+
+    /// All keys with their workspaces; `None` if the workspace cannot be used.
+    pub fn keys(&self) -> impl Iterator<Item = (&str, Option<&WorkspaceSpec>)> {
+        let keys = self.keys.iter();
+        keys.map(|(key, workspace)| (&**key, workspace.as_deref()))
+    }
+
+    /// Returns the workspace of a key, if it can be used.
+    pub fn find_workspace(&self, key: &str) -> Option<&WorkspaceSpec> {
+        self.keys.get(key)?.as_deref()
+    }
+
     /// Whether a path without a route may have one that was not read.
     pub fn has_unread_routes(&self) -> bool {
         self.has_unread_routes
@@ -433,8 +500,22 @@
     ) -> Self {
         let workspace = Arc::new(workspace);
         self.requires_keys = true;
+        let name = workspace.name.as_str();
+        let mut has_keys = false;
         for key in keys {
-            self.keys.insert(key, Some(workspace.clone()));
+            has_keys = true;
+            let former = self.keys.insert(key, Some(workspace.clone()));
+            let Some(former) = former.flatten() else {
+                continue;
+            };
+            if former.name != workspace.name {
+                let reason = format!("one of its keys is {name:?}'s, too");
+                let former = former.name.as_str();
+                self.add_replaced("workspace", former, &reason);
+            }
+        }
+        if !has_keys {
+            self.add_replaced("workspace", name, "it has no keys");
         }
         self
     }
--- a/lib/src/gateway/wire.rs
+++ b/lib/src/gateway/wire.rs
@@ -406,6 +406,10 @@
     fn append(&self, topic: StoreTopic, record: &KeyedRecord)
     -> Request<Bytes>;
 
+    /// Creates the record of the control topic that puts a desired state into
+    /// force.
+    fn config_record(&self, value: Bytes) -> KeyedRecord;
+
     /// Parses a record of the control topic.
     fn read_control(
         &self,
