gateway: decide who holds the lease of the duties

One instance at a time may make the calls of the duties. The holder follows from the records of the topic alone: each is appended only where its sender has read to, the holder's lease counts from before it sent its last record, and a successor's wait from after it received it. Tokens consist of the store's era and the offset of the claim; an append that the store acknowledges in another era gives no lease.

--- a/lib/src/gateway/wire.rs
+++ b/lib/src/gateway/wire.rs
@@ -459,6 +459,14 @@
         body: &[u8],
     ) -> Result<LogTail, WireError>;
 
+    /// Offset after the last record of the log, in the response to
+    /// [`Self::log_tail`]; `None` if it is not stated.
+    fn log_end(
+        &self,
+        status: http::StatusCode,
+        body: &[u8],
+    ) -> Option<LogOffset>;
+
     /// Creates a request that appends a record if the log ends at an offset.
     fn append_at(
         &self,
--- a/lib/tests/gateway/main.rs
+++ b/lib/tests/gateway/main.rs
@@ -1,9 +1,12 @@
 //! Tests of the gateway's decision logic, without network and clock.
 
 mod fixtures;
+mod lease_simulation;
 mod test_attempt;
 mod test_config;
 mod test_crash_confirmation;
+mod test_duty_lease;
+mod test_duty_lease_schedules;
 mod test_engine_limits;
 mod test_failure_probes;
 mod test_faulty_reports;
