gateway: hold the lease of the duties and make their calls

A task carries out the decisions of the lease with conditional appends and long polls of candidates. A call is sent on a connection of its own: the lease is checked before it is made and directly before each write, and a call that ends unanswered discards what the system has not sent. Calls with a new token wait for those with an earlier one; 409 gives up the lease. Without duties in the settings, nothing is started.

--- a/cli/src/gateway.rs
+++ b/cli/src/gateway.rs
@@ -10,7 +10,7 @@
 mod crash_confirmation;
 mod delegate;
 mod delegation;
-mod duties;
+pub mod duties;
 mod endpoints;
 mod event_queue;
 mod forward;
@@ -245,6 +245,7 @@
     topic_reader::start(&context);
     registration::start(&context);
     prompt_quarantine::start(&context);
+    let duties = duties::start(&context);
     reload::start(&context, path)?;
     terminate.recv().await;
     let planned = planned_stop::begin(&context);
@@ -257,6 +258,10 @@
         callers.await;
         // Others are received until the last caller is answered.
         context.delegated_requests.wait().await;
+        if let Some(duties) = duties {
+            // A panic there does not prolong the stop.
+            let _ = duties.await;
+        }
     };
     let left = planned.exits_by().since(context.now());
     let drained = tokio::time::timeout(left, requests).await.is_ok();
--- a/cli/src/gateway/metrics.rs
+++ b/cli/src/gateway/metrics.rs
@@ -4,7 +4,10 @@
 
 use borageline_lib::{
     gateway::{
-        reachability::LinkState, request_timings::AnswerLateness,
+        duty::{DutyName, FencingToken},
+        duty_lease::ClaimResult,
+        reachability::LinkState,
+        request_timings::AnswerLateness,
         routing_config::ConfigFault,
     },
     refusal::{RefusalCode, RetryReason},
@@ -76,6 +79,10 @@
     pub(super) members: IntGauge,
     link_changes: IntCounterVec,
     retry_loans: IntCounterVec,
+    lease_held: IntGauge,
+    lease_token: IntGauge,
+    lease_claims: IntCounterVec,
+    duty_calls: IntCounterVec,
 }
 
 impl GatewayMetrics {
@@ -131,6 +138,20 @@
                 "retries asked of other instances, by outcome",
                 "outcome",
             ),
+            lease_held: gauge(
+                "borageline_gateway_duty_lease_held",
+                "whether the instance holds the lease of the duties",
+            ),
+            lease_token: gauge(
+                "borageline_gateway_duty_lease_token",
+                "fencing token of the lease that the instance held last",
+            ),
+            lease_claims: counters(
+                "borageline_gateway_duty_claims_total",
+                "claims of the lease of the duties by result",
+                "result",
+            ),
+            duty_calls: duty_calls(),
         };
         metrics.register_all();
         metrics
@@ -149,6 +170,10 @@
         self.register(&self.members);
         self.register(&self.link_changes);
         self.register(&self.retry_loans);
+        self.register(&self.lease_held);
+        self.register(&self.lease_token);
+        self.register(&self.lease_claims);
+        self.register(&self.duty_calls);
         for end in RequestEnd::ALL {
             self.ends.with_label_values(&[end.as_str()]);
         }
@@ -164,6 +189,9 @@
         for outcome in ["lent", "refused"] {
             self.retry_loans.with_label_values(&[outcome]);
         }
+        for result in ClaimResult::ALL {
+            self.lease_claims.with_label_values(&[result.as_str()]);
+        }
         for outcome in ["answered", "failed"] {
             self.store_calls.with_label_values(&[outcome]);
         }
@@ -210,6 +238,28 @@
         self.store_calls.with_label_values(&[outcome]).inc();
     }
 
+    /// Sets the lease of the duties; `None` if it is not held.
+    pub(super) fn set_held_lease(&self, token: Option<FencingToken>) {
+        self.lease_held.set(token.is_some().into());
+        if let Some(token) = token {
+            let token = i64::try_from(token.get()).unwrap_or(i64::MAX);
+            self.lease_token.set(token);
+        }
+    }
+
+    pub(super) fn count_lease_claim(&self, result: ClaimResult) {
+        self.lease_claims
+            .with_label_values(&[result.as_str()])
+            .inc();
+    }
+
+    /// Counts a call of a duty by its result: `done`, or the reason why it
+    /// failed.
+    pub(super) fn count_duty_call(&self, duty: DutyName, result: &str) {
+        let labels = [duty.as_str(), result];
+        self.duty_calls.with_label_values(&labels).inc();
+    }
+
     pub(super) fn count_lateness(&self, lateness: AnswerLateness) {
         let label = [lateness.as_str()];
         self.lateness.with_label_values(&label).inc();
@@ -239,6 +289,13 @@
         .expect("name and labels are valid")
 }
 
+fn duty_calls() -> IntCounterVec {
+    let name = "borageline_gateway_duty_calls_total";
+    let help = "calls of the duties by duty and result";
+    IntCounterVec::new(Opts::new(name, help), &["duty", "result"])
+        .expect("name and labels are valid")
+}
+
 fn latency() -> HistogramVec {
     let name = "borageline_gateway_latency_seconds";
     let help = "times of requests, by form";
--- a/cli/src/lib.rs
+++ b/cli/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod core_handle;
 pub mod credentials;
 pub mod driver;
+pub mod duty_connection;
 pub mod engine_client;
 pub mod gateway;
 pub mod http_client;
--- a/lib/src/gateway/duty.rs
+++ b/lib/src/gateway/duty.rs
@@ -1,9 +1,17 @@
 //! Singleton duties: calls to the platform that one instance at a time makes for
 //! the whole fleet, and the fencing tokens that order their holders.
 
-use std::fmt::{Display, Formatter};
+use std::{
+    collections::VecDeque,
+    fmt::{Display, Formatter},
+    time::Duration,
+};
 
-use crate::{ids::InstanceId, quantity_type};
+use crate::{
+    ids::InstanceId,
+    quantity_type,
+    units::{Timestamp, bounded_time},
+};
 
 quantity_type! {
     /// Number that rises with each change of the instance that holds the duties.
@@ -46,3 +54,41 @@
     /// Fencing token of its lease.
     pub token: FencingToken,
 }
+
+/// Factor on the time of the limit, since calls may arrive closer together than
+/// they were sent.
+const LIMIT_TIME_FACTOR: f64 = 1.1;
+
+/// Limit of calls per second.
+#[derive(Clone, Debug, Default)]
+pub struct DutyCallLimit {
+    /// Times of the last calls.
+    sent: VecDeque<Timestamp>,
+}
+
+impl DutyCallLimit {
+    /// Records a call if the limit allows one. Otherwise returns the time until
+    /// it does. A limit that is not positive is none.
+    pub fn take(
+        &mut self,
+        now: Timestamp,
+        calls_per_s: Option<f64>,
+    ) -> Result<(), Duration> {
+        let Some(rate) = calls_per_s.filter(|rate| *rate > 0.0) else {
+            return Ok(());
+        };
+        let calls = rate.floor().max(1.0);
+        let time = bounded_time(calls / rate * LIMIT_TIME_FACTOR);
+        while self.sent.front().is_some_and(|at| at.after(time) <= now) {
+            self.sent.pop_front();
+        }
+        // The conversion saturates.
+        let calls = calls as usize;
+        if self.sent.len() >= calls {
+            let freed = self.sent[self.sent.len() - calls].after(time);
+            return Err(freed.since(now));
+        }
+        self.sent.push_back(now);
+        Ok(())
+    }
+}
--- a/lib/src/gateway/duty_lease.rs
+++ b/lib/src/gateway/duty_lease.rs
@@ -778,8 +778,7 @@
         let is_usable = now < until
             && record.kind != LeaseRecordKind::Release
             && !self.stopping
-            && self.refused < Some(record.token)
-            && self.era == Some(token_era(record.token));
+            && self.refused < Some(record.token);
         if !is_usable {
             return;
         }
--- a/lib/src/gateway/gateway_core.rs
+++ b/lib/src/gateway/gateway_core.rs
@@ -622,6 +622,11 @@
         addresses
     }
 
+    /// Start of this process.
+    pub fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
     /// Addresses of the instances that may claim the lease of the singleton
     /// duties, in the order in which they should.
     pub fn lease_candidates(&self, now: Timestamp) -> Vec<IpAddr> {
--- a/lib/src/log_event.rs
+++ b/lib/src/log_event.rs
@@ -161,4 +161,19 @@
     PartReleased = 642, "part_released", Info;
     /// An upstream broke off a request and has not been shown to have crashed.
     CrashUnconfirmed = 643, "crash_unconfirmed", Info;
+    /// The instance holds the lease of the singleton duties.
+    LeaseAcquired = 650, "lease_acquired", Info;
+    /// The instance no longer holds the lease of the singleton duties.
+    LeaseEnded = 651, "lease_ended", Warn;
+    /// The instance has claimed the lease of the singleton duties.
+    LeaseClaimed = 652, "lease_claimed", Info;
+    /// The records of the lease name another holder.
+    LeaseHolderChanged = 653, "lease_holder_changed", Info;
+    /// Records of the lease were lost: the store was restored, or has dropped
+    /// them.
+    LeaseRecordsLost = 654, "lease_records_lost", Warn;
+    /// A record of the lease could not be read or appended.
+    DutyStoreFailed = 655, "duty_store_failed", Warn;
+    /// A call of a singleton duty failed.
+    DutyCallFailed = 656, "duty_call_failed", Warn;
 }
--- a/lib/tests/gateway/lease_simulation/mod.rs
+++ b/lib/tests/gateway/lease_simulation/mod.rs
@@ -297,12 +297,19 @@
 
     /// Runs until some instance holds the lease, and returns it.
     pub(crate) fn run_until_held(&mut self, limit_ms: u64) -> usize {
+        self.run_until(limit_ms, |it| it.holder().is_some());
+        self.holder().expect("the lease is held")
+    }
+
+    /// Runs until a condition holds; panics after a time.
+    pub(crate) fn run_until(
+        &mut self,
+        limit_ms: u64,
+        holds: impl Fn(&Self) -> bool,
+    ) {
         let until_ms = self.now_ms + limit_ms;
-        loop {
-            if let Some(holder) = self.holder() {
-                return holder;
-            }
-            assert!(self.now_ms < until_ms, "not held in {limit_ms} ms");
+        while !holds(self) {
+            assert!(self.now_ms < until_ms, "not within {limit_ms} ms");
             self.tick();
         }
     }
--- a/lib/tests/gateway/test_duty_lease.rs
+++ b/lib/tests/gateway/test_duty_lease.rs
@@ -4,7 +4,7 @@
 
 use borageline_lib::{
     gateway::{
-        duty::FencingToken,
+        duty::{DutyCallLimit, FencingToken},
         duty_lease::{
             ClaimResult, DutyLease, LeaseChange, LeaseEnd, LeaseOwner,
             LeaseRecord, LeaseRecordKind, LeaseStep, LeaseTime, LeaseTiming,
@@ -13,7 +13,7 @@
         store_era::StoreEra,
         wire::{AppendResult, LogTail},
     },
-    units::{Incarnation, LogOffset},
+    units::{Incarnation, LogOffset, Timestamp},
 };
 use bytes::Bytes;
 use rstest::rstest;
@@ -475,9 +475,7 @@
     instance.link = StoreLink::CUT;
     simulation.run(LEASE_MS + 200);
     simulation.instances[first].link = StoreLink::GOOD;
-    while simulation.holder() != Some(second) {
-        simulation.run(10);
-    }
+    simulation.run_until(TAKEOVER_MS, |it| it.holder() == Some(second));
     simulation.run(300);
     simulation.stop(second);
     simulation.run(3 * LEASE_MS);
@@ -584,9 +582,11 @@
     let mut simulation = LeaseSimulation::new(2, 13);
     let first = simulation.run_until_held(LEASE_MS + CLAIM_MS);
     simulation.run(LEASE_MS);
+    let token = simulation.token(first);
     simulation.store.append(Bytes::from(text));
     simulation.run(2 * LEASE_MS);
     assert_eq!(simulation.holder(), Some(first));
+    assert_eq!(simulation.token(first), token);
     simulation.kill(first, u64::MAX / 2);
     simulation.run_until_held(TAKEOVER_MS);
     simulation.check_calls();
@@ -645,3 +645,41 @@
     let step = lease.next_step(at(0));
     assert!(matches!(step, LeaseStep::Wait(_)), "{step:?}");
 }
+
+/// Guards against calls beyond those that the service accepts in any second.
+#[rstest]
+#[case::several(20.0)]
+#[case::fraction(2.5)]
+#[case::seldom(0.5)]
+fn test_duty_call_limit(#[case] per_s: f64) {
+    let mut limit = DutyCallLimit::default();
+    let mut taken = Vec::new();
+    for millis in 0..20_000_u64 {
+        let now = Timestamp::new(millis * 1_000);
+        match limit.take(now, Some(per_s)) {
+            Ok(()) => taken.push(millis),
+            Err(retry_after) => {
+                let at = now.after(retry_after);
+                assert_eq!(limit.clone().take(at, Some(per_s)), Ok(()));
+            }
+        }
+    }
+    // Within any second, or the time of one call if that is longer.
+    let window_ms = (1_000.0 / per_s).max(1_000.0) as u64;
+    let calls_max = per_s.floor().max(1.0) as usize;
+    for (index, start) in taken.iter().enumerate() {
+        let within = taken[index..].iter();
+        let within = within.take_while(|at| **at < start + window_ms);
+        assert!(within.count() <= calls_max);
+    }
+    assert!(taken.len() as f64 > 20.0 * per_s * 0.7, "{}", taken.len());
+}
+
+/// Guards against calls that are withheld if the service states no limit.
+#[test]
+fn test_duty_call_limit_none() {
+    let mut limit = DutyCallLimit::default();
+    for _ in 0..1_000 {
+        assert_eq!(limit.take(Timestamp::ZERO, None), Ok(()));
+    }
+}
