--- a/lib/src/gateway/wire.rs
+++ b/lib/src/gateway/wire.rs
@@ -406,6 +406,10 @@
     fn append(&self, topic: StoreTopic, record: &KeyedRecord)
     -> Request<Bytes>;
 
+    /// Creates the record of the control topic that puts a desired state into
+    /// force.
+    fn config_record(&self, value: Bytes) -> KeyedRecord;
+
     /// Parses a record of the control topic.
     fn read_control(
         &self,
@@ -459,6 +463,14 @@
         body: &[u8],
     ) -> Result<LogTail, WireError>;
 
+    /// Offset after the last record of the log, in the response to
+    /// [`Self::log_tail`]; `None` if it is not stated.
+    fn log_end(
+        &self,
+        status: http::StatusCode,
+        body: &[u8],
+    ) -> Option<LogOffset>;
+
     /// Creates a request that appends a record if the log ends at an offset.
     fn append_at(
         &self,
