gateway: test usage windows and reports with faults

A sample of a clock that comes late no longer makes that clock seem slow: with delays of up to 400 ms the windows moved by half of it.

--- a/lib/src/gateway/fleet_clock.rs
+++ b/lib/src/gateway/fleet_clock.rs
@@ -45,6 +45,12 @@
 /// the members is in use.
 pub const SAMPLE_TIME: Duration = Duration::from_secs(20);
 
+/// Largest difference between two samples of one clock that is due to the time
+/// on the network and not to a jump.
+const DELAY_MAX: ClockOffset = 500;
+/// Part of the difference by which a delayed sample lowers the one before.
+const DELAY_DIVISOR: ClockOffset = 8;
+
 /// Difference between a time of day and this instance's steady clock, in
 /// milliseconds. Negative if the time of day was set to the first days of 1970.
 type ClockOffset = i64;
@@ -85,11 +91,18 @@
         }
     }
 
-    /// Records the time of day that a member sent. The time on the network is
-    /// neglected: it is some milliseconds, and windows take seconds.
+    /// Records the time of day that a member sent. The time on the network makes
+    /// its clock seem slow, so that one of the fastest messages counts.
     pub fn observe(&mut self, now: Timestamp, member: IpAddr, wall: WallTime) {
+        let mut offset = offset(now, wall);
+        if let Some(before) = self.members.get(&member) {
+            let delay = before.offset.saturating_sub(offset);
+            if (0..DELAY_MAX).contains(&delay) {
+                offset = before.offset - delay / DELAY_DIVISOR;
+            }
+        }
         let sample = ClockSample {
-            offset: offset(now, wall),
+            offset,
             received_at: now,
         };
         self.members.insert(member, sample);
--- a/lib/tests/gateway/main.rs
+++ b/lib/tests/gateway/main.rs
@@ -24,3 +24,7 @@
 mod test_topic_copies;
 mod test_upstream_returns;
 mod test_upstreams;
+mod test_usage_clock;
+mod test_usage_counts;
+mod test_usage_reports;
+mod usage_fleet;
