gateway: count begins and report them to the platform

Adds the tasks of the usage reports: begins are counted at the first piece of a stream and at the answer of a call, on the instance that sent the request to the upstream; counts are exchanged on the second peer port; the holder of the lease appends each report to its log and sends it. Nothing runs without the duty. A call counts in the window in which it was sent, so a window is closed only when its calls are answered. A new term keeps reports whose records a restored store has lost, and sends nothing before it has read the log.

--- a/cli/src/gateway.rs
+++ b/cli/src/gateway.rs
@@ -33,6 +33,7 @@
 mod store_client;
 mod stream;
 mod topic_reader;
+mod usage;
 mod whole_answer;
 
 use std::{
@@ -63,9 +64,13 @@
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use self::{
-    crash_confirmation::CrashSuspicions, duties::DutyState,
-    event_queue::ExitAge, memory_shares::GatewayMemory,
-    metrics::GatewayMetrics, prompt_quarantine::QuarantineTasks,
+    crash_confirmation::CrashSuspicions,
+    duties::DutyState,
+    event_queue::ExitAge,
+    memory_shares::GatewayMemory,
+    metrics::GatewayMetrics,
+    prompt_quarantine::QuarantineTasks,
+    usage::{UsageMeter, UsageSocket},
 };
 use crate::{
     connection_probe::CONNECT_TIMEOUT, http_client::HttpClient,
@@ -113,6 +118,9 @@
     suspicions: CrashSuspicions,
     /// Lease of the singleton duties.
     duties: DutyState,
+    /// Counts of the requests that upstreams begin to run.
+    usage: Arc<UsageMeter>,
+    usage_socket: UsageSocket,
     started: Instant,
     /// Notifies requests that are open that a planned stop has begun.
     stop_begun: watch::Sender<bool>,
@@ -141,6 +149,7 @@
         let account_bytes = settings.account_bytes();
         let upstream_buffer = settings.upstream_receive_buffer();
         let incarnation = Incarnation::new(unix_millis());
+        let usage = Arc::new(UsageMeter::new(&settings, incarnation));
         let core =
             GatewayCore::new(settings.clone(), incarnation, rand::random());
         Self {
@@ -163,6 +172,8 @@
             quarantine: QuarantineTasks::default(),
             suspicions: CrashSuspicions::default(),
             duties: DutyState::default(),
+            usage,
+            usage_socket: UsageSocket::default(),
             started: Instant::now(),
             stop_begun: watch::Sender::new(false),
             exit_age: ExitAge::default(),
@@ -245,6 +256,7 @@
     topic_reader::start(&context);
     registration::start(&context);
     prompt_quarantine::start(&context);
+    usage::start(&context).await?;
     reload::start(&context, path)?;
     terminate.recv().await;
     let planned = planned_stop::begin(&context);
@@ -268,6 +280,7 @@
         },
         "planned stop complete",
     );
+    usage::finish(&context).await;
     // The connections that are left end with the runtime.
     let exit_age = context.now().since(planned.begun_at());
     context.exit_age.get_or_init(|| exit_age);
--- a/cli/src/gateway/forward.rs
+++ b/cli/src/gateway/forward.rs
@@ -474,6 +474,7 @@
         };
         let request = self.upstream_request(&metadata, &started);
         let begun_at = self.context.now();
+        let call_begin = self.begin_metered_call();
         self.forecast = started.forecast;
         self.last_upstream = Some(started.entry.id.clone());
         let sent = tokio::select! {
@@ -549,9 +550,16 @@
             }
             return Err(SendError::Ended(before, outcome));
         }
+        if let Some(begin) = call_begin
+            && self.context.wire.is_authentic_answer(&head)
+        {
+            begin.record();
+        }
+        let stream_begin = self.metered_stream(&head);
+        let body = ReplyBody::new(body, self.reply_deadline());
         Ok(UpstreamReply {
             head,
-            body: ReplyBody::new(body, self.reply_deadline()),
+            body: body.with_begin(stream_begin),
             upstream,
             path: ReplyPath::Direct(in_flight),
             time_to_first_event: started.time_to_first_event,
--- a/cli/src/gateway/metrics.rs
+++ b/cli/src/gateway/metrics.rs
@@ -14,6 +14,7 @@
     Opts, Registry, TextEncoder, core::Collector,
 };
 
+use super::usage::UsageMetrics;
 use crate::metrics::{counters, gauge};
 
 /// Bucket bounds of the time to an answer or its first event, in seconds.
@@ -76,6 +77,7 @@
     pub(super) members: IntGauge,
     link_changes: IntCounterVec,
     retry_loans: IntCounterVec,
+    pub(super) usage: UsageMetrics,
 }
 
 impl GatewayMetrics {
@@ -131,6 +133,7 @@
                 "retries asked of other instances, by outcome",
                 "outcome",
             ),
+            usage: UsageMetrics::new(),
         };
         metrics.register_all();
         metrics
@@ -149,6 +152,11 @@
         self.register(&self.members);
         self.register(&self.link_changes);
         self.register(&self.retry_loans);
+        for collector in self.usage.collectors() {
+            self.registry
+                .register(collector)
+                .expect("metric names are unique");
+        }
         for end in RequestEnd::ALL {
             self.ends.with_label_values(&[end.as_str()]);
         }
--- a/cli/src/gateway/reply_body.rs
+++ b/cli/src/gateway/reply_body.rs
@@ -10,6 +10,8 @@
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
+use super::usage::StreamBegin;
+
 /// Most bytes that are read after the deadline, in addition to one piece: the
 /// largest receive buffer of a connection to an upstream.
 const LATE_BYTES_MAX: usize = 64 << 10;
@@ -21,6 +23,8 @@
     deadline: Instant,
     /// Bytes read after the deadline.
     late: usize,
+    /// Counts the answer when its first piece arrives.
+    begin: Option<StreamBegin>,
 }
 
 impl ReplyBody {
@@ -30,9 +34,16 @@
             body,
             deadline,
             late: 0,
+            begin: None,
         }
     }
 
+    /// Counts the answer when its first piece arrives.
+    pub(super) fn with_begin(mut self, begin: Option<StreamBegin>) -> Self {
+        self.begin = begin;
+        self
+    }
+
     /// Reads the next piece; `None` at the end. Waits forever once too much was
     /// read after the deadline, so the caller must watch the deadline, too.
     pub(super) async fn frame(
@@ -42,6 +53,12 @@
             return std::future::pending().await;
         }
         let frame = self.body.frame().await;
+        if let Some(Ok(frame)) = &frame
+            && frame.data_ref().is_some_and(|data| !data.is_empty())
+            && let Some(begin) = self.begin.take()
+        {
+            begin.record();
+        }
         if let Some(Ok(frame)) = &frame
             && Instant::now() >= self.deadline
         {
--- a/lib/src/gateway/gateway_core/heartbeats.rs
+++ b/lib/src/gateway/gateway_core/heartbeats.rs
@@ -61,6 +61,11 @@
 }
 
 impl GatewayCore {
+    /// Addresses of the other instances with recent heartbeats.
+    pub fn alive_members(&self, now: Timestamp) -> Vec<IpAddr> {
+        self.members.alive(now)
+    }
+
     /// Adds an address at which another instance may run.
     pub fn add_probe_address(&mut self, ip: IpAddr) {
         if ip != self.settings.ip {
--- a/lib/src/gateway/usage_report.rs
+++ b/lib/src/gateway/usage_report.rs
@@ -198,6 +198,9 @@
     send_retry_at: Timestamp,
     /// Windows whose reports were accepted, without a record that says so.
     unmarked: VecDeque<WindowNumber>,
+    /// Whether the whole log was read. Before, a report may have a record other
+    /// than the one that is known.
+    is_loaded: bool,
     /// Report that is read from the log again.
     refill: Option<(WindowNumber, LogOffset)>,
 }
@@ -214,6 +217,7 @@
             unsent: BTreeMap::new(),
             send_retry_at: now,
             unmarked: VecDeque::new(),
+            is_loaded: false,
             refill: None,
         }
     }
@@ -301,9 +305,16 @@
         reported_through: Option<WindowNumber>,
     ) {
         self.reported_through = self.reported_through.max(reported_through);
-        if self.term.as_ref().is_none_or(|term| term.token != token) {
-            self.term = Some(ReportTerm::new(now, token));
+        if self.term.as_ref().is_some_and(|term| term.token == token) {
+            return;
+        }
+        let mut term = ReportTerm::new(now, token);
+        if let Some(before) = self.term.take() {
+            term.unsent = before.unsent;
+            term.unmarked = before.unmarked;
         }
+        forget_offsets(&mut term.unsent);
+        self.term = Some(term);
     }
 
     /// Ends the reports, since this instance no longer holds the lease.
@@ -318,8 +329,8 @@
             term.log = LogView::Unknown;
             term.appending = None;
             term.refill = None;
-            // Their offsets are those of other records now.
-            term.unsent.retain(|_, report| report.counts.is_some());
+            term.is_loaded = false;
+            forget_offsets(&mut term.unsent);
         }
     }
 
@@ -361,7 +372,8 @@
                 }
             }
         }
-        if now >= term.send_retry_at
+        if term.is_loaded
+            && now >= term.send_retry_at
             && let Some((window, report)) = term.unsent.first_key_value()
         {
             match &report.counts {
@@ -489,6 +501,7 @@
         match result {
             Some(AppendResult::Appended(end)) if end == at.next() => {
                 term.log = LogView::Current(end);
+                term.is_loaded = true;
                 self.apply(at, record);
             }
             // Without the condition, other records may precede this one.
@@ -578,13 +591,16 @@
                     }
                 };
                 let start = self.apply_records(from, &records);
+                let Some(term) = &mut self.term else {
+                    return;
+                };
                 // The last record says where to begin.
-                if let (true, Some(start)) = (is_last, start)
-                    && start < from
-                    && let Some(term) = &mut self.term
-                {
-                    let end = Some(next);
-                    term.log = LogView::Reading { next: start, end };
+                match start.filter(|start| is_last && *start < from) {
+                    Some(start) => {
+                        let end = Some(next);
+                        term.log = LogView::Reading { next: start, end };
+                    }
+                    None => term.is_loaded |= is_end,
                 }
             }
         }
@@ -714,6 +730,15 @@
     ReportStep::Append { at, record: bytes }
 }
 
+/// Forgets where the records of reports are, after which those of the log count.
+/// Reports of which only the offset is known are dropped.
+fn forget_offsets(unsent: &mut BTreeMap<WindowNumber, LoggedReport>) {
+    unsent.retain(|_, report| report.counts.is_some());
+    for report in unsent.values_mut() {
+        report.offset = LogOffset::new(u64::MAX);
+    }
+}
+
 /// Drops the counts of the latest reports, which are sent last.
 fn drop_latest_counts(unsent: &mut BTreeMap<WindowNumber, LoggedReport>) {
     let with_counts = unsent.values_mut().filter(|it| it.counts.is_some());
--- a/lib/src/log_event.rs
+++ b/lib/src/log_event.rs
@@ -161,4 +161,14 @@
     PartReleased = 642, "part_released", Info;
     /// An upstream broke off a request and has not been shown to have crashed.
     CrashUnconfirmed = 643, "crash_unconfirmed", Info;
+    /// The begins of a usage window were collected.
+    UsageCollected = 670, "usage_collected", Info;
+    /// The report of a usage window was accepted.
+    UsageReported = 671, "usage_reported", Info;
+    /// The report of a usage window was not accepted and is sent again.
+    UsageNotAccepted = 672, "usage_not_accepted", Warn;
+    /// Usage windows get no report.
+    UsageWindowMissed = 673, "usage_window_missed", Error;
+    /// Usage is not counted on this instance.
+    UsageUnavailable = 674, "usage_unavailable", Error;
 }
