--- a/lib/src/gateway/usage_report.rs
+++ b/lib/src/gateway/usage_report.rs
@@ -290,6 +290,12 @@
         unsent + waiting
     }
 
+    /// Number of reports whose counts are in memory.
+    pub fn kept_reports(&self) -> usize {
+        let unsent = self.term.iter().flat_map(|term| term.unsent.values());
+        unsent.filter(|report| report.counts.is_some()).count()
+    }
+
     /// What happened since the last call.
     pub fn take_events(&mut self) -> Vec<ReportEvent> {
         std::mem::take(&mut self.events)
--- a/lib/tests/gateway/test_usage_clock.rs
+++ b/lib/tests/gateway/test_usage_clock.rs
@@ -71,3 +71,31 @@
     assert!(clock.is_alone());
     assert_eq!(clock.time(later), FleetTime::new(wall.get()));
 }
+
+/// Guards against a clock that seems slow because some of its messages were on
+/// the network for long, and against a jump that is taken for such a delay.
+#[rstest]
+#[case::delayed(400, 150)]
+#[case::jumped(2_000, 0)]
+fn test_fleet_clock_of_delayed_messages(
+    #[case] delay: u64,
+    #[case] error_max: u64,
+) {
+    let mut clock = FleetClock::new(Timestamp::ZERO, WallTime::new(TRUE_MS));
+    for second in 1..8 {
+        let now_ms = TRUE_MS + second * 1_000;
+        let late = if second % 2 == 0 { delay } else { 0 };
+        for index in 0..4 {
+            let wall = WallTime::new(now_ms - late);
+            clock.observe(seconds(second), address(index), wall);
+        }
+        clock.refresh(seconds(second), WallTime::new(now_ms));
+        let time = clock.time(seconds(second)).get();
+        let expected = if error_max == 0 {
+            now_ms - late
+        } else {
+            now_ms
+        };
+        assert!(time.abs_diff(expected) <= error_max, "{second}: {time}");
+    }
+}
--- a/lib/tests/gateway/test_usage_reports.rs
+++ b/lib/tests/gateway/test_usage_reports.rs
@@ -276,3 +276,54 @@
     println!("{per_instance:.1} datagrams/s for each instance");
     assert!(per_instance < 30.0, "{per_instance}");
 }
+
+/// Guards against a window that is counted anew because the store was restored
+/// from a copy that lacks its record, with its holder alive or lost, too.
+#[rstest]
+fn test_usage_reports_with_restored_store(
+    #[values(1, 2, 5)] lost: usize,
+    #[values(false, true)] is_holder_lost: bool,
+) {
+    let mut fleet = Fleet::new(COUNT, 27);
+    fleet.run_to(15_000);
+    // The next report is sent, and has no mark yet.
+    let records = fleet.log.len();
+    while fleet.log.len() == records {
+        fleet.run(5);
+    }
+    fleet.run(1_500);
+    let holder = fleet.holder();
+    if is_holder_lost {
+        fleet.kill(holder);
+    }
+    fleet.restore_log(lost);
+    fleet.run(40_000);
+    // Two different reports of a window stop the test in the service.
+    fleet.check_in_time();
+    let differences = fleet.differences();
+    let least = if is_holder_lost { -6 } else { 0 };
+    let is_right = |it: &i64| (least..=0).contains(it);
+    assert!(differences.values().all(is_right), "{differences:?}");
+}
+
+/// Guards against reports that are lost, or kept in memory without bound, while
+/// the service that takes them is down for many windows.
+#[test]
+fn test_usage_reports_with_service_down() {
+    let mut fleet = Fleet::new(3, 28);
+    fleet.run(16_000);
+    fleet.faults.service_down = true;
+    fleet.run(100_000);
+    let holder = fleet.holder();
+    let kept = fleet.nodes[holder].reports_with_counts();
+    assert!(kept <= 8, "{kept} reports are in memory");
+    // A later holder reads all of them, too.
+    fleet.kill(holder);
+    fleet.run(10_000);
+    fleet.faults.service_down = false;
+    fleet.run(20_000);
+    let windows: BTreeSet<_> = fleet.accepted.keys().copied().collect();
+    assert!(windows.is_superset(&fleet.due_windows()));
+    let differences = fleet.differences();
+    assert!(differences.values().all(|it| (-9..=0).contains(it)));
+}
--- a/lib/tests/gateway/usage_fleet.rs
+++ b/lib/tests/gateway/usage_fleet.rs
@@ -101,6 +101,11 @@
         WallTime::new(now_ms.saturating_add_signed(self.wall_offset_ms))
     }
 
+    /// Reports that wait in memory to be sent.
+    pub(crate) fn reports_with_counts(&self) -> usize {
+        self.reporter.kept_reports()
+    }
+
     fn is_up(&self) -> bool {
         self.alive && !self.cut
     }
@@ -235,6 +240,26 @@
         self.nodes[index] = self.new_node(index);
     }
 
+    /// Restores the log from an earlier copy of itself, which lacks its last
+    /// records. The holder, if it is up, claims the lease anew.
+    pub(crate) fn restore_log(&mut self, lost: usize) {
+        self.log.truncate(self.log.len() - lost);
+        self.late_appends.clear();
+        self.token += 1 << 32;
+        let token = FencingToken::new(self.token);
+        let now_ms = self.now_ms;
+        if let Some(holder) = self.holder
+            && self.nodes[holder].is_up()
+        {
+            let node = &mut self.nodes[holder];
+            node.pending = None;
+            node.reporter.record_restore();
+            let known = node.exchange.reported_through();
+            node.exchange.set_holding(Some(token));
+            node.reporter.begin_term(node.now(now_ms), token, known);
+        }
+    }
+
     pub(crate) fn holder(&self) -> usize {
         self.holder.expect("an instance holds the lease")
     }
