gateway: count no usage without a second peer port

Without it nothing could be sent, so nothing is counted either. Adds the test of the wait at the begin of a term: it fails without the wait.

--- a/cli/src/gateway/usage.rs
+++ b/cli/src/gateway/usage.rs
@@ -52,6 +52,13 @@
     started: Instant,
 }
 
+/// Whether the second peer port is another one than the first, which the
+/// heartbeats use.
+fn has_port(settings: &GatewaySettings) -> bool {
+    let [first, second] = settings.peer_ports;
+    first != second
+}
+
 /// Time of day of this instance.
 fn wall_time() -> WallTime {
     WallTime::new(unix_millis())
@@ -66,6 +73,7 @@
         let started = Instant::now();
         let duties = settings.duties.as_ref();
         let duties = duties.filter(|it| it.includes(DutyName::Metering));
+        let duties = duties.filter(|_| has_port(settings));
         let state = duties.map(|duties| {
             let schedule = UsageSchedule::new(duties);
             let own = UsageSender {
@@ -196,17 +204,17 @@
 pub(super) async fn start<W: GatewayWire>(
     context: &SharedGateway<W>,
 ) -> io::Result<()> {
-    if !context.usage.is_on() {
-        return Ok(());
-    }
     let settings = context.settings();
-    let [first, second] = settings.peer_ports;
-    if first == second {
+    let duties = settings.duties.as_ref();
+    let has_duty = duties.is_some_and(|it| it.includes(DutyName::Metering));
+    if has_duty && !has_port(&settings) {
         let text = "usage is not counted: there is no second peer port";
         logging::event(LogEvent::UsageUnavailable, text);
+    }
+    if !context.usage.is_on() {
         return Ok(());
     }
-    let address = SocketAddr::new(settings.ip, second);
+    let address = SocketAddr::new(settings.ip, settings.peer_ports[1]);
     let socket = Arc::new(UdpSocket::bind(address).await?);
     exchange_task::start(context, socket);
     report_task::start(context);
--- a/lib/tests/gateway/test_usage_reports.rs
+++ b/lib/tests/gateway/test_usage_reports.rs
@@ -1,11 +1,22 @@
 //! Usage reports of a fleet with faults, in virtual time.
 
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, time::Duration};
 
-use borageline_lib::gateway::usage_report::ReportEvent;
+use borageline_lib::{
+    gateway::{
+        duty::FencingToken,
+        fleet_clock::FleetTime,
+        usage_counts::{UsageTable, WindowNumber},
+        usage_report::{ReportEvent, ReportStep, UsageReporter},
+        wire::AppendResult,
+    },
+    units::{LogOffset, Timestamp},
+};
 use rstest::rstest;
 
-use crate::usage_fleet::{Faults, Fleet, WINDOW_MS};
+use crate::usage_fleet::{
+    Faults, Fleet, START_MS, TABLE_LIMIT, WINDOW_MS, address, schedule,
+};
 
 /// Instances of a fleet.
 const COUNT: usize = 10;
@@ -396,3 +407,26 @@
     println!("lost {lost} of {truth} begins with 3 of {COUNT} instances");
     assert!((1..truth * 45 / 100).contains(&lost), "{lost} of {truth}");
 }
+
+/// Guards against a report that a new holder prepares before the members know of
+/// it and have sent their counts, though the window is overdue for that.
+#[test]
+fn test_usage_report_waits_for_counts_of_new_term() {
+    let window = WindowNumber::new(START_MS / WINDOW_MS);
+    let mut table = UsageTable::new(TABLE_LIMIT);
+    table.record_heard(window, [address(1)]);
+    let mut reporter = UsageReporter::new(schedule(), window);
+    let time = FleetTime::new((window.get() + 1) * WINDOW_MS + 6_000);
+    let begin = Timestamp::ZERO.after(Duration::from_secs(9));
+    reporter.begin_term(begin, FencingToken::new(1), None);
+    let step = reporter.next_step(begin, time, &table);
+    assert!(matches!(step, ReportStep::Append { .. }));
+    let appended = AppendResult::Appended(LogOffset::new(1));
+    reporter.record_append(begin, Some(appended));
+    let soon = begin.after(Duration::from_millis(500));
+    let step = reporter.next_step(soon, time, &table);
+    assert!(matches!(step, ReportStep::Wait(_)), "{step:?}");
+    let later = begin.after(Duration::from_millis(1_000));
+    let step = reporter.next_step(later, time, &table);
+    assert!(matches!(step, ReportStep::Append { .. }), "{step:?}");
+}
