--- a/cli/src/gateway/metrics.rs
+++ b/cli/src/gateway/metrics.rs
@@ -17,7 +17,7 @@
     Opts, Registry, TextEncoder, core::Collector,
 };
 
-use super::scaling_metrics::ScalingMetrics;
+use super::{scaling_metrics::ScalingMetrics, usage::UsageMetrics};
 use crate::metrics::{counters, gauge};
 
 /// Bucket bounds of the time to an answer or its first event, in seconds.
@@ -81,6 +81,7 @@
     link_changes: IntCounterVec,
     retry_loans: IntCounterVec,
     pub(super) scaling: ScalingMetrics,
+    pub(super) usage: UsageMetrics,
     lease_held: IntGauge,
     lease_token: IntGauge,
     lease_claims: IntCounterVec,
@@ -141,6 +142,7 @@
                 "outcome",
             ),
             scaling: ScalingMetrics::new(),
+            usage: UsageMetrics::new(),
             lease_held: gauge(
                 "borageline_gateway_duty_lease_held",
                 "whether the instance holds the lease of the duties",
@@ -174,6 +176,11 @@
         self.register(&self.link_changes);
         self.register(&self.retry_loans);
         self.scaling.register(&self.registry);
+        for collector in self.usage.collectors() {
+            self.registry
+                .register(collector)
+                .expect("metric names are unique");
+        }
         self.register(&self.lease_held);
         self.register(&self.lease_token);
         self.register(&self.lease_claims);
