gateway: count calls of the duties in any second

The limit of calls counted a fraction of a call per second over less than a second, so that a second could see twice as many. It counts whole calls in any 1.1 s now, or one call in its time.

The simulation let the timeout of one call end a later one, and then sent two calls at a time; with calls of two tokens in flight, one of 100 random schedules saw the lower token last. The task prevents that, as a call with a new token waits for the earlier ones. The simulation numbers calls now.

Tested: test_duty_call_limit (3 cases, one failed before); 600 random schedules passed in 51 s.

--- a/lib/src/gateway/duty.rs
+++ b/lib/src/gateway/duty.rs
@@ -78,7 +78,7 @@
             return Ok(());
         };
         let calls = rate.floor().max(1.0);
-        let time = bounded_time(calls / rate * LIMIT_TIME_FACTOR);
+        let time = bounded_time((1.0 / rate).max(1.0) * LIMIT_TIME_FACTOR);
         while self.sent.front().is_some_and(|at| at.after(time) <= now) {
             self.sent.pop_front();
         }
--- a/lib/tests/gateway/lease_simulation/mod.rs
+++ b/lib/tests/gateway/lease_simulation/mod.rs
@@ -92,10 +92,10 @@
         response: StoreResponse,
     },
     Timeout(CallId),
-    DutyCall(ArrivedCall),
+    DutyCall(ArrivedCall, u64),
     DutyTimeout {
         instance: usize,
-        incarnation: u64,
+        sequence: u64,
     },
 }
 
@@ -132,8 +132,9 @@
     store_call: Option<u64>,
     store_calls: u64,
     next_step_at_ms: u64,
-    /// Whether a call of a duty is open.
-    duty_call: bool,
+    /// Number of the call of a duty that is open.
+    duty_call: Option<u64>,
+    duty_calls: u64,
     /// When a call was last given up.
     unanswered_at_ms: Option<u64>,
     pub(crate) changes: Vec<LeaseChange>,
@@ -185,7 +186,8 @@
                     store_call: None,
                     store_calls: 0,
                     next_step_at_ms: 0,
-                    duty_call: false,
+                    duty_call: None,
+                    duty_calls: 0,
                     unanswered_at_ms: None,
                     changes: Vec::new(),
                 })
@@ -218,7 +220,7 @@
         instance.stopping = false;
         instance.store_call = None;
         instance.next_step_at_ms = self.now_ms;
-        instance.duty_call = false;
+        instance.duty_call = None;
         instance.unanswered_at_ms = None;
         instance.frozen_until_ms = 0;
     }
@@ -346,7 +348,7 @@
         self.send_duty_call(index);
         let instance = &mut self.instances[index];
         let clock = instance.clock(now_ms);
-        if instance.stopping && !instance.duty_call {
+        if instance.stopping && instance.duty_call.is_none() {
             let lease_ms = LEASE.as_millis() as u64;
             let unanswered = instance.unanswered_at_ms;
             let answered = unanswered.is_none_or(|at| at + lease_ms <= now_ms);
@@ -468,15 +470,12 @@
                 response,
             } => self.receive(call, Some((era, response))),
             Event::Timeout(call) => self.receive(call, None),
-            Event::DutyCall(call) => self.serve_call(call),
-            Event::DutyTimeout {
-                instance,
-                incarnation,
-            } => {
+            Event::DutyCall(call, sequence) => self.serve_call(call, sequence),
+            Event::DutyTimeout { instance, sequence } => {
                 let now_ms = self.now_ms;
                 let instance = &mut self.instances[instance];
-                if instance.incarnation == incarnation && instance.duty_call {
-                    instance.duty_call = false;
+                if instance.duty_call == Some(sequence) {
+                    instance.duty_call = None;
                     instance.unanswered_at_ms = Some(now_ms);
                 }
             }
@@ -553,15 +552,16 @@
         let lease = instance.lease.as_ref().expect("the process runs");
         let timeout = lease.timing().call_timeout();
         let held = lease.held(clock);
-        let Some(held) = held.filter(|_| !instance.duty_call) else {
+        let Some(held) = held.filter(|_| instance.duty_call.is_none()) else {
             return;
         };
         if held.until.since(clock) <= timeout {
             return;
         }
-        instance.duty_call = true;
+        instance.duty_calls += 1;
+        let sequence = instance.duty_calls;
+        instance.duty_call = Some(sequence);
         let timeout_ms = timeout.as_millis() as u64;
-        let incarnation = instance.incarnation;
         let (sender, service) = (instance.ip, instance.service);
         if let Delivery::After(delay_ms) = service {
             let call = ArrivedCall {
@@ -571,16 +571,16 @@
                 late: delay_ms >= timeout_ms,
                 refused: false,
             };
-            self.schedule(delay_ms, Event::DutyCall(call));
+            self.schedule(delay_ms, Event::DutyCall(call, sequence));
         }
         let event = Event::DutyTimeout {
             instance: index,
-            incarnation,
+            sequence,
         };
         self.schedule(timeout_ms, event);
     }
 
-    fn serve_call(&mut self, mut call: ArrivedCall) {
+    fn serve_call(&mut self, mut call: ArrivedCall, sequence: u64) {
         let now_ms = self.now_ms;
         call.at_ms = now_ms;
         let newest = self.calls.iter().map(|call| call.token).max();
@@ -589,11 +589,11 @@
         let instances = &mut self.instances;
         let instance = instances.iter_mut().find(|it| it.ip == call.sender);
         let instance = instance.expect("calls come from instances");
-        if call.late || instance.lease.is_none() {
+        if instance.duty_call != Some(sequence) {
             return;
         }
-        instance.duty_call = false;
-        if call.refused {
+        instance.duty_call = None;
+        if call.refused && instance.lease.is_some() {
             let clock = instance.clock(now_ms);
             let lease = instance.lease.as_mut().expect("the process runs");
             lease.refuse_token(clock, call.token);
