--- a/lib/tests/gateway/usage_fleet.rs
+++ b/lib/tests/gateway/usage_fleet.rs
@@ -424,11 +424,10 @@
             return;
         }
         let now_ms = self.now_ms;
-        let is_cut = self.nodes[index].cut;
-        let listed = |node: &Node| {
-            let recently = now_ms < node.lost_at + SILENT_MS;
-            (node.is_up() || recently) && (!is_cut || recently)
-        };
+        let is_heard =
+            |node: &Node| node.is_up() || now_ms < node.lost_at + SILENT_MS;
+        let hears = is_heard(&self.nodes[index]);
+        let listed = |node: &Node| hears && is_heard(node);
         let others = (0..self.nodes.len()).filter(|it| *it != index);
         let alive: Vec<_> = others
             .filter(|it| listed(&self.nodes[*it]))
@@ -635,7 +634,8 @@
             _ => None,
         });
         let counts = counts.next()?.into_iter();
-        let named = counts.map(|(name, it)| (name.parse().unwrap(), it));
+        let named =
+            counts.map(|(name, it)| (name.parse().expect("a valid name"), it));
         Some(named.collect())
     }
 
