--- a/lib/tests/gateway/test_usage_exchange.rs
+++ b/lib/tests/gateway/test_usage_exchange.rs
@@ -135,3 +135,22 @@
     assert_eq!(table_memory(112), ByteSize::new(14 << 20));
     assert_eq!(table_memory(1_024), ByteSize::new(64 << 20));
 }
+
+/// Guards against the loss of the last begins of a process that ends, and against
+/// a report that waits for it to close its window.
+#[test]
+fn test_usage_counts_of_ending_process() {
+    let mut exchange = exchange();
+    let members = UsageMembers {
+        alive: &[address(1)],
+        candidates: &[address(1)],
+    };
+    exchange.next_messages(millis(10), WALL, members);
+    exchange.count(millis(20), &workspace(0));
+    let messages = exchange.last_messages(millis(30), WALL);
+    let closed = messages.iter().filter_map(|it| match &it.message {
+        UsageMessage::Counts(counts) => counts.closed_total,
+        _ => None,
+    });
+    assert_eq!(closed.collect::<Vec<_>>(), [1]);
+}
