--- a/cli/src/gateway/duties.rs
+++ b/cli/src/gateway/duties.rs
@@ -168,7 +168,7 @@
 
     /// Registers a call. Waits until those with another token have ended, which
     /// could otherwise arrive after this one.
-    async fn open_call(&self, token: FencingToken) -> OpenCall<'_> {
+    pub async fn open_call(&self, token: FencingToken) -> OpenCall<'_> {
         let mut calls = self.open_calls.subscribe();
         loop {
             let is_opened = self.open_calls.send_if_modified(|calls| {
@@ -218,7 +218,7 @@
 
 /// A registered call, which ends on drop.
 #[derive(Debug)]
-struct OpenCall<'a>(&'a DutyState);
+pub struct OpenCall<'a>(&'a DutyState);
 
 impl Drop for OpenCall<'_> {
     fn drop(&mut self) {
