gateway: serve callers while the port for counts cannot be opened

A busy second port would have kept the gateway from starting. It is tried each second now, and the counts of the last windows are kept until then.

--- a/cli/src/gateway.rs
+++ b/cli/src/gateway.rs
@@ -256,7 +256,7 @@
     topic_reader::start(&context);
     registration::start(&context);
     prompt_quarantine::start(&context);
-    usage::start(&context).await?;
+    usage::start(&context);
     let duties = duties::start(&context);
     reload::start(&context, path)?;
     terminate.recv().await;
--- a/cli/src/gateway/usage.rs
+++ b/cli/src/gateway/usage.rs
@@ -9,10 +9,9 @@
 mod usage_metrics;
 
 use std::{
-    io,
     net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use borageline_lib::{
@@ -38,6 +37,9 @@
 use super::{SharedGateway, forward::CallerAttempt, unix_millis};
 use crate::logging;
 
+/// Pause after the port for counts could not be opened.
+const BIND_RETRY_PAUSE: Duration = Duration::from_millis(1_000);
+
 /// Counts and reports of an instance.
 #[derive(Debug)]
 struct UsageState {
@@ -201,9 +203,7 @@
 }
 
 /// Starts to exchange counts and to report them, if the fleet has the duty.
-pub(super) async fn start<W: GatewayWire>(
-    context: &SharedGateway<W>,
-) -> io::Result<()> {
+pub(super) fn start<W: GatewayWire>(context: &SharedGateway<W>) {
     let settings = context.settings();
     let duties = settings.duties.as_ref();
     let has_duty = duties.is_some_and(|it| it.includes(DutyName::Metering));
@@ -211,14 +211,28 @@
         let text = "usage is not counted: there is no second peer port";
         logging::event(LogEvent::UsageUnavailable, text);
     }
-    if !context.usage.is_on() {
-        return Ok(());
+    if context.usage.is_on() {
+        tokio::spawn(run(context.clone()));
     }
+}
+
+/// Opens the port and starts the tasks. Callers are served meanwhile: the counts
+/// of some windows are kept until they can be sent.
+async fn run<W: GatewayWire>(context: SharedGateway<W>) {
+    let settings = context.settings();
     let address = SocketAddr::new(settings.ip, settings.peer_ports[1]);
-    let socket = Arc::new(UdpSocket::bind(address).await?);
-    exchange_task::start(context, socket);
-    report_task::start(context);
-    Ok(())
+    let socket = loop {
+        match UdpSocket::bind(address).await {
+            Ok(socket) => break Arc::new(socket),
+            Err(error) => {
+                let text = format!("cannot open {address}: {error}");
+                logging::event(LogEvent::UsageUnavailable, &text);
+                tokio::time::sleep(BIND_RETRY_PAUSE).await;
+            }
+        }
+    };
+    exchange_task::start(&context, socket);
+    report_task::start(&context);
 }
 
 /// Hands over all counts, since the process is about to end.
--- a/lib/src/gateway/gateway_settings.rs
+++ b/lib/src/gateway/gateway_settings.rs
@@ -180,8 +180,8 @@
     pub ip: IpAddr,
     /// Addresses to listen on.
     pub listen: GatewayListeners,
-    /// First and last port for messages between instances; only the first is
-    /// used.
+    /// First and last port for messages between instances. The last one is used
+    /// by the exchange of usage counts, and only if it differs from the first.
     pub peer_ports: [u16; 2],
     /// Machines to probe for other instances; the ports are ignored.
     #[serde(default)]
--- a/lib/src/log_event.rs
+++ b/lib/src/log_event.rs
@@ -184,6 +184,6 @@
     UsageNotAccepted = 672, "usage_not_accepted", Warn;
     /// Usage windows get no report.
     UsageWindowMissed = 673, "usage_window_missed", Error;
-    /// Usage is not counted on this instance.
+    /// Usage is not counted on this instance, or its counts cannot be sent.
     UsageUnavailable = 674, "usage_unavailable", Error;
 }
