--- a/lib/tests/gateway/lease_simulation/mod.rs
+++ b/lib/tests/gateway/lease_simulation/mod.rs
@@ -593,9 +593,8 @@
             return;
         }
         instance.duty_call = None;
-        if call.refused && instance.lease.is_some() {
-            let clock = instance.clock(now_ms);
-            let lease = instance.lease.as_mut().expect("the process runs");
+        let clock = instance.clock(now_ms);
+        if let Some(lease) = instance.lease.as_mut().filter(|_| call.refused) {
             lease.refuse_token(clock, call.token);
         }
     }
