metrics: show how evenly engines are used

Uneven use of engines could only be found by comparing the logs of all instances. Each instance now records once a second, for each service with engines and by its own view, the share of slots in use, the busiest engine over the mean, and whether an engine has a queue while another has free slots. Adds a test of the choice in a flood above the engines' capacity.

Tests: test_engine_use_shows_uneven_loads, 6 cases passed; the new test of the choice was not run before this commit.

--- a/cli/src/gateway/heartbeats.rs
+++ b/cli/src/gateway/heartbeats.rs
@@ -25,6 +25,9 @@
 /// Delay of a heartbeat that a request triggers, so that requests that arrive
 /// together share one.
 const HEARTBEAT_BATCH_DELAY: Duration = Duration::from_millis(5);
+/// Interval at which the use of the engines is recorded; the metric counts
+/// seconds.
+const ENGINE_USE_INTERVAL: Duration = Duration::from_secs(1);
 /// Pause after a failed receive.
 const RECEIVE_PAUSE: Duration = Duration::from_millis(50);
 
@@ -36,6 +39,7 @@
     let socket = Arc::new(UdpSocket::bind(address).await?);
     tokio::spawn(send_heartbeats(context.clone(), socket.clone()));
     tokio::spawn(receive_heartbeats(context.clone(), socket));
+    tokio::spawn(record_engine_use(context.clone()));
     Ok(())
 }
 
@@ -81,6 +85,17 @@
     }
 }
 
+/// Records how evenly the engines are used until the process ends.
+async fn record_engine_use<W: GatewayWire>(context: SharedGateway<W>) {
+    loop {
+        tokio::time::sleep(ENGINE_USE_INTERVAL).await;
+        let engine_use = context.core().engine_use(context.now());
+        for (service, engines) in &engine_use {
+            context.metrics.record_engine_use(service, engines);
+        }
+    }
+}
+
 async fn receive_heartbeats<W: GatewayWire>(
     context: SharedGateway<W>,
     socket: Arc<UdpSocket>,
--- a/cli/src/gateway/metrics.rs
+++ b/cli/src/gateway/metrics.rs
@@ -4,14 +4,15 @@
 
 use borageline_lib::{
     gateway::{
-        reachability::LinkState, request_timings::AnswerLateness,
-        routing_config::ConfigFault,
+        engine_choice::EngineUse, reachability::LinkState,
+        request_timings::AnswerLateness, routing_config::ConfigFault,
     },
+    ids::ServiceName,
     refusal::{RefusalCode, RetryReason},
 };
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec,
-    Opts, Registry, TextEncoder, core::Collector,
+    Encoder, GaugeVec, HistogramOpts, HistogramVec, IntCounterVec, IntGauge,
+    IntGaugeVec, Opts, Registry, TextEncoder, core::Collector,
 };
 
 use crate::metrics::{counters, gauge};
@@ -76,6 +77,9 @@
     pub(super) members: IntGauge,
     link_changes: IntCounterVec,
     retry_loans: IntCounterVec,
+    slots_in_use: GaugeVec,
+    busiest_engine: GaugeVec,
+    queue_beside_free: IntCounterVec,
 }
 
 impl GatewayMetrics {
@@ -131,6 +135,19 @@
                 "retries asked of other instances, by outcome",
                 "outcome",
             ),
+            slots_in_use: service_gauges(
+                "borageline_gateway_engine_slots_in_use_ratio",
+                "share of the engines' slots in use, as this instance sees it",
+            ),
+            busiest_engine: service_gauges(
+                "borageline_gateway_busiest_engine_ratio",
+                "requests on the busiest engine over the mean engine",
+            ),
+            queue_beside_free: counters(
+                "borageline_gateway_queue_beside_free_seconds_total",
+                "seconds in which an engine has a queue and another free slots",
+                "service",
+            ),
         };
         metrics.register_all();
         metrics
@@ -149,6 +166,9 @@
         self.register(&self.members);
         self.register(&self.link_changes);
         self.register(&self.retry_loans);
+        self.register(&self.slots_in_use);
+        self.register(&self.busiest_engine);
+        self.register(&self.queue_beside_free);
         for end in RequestEnd::ALL {
             self.ends.with_label_values(&[end.as_str()]);
         }
@@ -188,6 +208,21 @@
         }
     }
 
+    /// Records how evenly a service's engines are used; called once a second.
+    pub(super) fn record_engine_use(
+        &self,
+        service: &ServiceName,
+        engines: &EngineUse,
+    ) {
+        let label = [service.as_str()];
+        let in_use = self.slots_in_use.with_label_values(&label);
+        in_use.set(engines.slots_in_use);
+        let busiest = self.busiest_engine.with_label_values(&label);
+        busiest.set(engines.busiest_to_mean);
+        let seconds = self.queue_beside_free.with_label_values(&label);
+        seconds.inc_by(u64::from(engines.is_queue_beside_free));
+    }
+
     pub(super) fn count_refusal(&self, code: RefusalCode) {
         self.refusals.with_label_values(&[code.as_str()]).inc();
     }
@@ -232,6 +267,11 @@
     }
 }
 
+fn service_gauges(name: &str, help: &str) -> GaugeVec {
+    GaugeVec::new(Opts::new(name, help), &["service"])
+        .expect("name and label are valid")
+}
+
 fn config_faults() -> IntGaugeVec {
     let name = "borageline_gateway_config_faults";
     let help = "parts of the desired state in force that cannot be used";
--- a/lib/src/gateway/engine_choice.rs
+++ b/lib/src/gateway/engine_choice.rs
@@ -12,7 +12,10 @@
 
 use rand::{Rng, seq::IndexedRandom};
 
-use super::{dispatch_rate::DispatchLimiter, upstream_table::TrackedUpstream};
+use super::{
+    dispatch_rate::DispatchLimiter, load_table::UpstreamLoad,
+    upstream_table::TrackedUpstream,
+};
 use crate::units::Timestamp;
 
 /// Home engines of an instance. With fewer, instances with many callers load
@@ -83,3 +86,52 @@
         self.sends.last_send(&upstream.entry.id)
     }
 }
+
+/// How evenly the engines of a service are used, as an instance sees it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct EngineUse {
+    /// Share of all slots that requests use.
+    pub slots_in_use: f64,
+    /// Requests on the busiest engine over the mean; zero without requests.
+    pub busiest_to_mean: f64,
+    /// Whether an engine of the pool has a queue while another has free slots.
+    pub is_queue_beside_free: bool,
+}
+
+impl EngineUse {
+    /// Use of engines with this number of slots and these loads. Engines with
+    /// long prompts count as used, but are not in the pool.
+    pub fn new(
+        slots: u32,
+        loads: impl IntoIterator<Item = UpstreamLoad>,
+    ) -> Self {
+        let mut engines = 0_u32;
+        let mut used = 0_u64;
+        let mut requests = 0_u64;
+        let mut busiest = 0;
+        let mut has_queue = false;
+        let mut has_free = false;
+        for load in loads {
+            let count = load.requests();
+            engines += 1;
+            used += u64::from(count.min(slots));
+            requests += u64::from(count);
+            busiest = busiest.max(count);
+            if load.long == 0 {
+                has_queue |= count > slots;
+                has_free |= count < slots;
+            }
+        }
+        let all_slots = f64::from(engines) * f64::from(slots);
+        let mean = requests as f64 / f64::from(engines.max(1));
+        Self {
+            slots_in_use: used as f64 / all_slots.max(1.0),
+            busiest_to_mean: if requests > 0 {
+                f64::from(busiest) / mean
+            } else {
+                0.0
+            },
+            is_queue_beside_free: has_queue && has_free,
+        }
+    }
+}
--- a/lib/src/gateway/gateway_core/placing.rs
+++ b/lib/src/gateway/gateway_core/placing.rs
@@ -1,6 +1,6 @@
 //! Placement of admitted requests on upstreams.
 
-use std::{net::IpAddr, time::Duration};
+use std::{collections::BTreeMap, net::IpAddr, time::Duration};
 
 use super::{
     GatewayCore, NotPlaced, PlacementRequest, StartedRequest, memory_wait_max,
@@ -10,7 +10,7 @@
     gateway::{
         answer_durations::AnswerForecast,
         cost_model::EngineProfile,
-        engine_choice::EvenChoice,
+        engine_choice::{EngineUse, EvenChoice},
         engine_limits::EngineLimits,
         gateway_settings::GatewayBounds,
         placement::{
@@ -21,7 +21,7 @@
         },
         routing_config::{RetrySafety, ServiceSpec},
     },
-    ids::UpstreamId,
+    ids::{ServiceName, UpstreamId},
     refusal::RefusalCode,
     units::Timestamp,
 };
@@ -168,6 +168,26 @@
         Ok(self.start_request(now, placed, forecast))
     }
 
+    /// How evenly the engines of each service are used, by this instance's view.
+    pub fn engine_use(
+        &self,
+        now: Timestamp,
+    ) -> BTreeMap<ServiceName, EngineUse> {
+        let Some(config) = &self.config else {
+            return BTreeMap::new();
+        };
+        let loads = self.load_table.total_loads(now);
+        let services = config.services().filter_map(|spec| {
+            let slots = spec.engine.as_ref()?.slots;
+            let engines = self.upstreams.candidates(now, &spec.name, &[]);
+            let engines = engines
+                .iter()
+                .map(|it| loads.get(&it.entry.id).copied().unwrap_or_default());
+            Some((spec.name.clone(), EngineUse::new(slots, engines)))
+        });
+        services.collect()
+    }
+
     /// Number of the members at these addresses that come before this instance
     /// in the order of their addresses.
     fn position_among(&self, members: &[IpAddr]) -> usize {
--- a/lib/tests/gateway/test_engine_choice.rs
+++ b/lib/tests/gateway/test_engine_choice.rs
@@ -11,7 +11,7 @@
     gateway::{
         cost_model::EngineProfile,
         dispatch_rate::DispatchLimiter,
-        engine_choice::EvenChoice,
+        engine_choice::{EngineUse, EvenChoice},
         engine_limits::EngineLimits,
         gateway_core::{GatewayCore, StartedRequest},
         load_table::{InFlightId, LoadTable, UpstreamLoad},
@@ -662,6 +662,19 @@
     assert!(difference > -0.01, "{even} and {sampled}");
 }
 
+/// Load pattern: a flood of short prompts above what the engines can serve in
+/// time. Guards against prompts that queue at an instance's own few engines
+/// while its view shows free slots elsewhere.
+#[test]
+fn test_engine_choice_looks_beyond_full_homes() {
+    let scenario = Scenario::new(77, 5, 280.0);
+    let sampled = run_seeds(scenario);
+    let way = Way::Even;
+    let even = run_seeds(Scenario { way, ..scenario });
+    let difference = even.in_time() - sampled.in_time();
+    assert!(difference > -0.02, "{even} and {sampled}");
+}
+
 /// Load pattern: a flood of short prompts while something is wrong. Guards
 /// against a choice that relies on reports or on the other instances.
 #[rstest]
@@ -808,3 +821,35 @@
         }
     }
 }
+
+/// Guards against metrics that do not show uneven use, or that take the engines
+/// of long prompts for free ones.
+#[rstest]
+#[case::even(&[(6, 0), (6, 0)], 0.5, 1.0, false)]
+#[case::uneven(&[(14, 0), (2, 0)], 14.0 / 24.0, 1.75, true)]
+#[case::all_full(&[(14, 0), (12, 0)], 1.0, 14.0 / 13.0, false)]
+#[case::long_beside(&[(14, 0), (0, 2)], 14.0 / 24.0, 1.75, false)]
+#[case::idle(&[(0, 0), (0, 0)], 0.0, 0.0, false)]
+#[case::no_engines(&[], 0.0, 0.0, false)]
+fn test_engine_use_shows_uneven_loads(
+    #[case] requests: &[(u32, u32)],
+    #[case] slots_in_use: f64,
+    #[case] busiest_to_mean: f64,
+    #[case] is_queue_beside_free: bool,
+) {
+    let loads = requests.iter().map(|(short, long)| UpstreamLoad {
+        short: *short,
+        long: *long,
+        ..UpstreamLoad::default()
+    });
+    let engines = EngineUse::new(12, loads);
+    assert!(
+        (engines.slots_in_use - slots_in_use).abs() < 1e-9,
+        "{engines:?}"
+    );
+    assert!(
+        (engines.busiest_to_mean - busiest_to_mean).abs() < 1e-9,
+        "{engines:?}"
+    );
+    assert_eq!(engines.is_queue_beside_free, is_queue_beside_free);
+}
