placement: test that homes take turns and cover all engines

The test of turns passed without them, as the limit on sends to a warm engine alone kept the engines apart. The new one tests the turn by itself; it also checks that 36 instances are at home on 18 engines alike.

--- a/lib/tests/gateway/test_engine_choice.rs
+++ b/lib/tests/gateway/test_engine_choice.rs
@@ -2,7 +2,7 @@
 //! engines and of the delay of reports.
 
 use std::{
-    collections::{BTreeSet, VecDeque},
+    collections::{BTreeMap, VecDeque},
     net::{IpAddr, Ipv4Addr},
     time::Duration,
 };
@@ -11,7 +11,7 @@
     gateway::{
         cost_model::EngineProfile,
         dispatch_rate::DispatchLimiter,
-        engine_choice::{EngineUse, EvenChoice},
+        engine_choice::{EngineUse, EvenChoice, ShortCandidate},
         engine_limits::EngineLimits,
         gateway_core::{GatewayCore, StartedRequest},
         load_table::{InFlightId, LoadTable, UpstreamLoad},
@@ -772,16 +772,42 @@
 }
 
 /// Guards against an instance that sends successive prompts to the same
-/// engines: two instances with few callers each would fill one engine.
+/// engines, and against homes that do not cover all engines alike.
 #[test]
 fn test_engine_choice_takes_turns() {
-    let mut core = core_with_members(18, 30);
-    let placed = place_all(&mut core, 18);
-    for window in placed.windows(4) {
-        let engines: BTreeSet<_> =
-            window.iter().map(|it| &it.entry.id).collect();
-        assert!(engines.len() >= 3, "{engines:?}");
+    let core = core(18);
+    let service = id("models");
+    let candidates = core.upstreams().candidates(at(0), &service, &[]);
+    let pool: Vec<_> = candidates
+        .into_iter()
+        .map(|upstream| ShortCandidate {
+            upstream,
+            in_short_pool: true,
+        })
+        .collect();
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut counts = BTreeMap::<_, u32>::new();
+    for position in 0..36 {
+        let mut sends = DispatchLimiter::default();
+        let mut own = BTreeMap::<_, u32>::new();
+        for index in 0..16 {
+            let choice = EvenChoice {
+                position,
+                instances: 36,
+                sends: &sends,
+            };
+            let turn = choice.turn(&pool, &mut rng);
+            let chosen = turn[0].upstream.entry.id.clone();
+            sends.count(at(index), &chosen);
+            *own.entry(chosen).or_default() += 1;
+        }
+        assert!(own.len() == 8 && own.values().all(|it| *it == 2), "{own:?}");
+        for (engine, count) in own {
+            *counts.entry(engine).or_default() += count;
+        }
     }
+    let is_even = counts.values().all(|it| *it == 32);
+    assert!(counts.len() == 18 && is_even, "{counts:?}");
 }
 
 /// Prints the table of docs/design/even-load.md.
