gateway: start without names of duties

A platform that fills in the address of the duties and no list of them gave a null, which the settings refused, so that no instance would have started. The list is optional now, as the other values are.

--- a/lib/src/gateway/gateway_settings.rs
+++ b/lib/src/gateway/gateway_settings.rs
@@ -126,8 +126,10 @@
 pub struct DutySettings {
     /// Address of the service that takes the calls.
     pub address: SocketAddr,
-    /// Duties of the fleet. A name that is not known is ignored.
-    pub names: Vec<Arc<str>>,
+    /// Duties of the fleet; `None` if the platform names none. A name that is
+    /// not known is ignored.
+    #[serde(default)]
+    pub names: Option<Vec<Arc<str>>>,
     /// Calls per second that the service accepts from all instances together;
     /// `None` if it states no limit.
     #[serde(default)]
@@ -160,7 +162,8 @@
 impl DutySettings {
     /// Whether the fleet has a duty.
     pub fn includes(&self, duty: DutyName) -> bool {
-        self.names.iter().any(|name| **name == *duty.as_str())
+        let mut names = self.names.iter().flatten();
+        names.any(|name| **name == *duty.as_str())
     }
 
     /// Duration of a lease.
--- a/lib/tests/gateway/test_duty_lease.rs
+++ b/lib/tests/gateway/test_duty_lease.rs
@@ -4,12 +4,13 @@
 
 use borageline_lib::{
     gateway::{
-        duty::{DutyCallLimit, FencingToken},
+        duty::{DutyCallLimit, DutyName, FencingToken},
         duty_lease::{
             ClaimResult, DutyLease, LeaseChange, LeaseEnd, LeaseOwner,
             LeaseRecord, LeaseRecordKind, LeaseStep, LeaseTime, LeaseTiming,
             claim_token, lease_candidates,
         },
+        gateway_settings::GatewaySettings,
         store_era::StoreEra,
         wire::{AppendResult, LogTail},
     },
@@ -18,8 +19,11 @@
 use bytes::Bytes;
 use rstest::rstest;
 
-use crate::lease_simulation::{
-    ArrivedCall, Delivery, LEASE, LeaseSimulation, StoreLink,
+use crate::{
+    fixtures::SETTINGS,
+    lease_simulation::{
+        ArrivedCall, Delivery, LEASE, LeaseSimulation, StoreLink,
+    },
 };
 
 const LEASE_MS: u64 = LEASE.as_millis() as u64;
@@ -683,3 +687,32 @@
         assert_eq!(limit.take(Timestamp::ZERO, None), Ok(()));
     }
 }
+
+/// Failure: the platform fills in no duties, or not the times of the lease.
+/// Guards against an instance that does not start for want of an optional value.
+#[rstest]
+#[case::absent("", None)]
+#[case::null(
+    r#""duties": { "address": "127.0.0.1:9", "names": null },"#,
+    Some(false)
+)]
+#[case::unknown(
+    r#""duties": { "address": "127.0.0.1:9", "names": ["later"] },"#,
+    Some(false)
+)]
+#[case::metering(
+    r#""duties": {
+        "address": "127.0.0.1:9", "names": ["later", "metering"],
+        "calls_per_s": null, "fenced": null, "lease_ms": null
+    },"#,
+    Some(true)
+)]
+fn test_duty_settings_need_only_an_address(
+    #[case] duties: &str,
+    #[case] includes_metering: Option<bool>,
+) {
+    let text = SETTINGS.replacen('{', &format!("{{ {duties}"), 1);
+    let settings = GatewaySettings::parse(&text).expect("values are optional");
+    let duties = settings.duties.map(|it| it.includes(DutyName::Metering));
+    assert_eq!(duties, includes_metering);
+}
