gateway: rank parts in the same crashes by their last answers

Of the parts in about as many crashes the one furthest back in its prompts was blamed, whatever had been answered: 24 complete answers with the common part in the ten seconds before the crashes said nothing, because an answer clears a part only of crashes up to 2 s later.

An answer more than 2 s before a crash still does not clear a part, since a part may turn harmful. It now ranks the part behind those in as many crashes that have no answer or an older one. The place in the prompt decides only between parts of which the answers say the same.

--- a/lib/src/gateway/crash_evidence.rs
+++ b/lib/src/gateway/crash_evidence.rs
@@ -12,7 +12,9 @@
 //! A part that crashes every engine that begins to answer it occurs in all
 //! crashes that it causes, and never in an answer that goes on. A part that
 //! was seen in such an answer is sound, which clears it of the crashes before.
-//! Of the parts that remain, the one in the most crashes explains these, and
+//! An earlier answer does not clear it, since a part may turn harmful, but makes it
+//! less suspect than a part in as many crashes without an answer or with an older
+//! one. Of the parts that remain, the one in the most crashes explains these, and
 //! the next one is sought in the rest. So parts that only accompany a harmful
 //! one are not blamed, and independent harmful parts are all found. A request that
 //! comes again is blamed itself if it explains about as much as a part of it.
@@ -123,10 +125,27 @@
     /// Times of the crashes, without those that coincide with an earlier one.
     crashes: Vec<Timestamp>,
     has_several_attempts: bool,
+    /// Begin of the last answer that went on, before the crashes.
+    last_answer_at: Option<Timestamp>,
     /// Position in the prompt; parts further back are shared by fewer prompts.
     position: usize,
 }
 
+impl PartSuspicion {
+    /// Order of parts in about as many crashes, the most suspect part last. Where
+    /// the answers say nothing, parts at the front of a prompt are shared by more
+    /// prompts and so are in the same crashes by accident.
+    fn rank(&self) -> (Reverse<Option<Timestamp>>, usize, usize) {
+        let Self {
+            crashes,
+            last_answer_at,
+            position,
+            ..
+        } = self;
+        (Reverse(*last_answer_at), *position, crashes.len())
+    }
+}
+
 /// A part that may be blamed.
 type Candidate<'a> = (&'a PartId, &'a SuspectPart);
 
@@ -371,9 +390,8 @@
         culprits
     }
 
-    /// The part in the most crashes. Of parts in about as many, the one
-    /// furthest back in its prompts: the parts before it are shared by more
-    /// prompts and occur in the same crashes.
+    /// The part in the most crashes. Of parts in about as many, the one with the
+    /// highest [`PartSuspicion::rank`].
     fn strongest_suspect<'a>(
         &self,
         candidates: &[Candidate<'a>],
@@ -393,9 +411,7 @@
         suspects
             .into_iter()
             .filter(|(.., suspicion)| suspicion.crashes.len() >= enough)
-            .max_by_key(|(.., suspicion)| {
-                (suspicion.position, suspicion.crashes.len())
-            })
+            .max_by_key(|(.., suspicion)| suspicion.rank())
     }
 
     /// Suspicion against a part for some of the crashes; `None` if it is in none of
@@ -419,6 +435,7 @@
                 .iter()
                 .copied()
                 .any(|it| is_other(&it)),
+            last_answer_at: suspect.last_answer_at(),
             position: positions.max().unwrap_or_default(),
             crashes: self.distinct_times(part, suspect, &sightings),
         })
--- a/lib/src/gateway/crash_evidence/part_table.rs
+++ b/lib/src/gateway/crash_evidence/part_table.rs
@@ -77,6 +77,11 @@
         self.suspicious().any(|it| it.crash == crash)
     }
 
+    /// Begin of the last answer with the part.
+    pub(super) fn last_answer_at(&self) -> Option<Timestamp> {
+        self.sound.map(|answer| answer.begun_at)
+    }
+
     /// Last answer with the part, if this instance forwarded it.
     pub(super) fn answer_seen_here(&self) -> Option<&SoundAnswer> {
         self.sound.as_ref().filter(|it| it.seen_here)
--- a/lib/tests/gateway/main.rs
+++ b/lib/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod fixtures;
 mod lease_simulation;
 mod test_attempt;
+mod test_blamed_parts;
 mod test_config;
 mod test_crash_confirmation;
 mod test_duty_lease;
