gateway: try a blamed part with a request that tells it from others

Where nothing was answered before the crashes, or two harmful parts come in turns, a common sound part is still blamed, and all prompts with it got 503 for 15 s and more: only one instance made trials, only after the hold time, and it took the first request that came, also one with all suspects, which tells nothing and doubles the hold time.

For each blamed part the evidence now names the parts that explain its crashes as well (BlameDoubt). The first request that has the blamed part and lacks one of them in each crash is let through 1 s after the last crash. An answer clears the part, and the harmful one is blamed in the same evaluation; a crash confirms the blame, and the hold times apply as before. There is one such trial at a time in the fleet: an instance that gets a fitting request asks the one that makes the part's trials (POST /trials/PART). A permission whose request was not run passes to the next request, and a request that is sent through another instance takes its permission along. A trial that has failed is not sent to a second engine. Requests that the trial may let through soon get a Retry-After of a second.

--- a/cli/src/gateway.rs
+++ b/cli/src/gateway.rs
@@ -24,6 +24,7 @@
 mod peer_listener;
 mod planned_stop;
 mod prompt_quarantine;
+mod quarantine_trial;
 mod record_applier;
 mod registration;
 mod reload;
--- a/cli/src/gateway/delegate.rs
+++ b/cli/src/gateway/delegate.rs
@@ -9,7 +9,7 @@
     gateway::{
         attempt::{AttemptRecord, SendOutcome},
         delegation::{DelegatedReply, DelegatedRequest, millis},
-        prompt_quarantine::SOUND_ANSWER_TIME,
+        prompt_quarantine::{SOUND_ANSWER_TIME, TrialGrant},
         wire::GatewayWire,
     },
     refusal::{Refusal, RefusalCode},
@@ -150,6 +150,12 @@
         self.was_placed = data.was_placed;
         self.excluded = data.excluded.clone();
         self.tried = data.tried.clone();
+        if !data.tried_parts.is_empty() {
+            self.trial = Some(TrialGrant {
+                parts: data.tried_parts.clone(),
+                granted_at: self.context.now(),
+            });
+        }
         self
     }
 }
--- a/cli/src/gateway/delegation.rs
+++ b/cli/src/gateway/delegation.rs
@@ -240,6 +240,10 @@
             resume_after,
             excluded: self.excluded_elsewhere(),
             tried: self.tried.clone(),
+            tried_parts: self
+                .trial
+                .as_ref()
+                .map_or_else(Vec::new, |trial| trial.parts.clone()),
         };
         let body = self.body.as_ref().map(|body| body.bytes());
         let mut request = Request::new(Full::new(body.unwrap_or_default()));
@@ -278,6 +282,9 @@
         outcome: SendOutcome,
         text: &str,
     ) {
+        if !outcome.proves_not_run() {
+            self.trial = None;
+        }
         let now = self.context.now();
         let avoided = self.context.core().record_delegate_failure(now, ip);
         self.failed_delegates.push(ip);
--- a/cli/src/gateway/forward.rs
+++ b/cli/src/gateway/forward.rs
@@ -14,6 +14,7 @@
             AdmittedRequest, FailedPaths, NotPlaced, PlacementRequest,
             SendPath, StartedRequest, memory_wait_max,
         },
+        prompt_quarantine::TrialGrant,
         request_content::RequestContent,
         request_limit::RequestLimit,
         request_timings::{AnswerLateness, RequestTimings},
@@ -69,6 +70,9 @@
     pub(super) request: CallerRequest,
     /// Ids of the shared parts of the prompt and of the whole request.
     pub(super) contents: Vec<PartId>,
+    /// Trial under which the request is sent although some of its contents are in
+    /// quarantine.
+    pub(super) trial: Option<TrialGrant>,
     pub(super) admitted: AdmittedRequest,
     pub(super) record: AttemptRecord,
     pub(super) arrival: Timestamp,
@@ -266,6 +270,7 @@
             body,
             request,
             contents,
+            trial: None,
             admitted,
             record,
             arrival: context.now(),
@@ -408,7 +413,7 @@
         resume_after: Option<u64>,
         wait: impl Fn(Duration) -> Duration,
     ) -> Result<UpstreamReply<W>, SendError> {
-        self.check_prompt().map_err(SendError::Refused)?;
+        self.check_prompt().await.map_err(SendError::Refused)?;
         match self.send_path() {
             SendPath::Direct => self.send_direct(resume_after, wait).await,
             SendPath::Delegate(ip) => {
@@ -887,6 +892,10 @@
             _ => core.record_failure(now, upstream),
         };
         drop(core);
+        if !outcome.proves_not_run() {
+            // The trial has failed, or its result is not known.
+            self.trial = None;
+        }
         if outcome.proves_not_run() {
             self.excluded.push(upstream.clone());
         } else if !self.tried.contains(upstream) {
@@ -936,6 +945,11 @@
 
 impl<W: GatewayWire> Drop for CallerAttempt<W> {
     fn drop(&mut self) {
+        if let Some(trial) = &self.trial
+            && self.record.run_state() == RunState::NotRun
+        {
+            self.context.core().return_trial(trial);
+        }
         if !self.ended {
             self.context.metrics.count_end(RequestEnd::CallerLeft);
             log_decision!(
--- a/cli/src/gateway/peer_listener.rs
+++ b/cli/src/gateway/peer_listener.rs
@@ -1,5 +1,5 @@
 //! Listener for the requests of other instances: copies of topics, questions
-//! about upstreams, loans of retries, and callers' requests that this instance
+//! about upstreams and trials, loans of retries, and callers' requests that this instance
 //! sends for another.
 
 use std::{io, time::Duration};
@@ -15,7 +15,7 @@
     crash_confirmation, delegate,
     forward::buffered_body,
     listener::{ConnectionHold, empty_response, serve_requests},
-    peer_copies, retry_loan,
+    peer_copies, quarantine_trial, retry_loan,
 };
 use crate::server::bind_with_receive_buffer;
 
@@ -69,6 +69,10 @@
         let status = retry_loan::answer(context, &service);
         return empty_response(status).map(Either::Left);
     }
+    if let Some(trial) = quarantine_trial::asked_trial(request.uri()) {
+        let status = quarantine_trial::answer(context, &trial);
+        return empty_response(status).map(Either::Left);
+    }
     let copy = peer_copies::answer(context, request).await;
     let (head, body) = copy.into_parts();
     Response::from_parts(head, buffered_body(body))
--- a/cli/src/gateway/prompt_quarantine.rs
+++ b/cli/src/gateway/prompt_quarantine.rs
@@ -9,6 +9,7 @@
 
 use borageline_lib::{
     gateway::{
+        gateway_core::HeldPrompt,
         prompt_quarantine::{QuarantineChange, QuarantineReport},
         wire::{GatewayWire, PartId, QuarantineRecord, StoreTopic},
     },
@@ -22,10 +23,11 @@
 use super::{
     SharedGateway,
     forward::CallerAttempt,
+    quarantine_trial::ask_for_trials,
     store_client::{STORE_TIMEOUT, call_store},
     unix_millis,
 };
-use crate::{logging, quarantine::log_change};
+use crate::{log_decision, logging, quarantine::log_change};
 
 /// Pause after the records were written, so that further crashes of a part
 /// cause few calls.
@@ -64,21 +66,51 @@
         }
     }
 
-    /// Whether the prompt may be sent to an engine now.
-    pub(super) fn check_prompt(&self) -> Result<(), Refusal> {
+    /// Whether the prompt may be sent to an engine now. Asks for a trial if one is
+    /// due that another instance makes.
+    pub(super) async fn check_prompt(&mut self) -> Result<(), Refusal> {
+        if self.trial.is_some() {
+            return self.held_refusal().map_or(Ok(()), Err);
+        }
         let now = self.context.now();
-        let parts = &self.contents;
-        let checked = self.context.core().check_prompt(now, parts);
+        let checked = self.context.core().check_prompt(now, &self.contents);
         handle_changes(&self.context);
-        checked
+        self.trial = match checked {
+            Ok(trial) => trial,
+            Err(HeldPrompt {
+                refusal,
+                due_trials,
+            }) => {
+                if due_trials.is_empty()
+                    || !ask_for_trials(&self.context, &due_trials).await
+                {
+                    return Err(refusal);
+                }
+                let now = self.context.now();
+                Some(self.context.core().begin_trials(now, &due_trials))
+            }
+        };
+        if let Some(trial) = &self.trial {
+            let parts = trial.parts.iter().map(PartId::as_str);
+            log_decision!(
+                LogEvent::PartTried,
+                {
+                    request = self.id(),
+                    parts = parts.collect::<Vec<_>>().join(" "),
+                },
+                "the request is sent as a trial of parts in quarantine",
+            );
+        }
+        Ok(())
     }
 
     /// Refusal of the prompt if a part of it came into quarantine after it was
     /// checked.
     pub(super) fn held_refusal(&self) -> Option<Refusal> {
         let now = self.context.now();
-        let parts = &self.contents;
-        self.context.core().held_prompt_refusal(now, parts)
+        let grant = self.trial.as_ref();
+        let mut core = self.context.core();
+        core.held_prompt_refusal(now, &self.contents, grant)
     }
 
     /// Resolves when a part of the prompt comes into quarantine.
@@ -95,22 +127,28 @@
     }
 
     /// Records that the answer, which began at `begun_at`, shows the prompt to
-    /// be sound.
+    /// be sound, and reports it at once if that ends a quarantine.
     pub(super) fn record_sound_prompt(&self, begun_at: Timestamp) {
         let now = self.context.now();
         let parts = &self.contents;
         let mut core = self.context.core();
         core.record_sound_prompt(now, parts, begun_at);
+        drop(core);
+        if handle_changes(&self.context) {
+            self.context.heartbeat_due.notify_one();
+        }
     }
 }
 
 /// Logs the changes of the quarantine, and passes them to the writer and to
-/// requests that wait for an answer.
-pub(super) fn handle_changes<W: GatewayWire>(context: &SharedGateway<W>) {
+/// requests that wait for an answer. Returns whether there are any.
+pub(super) fn handle_changes<W: GatewayWire>(
+    context: &SharedGateway<W>,
+) -> bool {
     let now = context.now();
     let changes = context.core().take_quarantine_changes();
     if changes.is_empty() {
-        return;
+        return false;
     }
     for change in changes {
         log_change(&change);
@@ -128,6 +166,7 @@
         }
     }
     context.quarantine.changes.send_replace(());
+    true
 }
 
 async fn keep_records<W: GatewayWire>(context: SharedGateway<W>) {
--- a/cli/src/quarantine.rs
+++ b/cli/src/quarantine.rs
@@ -99,7 +99,7 @@
         let mut state = self.state();
         let checked = state.check(now, contents, owns);
         log_changes(&mut state);
-        checked.map_err(|found| refusal(&found))
+        checked.map(|_| ()).map_err(|found| refusal(&found))
     }
 
     /// Whether this instance makes the trials of a part: of those that serve
--- a/lib/src/gateway/crash_evidence.rs
+++ b/lib/src/gateway/crash_evidence.rs
@@ -34,6 +34,9 @@
 use super::{upstream_table::UpstreamProcess, wire::PartId};
 use crate::{units::Timestamp, value_type};
 
+pub use self::blame_doubt::BlameDoubt;
+
+mod blame_doubt;
 mod part_table;
 
 /// Crashes that must have a part in common before it is blamed.
--- /dev/null
+++ b/lib/src/gateway/crash_evidence/blame_doubt.rs
@@ -0,0 +1,96 @@
+//! Doubt whether a blamed part caused its crashes.
+//!
+//! Parts that are always in the same prompts explain the same crashes. A prompt
+//! that has the blamed part and not the others tells them apart: its answer clears
+//! the blamed part, and its crash confirms the blame. A prompt with all of them
+//! says nothing, whatever becomes of it.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::{
+    CrashEvidence,
+    part_table::{CrashNumber, SuspectPart},
+};
+use crate::gateway::wire::PartId;
+
+/// Other parts that may have caused the crashes of a blamed part.
+#[derive(Clone, Debug, Default)]
+pub struct BlameDoubt {
+    /// For each crash the parts that explain most of the others too; without
+    /// repetitions. Empty if the blamed part alone explains one of them.
+    alternatives: Vec<BTreeSet<PartId>>,
+}
+
+impl BlameDoubt {
+    /// Whether the end of a request with these parts, of which one is the blamed
+    /// part, tells whether that part is to blame.
+    pub fn is_settled_by(&self, parts: &[PartId]) -> bool {
+        if self.alternatives.is_empty() {
+            return false;
+        }
+        let parts: BTreeSet<_> = parts.iter().collect();
+        let mut alternatives = self.alternatives.iter();
+        alternatives.all(|crash| crash.iter().any(|it| !parts.contains(it)))
+    }
+}
+
+impl CrashEvidence {
+    /// Doubt whether a part caused the crashes that it explains.
+    pub fn doubt(&self, blamed: &PartId) -> BlameDoubt {
+        let Some(suspect) = self.parts.suspect(blamed) else {
+            return BlameDoubt::default();
+        };
+        let explained: BTreeSet<_> =
+            suspect.suspicious().map(|it| it.crash).collect();
+        let mut by_crash = BTreeMap::<CrashNumber, Vec<_>>::new();
+        for (part, other) in self.parts.suspects() {
+            if part == blamed || is_single_request(part, other) {
+                continue;
+            }
+            let shared: Vec<_> = other
+                .suspicious()
+                .map(|it| it.crash)
+                .filter(|crash| explained.contains(crash))
+                .collect();
+            for crash in &shared {
+                by_crash
+                    .entry(*crash)
+                    .or_default()
+                    .push((shared.len(), part));
+            }
+        }
+        let alternatives = explained.iter().map(|crash| {
+            let others = by_crash.get(crash).map_or(&[][..], Vec::as_slice);
+            most_frequent(others)
+        });
+        let alternatives: BTreeSet<_> = alternatives.collect();
+        // Nothing else explains one of the crashes.
+        if alternatives.contains(&BTreeSet::new()) {
+            return BlameDoubt::default();
+        }
+        BlameDoubt {
+            alternatives: alternatives.into_iter().collect(),
+        }
+    }
+}
+
+/// Whether the part is a request that came only once. Each crash has some, so they
+/// say nothing of the parts.
+fn is_single_request(part: &PartId, suspect: &SuspectPart) -> bool {
+    let sightings: Vec<_> = suspect.suspicious().collect();
+    part.is_request()
+        && sightings
+            .iter()
+            .all(|it| !it.has_others && it.attempt == sightings[0].attempt)
+}
+
+/// The parts with about the highest count. A report may lack some of the parts of
+/// a crash.
+fn most_frequent(counted: &[(usize, &PartId)]) -> BTreeSet<PartId> {
+    let most = counted.iter().map(|(count, _)| *count).max();
+    let most = most.unwrap_or_default();
+    let frequent = counted
+        .iter()
+        .filter(|(count, _)| *count >= most - most / 4);
+    frequent.map(|(_, part)| (*part).clone()).collect()
+}
--- a/lib/src/gateway/delegation.rs
+++ b/lib/src/gateway/delegation.rs
@@ -16,7 +16,9 @@
     time::Duration,
 };
 
-use super::{attempt::SendOutcome, routing_config::ConfigVersion};
+use super::{
+    attempt::SendOutcome, routing_config::ConfigVersion, wire::PartId,
+};
 use crate::{
     ids::{ServiceName, UpstreamId},
     refusal::{Refusal, RefusalCode, RunState},
@@ -53,6 +55,9 @@
         pub excluded: Vec<UpstreamId>,
         /// Upstreams on which the request failed.
         pub tried: Vec<UpstreamId>,
+        /// Parts in quarantine of which the request is a trial.
+        #[serde(default)]
+        pub tried_parts: Vec<PartId>,
     }
 }
 
--- a/lib/src/gateway/gateway_core.rs
+++ b/lib/src/gateway/gateway_core.rs
@@ -28,6 +28,7 @@
 pub use self::{
     heartbeats::{HeartbeatPlan, HeartbeatReceipt},
     links::{FailedPaths, SILENCE_MIN, SendPath},
+    quarantine::HeldPrompt,
     status_checks::StatusCheck,
 };
 use super::{
--- a/lib/src/gateway/prompt_quarantine.rs
+++ b/lib/src/gateway/prompt_quarantine.rs
@@ -8,13 +8,18 @@
 //!
 //! A quarantine may be wrong, and what was harmful may be repaired. After a
 //! hold time, which doubles with each crash, one instance lets single requests
-//! through as a trial. An answer that goes on ends the quarantine, a crash
-//! extends it.
+//! through as a trial, its own or those of instances that ask it. An answer that
+//! goes on ends the quarantine, a crash extends it.
+//!
+//! Where other parts explain the same crashes ([`BlameDoubt`]), the first request
+//! that tells them apart is let through without waiting for the end of the hold
+//! time, so that a sound part that was blamed is in quarantine for seconds. If
+//! that trial fails the hold time applies.
 
 use std::{cmp::Reverse, collections::BTreeMap, time::Duration};
 
 use super::{
-    crash_evidence::{CRASHES_MIN, CrashEvidence, SuspectPrompt},
+    crash_evidence::{BlameDoubt, CRASHES_MIN, CrashEvidence, SuspectPrompt},
     upstream_table::UpstreamProcess,
     wire::PartId,
 };
@@ -30,6 +35,18 @@
 pub const FORGET_TIME: Duration = Duration::from_secs(3_600);
 /// Interval between two trials; the result of one is known by then.
 const TRIAL_INTERVAL: Duration = Duration::from_secs(10);
+/// Interval between two trials that tell the blamed part from others. Their
+/// requests may end without a result, and many sound ones may wait for it.
+const DECISIVE_TRIAL_INTERVAL: Duration = Duration::from_secs(3);
+/// Time after a crash until a part may be tried before the end of its hold time.
+/// Requests that the crash broke off have been sent again by then, and their
+/// answers have cleared the sound parts.
+const DECISIVE_TRIAL_DELAY: Duration = Duration::from_secs(1);
+/// Time after which a request may come again that is refused while a trial is
+/// about to clear its part.
+const TRIAL_RESULT_TIME: Duration = Duration::from_secs(1);
+/// Time until an instance asks again for a trial that another one makes.
+const ASK_PAUSE: Duration = Duration::from_secs(1);
 /// Most parts in quarantine.
 const QUARANTINED_MAX: usize = 256;
 /// Time for which a new quarantine is in each report; an instance that was cut
@@ -108,16 +125,104 @@
     pub crashes: u32,
     /// Time until a request with the part may be tried.
     pub retry_after: Duration,
+    /// Trials that would let the request through, if the instances that make
+    /// them agree.
+    pub due_trials: Vec<DueTrial>,
 }
 
-/// One part in quarantine.
+/// A trial that an instance may ask for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DueTrial {
+    /// Part in quarantine.
+    pub part: PartId,
+    /// Whether the request tells the part from others that explain its crashes.
+    pub is_decisive: bool,
+}
+
+/// Permission to send a request with parts in quarantine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TrialGrant {
+    /// Parts that are tried.
+    pub parts: Vec<PartId>,
+    /// Time of the permission.
+    pub granted_at: Timestamp,
+}
+
+impl TrialGrant {
+    fn covers(&self, part: &PartId, last_crash_at: Timestamp) -> bool {
+        last_crash_at <= self.granted_at && self.parts.contains(part)
+    }
+}
+
+/// Answer of the instance that makes the trials of a part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TrialAnswer {
+    /// The request may be sent.
+    Granted,
+    /// Another trial is under way or about to begin.
+    Running,
+    /// The part is held.
+    Held,
+}
+
+/// Last trial of a part.
 #[derive(Clone, Copy, Debug)]
+struct TrialRecord {
+    at: Timestamp,
+    is_decisive: bool,
+    /// Time until which no trial of the same kind follows.
+    blocked_until: Timestamp,
+    /// Whether the request was not run, so that another one may take its place.
+    is_unused: bool,
+}
+
+impl TrialRecord {
+    fn new(now: Timestamp, is_decisive: bool) -> Self {
+        let interval = match is_decisive {
+            true => DECISIVE_TRIAL_INTERVAL,
+            false => TRIAL_INTERVAL,
+        };
+        Self {
+            at: now,
+            is_decisive,
+            blocked_until: now.after(interval),
+            is_unused: false,
+        }
+    }
+
+    /// Whether a request may take the place of one that was not run.
+    fn is_vacant(&self, now: Timestamp, is_decisive: bool) -> bool {
+        self.is_unused
+            && now < self.blocked_until
+            && (is_decisive || !self.is_decisive)
+    }
+
+    /// Whether it must end before a trial. One that tells nothing does not delay
+    /// one that is decisive.
+    fn blocks(&self, now: Timestamp, is_decisive: bool) -> bool {
+        now < self.blocked_until && (self.is_decisive || !is_decisive)
+    }
+}
+
+/// Whether a part may be tried.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum TrialState {
+    Due,
+    /// A trial is under way or about to begin that may clear the part.
+    Running,
+    /// Not before this time has passed.
+    Held(Duration),
+}
+
+/// One part in quarantine.
+#[derive(Clone, Debug)]
 struct QuarantineEntry {
     crashes: u32,
     last_crash_at: Timestamp,
     changed_at: Timestamp,
-    /// Time of this instance's last trial.
-    trial_at: Option<Timestamp>,
+    /// Doubt whether the part is to blame, with the version of the evidence that
+    /// it follows from.
+    doubt: Option<(u64, BlameDoubt)>,
 }
 
 impl QuarantineEntry {
@@ -127,6 +232,52 @@
         self.last_crash_at.after(hold.min(HOLD_TIME_MAX))
     }
 
+    /// Whether a request may be sent as a trial now, after the last trial of the
+    /// part.
+    fn trial_state(
+        &self,
+        now: Timestamp,
+        is_decisive: bool,
+        last_trial: Option<&TrialRecord>,
+    ) -> TrialState {
+        let held = self.held_until().since(now);
+        let has_failed = last_trial
+            .is_some_and(|it| it.is_decisive && self.last_crash_at > it.at);
+        let is_early = is_decisive && !has_failed;
+        if last_trial.is_some_and(|it| it.is_vacant(now, is_decisive)) {
+            return TrialState::Due;
+        }
+        if last_trial.is_some_and(|it| it.blocks(now, is_decisive)) {
+            return match is_early {
+                true => TrialState::Running,
+                false => TrialState::Held(held.max(TRIAL_INTERVAL)),
+            };
+        }
+        if held == Duration::ZERO {
+            return TrialState::Due;
+        }
+        let is_settled = now.since(self.last_crash_at) >= DECISIVE_TRIAL_DELAY;
+        match (is_early, is_settled) {
+            (true, true) => TrialState::Due,
+            (true, false) => TrialState::Running,
+            (false, _) => TrialState::Held(held),
+        }
+    }
+
+    fn refuse(
+        &self,
+        part: &PartId,
+        retry_after: Duration,
+        due_trials: Vec<DueTrial>,
+    ) -> QuarantinedPrompt {
+        QuarantinedPrompt {
+            part: part.clone(),
+            crashes: self.crashes,
+            retry_after,
+            due_trials,
+        }
+    }
+
     fn report(&self, now: Timestamp, part: &PartId) -> QuarantineReport {
         QuarantineReport {
             part: part.clone(),
@@ -141,6 +292,9 @@
 pub struct PromptQuarantine {
     evidence: CrashEvidence,
     entries: BTreeMap<PartId, QuarantineEntry>,
+    /// Last trials of the parts in quarantine, and those granted to instances that
+    /// know of a quarantine that this one does not know.
+    trials: BTreeMap<PartId, TrialRecord>,
     /// Parts that left the quarantine, or that others have wrongly in theirs,
     /// within [`TRIAL_INTERVAL`]; reported as sound.
     released: BTreeMap<PartId, Timestamp>,
@@ -194,58 +348,170 @@
         self.update(now);
     }
 
-    /// Whether a request with these parts may be sent. `owns_trials` says
-    /// whether this instance makes the trials of a part.
+    /// Whether a request with these parts may be sent, and under which trial if
+    /// some are in quarantine. `owns_trials` says whether this instance makes the
+    /// trials of a part.
     pub fn check(
         &mut self,
         now: Timestamp,
         parts: &[PartId],
         owns_trials: impl Fn(&PartId) -> bool,
-    ) -> Result<(), QuarantinedPrompt> {
+    ) -> Result<Option<TrialGrant>, QuarantinedPrompt> {
         self.update(now);
         if self.entries.is_empty() {
-            return Ok(());
+            return Ok(None);
         }
+        let mut due_trials = Vec::new();
         for part in parts {
-            let Some(entry) = self.entries.get_mut(part) else {
+            let is_decisive = self.is_decisive(part, parts);
+            let Some(entry) = self.entries.get(part) else {
                 continue;
             };
-            let held = entry.held_until().since(now);
-            let tried_before = entry
-                .trial_at
-                .is_some_and(|at| now.since(at) < TRIAL_INTERVAL);
-            if held > Duration::ZERO || tried_before || !owns_trials(part) {
-                return Err(QuarantinedPrompt {
-                    part: part.clone(),
-                    crashes: entry.crashes,
-                    retry_after: match held {
-                        Duration::ZERO => TRIAL_INTERVAL,
-                        held => held,
-                    },
-                });
+            let last_trial = self.trials.get(part);
+            let wait = match entry.trial_state(now, is_decisive, last_trial) {
+                TrialState::Due => {
+                    due_trials.push(DueTrial {
+                        part: part.clone(),
+                        is_decisive,
+                    });
+                    continue;
+                }
+                TrialState::Running => TRIAL_RESULT_TIME,
+                TrialState::Held(wait) => wait,
+            };
+            return Err(entry.refuse(part, wait, Vec::new()));
+        }
+        let Some(first) = due_trials.first() else {
+            return Ok(None);
+        };
+        let may_begin = |trial: &DueTrial| {
+            owns_trials(&trial.part)
+                || self
+                    .trials
+                    .get(&trial.part)
+                    .is_some_and(|last| last.is_vacant(now, trial.is_decisive))
+        };
+        if due_trials.iter().all(may_begin) {
+            return Ok(Some(self.begin_trials(now, &due_trials)));
+        }
+        let wait = match first.is_decisive {
+            true => TRIAL_RESULT_TIME,
+            false => TRIAL_INTERVAL,
+        };
+        let entry = &self.entries[&first.part];
+        Err(entry.refuse(&first.part.clone(), wait, due_trials))
+    }
+
+    /// Begins trials that this instance makes or was granted.
+    pub fn begin_trials(
+        &mut self,
+        now: Timestamp,
+        trials: &[DueTrial],
+    ) -> TrialGrant {
+        for DueTrial { part, is_decisive } in trials {
+            let record = TrialRecord::new(now, *is_decisive);
+            self.trials.insert(part.clone(), record);
+        }
+        TrialGrant {
+            parts: trials.iter().map(|it| it.part.clone()).collect(),
+            granted_at: now,
+        }
+    }
+
+    /// Returns a permission whose request was not run.
+    pub fn return_trial(&mut self, grant: &TrialGrant) {
+        for part in &grant.parts {
+            if let Some(record) = self.trials.get_mut(part)
+                && record.at == grant.granted_at
+            {
+                record.is_unused = true;
+            }
+        }
+    }
+
+    /// Answers an instance that asks for a trial, whose evidence says that it is
+    /// due. Evidence of this instance may be older, as it may have just started.
+    pub fn grant_trial(
+        &mut self,
+        now: Timestamp,
+        trial: &DueTrial,
+    ) -> TrialAnswer {
+        self.update(now);
+        let DueTrial { part, is_decisive } = trial;
+        let last_trial = self.trials.get(part);
+        let state = match self.entries.get(part) {
+            Some(entry) => entry.trial_state(now, *is_decisive, last_trial),
+            None if last_trial.is_some_and(|it| now < it.blocked_until) => {
+                TrialState::Running
             }
-            entry.trial_at = Some(now);
+            None => TrialState::Due,
+        };
+        match state {
+            TrialState::Due => {
+                self.begin_trials(now, std::slice::from_ref(trial));
+                TrialAnswer::Granted
+            }
+            TrialState::Running => TrialAnswer::Running,
+            TrialState::Held(_) => TrialAnswer::Held,
         }
-        Ok(())
     }
 
-    /// First of these parts that is in quarantine and not on trial.
+    /// Records that a trial was not granted; `None` if no answer came.
+    pub fn record_denial(
+        &mut self,
+        now: Timestamp,
+        trial: &DueTrial,
+        answer: Option<TrialAnswer>,
+    ) {
+        let mut record = TrialRecord::new(now, trial.is_decisive);
+        if answer != Some(TrialAnswer::Held) {
+            record.blocked_until = now.after(ASK_PAUSE);
+        }
+        self.trials.insert(trial.part.clone(), record);
+    }
+
+    /// First of these parts that is in quarantine and not on trial. `grant` is
+    /// the trial under which the request was sent.
     pub fn find_held(
-        &self,
+        &mut self,
         now: Timestamp,
         parts: &[PartId],
+        grant: Option<&TrialGrant>,
     ) -> Option<QuarantinedPrompt> {
+        if self.entries.is_empty() {
+            return None;
+        }
         parts.iter().find_map(|part| {
             let entry = self.entries.get(part)?;
             let held = entry.held_until().since(now);
-            (held > Duration::ZERO).then(|| QuarantinedPrompt {
-                part: part.clone(),
-                crashes: entry.crashes,
-                retry_after: held,
-            })
+            let is_tried =
+                grant.is_some_and(|it| it.covers(part, entry.last_crash_at));
+            if held == Duration::ZERO || is_tried {
+                return None;
+            }
+            let wait = match self.is_decisive(part, parts) {
+                true => TRIAL_RESULT_TIME,
+                false => held,
+            };
+            let entry = &self.entries[part];
+            Some(entry.refuse(part, wait, Vec::new()))
         })
     }
 
+    /// Whether the end of a request with these parts tells whether one of them,
+    /// which is in quarantine, is to blame.
+    fn is_decisive(&mut self, part: &PartId, parts: &[PartId]) -> bool {
+        let Some(entry) = self.entries.get_mut(part) else {
+            return false;
+        };
+        let version = self.evidence.version();
+        let known = entry.doubt.take_if(|(at, _)| *at == version);
+        let (_, doubt) = entry.doubt.insert(
+            known.unwrap_or_else(|| (version, self.evidence.doubt(part))),
+        );
+        doubt.is_settled_by(parts)
+    }
+
     /// Report to the other instances: what has changed lately, and all
     /// quarantines if it is a full one.
     pub fn report(&mut self, now: Timestamp, is_full: bool) -> PromptReport {
@@ -346,7 +612,7 @@
                 crashes: report.crashes,
                 last_crash_at,
                 changed_at: now,
-                trial_at: None,
+                doubt: None,
             },
         );
         let is_grown = report.crashes > entry.crashes;
@@ -407,6 +673,9 @@
             }
             is_kept
         });
+        self.trials.retain(|part, trial| {
+            self.entries.contains_key(part) || now < trial.blocked_until
+        });
         self.bound_entries();
     }
 
@@ -427,7 +696,7 @@
                 crashes: 0,
                 last_crash_at: last,
                 changed_at: now,
-                trial_at: None,
+                doubt: None,
             });
         entry.crashes += new as u32;
         entry.last_crash_at = last;
@@ -441,6 +710,9 @@
         while self.released.len() > QUARANTINED_MAX {
             self.released.pop_first();
         }
+        while self.trials.len() > QUARANTINED_MAX {
+            self.trials.pop_first();
+        }
         while self.entries.len() > QUARANTINED_MAX {
             let oldest =
                 self.entries.iter().min_by_key(|(_, it)| it.last_crash_at);
--- a/lib/src/log_event.rs
+++ b/lib/src/log_event.rs
@@ -161,6 +161,8 @@
     PartReleased = 642, "part_released", Info;
     /// An upstream broke off a request and has not been shown to have crashed.
     CrashUnconfirmed = 643, "crash_unconfirmed", Info;
+    /// A request is sent as a trial of a part in quarantine.
+    PartTried = 644, "part_tried", Info;
     /// The instance holds the lease of the singleton duties.
     LeaseAcquired = 650, "lease_acquired", Info;
     /// The instance no longer holds the lease of the singleton duties.
