gateway: let a trial decide also if one crash has no other explanation

Requests with the same path and caller and any query got 503 for the hold time after two requests that differ in the query crashed upstreams in turns: the id that all these requests share is in all crashes. It could not be tried early, because one of the two requests had come only once, so that its crash had no other explanation, and after a trial that hit the other harmful request no second one followed.

Other parts now leave a doubt if they explain about as many crashes as the blamed one, the measure by which parts are blamed. After a decisive trial that failed another one follows after 4 s while a doubt is left; a crash that nothing else explains ends it, so a harmful part is not tried again and again.

--- a/lib/src/gateway/crash_evidence.rs
+++ b/lib/src/gateway/crash_evidence.rs
@@ -410,7 +410,7 @@
         });
         let suspects: Vec<_> = suspects.collect();
         let most = suspects.iter().map(|(.., it)| it.crashes.len()).max()?;
-        let enough = most - (most / 4).max(1).min(most - 1);
+        let enough = about_as_many(most);
         suspects
             .into_iter()
             .filter(|(.., suspicion)| suspicion.crashes.len() >= enough)
@@ -660,6 +660,12 @@
     pieces.collect()
 }
 
+/// Fewest crashes that count as about as many as `most`: one may have another
+/// cause, and a report may be lost.
+fn about_as_many(most: usize) -> usize {
+    most - (most / 4).max(1).min(most.saturating_sub(1))
+}
+
 fn coincide(one: Timestamp, other: Timestamp) -> bool {
     one.since(other).max(other.since(one)) < COINCIDENCE_TIME
 }
--- a/lib/src/gateway/crash_evidence/blame_doubt.rs
+++ b/lib/src/gateway/crash_evidence/blame_doubt.rs
@@ -8,7 +8,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::{
-    CrashEvidence,
+    CrashEvidence, about_as_many,
     part_table::{CrashNumber, SuspectPart},
 };
 use crate::gateway::wire::PartId;
@@ -17,7 +17,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct BlameDoubt {
     /// For each crash the parts that explain most of the others too; without
-    /// repetitions. Empty if the blamed part alone explains one of them.
+    /// repetitions. Empty if they do not explain about as many crashes as the
+    /// blamed part.
     alternatives: Vec<BTreeSet<PartId>>,
 }
 
@@ -59,15 +60,11 @@
                     .push((shared.len(), part));
             }
         }
-        let alternatives = explained.iter().map(|crash| {
-            let others = by_crash.get(crash).map_or(&[][..], Vec::as_slice);
-            most_frequent(others)
-        });
-        let alternatives: BTreeSet<_> = alternatives.collect();
-        // Nothing else explains one of the crashes.
-        if alternatives.contains(&BTreeSet::new()) {
+        if by_crash.len() < about_as_many(explained.len()) {
             return BlameDoubt::default();
         }
+        let alternatives = by_crash.values().map(|it| most_frequent(it));
+        let alternatives: BTreeSet<_> = alternatives.collect();
         BlameDoubt {
             alternatives: alternatives.into_iter().collect(),
         }
--- a/lib/src/gateway/prompt_quarantine.rs
+++ b/lib/src/gateway/prompt_quarantine.rs
@@ -13,8 +13,8 @@
 //!
 //! Where other parts explain the same crashes ([`BlameDoubt`]), the first request
 //! that tells them apart is let through without waiting for the end of the hold
-//! time, so that a sound part that was blamed is in quarantine for seconds. If
-//! that trial fails the hold time applies.
+//! time, so that a sound part that was blamed is in quarantine for seconds. Trials
+//! that fail leave no doubt, and then the hold time applies.
 
 use std::{cmp::Reverse, collections::BTreeMap, time::Duration};
 
@@ -42,6 +42,9 @@
 /// Requests that the crash broke off have been sent again by then, and their
 /// answers have cleared the sound parts.
 const DECISIVE_TRIAL_DELAY: Duration = Duration::from_secs(1);
+/// Like [`DECISIVE_TRIAL_DELAY`], after a decisive trial that has failed and left
+/// a doubt: its request had another harmful part.
+const NEXT_DECISIVE_TRIAL_DELAY: Duration = Duration::from_secs(4);
 /// Time after which a request may come again that is refused while a trial is
 /// about to clear its part.
 const TRIAL_RESULT_TIME: Duration = Duration::from_secs(1);
@@ -241,14 +244,11 @@
         last_trial: Option<&TrialRecord>,
     ) -> TrialState {
         let held = self.held_until().since(now);
-        let has_failed = last_trial
-            .is_some_and(|it| it.is_decisive && self.last_crash_at > it.at);
-        let is_early = is_decisive && !has_failed;
         if last_trial.is_some_and(|it| it.is_vacant(now, is_decisive)) {
             return TrialState::Due;
         }
         if last_trial.is_some_and(|it| it.blocks(now, is_decisive)) {
-            return match is_early {
+            return match is_decisive {
                 true => TrialState::Running,
                 false => TrialState::Held(held.max(TRIAL_INTERVAL)),
             };
@@ -256,11 +256,16 @@
         if held == Duration::ZERO {
             return TrialState::Due;
         }
-        let is_settled = now.since(self.last_crash_at) >= DECISIVE_TRIAL_DELAY;
-        match (is_early, is_settled) {
-            (true, true) => TrialState::Due,
-            (true, false) => TrialState::Running,
-            (false, _) => TrialState::Held(held),
+        let has_failed = last_trial
+            .is_some_and(|it| it.is_decisive && self.last_crash_at > it.at);
+        let delay = match has_failed {
+            true => NEXT_DECISIVE_TRIAL_DELAY,
+            false => DECISIVE_TRIAL_DELAY,
+        };
+        match delay.saturating_sub(now.since(self.last_crash_at)) {
+            _ if !is_decisive => TrialState::Held(held),
+            Duration::ZERO => TrialState::Due,
+            _ => TrialState::Running,
         }
     }
 
--- a/lib/tests/gateway/test_blamed_parts.rs
+++ b/lib/tests/gateway/test_blamed_parts.rs
@@ -4,6 +4,7 @@
     gateway::{
         crash_evidence::{SETTLE_TIME, SuspectPrompt},
         prompt_quarantine::{PromptQuarantine, PromptReport, TrialAnswer},
+        request_content::RequestContent,
         wire::PartId,
     },
     units::Timestamp,
@@ -413,3 +414,74 @@
     assert!(served * 2 >= judged, "{served} of {judged} served");
     fleet.check_late_sends();
 }
+
+/// Ids of a request with this path and query.
+fn request(path: &str, query: &str) -> Vec<PartId> {
+    let content = RequestContent {
+        host: "host.example",
+        method: "GET",
+        path,
+        query,
+        workspace: "shop",
+        shared_parts: &[],
+        body: b"",
+    };
+    content.ids().to_vec()
+}
+
+/// Load pattern: two requests that crash upstreams come in turns; they differ in
+/// the query alone. Guards against all requests of their path and caller being
+/// refused for the hold time, whatever their query.
+#[test]
+fn test_requests_with_other_queries_are_cleared_by_trial() {
+    let mut quarantine = PromptQuarantine::default();
+    let mut now = at(10_000);
+    for number in 0..6 {
+        let harmful = request("/look/1", &format!("bad={}", number % 2));
+        if quarantine.check(now, &harmful, |_| true).is_ok() {
+            let prompt = SuspectPrompt {
+                attempt: number,
+                parts: harmful,
+            };
+            quarantine.record_crash(now, process(number), prompt);
+        }
+        now = now.after(ms(700));
+    }
+    let sound = request("/look/1", "page=1");
+    let judged_from = now.after(ms(2 * CONTACT_TIME));
+    while now < judged_from {
+        let begun_at = now;
+        now = now.after(ms(600));
+        if quarantine.check(begun_at, &sound, |_| true).is_ok() {
+            quarantine.record_sound(now, &sound, begun_at);
+        }
+    }
+    let other = request("/look/1", "page=2");
+    assert!(quarantine.check(now, &other, |_| false).is_ok());
+}
+
+/// Guards against a whole request that is spared because an answer to it is newer
+/// than one with a part of it, and against its sound parts that are refused.
+#[test]
+fn test_repeated_request_is_blamed_before_its_parts() {
+    let mut quarantine = PromptQuarantine::default();
+    let base = parts("base");
+    let harmful: Vec<_> = base
+        .iter()
+        .cloned()
+        .chain(request("/draft/1", ""))
+        .collect();
+    quarantine.record_sound(at(4_000), &harmful, at(3_500));
+    quarantine.record_sound(at(4_700), &base, at(4_200));
+    let mut now = at(10_000);
+    for number in 0..3 {
+        let prompt = SuspectPrompt {
+            attempt: number,
+            parts: harmful.clone(),
+        };
+        quarantine.record_crash(now, process(number), prompt);
+        now = now.after(ms(700));
+    }
+    assert!(is_refused(&mut quarantine, now, &harmful));
+    assert!(!is_refused(&mut quarantine, now, &base));
+}
