http client: notice a response that ends before the request was received

Callers got a part of an answer as a complete 200, with a content-length that fits it, when an engine answered a long upload at once without a length, ended its side of the connection and reset it a moment later because more of the request arrived. An answer without a length ends with its connection, and the end was taken for that of the answer whatever became of the request.

Connections to upstreams, the store and other instances now keep back the end of the server's side until the server has acknowledged all that was sent (sock_diag, as for planned stops), at most 1 s. If the connection is reset or the request does not arrive, the end is marked as early, and the body of a success without a length fails there: the send counts as lost. Early refusals (4xx, 5xx) need no request body and are passed on; answers with a length or in chunks have an end of their own. An upstream that ends its side and reads on is not affected. Where the system does not tell what was acknowledged, only a request that was not written whole is noticed.

--- a/cli/src/engine_client.rs
+++ b/cli/src/engine_client.rs
@@ -20,11 +20,11 @@
 use bytes::Bytes;
 use http::{HeaderValue, Method, Request, StatusCode};
 use http_body_util::Full;
-use hyper::body::Incoming;
 use serde::Serialize;
 
 use crate::{
     http_client::{CallTarget, HttpError, json_request, plain_request},
+    received_body::ReceivedBody,
     relay::{RelayClient, require_incarnation},
     upstream_client::UpstreamClient,
 };
@@ -222,7 +222,7 @@
         headers: RequestHeaders<'_>,
         body: &EngineRequest,
         head_timeout: Duration,
-    ) -> Result<Incoming, HttpError> {
+    ) -> Result<ReceivedBody, HttpError> {
         let peer = engine.address;
         let call = engine.work_request("/v1/completions", headers, body);
         let target = CallTarget {
@@ -241,7 +241,7 @@
         headers: RequestHeaders<'_>,
         from: u64,
         head_timeout: Duration,
-    ) -> Result<Incoming, HttpError> {
+    ) -> Result<ReceivedBody, HttpError> {
         let path =
             format!("/v1/requests/{}/stream?from={from}", headers.request);
         let mut call = plain_request(Method::GET, peer, &path);
--- a/cli/src/gateway/body.rs
+++ b/cli/src/gateway/body.rs
@@ -7,6 +7,7 @@
 
 use std::{
     fmt::{Display, Formatter},
+    sync::Arc,
     time::Duration,
 };
 
@@ -19,12 +20,13 @@
     units::ByteSize,
 };
 use bytes::Bytes;
-use http_body::Body as _;
+use http_body::Body;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
 use super::{SharedGateway, memory_shares::MemoryShare};
+use crate::received_body::ReceivedBody;
 
 /// Time within which a body must arrive if the caller states no timeout.
 const DEFAULT_BODY_TIMEOUT: Duration = Duration::from_secs(15);
@@ -45,7 +47,7 @@
     /// It is larger than this.
     TooLarge(ByteSize),
     /// The connection broke.
-    Broken(hyper::Error),
+    Broken(Arc<str>),
     /// The account has no room for it.
     NoRoom(MemoryFull),
     /// It got no share of the account in this time.
@@ -135,7 +137,7 @@
 /// Reads the body of an answer, which must be complete in the time left.
 pub(super) async fn read_answer<W: GatewayWire>(
     context: &SharedGateway<W>,
-    mut body: Incoming,
+    mut body: ReceivedBody,
     limit: ByteSize,
     left: Duration,
 ) -> Result<Bytes, ReadError> {
@@ -143,13 +145,17 @@
 }
 
 /// Reads a body into one buffer within a share of the memory account.
-async fn collect<W: GatewayWire>(
+async fn collect<W, B>(
     context: &SharedGateway<W>,
-    body: &mut Incoming,
+    body: &mut B,
     memory_use: MemoryUse,
     limit: ByteSize,
     allowed: Duration,
-) -> Result<Bytes, ReadError> {
+) -> Result<Bytes, ReadError>
+where
+    W: GatewayWire,
+    B: Body<Data = Bytes, Error: Display> + Unpin,
+{
     let known = body.size_hint().exact().map(ByteSize::new);
     let size = known.unwrap_or(SHORT_SHARE_MAX.min(limit));
     if size > limit {
@@ -168,7 +174,9 @@
         };
         let data = match frame {
             None => return Ok(share.hold(bytes)),
-            Some(Err(error)) => return Err(ReadError::Broken(error)),
+            Some(Err(error)) => {
+                return Err(ReadError::Broken(error.to_string().into()));
+            }
             Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
         };
         let length = ByteSize::new((bytes.len() + data.len()) as u64);
--- a/cli/src/gateway/reply_body.rs
+++ b/cli/src/gateway/reply_body.rs
@@ -7,10 +7,10 @@
 use bytes::Bytes;
 use http_body::Frame;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use tokio::time::Instant;
 
 use super::usage::StreamBegin;
+use crate::received_body::{ReceiveError, ReceivedBody};
 
 /// Most bytes that are read after the deadline, in addition to one piece: the
 /// largest receive buffer of a connection to an upstream.
@@ -19,7 +19,7 @@
 /// Body of a reply to a request with a deadline.
 #[derive(Debug)]
 pub(super) struct ReplyBody {
-    body: Incoming,
+    body: ReceivedBody,
     deadline: Instant,
     /// Bytes read after the deadline.
     late: usize,
@@ -29,7 +29,7 @@
 
 impl ReplyBody {
     /// Wraps the body of a reply to a request that ends at `deadline`.
-    pub(super) fn new(body: Incoming, deadline: Instant) -> Self {
+    pub(super) fn new(body: ReceivedBody, deadline: Instant) -> Self {
         Self {
             body,
             deadline,
@@ -48,7 +48,7 @@
     /// read after the deadline, so the caller must watch the deadline, too.
     pub(super) async fn frame(
         &mut self,
-    ) -> Option<Result<Frame<Bytes>, hyper::Error>> {
+    ) -> Option<Result<Frame<Bytes>, ReceiveError>> {
         if self.late > LATE_BYTES_MAX {
             return std::future::pending().await;
         }
@@ -68,7 +68,7 @@
     }
 
     /// The body itself, for a reader with a bound of its own.
-    pub(super) fn into_inner(self) -> Incoming {
+    pub(super) fn into_inner(self) -> ReceivedBody {
         self.body
     }
 }
--- a/cli/src/http_client.rs
+++ b/cli/src/http_client.rs
@@ -18,7 +18,7 @@
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use hyper_util::{
     client::legacy::{
         Client,
@@ -28,7 +28,11 @@
 };
 use serde::{Serialize, de::DeserializeOwned};
 
-use crate::relay::RelayedConnection;
+use crate::{
+    received_body::{ReceivedBody, ends_with_connection},
+    relay::RelayedConnection,
+    watched_stream::WatchedConnector,
+};
 
 /// Default time to establish a TCP connection.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -191,7 +195,7 @@
 
 /// HTTP/1.1 client with a pool of connections, which `C` establishes.
 #[derive(Clone, Debug)]
-pub struct HttpClient<C = HttpConnector> {
+pub struct HttpClient<C = WatchedConnector> {
     client: Client<C, Full<Bytes>>,
 }
 
@@ -225,11 +229,12 @@
         let mut connector = tcp_connector(connect);
         let size = usize::try_from(receive_buffer.get()).unwrap_or(usize::MAX);
         connector.set_recv_buffer_size(Some(size));
-        Self::build_with(connector, 0, false)
+        Self::build_with(WatchedConnector::new(connector), 0, false)
     }
 
     fn build(max_idle: usize, retry: bool, connect: Duration) -> Self {
-        Self::build_with(tcp_connector(connect), max_idle, retry)
+        let connector = WatchedConnector::new(tcp_connector(connect));
+        Self::build_with(connector, max_idle, retry)
     }
 }
 
@@ -276,7 +281,7 @@
         &self,
         target: CallTarget,
         request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, HttpError> {
+    ) -> Result<Response<ReceivedBody>, HttpError> {
         let CallTarget {
             step,
             peer,
@@ -292,7 +297,7 @@
                     message: "a relayed response must have a length".into(),
                 })
             }
-            Ok(Ok(response)) => Ok(response),
+            Ok(Ok(response)) => Ok(ReceivedBody::check(response)),
             Ok(Err(error)) => {
                 let message = error_chain(&error);
                 Err(if error.is_connect() {
@@ -322,7 +327,7 @@
         &self,
         target: CallTarget,
         request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, HttpError> {
+    ) -> Result<Response<ReceivedBody>, HttpError> {
         let response = self.send(target, request).await?;
         let status = response.status();
         if status.is_success() {
@@ -370,15 +375,14 @@
 /// connection, which also ends if the instance that passes it on does.
 fn is_cut_unnoticed(response: &Response<Incoming>) -> bool {
     response.extensions().get::<RelayedConnection>().is_some()
-        && response.body().size_hint().exact().is_none()
-        && !response.headers().contains_key(header::TRANSFER_ENCODING)
+        && ends_with_connection(response)
 }
 
 /// Reads the body of a response within the target's timeout. Fails if it is
 /// larger than `limit`.
 pub async fn read_response_body(
     target: CallTarget,
-    body: Incoming,
+    body: ReceivedBody,
     limit: ByteSize,
 ) -> Result<Bytes, HttpError> {
     let CallTarget {
--- a/cli/src/relay/connector.rs
+++ b/cli/src/relay/connector.rs
@@ -24,7 +24,7 @@
     rt::{Read, ReadBufCursor, Write},
 };
 use hyper_util::{
-    client::legacy::connect::{Connected, Connection, HttpConnector},
+    client::legacy::connect::{Connected, Connection},
     rt::TokioIo,
 };
 use tokio::{
@@ -35,7 +35,10 @@
 use tower_service::Service;
 
 use super::RelayClient;
-use crate::http_client::tcp_connector;
+use crate::{
+    http_client::tcp_connector,
+    watched_stream::{WatchedConnector, WatchedStream},
+};
 
 /// Time for a direct connection before other instances are asked, too, unless
 /// own links are known to be lost. Far above the round-trip time within a
@@ -57,7 +60,7 @@
 /// Connects to upstreams for an HTTP client.
 #[derive(Clone, Debug)]
 pub struct UpstreamConnector {
-    direct: HttpConnector,
+    direct: WatchedConnector,
     timeout: Duration,
     relays: RelayClient,
 }
@@ -67,7 +70,7 @@
     /// incarnation together.
     pub fn new(timeout: Duration, relays: RelayClient) -> Self {
         Self {
-            direct: tcp_connector(timeout),
+            direct: WatchedConnector::new(tcp_connector(timeout)),
             timeout,
             relays,
         }
@@ -240,12 +243,12 @@
 /// A connection to an upstream.
 #[derive(Debug)]
 pub struct UpstreamStream {
-    stream: TokioIo<TcpStream>,
+    stream: TokioIo<WatchedStream>,
     is_relayed: bool,
 }
 
 impl UpstreamStream {
-    fn direct(stream: TokioIo<TcpStream>) -> Self {
+    fn direct(stream: TokioIo<WatchedStream>) -> Self {
         Self {
             stream,
             is_relayed: false,
@@ -254,7 +257,7 @@
 
     fn relayed(stream: TcpStream) -> Self {
         Self {
-            stream: TokioIo::new(stream),
+            stream: TokioIo::new(WatchedStream::new(stream)),
             is_relayed: true,
         }
     }
--- a/cli/src/request_task.rs
+++ b/cli/src/request_task.rs
@@ -29,7 +29,6 @@
     units::{Timestamp, TokenCount},
 };
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 
 use crate::{
     buffer::{ByteReservation, CompletionSender, StreamItem},
@@ -40,6 +39,7 @@
     metrics::ServerMetrics,
     prompt::split_prompt,
     quarantine::RequestQuarantine,
+    received_body::ReceivedBody,
     reply::log_refusal,
     stop_signal::StopSignal,
 };
@@ -459,7 +459,7 @@
     async fn open_resumed_stream(
         &mut self,
         engine: &AssignedEngine,
-    ) -> Result<Incoming, AttemptFailure> {
+    ) -> Result<ReceivedBody, AttemptFailure> {
         let request = self.descriptor.request.clone();
         let stream = self.context.engines.resume(
             engine.address,
@@ -478,7 +478,7 @@
     async fn relay_completion(
         &mut self,
         engine: &AssignedEngine,
-        stream: Incoming,
+        stream: ReceivedBody,
         chunk_timeout: Duration,
         request_handle: &mut RequestHandle,
         sender: &CompletionSender,
@@ -525,7 +525,7 @@
     /// [`CHUNK_TIMEOUT`].
     async fn relay_stream(
         &mut self,
-        mut stream: Incoming,
+        mut stream: ReceivedBody,
         mut chunk_timeout: Duration,
         request_handle: &mut RequestHandle,
         sender: &CompletionSender,
--- a/cli/src/service_answer.rs
+++ b/cli/src/service_answer.rs
@@ -8,19 +8,19 @@
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
     buffer::{ByteBudget, ByteReservation},
     http_client::{CallTarget, HttpError, RESPONSE_MAX},
+    received_body::ReceivedBody,
 };
 
 /// Reads an answer within the target's timeout. Fails if it is larger than
 /// [`RESPONSE_MAX`], or if the budget has no room for it.
 pub(crate) async fn read_answer(
     target: CallTarget,
-    mut body: Incoming,
+    mut body: ReceivedBody,
     budget: Arc<ByteBudget>,
 ) -> Result<Bytes, HttpError> {
     let until = Instant::now() + target.timeout;
--- a/cli/src/socket_state.rs
+++ b/cli/src/socket_state.rs
@@ -1,4 +1,4 @@
-//! Asks the system whether the peer of a connection has received all bytes.
+//! Asks the system what the peer of a connection has received.
 //!
 //! A socket whose write side is closed stays in the state FIN-WAIT-1 until its
 //! peer has acknowledged the last byte. Linux tells the state through a socket of
@@ -29,9 +29,15 @@
 const IPV4: u8 = 2;
 const IPV6: u8 = 10;
 const TCP: u8 = 6;
-/// Where an answer has its type and the state of the connection.
+/// Where an answer has its type, the state of the connection and the number of
+/// bytes that are not acknowledged.
 const TYPE_RANGE: Range<usize> = 4..6;
 const STATE_INDEX: usize = 17;
+const UNACKNOWLEDGED_RANGE: Range<usize> = 76..80;
+/// Type of an answer that is an error, `NLMSG_ERROR`, and where it has the negated
+/// number of the error.
+const ERROR_TYPE: u16 = 2;
+const ERROR_RANGE: Range<usize> = 16..20;
 /// `TCP_FIN_WAIT1`.
 const FIN_WAIT_1: u8 = 4;
 
@@ -43,10 +49,26 @@
         // The connection is gone.
         return false;
     };
-    read_state(local, peer).map_or(true, |state| state == FIN_WAIT_1)
+    read_state(local, peer).map_or(true, |it| it.state == FIN_WAIT_1)
 }
 
-fn read_state(local: SocketAddr, peer: SocketAddr) -> io::Result<u8> {
+/// Number of bytes of a connection that the peer has not acknowledged. Fails with
+/// [`ErrorKind::NotFound`] if the connection was reset.
+pub(crate) fn unacknowledged_bytes(stream: &TcpStream) -> io::Result<u32> {
+    let (local, peer) = (stream.local_addr()?, stream.peer_addr()?);
+    read_state(local, peer).map(|it| it.unacknowledged)
+}
+
+/// State of a connection.
+struct ConnectionState {
+    state: u8,
+    unacknowledged: u32,
+}
+
+fn read_state(
+    local: SocketAddr,
+    peer: SocketAddr,
+) -> io::Result<ConnectionState> {
     let domain = Domain::from(NETLINK_FAMILY);
     let protocol = Protocol::from(DIAGNOSIS_PROTOCOL);
     let mut socket = Socket::new(domain, Type::DGRAM, Some(protocol))?;
@@ -55,10 +77,23 @@
     socket.send(&encode_request(local, peer))?;
     let mut answer = [0; 1_024];
     let size = socket.read(&mut answer)?;
-    if size <= STATE_INDEX || answer[TYPE_RANGE] != BY_FAMILY.to_ne_bytes() {
+    let read_u32 = |range: Range<usize>| {
+        let bytes = answer[range].try_into();
+        u32::from_ne_bytes(bytes.expect("the range has four bytes"))
+    };
+    if answer[TYPE_RANGE] == ERROR_TYPE.to_ne_bytes() {
+        let number = read_u32(ERROR_RANGE).cast_signed().saturating_neg();
+        return Err(io::Error::from_raw_os_error(number));
+    }
+    if size < UNACKNOWLEDGED_RANGE.end
+        || answer[TYPE_RANGE] != BY_FAMILY.to_ne_bytes()
+    {
         return Err(ErrorKind::Unsupported.into());
     }
-    Ok(answer[STATE_INDEX])
+    Ok(ConnectionState {
+        state: answer[STATE_INDEX],
+        unacknowledged: read_u32(UNACKNOWLEDGED_RANGE),
+    })
 }
 
 /// Request for one connection, named by its addresses.
--- a/cli/src/upstream_client.rs
+++ b/cli/src/upstream_client.rs
@@ -8,12 +8,12 @@
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::Full;
-use hyper::body::Incoming;
 use serde::de::DeserializeOwned;
 use tokio::time::Instant;
 
 use crate::{
     http_client::{CallTarget, HttpClient, HttpError},
+    received_body::ReceivedBody,
     relay::{RelayClient, UpstreamConnector},
 };
 
@@ -82,7 +82,7 @@
         &self,
         target: CallTarget,
         request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, HttpError> {
+    ) -> Result<Response<ReceivedBody>, HttpError> {
         let sent = self.current().send(target, request).await;
         self.renew_after(&sent);
         sent
@@ -93,7 +93,7 @@
         &self,
         target: CallTarget,
         request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, HttpError> {
+    ) -> Result<Response<ReceivedBody>, HttpError> {
         let sent = self.current().send_checked(target, request).await;
         self.renew_after(&sent);
         sent
