http client: take no response with a status outside 200 to 599 for an answer

An engine's answer with status 700 was handed on with its body and its seal, 10 of 10 calls in two cases. Such a status has no meaning in HTTP (RFC 9110, section 15), and neither has a switch of protocols that nobody asked for; the parser already rejects status 000.

The client that all calls use now fails with "status 700 is no answer", so that the send counts as lost: a call gets 502, and what may be repeated is sent again.

test_early_answer_is_complete_or_fails: 2 cases with status 700 failed before, those with 000 passed. test_status_without_meaning_is_no_response: 2 of 3 failed before.

--- a/cli/src/http_client.rs
+++ b/cli/src/http_client.rs
@@ -276,7 +276,7 @@
     }
 
     /// Sends a request and returns as soon as the head of the response is
-    /// received, whatever its status.
+    /// received. Fails if its status is not one of a final response.
     pub async fn send(
         &self,
         target: CallTarget,
@@ -297,6 +297,14 @@
                     message: "a relayed response must have a length".into(),
                 })
             }
+            Ok(Ok(response)) if !is_final(response.status()) => {
+                let status = response.status();
+                Err(HttpError::Malformed {
+                    step,
+                    peer,
+                    message: format!("status {status} is no answer").into(),
+                })
+            }
             Ok(Ok(response)) => Ok(ReceivedBody::check(response)),
             Ok(Err(error)) => {
                 let message = error_chain(&error);
@@ -378,6 +386,11 @@
         && ends_with_connection(response)
 }
 
+/// Whether a status is one of a final response. No call asks for an upgrade.
+fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Reads the body of a response within the target's timeout. Fails if it is
 /// larger than `limit`.
 pub async fn read_response_body(
--- a/cli/tests/test_early_end.rs
+++ b/cli/tests/test_early_end.rs
@@ -139,3 +139,17 @@
         }
     }
 }
+
+/// Guards against a response with a status that is none of a final response.
+#[rstest]
+#[case::zero("HTTP/1.1 000 -\r\ncontent-length: 0\r\n\r\n")]
+#[case::upgrade("HTTP/1.1 101 -\r\n\r\n")]
+#[case::above("HTTP/1.1 700 -\r\ncontent-length: 0\r\n\r\n")]
+#[tokio::test]
+async fn test_status_without_meaning_is_no_response(
+    #[case] reply: &'static str,
+) {
+    let peer = start_server(reply, ServerEnd::ReadAfter(ms(0))).await;
+    let response = call(&HttpClient::without_reuse(), peer, 10).await;
+    assert!(response.is_err(), "{response:?}");
+}
