gateway: take a newer desired state from other instances at a start

The store had carried out the write of an older version after the newer one, so that its newest record was the older one, and a starting instance read nothing else.

After its first read from the store an instance now reads the copies of up to three other instances and applies a newer version. A copy names the desired state in force at its sender, whatever the store's log has last.

Open: all instances starting at the same time.

--- a/cli/src/gateway/peer_copies.rs
+++ b/cli/src/gateway/peer_copies.rs
@@ -14,7 +14,7 @@
     gateway::{
         store_era::TopicPosition,
         topic_copy::{COPY_VERSION, CopyResponse},
-        wire::{GatewayWire, StoreTopic},
+        wire::{GatewayWire, KeyedRecord, StoreTopic},
     },
     units::LogOffset,
 };
@@ -170,13 +170,30 @@
     // copy's age.
     let _ = tokio::time::timeout(query.wait, waited).await;
     let now = context.now();
-    let copy = context.core().topic_copy(query.topic).read(now, query.from);
+    let mut core = context.core();
+    let copy = core.topic_copy(query.topic).read(now, query.from);
+    let config = core.config_record().cloned();
+    drop(core);
     match copy {
-        Some(copy) => Response::new(encode(&copy).into()),
+        Some(mut copy) => {
+            if let (StoreTopic::Control, Some(config)) = (query.topic, config) {
+                replace_config(&mut copy.records, config);
+            }
+            Response::new(encode(&copy).into())
+        }
         None => without_body(StatusCode::SERVICE_UNAVAILABLE),
     }
 }
 
+/// Replaces the desired state among the records by the one in force. An older one
+/// that the store has written late must not reach an instance that starts.
+fn replace_config(records: &mut [KeyedRecord], config: KeyedRecord) {
+    let mut records = records.iter_mut();
+    if let Some(record) = records.find(|it| it.key == config.key) {
+        *record = config;
+    }
+}
+
 fn without_body(status: StatusCode) -> Response<Bytes> {
     let mut response = Response::new(Bytes::new());
     *response.status_mut() = status;
--- a/cli/src/gateway/record_applier.rs
+++ b/cli/src/gateway/record_applier.rs
@@ -27,6 +27,17 @@
         Self { context, topic }
     }
 
+    /// Applies the desired state among the records of another instance's copy;
+    /// one that is not newer than the known one has no effect.
+    pub(super) fn apply_config(&self, records: &[KeyedRecord]) {
+        let mut configs = records.to_vec();
+        configs.retain(|record| {
+            let read = self.context.wire.read_control(record);
+            matches!(read, Ok(ControlRecord::Config(_)))
+        });
+        self.apply_control(&configs);
+    }
+
     /// Replaces the state by the newest record of each key.
     pub(super) fn replace(&self, records: &[KeyedRecord]) {
         match self.topic {
@@ -86,13 +97,13 @@
         let mut closed = Vec::new();
         // Only the newest of several desired states is applied. It need not be
         // the last one: the store may carry out a write late.
-        let mut newest: Option<Box<RoutingConfig>> = None;
+        let mut newest: Option<(Box<RoutingConfig>, &KeyedRecord)> = None;
         for record in records {
             match self.context.wire.read_control(record) {
                 Ok(ControlRecord::Config(config)) => {
-                    let known = newest.as_ref().map(|config| config.version);
+                    let known = newest.as_ref().map(|(it, _)| it.version);
                     if known < Some(config.version) {
-                        newest = Some(config);
+                        newest = Some((config, record));
                     }
                 }
                 Ok(ControlRecord::CloseDomain(domain)) => {
@@ -110,11 +121,17 @@
                 ),
             }
         }
-        if let Some(config) = newest {
+        if let Some((config, record)) = newest {
             let version = config.version;
             let routes = config.route_count();
             let faults = config.faults().to_vec();
-            if self.context.core().apply_config(*config) {
+            let mut core = self.context.core();
+            let is_applied = core.apply_config(*config);
+            if is_applied {
+                core.set_config_record(record.clone());
+            }
+            drop(core);
+            if is_applied {
                 let gauge = i64::try_from(version.get()).unwrap_or(i64::MAX);
                 self.context.metrics.config_version.set(gauge);
                 log_decision!(
--- a/cli/src/gateway/topic_reader.rs
+++ b/cli/src/gateway/topic_reader.rs
@@ -51,12 +51,55 @@
 /// their owners.
 const RECORD_OVERHEAD_BYTES: usize = 96;
 
+/// Instances whose copies are read after the first read from the store: one of them
+/// may have started at the same time and know no more.
+const COMPARED_COPIES: usize = 3;
+/// Time for which a starting instance looks for such copies. Instances learn of each
+/// other within a few heartbeats; one that finds none is alone.
+const COMPARE_TIME: Duration = Duration::from_secs(10);
+/// Pause between two attempts to read one.
+const COMPARE_PAUSE: Duration = Duration::from_millis(200);
+
 /// Starts to follow the topics.
 pub(super) fn start<W: GatewayWire>(context: &SharedGateway<W>) {
     let control = TopicReader::new(context.clone(), StoreTopic::Control);
     tokio::spawn(control.run());
     let upstreams = TopicReader::new(context.clone(), StoreTopic::Upstreams);
     tokio::spawn(upstreams.run());
+    tokio::spawn(compare_copies(context.clone()));
+}
+
+/// Applies the desired state of other instances if it is newer than the one that
+/// this instance has read at its start. The store may have carried out the write
+/// of an older one after that, and then lists only the older one.
+async fn compare_copies<W: GatewayWire>(context: SharedGateway<W>) {
+    let applier = RecordApplier::new(context.clone(), StoreTopic::Control);
+    // A copy may be of any age, so the store is read first.
+    while context.core().config().is_none() {
+        tokio::time::sleep(COMPARE_PAUSE).await;
+    }
+    let started_at = context.now();
+    let mut compared = Vec::new();
+    while compared.len() < COMPARED_COPIES
+        && context.now().since(started_at) < COMPARE_TIME
+    {
+        tokio::time::sleep(COMPARE_PAUSE).await;
+        let now = context.now();
+        let peer = context.core().random_serving_peer(now);
+        let Some(ip) = peer.filter(|ip| !compared.contains(ip)) else {
+            continue;
+        };
+        let query = CopyQuery {
+            topic: StoreTopic::Control,
+            from: None,
+            wait: Duration::ZERO,
+        };
+        let copy = peer_copies::fetch(&context, ip, query, STORE_TIMEOUT);
+        if let Ok(copy) = copy.await {
+            applier.apply_config(&copy.records);
+            compared.push(ip);
+        }
+    }
 }
 
 /// Follows one topic and applies its records.
--- a/lib/src/gateway/gateway_core.rs
+++ b/lib/src/gateway/gateway_core.rs
@@ -50,7 +50,7 @@
     upstream_table::{
         UpstreamChange, UpstreamEntry, UpstreamProcess, UpstreamTable,
     },
-    wire::StoreTopic,
+    wire::{KeyedRecord, StoreTopic},
 };
 use crate::{
     ids::{DomainId, ServiceName, UpstreamId},
@@ -187,6 +187,7 @@
     topic_copies: BTreeMap<StoreTopic, TopicCopy>,
     reader_selector: ReaderSelector,
     quarantine: PromptQuarantine,
+    config_record: Option<KeyedRecord>,
     /// Requests that each delegate sends for this instance at present.
     delegated: BTreeMap<IpAddr, u32>,
     rng: ChaCha8Rng,
@@ -226,6 +227,7 @@
             topic_copies: BTreeMap::new(),
             reader_selector: ReaderSelector::default(),
             quarantine: PromptQuarantine::default(),
+            config_record: None,
             delegated: BTreeMap::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
         }
@@ -262,6 +264,16 @@
         true
     }
 
+    /// Record from which the desired state in force was read.
+    pub fn config_record(&self) -> Option<&KeyedRecord> {
+        self.config_record.as_ref()
+    }
+
+    /// Keeps the record of a desired state that was applied, for other instances.
+    pub fn set_config_record(&mut self, record: KeyedRecord) {
+        self.config_record = Some(record);
+    }
+
     /// Closes or reopens a failure domain; returns whether that is a change.
     pub fn set_closed(&mut self, domain: DomainId, closed: bool) -> bool {
         self.upstreams.set_closed(domain, closed)
