gateway: doubt a blame only with the evidence for it

An instance that has the quarantine from the store, or missed crashes, could doubt it on one crash that it saw, and let requests with a harmful part through as decisive trials one after the other. A doubt now needs as many known crashes as a blame.

--- a/lib/src/gateway/crash_evidence/blame_doubt.rs
+++ b/lib/src/gateway/crash_evidence/blame_doubt.rs
@@ -3,12 +3,12 @@
 //! Parts that are always in the same prompts explain the same crashes. A prompt
 //! that has the blamed part and not the others tells them apart: its answer clears
 //! the blamed part, and its crash confirms the blame. A prompt with all of them
-//! says nothing, whatever becomes of it.
+//! says nothing if it crashes an engine, too.
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::{
-    CrashEvidence, about_as_many,
+    CRASHES_MIN, CrashEvidence, about_as_many,
     part_table::{CrashNumber, SuspectPart},
 };
 use crate::gateway::wire::PartId;
@@ -36,13 +36,17 @@
 }
 
 impl CrashEvidence {
-    /// Doubt whether a part caused the crashes that it explains.
+    /// Doubt whether a part caused the crashes that it explains; none if fewer are
+    /// known here than blame a part.
     pub fn doubt(&self, blamed: &PartId) -> BlameDoubt {
         let Some(suspect) = self.parts.suspect(blamed) else {
             return BlameDoubt::default();
         };
         let explained: BTreeSet<_> =
             suspect.suspicious().map(|it| it.crash).collect();
+        if explained.len() < CRASHES_MIN {
+            return BlameDoubt::default();
+        }
         let mut by_crash = BTreeMap::<CrashNumber, Vec<_>>::new();
         for (part, other) in self.parts.suspects() {
             if part == blamed || is_single_request(part, other) {
--- a/lib/tests/gateway/test_blamed_parts.rs
+++ b/lib/tests/gateway/test_blamed_parts.rs
@@ -1,13 +1,10 @@
 //! Which of the parts that are in the same crashes is blamed.
 
-use borageline_lib::{
-    gateway::{
-        crash_evidence::{SETTLE_TIME, SuspectPrompt},
-        prompt_quarantine::{PromptQuarantine, PromptReport, TrialAnswer},
-        request_content::RequestContent,
-        wire::PartId,
-    },
-    units::Timestamp,
+use borageline_lib::gateway::{
+    crash_evidence::{SETTLE_TIME, SuspectPrompt},
+    prompt_quarantine::{PromptQuarantine, PromptReport, TrialAnswer},
+    request_content::RequestContent,
+    wire::PartId,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -17,18 +14,9 @@
 use crate::{
     fixtures::{at, id, ms},
     test_prompt_quarantine::{exchange, parts, process},
+    test_request_quarantine::is_refused,
 };
 
-/// Whether a request with these parts is refused, on an instance that makes no
-/// trials.
-fn is_refused(
-    quarantine: &mut PromptQuarantine,
-    now: Timestamp,
-    parts: &[PartId],
-) -> bool {
-    quarantine.check(now, parts, |_| false).is_err()
-}
-
 /// Load pattern: sound prompts are answered until 2.4 s before the first of three
 /// harmful ones, each of which crashes two engines, and none is while they come.
 /// Guards against a sound part that is blamed for its place in the prompt, so that
--- a/lib/tests/gateway/test_request_quarantine.rs
+++ b/lib/tests/gateway/test_request_quarantine.rs
@@ -57,7 +57,7 @@
     quarantine.record_crash(now, process(engine), prompt);
 }
 
-fn is_refused(
+pub(crate) fn is_refused(
     quarantine: &mut PromptQuarantine,
     now: Timestamp,
     parts: &[PartId],
