quarantine: clear calls that differ from harmful ones in the query alone

In `borageline serve` all calls of a path got 503 after two calls that differ in the query had crashed processes in turns: the id that all these calls share was blamed, and no trial cleared it before the end of the hold time, because each of the two had come once, and one that came once explained nothing.

For a blamed request id a request that crashed several upstreams now counts as another explanation, also if it came once; for parts of prompts it still must come again, since each crash has such requests. An instance reports to all others when an answer ends a quarantine.

--- a/cli/src/quarantine.rs
+++ b/cli/src/quarantine.rs
@@ -2,8 +2,9 @@
 //!
 //! Holds the [`PromptQuarantine`] that the gateway uses, finds out which upstreams
 //! have crashed, and exchanges reports with the other instances: with all of them
-//! after a crash that this instance saw, and with a random one from time to time,
-//! by which an instance that has just started learns what others know.
+//! after a crash that this instance saw or an answer that ended a quarantine, and
+//! with a random one from time to time, by which an instance that has just started
+//! learns what others know.
 
 use std::{
     net::SocketAddr,
@@ -64,7 +65,7 @@
     own_address: SocketAddr,
     /// The way to upstreams that only this instance does not reach.
     relays: RelayClient,
-    crash_seen: Notify,
+    report_due: Notify,
 }
 
 impl RequestQuarantine {
@@ -80,7 +81,7 @@
             clock,
             own_address,
             relays,
-            crash_seen: Notify::new(),
+            report_due: Notify::new(),
         }
     }
 
@@ -120,7 +121,10 @@
         let now = self.clock.now();
         let mut state = self.state();
         state.record_sound(now, contents, begun_at);
-        log_changes(&mut state);
+        // The others refuse requests with a part until they know that it is sound.
+        if log_changes(&mut state) {
+            self.report_due.notify_one();
+        }
     }
 
     /// Finds out whether an upstream crashed that broke off a request before or
@@ -169,7 +173,7 @@
         state.record_crash(now, process, prompt);
         log_changes(&mut state);
         drop(state);
-        self.crash_seen.notify_one();
+        self.report_due.notify_one();
     }
 
     /// Applies the report of another instance, and returns this instance's.
@@ -189,9 +193,9 @@
     /// Exchanges reports with the other instances until the process ends.
     pub async fn share(self: Arc<Self>, handle: CoreHandle, peers: PeerPool) {
         loop {
-            let crash_seen = self.crash_seen.notified();
+            let report_due = self.report_due.notified();
             tokio::select! {
-                () = crash_seen => {
+                () = report_due => {
                     for _ in 0..REPORTS_PER_CRASH {
                         let all = handle.published().peers.clone();
                         self.exchange_with(&peers, all).await;
@@ -259,10 +263,13 @@
     false
 }
 
-fn log_changes(state: &mut PromptQuarantine) {
-    for change in state.take_changes() {
-        log_change(&change);
+/// Logs the changes since the last call; returns whether there are any.
+fn log_changes(state: &mut PromptQuarantine) -> bool {
+    let changes = state.take_changes();
+    for change in &changes {
+        log_change(change);
     }
+    !changes.is_empty()
 }
 
 pub(crate) fn log_change(change: &QuarantineChange) {
--- a/cli/tests/test_faults/test_crashes.rs
+++ b/cli/tests/test_faults/test_crashes.rs
@@ -94,3 +94,45 @@
         }
     }
 }
+
+/// Time within which sound calls must be served again after the last crash.
+const CLEARING_LIMIT: Duration = Duration::from_secs(6);
+
+/// Guards against all calls of a path that are refused because two of them, which
+/// differ in the query, crash processes in turns: until a trial has shown that the
+/// others are sound, and at the instances that did not make it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn test_crashes_calls_with_other_queries_are_served() {
+    let fleet = TestFleet::start(FleetPlan::default()).await;
+    let mut processes = Vec::new();
+    for _ in 0..2 * PROCESSES {
+        processes.push(CrashingServer::start(DOWN_TIME).await.unwrap());
+    }
+    add_service(&fleet, &processes);
+    let instances = fleet.instances.len();
+    let until = Instant::now() + Duration::from_secs(10);
+    while call(&fleet, 0, "other").await != Some(200) {
+        assert!(Instant::now() < until, "the service is not served");
+        tokio::time::sleep(CALL_INTERVAL).await;
+    }
+    let crashes = || -> usize {
+        processes.iter().map(|it| it.history().crashes.len()).sum()
+    };
+    for number in 0..4 {
+        let path = format!("look?page={HARMFUL}-{}", number % 2);
+        call(&fleet, number % instances, &path).await;
+        tokio::time::sleep(CALL_INTERVAL).await;
+    }
+    assert!(crashes() >= CRASHES_ALLOWED, "{} crashes", crashes());
+    let until = Instant::now() + CLEARING_LIMIT;
+    while Instant::now() < until {
+        for instance in 0..instances {
+            call(&fleet, instance, "look?page=1").await;
+        }
+        tokio::time::sleep(CALL_INTERVAL).await;
+    }
+    for instance in 0..instances {
+        let status = call(&fleet, instance, "look?page=2").await;
+        assert_eq!(status, Some(200), "instance {instance}");
+    }
+}
--- a/lib/src/gateway/crash_evidence/blame_doubt.rs
+++ b/lib/src/gateway/crash_evidence/blame_doubt.rs
@@ -9,7 +9,7 @@
 
 use super::{
     CRASHES_MIN, CrashEvidence, about_as_many,
-    part_table::{CrashNumber, SuspectPart},
+    part_table::{CrashNumber, PartSighting, SuspectPart},
 };
 use crate::gateway::wire::PartId;
 
@@ -49,7 +49,7 @@
         }
         let mut by_crash = BTreeMap::<CrashNumber, Vec<_>>::new();
         for (part, other) in self.parts.suspects() {
-            if part == blamed || is_single_request(part, other) {
+            if part == blamed || !may_explain(part, other, blamed) {
                 continue;
             }
             let shared: Vec<_> = other
@@ -75,14 +75,20 @@
     }
 }
 
-/// Whether the part is a request that came only once. Each crash has some, so they
-/// say nothing of the parts.
-fn is_single_request(part: &PartId, suspect: &SuspectPart) -> bool {
+/// Whether a part may explain the crashes of a blamed one. Each crash has requests
+/// that came only once, so that these say nothing of the parts that they share with
+/// others. One that crashed several upstreams says something of requests that are
+/// like it but for their query.
+fn may_explain(part: &PartId, suspect: &SuspectPart, blamed: &PartId) -> bool {
+    if !part.is_request() {
+        return true;
+    }
     let sightings: Vec<_> = suspect.suspicious().collect();
-    part.is_request()
-        && sightings
-            .iter()
-            .all(|it| !it.has_others && it.attempt == sightings[0].attempt)
+    let is_other = |it: &&PartSighting| {
+        it.has_others || it.attempt != sightings[0].attempt
+    };
+    sightings.iter().any(is_other)
+        || (blamed.is_request() && sightings.len() > 1)
 }
 
 /// The parts with about the highest count. A report may lack some of the parts of
