http client: watch for a reset after a long request was acknowledged

The forwarder between delegate and upstream had acknowledged the whole request, which the upstream never read. A server's own system does the same for what fits in its receive buffer.

A connection for one request on which 64 KiB or more were written is now watched 100 ms for its reset after everything is acknowledged, if an answer without a length ends with it. A failed write marks the end as early, too, since the system reports the error only once.

--- a/cli/src/http_client.rs
+++ b/cli/src/http_client.rs
@@ -229,11 +229,13 @@
         let mut connector = tcp_connector(connect);
         let size = usize::try_from(receive_buffer.get()).unwrap_or(usize::MAX);
         connector.set_recv_buffer_size(Some(size));
-        Self::build_with(WatchedConnector::new(connector), 0, false)
+        let connector = WatchedConnector::new(connector).with_single_use(true);
+        Self::build_with(connector, 0, false)
     }
 
     fn build(max_idle: usize, retry: bool, connect: Duration) -> Self {
-        let connector = WatchedConnector::new(tcp_connector(connect));
+        let connector = WatchedConnector::new(tcp_connector(connect))
+            .with_single_use(max_idle == 0);
         Self::build_with(connector, max_idle, retry)
     }
 }
--- a/cli/src/watched_stream.rs
+++ b/cli/src/watched_stream.rs
@@ -6,7 +6,9 @@
 //! nothing is left to read at that moment, and resets the connection only when
 //! more of the request arrives. What came before may be a part of an answer. So
 //! the end is passed on once the server has acknowledged all that was sent, or
-//! is marked as early if it does not do so.
+//! is marked as early if it does not do so. The server's system, or one on the way,
+//! may acknowledge what the server never reads. After a long request a connection
+//! that is used once is therefore watched a little longer for its reset.
 
 use std::{
     io::{self, ErrorKind, IoSlice},
@@ -39,6 +41,12 @@
 /// Time between two checks of what the server has received.
 const CHECK_INTERVAL: Duration = Duration::from_millis(2);
 
+/// Bytes from which a request is long. A server reads a shorter one together with
+/// its head.
+const LONG_REQUEST_BYTES: usize = 64 << 10;
+/// Time to wait for a reset after the server has acknowledged a long request.
+const RESET_WATCH: Duration = Duration::from_millis(100);
+
 /// Whether the server ended its side of a connection before it had received all
 /// that was sent to it.
 #[derive(Clone, Debug, Default)]
@@ -69,6 +77,10 @@
 pub struct WatchedStream {
     stream: TcpStream,
     early_end: EarlyEnd,
+    /// Whether the connection is used for one request only.
+    is_single_use: bool,
+    /// Bytes written so far.
+    written: usize,
     /// Whether the last write took less than it was given.
     is_blocked: bool,
     /// Wait for the delivery after the server has ended its side.
@@ -78,6 +90,8 @@
 #[derive(Debug)]
 struct DeliveryWait {
     until: Instant,
+    /// End of the watch for a reset; `None` until all is acknowledged.
+    watched_until: Option<Instant>,
     next_check: Pin<Box<Sleep>>,
 }
 
@@ -87,11 +101,19 @@
         Self {
             stream,
             early_end: EarlyEnd::default(),
+            is_single_use: false,
+            written: 0,
             is_blocked: false,
             wait: None,
         }
     }
 
+    /// Sets whether the connection is used for one request only.
+    pub fn with_single_use(mut self, is_single_use: bool) -> Self {
+        self.is_single_use = is_single_use;
+        self
+    }
+
     /// The connection itself.
     pub fn into_inner(self) -> TcpStream {
         self.stream
@@ -120,24 +142,34 @@
 
     /// Waits until it is known whether the end was early.
     fn poll_end(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        let is_watched =
+            self.is_single_use && self.written >= LONG_REQUEST_BYTES;
         loop {
             let delivery = self.delivery();
+            let now = Instant::now();
             let wait = self.wait.get_or_insert_with(|| DeliveryWait {
-                until: Instant::now() + DELIVERY_MAX,
+                until: now + DELIVERY_MAX,
+                watched_until: None,
                 next_check: Box::pin(sleep(CHECK_INTERVAL)),
             });
-            match delivery {
-                Delivery::Complete => return Poll::Ready(()),
-                Delivery::Incomplete if Instant::now() < wait.until => {
-                    ready!(wait.next_check.as_mut().poll(context));
-                    let next = Instant::now() + CHECK_INTERVAL;
-                    wait.next_check.as_mut().reset(next);
+            let is_over = match delivery {
+                Delivery::Complete => {
+                    let watched_until =
+                        *wait.watched_until.get_or_insert(now + RESET_WATCH);
+                    !is_watched || now >= watched_until
                 }
+                Delivery::Incomplete if now < wait.until => false,
                 Delivery::Incomplete | Delivery::Failed => {
                     self.early_end.mark();
-                    return Poll::Ready(());
+                    true
                 }
+            };
+            if is_over {
+                return Poll::Ready(());
             }
+            ready!(wait.next_check.as_mut().poll(context));
+            let next = Instant::now() + CHECK_INTERVAL;
+            wait.next_check.as_mut().reset(next);
         }
     }
 
@@ -147,8 +179,16 @@
         given: usize,
     ) -> Poll<io::Result<usize>> {
         self.is_blocked = match &written {
-            Poll::Ready(Ok(taken)) => *taken < given,
-            Poll::Ready(Err(_)) | Poll::Pending => true,
+            Poll::Ready(Ok(taken)) => {
+                self.written += taken;
+                *taken < given
+            }
+            Poll::Ready(Err(_)) => {
+                // The error is not reported a second time.
+                self.early_end.mark();
+                true
+            }
+            Poll::Pending => true,
         };
         written
     }
@@ -223,12 +263,24 @@
 
 /// Establishes watched connections.
 #[derive(Clone, Debug)]
-pub struct WatchedConnector(HttpConnector);
+pub struct WatchedConnector {
+    connector: HttpConnector,
+    is_single_use: bool,
+}
 
 impl WatchedConnector {
     /// Watches the connections of a connector.
     pub fn new(connector: HttpConnector) -> Self {
-        Self(connector)
+        Self {
+            connector,
+            is_single_use: false,
+        }
+    }
+
+    /// Sets whether each connection is used for one request only.
+    pub fn with_single_use(mut self, is_single_use: bool) -> Self {
+        self.is_single_use = is_single_use;
+        self
     }
 }
 
@@ -244,16 +296,22 @@
         &mut self,
         context: &mut Context<'_>,
     ) -> Poll<Result<(), Self::Error>> {
-        self.0.poll_ready(context)
+        self.connector.poll_ready(context)
     }
 
     fn call(&mut self, uri: Uri) -> Self::Future {
-        WatchedConnecting(Box::pin(self.0.call(uri)))
+        WatchedConnecting {
+            connecting: Box::pin(self.connector.call(uri)),
+            is_single_use: self.is_single_use,
+        }
     }
 }
 
 /// A connection that is being established.
-pub struct WatchedConnecting(Pin<Box<ConnectorFuture>>);
+pub struct WatchedConnecting {
+    connecting: Pin<Box<ConnectorFuture>>,
+    is_single_use: bool,
+}
 
 impl Future for WatchedConnecting {
     type Output = Result<TokioIo<WatchedStream>, ConnectorError>;
@@ -262,9 +320,10 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Self::Output> {
-        let connected = ready!(self.0.as_mut().poll(context));
-        let connected = connected
-            .map(|it| TokioIo::new(WatchedStream::new(it.into_inner())));
-        Poll::Ready(connected)
+        let connected = ready!(self.connecting.as_mut().poll(context));
+        Poll::Ready(connected.map(|stream| {
+            let stream = WatchedStream::new(stream.into_inner());
+            TokioIo::new(stream.with_single_use(self.is_single_use))
+        }))
     }
 }
--- a/cli/tests/test_early_end.rs
+++ b/cli/tests/test_early_end.rs
@@ -140,6 +140,24 @@
     }
 }
 
+/// Guards against a part of a response that is taken for a complete one, since the
+/// server's system had acknowledged all of the request, which the server did not
+/// read before it reset the connection.
+#[rstest]
+#[case::soon(ms(5))]
+#[case::later(ms(20))]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn test_reset_after_acknowledged_request_is_noticed(
+    #[case] pause: Duration,
+) {
+    let peer = start_server(SUCCESS, ServerEnd::ResetAfter(pause)).await;
+    let client = HttpClient::without_reuse();
+    for number in 0..CALLS {
+        let response = call(&client, peer, 100 << 10).await;
+        assert!(response.is_err(), "call {number}: {response:?}");
+    }
+}
+
 /// Guards against a response with a status that is none of a final response.
 #[rstest]
 #[case::zero("HTTP/1.1 000 -\r\ncontent-length: 0\r\n\r\n")]
