--- a/cli/src/gateway/peer_listener.rs
+++ b/cli/src/gateway/peer_listener.rs
@@ -1,6 +1,6 @@
 //! Listener for the requests of other instances: copies of topics, questions
-//! about upstreams and trials, loans of retries, and callers' requests that this instance
-//! sends for another.
+//! about upstreams and trials, loans of retries, and callers' requests that this
+//! instance sends for another.
 
 use std::{io, time::Duration};
 
