review: show crashes that are forgotten after all processes were killed

Evidence on prompts that crash engines is in memory until a part is blamed and its owner has written a record. If all gateways are killed before that, the same part crashes as many engines again.

Evidence: review/13/run.sh; three gateways, twelve engines, three harmful prompts, a kill of all 0.2 s after the fifth crash.

--- a/review/13/case.rs
+++ b/review/13/case.rs
@@ -34,8 +34,10 @@
 const HARMFUL: &str = "bad00001";
 /// Second part of all prompts.
 const COMMON: &str = "c0330001";
+/// Time between two of the first harmful prompts.
+const FIRST_PAUSE: Duration = Duration::from_millis(120);
 /// Time from the fifth crash to the kill.
-const KILL_DELAY_MS: u64 = 100;
+const KILL_DELAY_MS: u64 = 200;
 /// Harmful prompts after the start, and the time between two.
 const LATER_PROMPTS: usize = 4;
 const LATER_PAUSE: Duration = Duration::from_millis(1_500);
@@ -654,7 +656,11 @@
     let senders: Vec<_> = (0..3)
         .map(|_| {
             let clients = clients.clone();
-            thread::spawn(move || clients.send("odd", [HARMFUL, COMMON]))
+            let send = move || clients.send("odd", [HARMFUL, COMMON]);
+            let sender = thread::spawn(send);
+            // Otherwise one crash would end several of them.
+            thread::sleep(FIRST_PAUSE);
+            sender
         })
         .collect();
     let until = Instant::now() + Duration::from_secs(5);
